--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the system with small stand-ins."""
--- /dev/null
+++ b/src/hyssopvane/__init__.py
@@ -0,0 +1,3 @@
+"""Balance requests across expert-parallel model groups."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/hyssopvane/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Hold everything that is not public."""
--- /dev/null
+++ b/src/hyssopvane/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Parse the command line."""
--- /dev/null
+++ b/src/hyssopvane/_internal/cli/registry.py
@@ -0,0 +1,16 @@
+"""List the commands; a command's module is imported only when it runs."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class CommandEntry:
+    """Name a command's module and class."""
+
+    module: str
+    class_name: str
+
+
+COMMANDS: dict[str, CommandEntry] = {
+    "check": CommandEntry("check", "CheckCommand"),
+}
--- /dev/null
+++ b/src/hyssopvane/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Hold one module for each command."""
--- /dev/null
+++ b/src/hyssopvane/_internal/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Agree with other processes through the platform's key-value service."""
--- /dev/null
+++ b/src/hyssopvane/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Hold small value types."""
--- /dev/null
+++ b/src/hyssopvane/_internal/models/settings.py
@@ -0,0 +1,105 @@
+"""Check the settings that a process reads at its start."""
+
+import json
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
+
+from hyssopvane._internal.exceptions import SettingsError
+
+Address = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
+"""An IP number and a port, such as 10.0.0.7:8080; port 0 lets the kernel choose."""
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+
+
+class _Settings(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    vm: Name
+    """Name of the VM, as in the platform's list."""
+    availability_zone: Name
+    platform: Address
+    """Address of the platform's key-value service."""
+    vm_list: Address
+    """Address of the platform's list of live and leaving VMs."""
+    token: Annotated[str, Field(min_length=16)]
+    """Shared secret of the system's own processes and its operators."""
+    operators: Address = "127.0.0.1:0"
+    """Address of the operators' listener."""
+    heartbeat_s: Annotated[float, Field(gt=0, le=10)] = 0.5
+    silence_s: Annotated[float, Field(gt=0, le=60)] = 3.0
+    """Silence on an internal connection after which it is closed."""
+    shutdown_delay_s: Annotated[float, Field(ge=0, le=300)] = 3.0
+    """Time for the platform's balancer to see that the process is leaving."""
+    longest_request_s: Annotated[float, Field(gt=0, le=86_400)] = 600.0
+    """Time that requests in progress get to end at a graceful shutdown."""
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class EntrySettings(_Settings):
+    """Describe one entry process."""
+
+    role: Literal["entry"]
+    callers: Address
+    """Address of the callers' listener."""
+    max_body_bytes: Annotated[int, Field(ge=1)] = 16 * 1024 * 1024
+    max_connections: Annotated[int, Field(ge=1)] = 10_000
+
+
+class AgentSettings(_Settings):
+    """Describe one agent process."""
+
+    role: Literal["agent"]
+    target: Address
+    """Address of the target beside the agent."""
+    service: Name
+    """Service that the target belongs to."""
+    entries: Address
+    """Address on which the agent listens for entries."""
+
+
+Settings = Annotated[EntrySettings | AgentSettings, Field(discriminator="role")]
+_ADAPTER: TypeAdapter[EntrySettings | AgentSettings] = TypeAdapter(Settings)
+
+
+def load_settings(path: str | Path) -> EntrySettings | AgentSettings:
+    """Read and check a settings file; raise `SettingsError` when it can't be used."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(
+            f"the settings file can't be read: {error.strerror}",
+            context=str(path),
+            hint="name a readable JSON file",
+        ) from error
+    return parse_settings(text, source=str(path))
+
+
+def parse_settings(text: str, *, source: str) -> EntrySettings | AgentSettings:
+    """Check settings given as JSON text."""
+    try:
+        document = json.loads(text)
+    except json.JSONDecodeError as error:
+        raise SettingsError(
+            f"the settings are not JSON: {error.msg}",
+            context=f"{source}, line {error.lineno}, column {error.colno}",
+            hint="correct the text at this place",
+        ) from error
+    try:
+        return _ADAPTER.validate_python(document)
+    except ValidationError as error:
+        raise SettingsError(
+            "the settings have errors: " + "; ".join(_describe_errors(error)),
+            context=source,
+            hint="correct these fields and run `hyssopvane check` again",
+        ) from error
+
+
+def _describe_errors(error: ValidationError) -> list[str]:
+    return [
+        f"{'.'.join(str(part) for part in item['loc']) or 'document'}: "
+        f"{item['msg']}, found {item['input']!r}"
+        for item in error.errors()
+    ]
--- /dev/null
+++ b/src/hyssopvane/_internal/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decide under load, without input, output or a wall clock."""
--- /dev/null
+++ b/src/hyssopvane/_internal/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Define the messages between processes and the outcomes told to callers."""
--- /dev/null
+++ b/src/hyssopvane/_internal/roles/__init__.py
@@ -0,0 +1,1 @@
+"""Assemble the layers into the processes that run."""
--- /dev/null
+++ b/src/hyssopvane/_internal/state/__init__.py
@@ -0,0 +1,1 @@
+"""Hold frozen data that the other layers share."""
--- /dev/null
+++ b/src/hyssopvane/_internal/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Move bytes: HTTP servers and clients, framed TCP."""
--- /dev/null
+++ b/src/hyssopvane/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Hold helpers, each module named by its one job."""
--- /dev/null
+++ b/tests/functional/__init__.py
@@ -0,0 +1,1 @@
+"""Test real commands as separate processes."""
--- /dev/null
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what several tests share."""
--- /dev/null
+++ b/tests/unit/__init__.py
@@ -0,0 +1,1 @@
+"""Test modules one by one."""
