Usable: asgi server

One place that serves an ASGI application under hypercorn on a fixed port or one chosen by the kernel, tells the bound address and closes gracefully.

--- /dev/null
+++ b/src/hyssopvane/_internal/transport/asgi_server.py
@@ -0,0 +1,112 @@
+"""Serve an ASGI application on a kernel or a fixed port."""
+
+import ipaddress
+import socket
+from functools import partial
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from hypercorn.typing import ASGIFramework
+
+from hyssopvane._internal.exceptions import SettingsError
+
+KEEP_ALIVE_S = 60.0
+"""Time that an idle connection stays open."""
+
+MAX_HEADER_BYTES = 16 * 1024
+"""Largest head of an HTTP/1.1 request."""
+
+MAX_HTTP2_HEADER_BYTES = 16 * 1024
+"""Largest header list of an HTTP/2 request."""
+
+MAX_HTTP2_STREAMS = 1_000
+"""Requests at one time on an HTTP/2 connection."""
+
+BACKLOG = 1_024
+"""Connections that the kernel holds until they are accepted."""
+
+
+async def serve_asgi(
+    app: ASGIFramework,
+    *,
+    bind: str,
+    graceful_timeout_s: float,
+    shutdown: trio.Event,
+    keep_alive_s: float = KEEP_ALIVE_S,
+    task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve HTTP/1.1 and HTTP/2 until `shutdown` is set and requests have ended.
+
+    Report the bound address as "ip:port". Requests that still run
+    `graceful_timeout_s` after the shutdown are cut.
+    """
+    listener = bind_listener(bind)
+    config = _make_config(
+        listener, graceful_timeout_s=graceful_timeout_s, keep_alive_s=keep_alive_s
+    )
+    address = format_address(listener.getsockname())
+    # Hypercorn makes its own socket object for the descriptor and closes that one.
+    listener.detach()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(
+            partial(serve, app, config, shutdown_trigger=shutdown.wait, mode="asgi")
+        )
+        task_status.started(address)
+
+
+def bind_listener(bind: str) -> socket.socket:
+    """Bind a TCP socket to "ip:port"; port 0 lets the kernel choose."""
+    host, port = parse_address(bind)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, port))
+    except OSError as error:
+        listener.close()
+        raise SettingsError(
+            f"the address can't be bound: {error.strerror}",
+            context=bind,
+            hint="choose an address of this VM and a port that is free",
+        ) from error
+    return listener
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Split "ip:port" or "[ipv6]:port" into its IP number and port."""
+    host, _, port = address.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    try:
+        ipaddress.ip_address(host)
+        number = int(port)
+    except ValueError as error:
+        raise SettingsError(
+            f"{address!r} is not an IP number and a port",
+            hint="write it as in 10.0.0.7:8080 or [::1]:8080",
+        ) from error
+    return host, number
+
+
+def format_address(name: tuple[str, int] | tuple[str, int, int, int]) -> str:
+    """Join the name of a socket to "ip:port" or "[ipv6]:port"."""
+    host, port = name[0], name[1]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+def _make_config(
+    listener: socket.socket, *, graceful_timeout_s: float, keep_alive_s: float
+) -> Config:
+    config = Config()
+    config.bind = [f"fd://{listener.fileno()}"]
+    config.accesslog = None
+    config.errorlog = None
+    config.backlog = BACKLOG
+    # Hypercorn's own default of three seconds would cut an answer that takes longer.
+    config.graceful_timeout = graceful_timeout_s
+    config.keep_alive_timeout = keep_alive_s
+    config.h11_max_incomplete_size = MAX_HEADER_BYTES
+    config.h2_max_concurrent_streams = MAX_HTTP2_STREAMS
+    config.h2_max_header_list_size = MAX_HTTP2_HEADER_BYTES
+    config.include_server_header = False
+    return config
--- /dev/null
+++ b/tests/unit/test_asgi_server.py
@@ -0,0 +1,68 @@
+"""Test serving ASGI applications."""
+
+import httpcore
+import pytest
+import trio
+
+from hyssopvane._internal.exceptions import SettingsError
+from hyssopvane._internal.transport.asgi_server import parse_address, serve_asgi
+
+
+async def answer(scope, receive, send):
+    if scope["type"] == "lifespan":
+        await receive()
+        await send({"type": "lifespan.startup.complete"})
+        await receive()
+        await send({"type": "lifespan.shutdown.complete"})
+        return
+    body = scope["http_version"].encode()
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    await send({"type": "http.response.body", "body": body})
+
+
+@pytest.mark.parametrize(
+    ("http1", "http2", "version"), [(True, False, b"1.1"), (False, True, b"2")]
+)
+def test_serve_asgi_answers_both_versions(http1, http2, version):
+    async def run():
+        shutdown = trio.Event()
+        async with trio.open_nursery() as nursery:
+
+            async def start(task_status):
+                await serve_asgi(
+                    answer,
+                    bind="127.0.0.1:0",
+                    graceful_timeout_s=5,
+                    shutdown=shutdown,
+                    task_status=task_status,
+                )
+
+            address = await nursery.start(start)
+            async with httpcore.AsyncConnectionPool(http1=http1, http2=http2) as pool:
+                response = await pool.request("GET", f"http://{address}/")
+            shutdown.set()
+        return response.content
+
+    assert trio.run(run) == version
+
+
+def test_serve_asgi_names_an_address_that_is_taken():
+    async def run():
+        taken = trio.socket.socket()
+        await taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        with pytest.raises(SettingsError) as error:
+            await serve_asgi(
+                answer, bind=address, graceful_timeout_s=0, shutdown=trio.Event()
+            )
+        taken.close()
+        assert address in str(error.value)
+
+    trio.run(run)
+
+
+@pytest.mark.parametrize("address", ["localhost:80", "10.0.0.7", "10.0.0.7:x", ""])
+def test_parse_address_refuses(address):
+    with pytest.raises(SettingsError):
+        parse_address(address)
