Carry streams of messages between processes over one connection

Length-prefixed Cap'n Proto batches, per-stream credit, heartbeats both ways, a greeting with version and token. Tests in memory on a mock clock cover cut, overlong and garbage frames, silence, a doubled opening and a slow reader. The entry's and agent's parts are there but not yet run.

--- a/src/hyssopvane/_internal/cli/registry.py
+++ b/src/hyssopvane/_internal/cli/registry.py
@@ -12,5 +12,7 @@
 
 
 COMMANDS: dict[str, CommandEntry] = {
+    "run entry": CommandEntry("run_entry", "RunEntryCommand"),
+    "run agent": CommandEntry("run_agent", "RunAgentCommand"),
     "check": CommandEntry("check", "CheckCommand"),
 }
--- /dev/null
+++ b/src/hyssopvane/_internal/protocol/headers.py
@@ -0,0 +1,54 @@
+"""Name the HTTP headers that the system reads and writes."""
+
+from hyssopvane._internal.protocol.messages import Headers
+
+OUTCOME = b"hyssopvane-outcome"
+REASON = b"hyssopvane-reason"
+REQUEST_ID = b"hyssopvane-request-id"
+TARGET_REQUEST_ID = b"x-request-id"
+IDEMPOTENCY_KEY = b"idempotency-key"
+DEADLINE_MS = b"hyssopvane-deadline-ms"
+AUTHORIZATION = b"authorization"
+
+# RFC 9110, 7.6.1: these speak of one connection and are not passed on.
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+_OF_THE_CALLER_ONLY = frozenset({AUTHORIZATION, b"host", b"content-length", b"expect"})
+
+
+def get_header(headers: Headers, name: bytes) -> bytes | None:
+    """Return the first value of a header, given in lower case."""
+    for found, value in headers:
+        if found == name:
+            return value
+    return None
+
+
+def select_for_target(headers: Headers, *, request_id: str) -> Headers:
+    """Return the headers that go on to a target, with the request id."""
+    kept = tuple(
+        (name, value)
+        for name, value in headers
+        if name not in _HOP_BY_HOP
+        and name not in _OF_THE_CALLER_ONLY
+        and name != TARGET_REQUEST_ID
+    )
+    return kept + ((TARGET_REQUEST_ID, request_id.encode()),)
+
+
+def select_for_caller(headers: Headers) -> Headers:
+    """Return the headers of a target's answer that go on to the caller."""
+    return tuple(
+        (name.lower(), value)
+        for name, value in headers
+        if name.lower() not in _HOP_BY_HOP
+    )
--- /dev/null
+++ b/src/hyssopvane/_internal/roles/attempt.py
@@ -0,0 +1,86 @@
+"""Run one attempt at the target and relay its answer."""
+
+import time
+from collections.abc import AsyncIterator
+
+import httpcore
+
+from hyssopvane._internal.exceptions import PeerLost
+from hyssopvane._internal.models.refusals import AgentRefusal
+from hyssopvane._internal.protocol import headers
+from hyssopvane._internal.protocol.messages import (
+    Broken,
+    Chunk,
+    End,
+    Head,
+    Open,
+    Refused,
+)
+from hyssopvane._internal.state.decisions import DecisionMemory, DecisionRecord
+from hyssopvane._internal.transport.peer_connection import PeerStream
+from hyssopvane._internal.transport.target_client import (
+    TargetClient,
+    TargetFailed,
+    TargetUnreachable,
+)
+
+
+class Attempt:
+    """Relay one request to the target and its answer back."""
+
+    def __init__(
+        self,
+        stream: PeerStream,
+        opening: Open,
+        *,
+        target: TargetClient,
+        memory: DecisionMemory,
+    ) -> None:
+        self._stream = stream
+        self._opening = opening
+        self._target = target
+        self._memory = memory
+
+    async def run(self) -> None:
+        """Run the attempt; the stream's last message tells how it ended."""
+        self._record("started", "the agent takes new work")
+        opening = self._opening
+        try:
+            async with self._target.call(
+                method=opening.method,
+                path=opening.path,
+                headers=opening.headers,
+                body=self._receive_body(),
+            ) as response:
+                await self._relay(response)
+        except TargetUnreachable as error:
+            # The connection was never made, so the target can't have seen the request.
+            self._record("refused", f"target unreachable: {error}")
+            self._stream.send(Refused(AgentRefusal.TARGET_UNREACHABLE.value))
+        except TargetFailed as error:
+            self._record("broken", str(error))
+            self._stream.send(Broken(str(error)))
+        else:
+            self._record("answered", "the target's answer is whole")
+
+    async def _relay(self, response: httpcore.Response) -> None:
+        self._stream.send(
+            Head(response.status, headers.select_for_caller(tuple(response.headers)))
+        )
+        async for data in response.aiter_stream():
+            await self._stream.send_data(data)
+        self._stream.send(End())
+
+    async def _receive_body(self) -> AsyncIterator[bytes]:
+        while True:
+            message = await self._stream.receive()
+            if isinstance(message, End):
+                return
+            if not isinstance(message, Chunk):
+                raise PeerLost("the entry sent something else than a body")
+            yield message.data
+
+    def _record(self, decision: str, why: str) -> None:
+        self._memory.record(
+            self._opening.request_id, DecisionRecord(time.time(), decision, why)
+        )
--- /dev/null
+++ b/src/hyssopvane/_internal/roles/call.py
@@ -0,0 +1,112 @@
+"""Hold a caller's request and the way its answer is written."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import trio
+
+from hyssopvane._internal.models.refusals import Outcome, Refusal
+from hyssopvane._internal.protocol import headers
+from hyssopvane._internal.protocol.messages import Head, Headers
+from hyssopvane._internal.state.work import WorkRequest
+from hyssopvane._internal.transport.asgi_messages import send_json
+
+_RETRY_AFTER = b"retry-after"
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """Hold a request whose body is whole and whose caller is known."""
+
+    work: WorkRequest
+    method: str
+    path: bytes
+    headers: Headers
+    body: bytes
+    key: str = ""
+
+
+class ReplyWriter:
+    """Write one answer or one refusal to the caller."""
+
+    def __init__(self, send: Any, *, request_id: str) -> None:
+        self._send = send
+        self._request_id = request_id.encode()
+        self.started = False
+        self.ended = False
+
+    async def send_head(self, head: Head) -> None:
+        """Start the answer of a request that ran."""
+        self.started = True
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": head.status,
+                "headers": [*head.headers, *self._mark(Outcome.RAN)],
+            }
+        )
+
+    async def send_data(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._send(
+            {"type": "http.response.body", "body": data, "more_body": True}
+        )
+
+    async def send_end(self) -> None:
+        """Complete the answer."""
+        self.ended = True
+        await self._send({"type": "http.response.body", "body": b""})
+
+    async def send_refusal(self, refusal: Refusal) -> None:
+        """Tell the caller why there is no answer, and when to come back."""
+        self.started = self.ended = True
+        marks: Headers = (
+            *self._mark(refusal.outcome),
+            (headers.REASON, refusal.reason.value.encode()),
+        )
+        if refusal.retry_after_s is not None:
+            # Whole seconds, rounded up: nobody comes back before it helps.
+            seconds = max(1, -int(-refusal.retry_after_s // 1))
+            marks += ((_RETRY_AFTER, str(seconds).encode()),)
+        await send_json(
+            self._send,
+            {
+                "outcome": refusal.outcome.value,
+                "reason": refusal.reason.value,
+                "hint": refusal.remedy,
+                "detail": refusal.detail,
+                "request_id": self._request_id.decode(),
+            },
+            status=refusal.status,
+            headers=marks,
+        )
+
+    def _mark(self, outcome: Outcome) -> Headers:
+        return (
+            (headers.OUTCOME, outcome.value.encode()),
+            (headers.REQUEST_ID, self._request_id),
+        )
+
+
+class AnswerCut(Exception):
+    """Tell the server to cut the connection: the answer can't be completed."""
+
+
+async def run_until_disconnect(work: Any, wait_for_disconnect: Any) -> bool:
+    """Run `work` until it ends or the caller has gone; tell whether it ended."""
+    ended = False
+
+    async def run_work() -> None:
+        nonlocal ended
+        await work()
+        ended = True
+        nursery.cancel_scope.cancel()
+
+    async def watch_caller() -> None:
+        await wait_for_disconnect()
+        nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch_caller)
+        nursery.start_soon(run_work)
+    return ended
--- /dev/null
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -0,0 +1,234 @@
+"""Run the entry: callers' HTTP in front, agents behind."""
+
+import secrets
+from functools import partial
+from random import Random
+
+import trio
+
+from hyssopvane._internal.coordination.etcd_key_value import EtcdKeyValueStore
+from hyssopvane._internal.coordination.table_store import TableReader
+from hyssopvane._internal.coordination.vm_list import VmRecord, fetch_vms
+from hyssopvane._internal.exceptions import HyssopvaneError
+from hyssopvane._internal.models.settings import EntrySettings
+from hyssopvane._internal.policy.scheduler import Scheduler
+from hyssopvane._internal.protocol.messages import (
+    PROTOCOL_VERSION,
+    Heartbeat,
+    Hello,
+    Open,
+)
+from hyssopvane._internal.roles.caller_app import (
+    CallerApp,
+    CallerLimits,
+    DirectorySource,
+)
+from hyssopvane._internal.roles.dispatcher import Dispatcher
+from hyssopvane._internal.roles.operators import (
+    OperatedProcess,
+    OperatorsApp,
+    serve_operators,
+)
+from hyssopvane._internal.roles.peer_pool import PeerAddress, PeerObserver, PeerPool
+from hyssopvane._internal.state.directory import Directory
+from hyssopvane._internal.state.table import Table
+from hyssopvane._internal.state.work import LoadReport, TargetInfo
+from hyssopvane._internal.transport.asgi_server import serve_asgi
+from hyssopvane._internal.transport.peer_connection import (
+    ConnectionTimes,
+    PeerConnection,
+    PeerHandler,
+    PeerStream,
+)
+from hyssopvane._internal.utils.logs import log_event
+
+_VM_LIST_INTERVAL_S = 1.0
+_SETTLE_INTERVAL_S = 0.05
+_AGENT_ROLE = "agent"
+
+
+class Entry(OperatedProcess, PeerHandler, PeerObserver):
+    """Serve callers, with the targets' agents behind."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        super().__init__(settings)
+        self.settings = settings
+        self.incarnation = secrets.randbits(63)
+        self.leaving = False
+        self.callers_address = ""
+        self.operators_address = ""
+        self._callers_shutdown = trio.Event()
+        self._callers_closed = trio.Event()
+        self._source = DirectorySource()
+        self._store = EtcdKeyValueStore(address=settings.platform)
+        self._table = TableReader(self._store)
+        self.scheduler = Scheduler(random=Random(self.incarnation))
+        self._pool = PeerPool(
+            hello=self._make_hello(),
+            handler=self,
+            observer=self,
+            times=ConnectionTimes(
+                heartbeat_s=settings.heartbeat_s, silence_s=settings.silence_s
+            ),
+            random=Random(self.incarnation),
+        )
+        self.dispatcher = Dispatcher(
+            scheduler=self.scheduler,
+            pool=self._pool,
+            metrics=self.metrics,
+            memory=self.decisions,
+        )
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve callers until cancelled."""
+        async with trio.open_nursery() as nursery:
+            await self._store.start(nursery)
+            nursery.start_soon(self._follow_table)
+            nursery.start_soon(self._follow_vms, nursery)
+            nursery.start_soon(
+                partial(self.dispatcher.watch_deadlines, interval_s=_SETTLE_INTERVAL_S)
+            )
+            self.operators_address = await nursery.start(
+                serve_operators, OperatorsApp(self), self.settings.operators
+            )
+            self.callers_address = await nursery.start(self._serve_callers)
+            log_event(
+                "info",
+                "started",
+                callers=self.callers_address,
+                operators=self.operators_address,
+                incarnation=self.incarnation,
+            )
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def drain(self) -> None:
+        """Leave the balancer, then let every request in progress end whole."""
+        self.leaving = True
+        log_event("info", "draining", open=self.scheduler.count_requests())
+        # The balancer keeps sending until it has seen the readiness change; a listener
+        # closed before that refuses callers who did nothing wrong.
+        await trio.sleep(self.settings.shutdown_delay_s)
+        self._callers_shutdown.set()
+        await self._callers_closed.wait()
+
+    async def close(self) -> None:
+        """Release the connection to the platform and the instruments."""
+        await self._store.close()
+        self.metrics.close()
+
+    def is_ready(self) -> bool:
+        """Tell whether the entry takes new work."""
+        return not self.leaving and self._source.directory is not None
+
+    def describe(self) -> dict[str, object]:
+        """Return what is in force here."""
+        directory = self._source.directory
+        return {
+            "role": "entry",
+            "vm": self.settings.vm,
+            "availability_zone": self.settings.availability_zone,
+            "incarnation": self.incarnation,
+            "leaving": self.leaving,
+            "table_revision": directory.table.revision if directory else 0,
+            "targets": self.scheduler.describe_targets(),
+        }
+
+    def describe_health(self) -> Heartbeat:
+        return Heartbeat(sequence=0, leaving=self.leaving)
+
+    def receive_heartbeat(self, peer: PeerConnection, heartbeat: Heartbeat) -> None:
+        if peer.peer is not None:
+            self.observe_heartbeat(peer.peer.vm, heartbeat)
+
+    async def answer_question(
+        self, peer: PeerConnection, topic: str, body: bytes
+    ) -> bytes:
+        return b""
+
+    def receive_notice(self, peer: PeerConnection, topic: str, body: bytes) -> None:
+        """Ignore a notice of a topic that this version does not know."""
+
+    async def serve_stream(self, stream: PeerStream, opening: Open) -> None:
+        """Do nothing: nobody sends work to an entry by the internal protocol."""
+
+    def connect_peer(self, hello: Hello) -> None:
+        self.scheduler.connect_target(
+            TargetInfo(
+                name=hello.vm,
+                service=hello.service,
+                availability_zone=hello.availability_zone,
+                incarnation=hello.incarnation,
+            )
+        )
+        self.dispatcher.settle()
+
+    def disconnect_peer(self, vm: str) -> None:
+        self.scheduler.disconnect_target(vm)
+
+    def observe_heartbeat(self, vm: str, heartbeat: Heartbeat) -> None:
+        self.scheduler.observe_load(
+            vm,
+            LoadReport(
+                running=heartbeat.running,
+                tokens_in_flight=heartbeat.tokens_in_flight,
+                leaving=heartbeat.leaving,
+            ),
+        )
+
+    def _make_hello(self) -> Hello:
+        return Hello(
+            version=PROTOCOL_VERSION,
+            role="entry",
+            vm=self.settings.vm,
+            availability_zone=self.settings.availability_zone,
+            incarnation=self.incarnation,
+            token=self.settings.token,
+        )
+
+    async def _serve_callers(
+        self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        app = CallerApp(
+            directory=self._source,
+            dispatcher=self.dispatcher,
+            metrics=self.metrics,
+            limits=CallerLimits(max_body_bytes=self.settings.max_body_bytes),
+        )
+        await serve_asgi(
+            app,
+            bind=self.settings.callers,
+            graceful_timeout_s=self.settings.longest_request_s,
+            shutdown=self._callers_shutdown,
+            task_status=task_status,
+        )
+        self._callers_closed.set()
+
+    async def _follow_table(self) -> None:
+        sender, receiver = trio.open_memory_channel[Table](1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._table.follow, sender)
+            async for table in receiver:
+                self._source.directory = Directory(table)
+                log_event("info", "table-in-force", revision=table.revision)
+
+    async def _follow_vms(self, nursery: trio.Nursery) -> None:
+        while True:
+            try:
+                records = await fetch_vms(self.settings.vm_list)
+            except HyssopvaneError as error:
+                # The platform's list may be out for long; the last one stays in use.
+                log_event("warning", "vm-list-unavailable", why=error)
+            else:
+                self._pool.update(_select_agents(records), nursery)
+            await trio.sleep(_VM_LIST_INTERVAL_S)
+
+
+def _select_agents(records: tuple[VmRecord, ...]) -> frozenset[PeerAddress]:
+    return frozenset(
+        PeerAddress(record.name, record.address)
+        for record in records
+        if record.role == _AGENT_ROLE
+    )
--- /dev/null
+++ b/src/hyssopvane/_internal/roles/operators.py
@@ -0,0 +1,110 @@
+"""Answer operators: readiness, metrics, what is in force and why."""
+
+import hmac
+from abc import ABC, abstractmethod
+from dataclasses import asdict
+from typing import Any
+
+import trio
+
+from hyssopvane._internal.models.settings import AgentSettings, EntrySettings
+from hyssopvane._internal.state.decisions import DecisionMemory
+from hyssopvane._internal.transport.asgi_messages import (
+    TEXT_TYPE,
+    send_json,
+    send_response,
+    serve_lifespan,
+)
+from hyssopvane._internal.transport.asgi_server import serve_asgi
+from hyssopvane._internal.utils.metrics import Metrics
+
+_GRACEFUL_TIMEOUT_S = 5.0
+
+
+class OperatedProcess(ABC):
+    """Give what operators may read of a process."""
+
+    def __init__(self, settings: EntrySettings | AgentSettings) -> None:
+        self.metrics = Metrics(role=settings.role, vm=settings.vm)
+        self.decisions = DecisionMemory()
+        self.vm = settings.vm
+        self.token = settings.token
+
+    @abstractmethod
+    def is_ready(self) -> bool:
+        """Tell whether the process takes new work."""
+
+    @abstractmethod
+    def describe(self) -> dict[str, object]:
+        """Return what is in force here."""
+
+
+class OperatorsApp:
+    """Serve the operators' listener; everything but readiness needs the token."""
+
+    def __init__(self, process: OperatedProcess) -> None:
+        self._process = process
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer one operators' request."""
+        if scope["type"] == "lifespan":
+            await serve_lifespan(receive, send)
+            return
+        path: str = scope["path"]
+        if path == "/ready":
+            await self._send_readiness(send)
+        elif not self._is_authorized(scope):
+            await send_json(
+                send,
+                {
+                    "error": "the operators' token is missing or wrong",
+                    "hint": "send Authorization: Bearer TOKEN, the settings' token",
+                },
+                status=401,
+            )
+        elif path == "/metrics":
+            body = self._process.metrics.render()
+            await send_response(send, status=200, headers=(TEXT_TYPE,), body=body)
+        elif path == "/in-force":
+            await send_json(send, self._process.describe())
+        elif path.startswith("/explain/"):
+            await self._send_decisions(send, path.removeprefix("/explain/"))
+        else:
+            hint = "use /ready, /metrics, /in-force or /explain/REQUEST-ID"
+            await send_json(send, {"error": "no such page", "hint": hint}, status=404)
+
+    async def _send_readiness(self, send: Any) -> None:
+        ready = self._process.is_ready()
+        await send_json(send, {"ready": ready}, status=200 if ready else 503)
+
+    async def _send_decisions(self, send: Any, request_id: str) -> None:
+        records = self._process.decisions.find(request_id)
+        await send_json(
+            send,
+            {
+                "vm": self._process.vm,
+                "request_id": request_id,
+                "decisions": [asdict(record) for record in records],
+            },
+        )
+
+    def _is_authorized(self, scope: Any) -> bool:
+        wanted = f"Bearer {self._process.token}".encode()
+        given = dict(scope["headers"]).get(b"authorization", b"")
+        return hmac.compare_digest(wanted, given)
+
+
+async def serve_operators(
+    app: OperatorsApp,
+    bind: str,
+    *,
+    task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve the operators' listener until cancelled."""
+    await serve_asgi(
+        app,
+        bind=bind,
+        graceful_timeout_s=_GRACEFUL_TIMEOUT_S,
+        shutdown=trio.Event(),
+        task_status=task_status,
+    )
--- /dev/null
+++ b/src/hyssopvane/_internal/roles/peer_pool.py
@@ -0,0 +1,127 @@
+"""Keep connections from an entry to the agents of its targets."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from random import Random
+
+import trio
+
+from hyssopvane._internal.protocol.messages import Heartbeat, Hello
+from hyssopvane._internal.transport.asgi_server import parse_address
+from hyssopvane._internal.transport.peer_connection import (
+    ConnectionTimes,
+    PeerConnection,
+    PeerHandler,
+)
+from hyssopvane._internal.utils.logs import log_event
+
+# After an agent's restart its slot is taken again within seconds; a first wait this
+# short finds it soon, and the doubling keeps a whole zone's loss from becoming a storm
+# of connection attempts when it comes back.
+_FIRST_BACKOFF_S = 0.1
+_LAST_BACKOFF_S = 5.0
+_CONNECT_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """Name a peer and where it listens."""
+
+    vm: str
+    address: str
+
+
+class PeerObserver(ABC):
+    """Learn which peers can be reached."""
+
+    @abstractmethod
+    def connect_peer(self, hello: Hello) -> None:
+        """Take note that a peer can be reached."""
+
+    @abstractmethod
+    def disconnect_peer(self, vm: str) -> None:
+        """Take note that a peer can't be reached."""
+
+    @abstractmethod
+    def observe_heartbeat(self, vm: str, heartbeat: Heartbeat) -> None:
+        """Take note of a peer's heartbeat."""
+
+
+class PeerPool:
+    """Hold one task and one connection for each peer."""
+
+    def __init__(
+        self,
+        *,
+        hello: Hello,
+        handler: PeerHandler,
+        observer: PeerObserver,
+        times: ConnectionTimes,
+        random: Random,
+    ) -> None:
+        self._hello = hello
+        self._handler = handler
+        self._observer = observer
+        self._times = times
+        self._random = random
+        self._scopes: dict[PeerAddress, trio.CancelScope] = {}
+        self._connections: dict[str, PeerConnection] = {}
+
+    def get_connection(self, vm: str) -> PeerConnection | None:
+        """Return the connection to a peer, if there is one."""
+        return self._connections.get(vm)
+
+    def update(self, peers: frozenset[PeerAddress], nursery: trio.Nursery) -> None:
+        """Connect to new peers and leave those that are no longer named."""
+        for address in self._scopes.keys() - peers:
+            self._scopes.pop(address).cancel()
+        for address in peers - self._scopes.keys():
+            scope = self._scopes[address] = trio.CancelScope()
+            nursery.start_soon(self._keep_connected, address, scope)
+
+    async def _keep_connected(
+        self, address: PeerAddress, scope: trio.CancelScope
+    ) -> None:
+        backoff_s = _FIRST_BACKOFF_S
+        with scope:
+            while True:
+                if await self._connect_once(address):
+                    backoff_s = _FIRST_BACKOFF_S
+                await trio.sleep(backoff_s * self._random.uniform(0.5, 1.0))
+                backoff_s = min(backoff_s * 2, _LAST_BACKOFF_S)
+
+    async def _connect_once(self, address: PeerAddress) -> bool:
+        host, port = parse_address(address.address)
+        try:
+            with trio.fail_after(_CONNECT_TIMEOUT_S):
+                stream = await trio.open_tcp_stream(host, port)
+        except (OSError, trio.TooSlowError) as error:
+            log_event("debug", "peer-unreachable", peer=address.vm, why=error)
+            return False
+        connection = PeerConnection(
+            stream,
+            hello=self._hello,
+            handler=self._handler,
+            times=self._times,
+            opener=True,
+        )
+        return await self._run_connection(address.vm, connection)
+
+    async def _run_connection(self, vm: str, connection: PeerConnection) -> bool:
+        greeted = False
+        try:
+            async with trio.open_nursery() as nursery:
+                hello = await nursery.start(connection.run)
+                greeted = True
+                self._connections[vm] = connection
+                self._observer.connect_peer(hello)
+                log_event("info", "peer-connected", peer=vm, role=hello.role)
+        except* RuntimeError:
+            # The task ended before it greeted: the peer refused the greeting.
+            log_event("warning", "peer-refused", peer=vm)
+        finally:
+            if greeted:
+                del self._connections[vm]
+                self._observer.disconnect_peer(vm)
+                log_event("info", "peer-disconnected", peer=vm, why=connection.why_lost)
+        return greeted
--- /dev/null
+++ b/src/hyssopvane/_internal/transport/framing.py
@@ -0,0 +1,57 @@
+"""Carry length-prefixed frames over a TCP stream."""
+
+import trio
+
+from hyssopvane._internal.exceptions import PeerLost, ProtocolError
+
+LENGTH_BYTES = 4
+# Large enough for a batch of full chunks, small enough that a peer that sends garbage
+# for a length can't make this process reserve its memory.
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+_READ_BYTES = 64 * 1024
+
+
+class FramedStream:
+    """Send and receive frames."""
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+        self._buffer = bytearray()
+
+    async def send_frame(self, payload: bytes) -> None:
+        """Send one frame; raise `PeerLost` when the connection is gone."""
+        try:
+            await self._stream.send_all(
+                len(payload).to_bytes(LENGTH_BYTES, "big") + payload
+            )
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise PeerLost("the connection closed while sending") from error
+
+    async def receive_frame(self) -> bytes:
+        """Receive one frame; raise `PeerLost` or `ProtocolError` when it can't be."""
+        header = await self._receive_exactly(LENGTH_BYTES)
+        length = int.from_bytes(header, "big")
+        if length > MAX_FRAME_BYTES:
+            raise ProtocolError(
+                f"a frame of {length} bytes is over the limit of {MAX_FRAME_BYTES}",
+                hint="run the same version on both ends",
+            )
+        return await self._receive_exactly(length)
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        with trio.move_on_after(0):
+            await self._stream.aclose()
+
+    async def _receive_exactly(self, size: int) -> bytes:
+        while len(self._buffer) < size:
+            try:
+                data = await self._stream.receive_some(_READ_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                raise PeerLost("the connection closed while receiving") from error
+            if not data:
+                raise PeerLost("the peer closed the connection")
+            self._buffer += data
+        taken = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return taken
--- /dev/null
+++ b/src/hyssopvane/_internal/transport/peer_connection.py
@@ -0,0 +1,427 @@
+"""Multiplex streams of messages over one connection between two processes."""
+
+from abc import ABC, abstractmethod
+from collections import deque
+from dataclasses import dataclass
+from typing import TypeVar
+
+import trio
+
+from hyssopvane._internal.exceptions import PeerLost, ProtocolError
+from hyssopvane._internal.protocol.codec import decode_frames, encode_frames
+from hyssopvane._internal.protocol.messages import (
+    PROTOCOL_VERSION,
+    Answer,
+    Cancel,
+    Chunk,
+    Credit,
+    Frame,
+    Heartbeat,
+    Hello,
+    Message,
+    Notice,
+    Open,
+    Question,
+)
+from hyssopvane._internal.transport.framing import FramedStream
+
+CONNECTION_STREAM = 0
+# A caller that reads slowly holds back at most this many bytes in this process. It is
+# several hundred tokens, so a stream at full speed never waits for credit.
+STREAM_WINDOW_BYTES = 64 * 1024
+# Chunks are cut to this size, so that one upload can't fill a whole batch and hold
+# back the tokens of all other streams behind it.
+MAX_CHUNK_BYTES = 16 * 1024
+# A batch holds what is ready in one pass of the loop, up to this size.
+MAX_BATCH_BYTES = 256 * 1024
+MAX_BATCH_FRAMES = 512
+_SMALL_FRAME_BYTES = 64
+
+_Kind = TypeVar("_Kind", bound=Exception)
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionTimes:
+    """Set the pace of heartbeats."""
+
+    heartbeat_s: float
+    silence_s: float
+
+
+class PeerHandler(ABC):
+    """Decide what a process does with what its peer sends."""
+
+    @abstractmethod
+    def describe_health(self) -> Heartbeat:
+        """Return the heartbeat to send now; the connection fills in its sequence."""
+
+    @abstractmethod
+    def receive_heartbeat(self, peer: "PeerConnection", heartbeat: Heartbeat) -> None:
+        """Take note of a heartbeat."""
+
+    @abstractmethod
+    async def serve_stream(self, stream: "PeerStream", opening: Open) -> None:
+        """Serve a stream that the peer opened; the stream is closed afterwards."""
+
+    @abstractmethod
+    async def answer_question(
+        self, peer: "PeerConnection", topic: str, body: bytes
+    ) -> bytes:
+        """Answer a question."""
+
+    @abstractmethod
+    def receive_notice(self, peer: "PeerConnection", topic: str, body: bytes) -> None:
+        """Take note of a notice."""
+
+
+class PeerStream:
+    """Exchange the messages of one attempt or question."""
+
+    def __init__(self, connection: "PeerConnection", number: int) -> None:
+        self.connection = connection
+        self.number = number
+        self._inbox: deque[Message] = deque()
+        self._arrived = trio.Event()
+        self._credit = STREAM_WINDOW_BYTES
+        self._credit_arrived = trio.Event()
+        self._consumed = 0
+        self._lost: PeerLost | None = None
+
+    def send(self, message: Message) -> None:
+        """Queue a message that needs no credit."""
+        if self._lost is None:
+            self.connection.queue_frame(Frame(self.number, message))
+
+    async def send_data(self, data: bytes) -> None:
+        """Send bytes of a body; wait while the peer's window is full."""
+        view = memoryview(data)
+        while view:
+            while self._credit <= 0:
+                self._raise_if_lost()
+                self._credit_arrived = trio.Event()
+                await self._credit_arrived.wait()
+            size = min(len(view), self._credit, MAX_CHUNK_BYTES)
+            self._raise_if_lost()
+            self._credit -= size
+            self.send(Chunk(bytes(view[:size])))
+            view = view[size:]
+
+    async def receive(self) -> Message:
+        """Receive the next message; chunks that are ready come joined as one."""
+        while not self._inbox:
+            self._raise_if_lost()
+            self._arrived = trio.Event()
+            await self._arrived.wait()
+        message = self._inbox.popleft()
+        if isinstance(message, Chunk):
+            message = self._join_ready_chunks(message)
+            self._grant_credit(len(message.data))
+        return message
+
+    def close(self) -> None:
+        """Forget the stream; the peer is told when it may still be at work."""
+        self.connection.forget_stream(self.number)
+
+    def deliver(self, message: Message) -> None:
+        """Take a message that the connection received for this stream."""
+        if isinstance(message, Credit):
+            self._credit += message.size
+            self._credit_arrived.set()
+            return
+        self._inbox.append(message)
+        self._arrived.set()
+
+    def lose(self, error: PeerLost) -> None:
+        """Take note that the connection is gone; what arrived before stays readable."""
+        self._lost = error
+        self._arrived.set()
+        self._credit_arrived.set()
+
+    def _raise_if_lost(self) -> None:
+        if self._lost is not None:
+            raise PeerLost(self._lost.message, context=self._lost.context)
+
+    def _join_ready_chunks(self, first: Chunk) -> Chunk:
+        if not (self._inbox and isinstance(self._inbox[0], Chunk)):
+            return first
+        parts = [first.data]
+        while self._inbox and isinstance(self._inbox[0], Chunk):
+            following = self._inbox.popleft()
+            assert isinstance(following, Chunk)
+            parts.append(following.data)
+        return Chunk(b"".join(parts))
+
+    def _grant_credit(self, size: int) -> None:
+        # Credit goes back in halves of the window, so that a stream of small tokens
+        # does not cost a frame of credit for each of them.
+        self._consumed += size
+        if self._consumed >= STREAM_WINDOW_BYTES // 2:
+            self.send(Credit(self._consumed))
+            self._consumed = 0
+
+
+class PeerConnection:
+    """Run one connection: greeting, heartbeats, streams, until it is lost."""
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        *,
+        hello: Hello,
+        handler: PeerHandler,
+        times: ConnectionTimes,
+        opener: bool,
+    ) -> None:
+        self._framed = FramedStream(stream)
+        self._hello = hello
+        self._handler = handler
+        self._times = times
+        # The two ends number their streams oddly and evenly, and never use a number
+        # again, so a late frame can't reach another caller's stream.
+        self._next_stream = 1 if opener else 2
+        self._streams: dict[int, PeerStream] = {}
+        self._serving: dict[int, trio.CancelScope] = {}
+        self._outbox: deque[Frame] = deque()
+        self._outbox_filled = trio.Event()
+        self._scope = trio.CancelScope()
+        self._lost: PeerLost | None = None
+        self._last_received = 0.0
+        self.peer: Hello | None = None
+        self.last_heartbeat: Heartbeat | None = None
+        self.dropped_frames = 0
+
+    @property
+    def lost(self) -> bool:
+        """Tell whether the connection has ended."""
+        return self._lost is not None
+
+    @property
+    def why_lost(self) -> str:
+        """Return why the connection has ended, empty while it has not."""
+        return "" if self._lost is None else str(self._lost)
+
+    @property
+    def open_streams(self) -> int:
+        """Return the number of streams in use."""
+        return len(self._streams)
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[Hello] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Greet, then serve until the connection is lost; never raise `PeerLost`."""
+        error = PeerLost("the connection was closed by this process")
+        try:
+            with self._scope:
+                peer = await self._greet()
+                task_status.started(peer)
+                await self._serve()
+        except* PeerLost as group:
+            error = _get_first(group, PeerLost)
+        except* ProtocolError as group:
+            problem = _get_first(group, ProtocolError)
+            error = PeerLost(problem.message, context=problem.context)
+        finally:
+            self._lose(error)
+            with trio.CancelScope(shield=True):
+                await self._framed.close()
+
+    def close(self) -> None:
+        """End the connection at once."""
+        self._scope.cancel()
+
+    def open_stream(self, opening: Open | Question) -> PeerStream:
+        """Open a stream with its first message."""
+        if self._lost is not None:
+            raise PeerLost(self._lost.message, context=self._lost.context)
+        number = self._next_stream
+        self._next_stream += 2
+        stream = self._streams[number] = PeerStream(self, number)
+        self.queue_frame(Frame(number, opening))
+        return stream
+
+    async def ask(self, topic: str, body: bytes) -> bytes:
+        """Ask the peer a question and return its answer; raise `PeerLost`."""
+        stream = self.open_stream(Question(topic, body))
+        try:
+            message = await stream.receive()
+        finally:
+            stream.close()
+        if not isinstance(message, Answer):
+            raise PeerLost("the peer did not answer the question", context=topic)
+        return message.body
+
+    def notify(self, topic: str, body: bytes) -> None:
+        """Tell the peer something that needs no answer."""
+        self.queue_frame(Frame(CONNECTION_STREAM, Notice(topic, body)))
+
+    def queue_frame(self, frame: Frame) -> None:
+        """Queue a frame for the next batch."""
+        self._outbox.append(frame)
+        self._outbox_filled.set()
+
+    def forget_stream(self, number: int) -> None:
+        """Drop frames that still come for a stream."""
+        self._streams.pop(number, None)
+
+    async def _greet(self) -> Hello:
+        # A peer that accepts and then says nothing must not hold a task for ever.
+        with trio.move_on_after(self._times.silence_s):
+            await self._framed.send_frame(
+                encode_frames([Frame(CONNECTION_STREAM, self._hello)])
+            )
+            frames = decode_frames(await self._framed.receive_frame())
+            if len(frames) != 1 or not isinstance(frames[0].message, Hello):
+                raise ProtocolError("the peer did not greet")
+            self.peer = frames[0].message
+            self._check_greeting(self.peer)
+            return self.peer
+        raise PeerLost("the peer did not greet in time")
+
+    def _check_greeting(self, peer: Hello) -> None:
+        if peer.version != PROTOCOL_VERSION:
+            raise ProtocolError(
+                f"the peer speaks version {peer.version}, not {PROTOCOL_VERSION}",
+                context=peer.vm,
+                hint="run the same version on both VMs",
+            )
+        if peer.token != self._hello.token:
+            raise ProtocolError(
+                "the peer's token is another one",
+                context=peer.vm,
+                hint="put the same token into the settings of both VMs",
+            )
+
+    async def _serve(self) -> None:
+        self._last_received = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._write_batches)
+            nursery.start_soon(self._send_heartbeats)
+            nursery.start_soon(self._watch_silence)
+            await self._read_batches(nursery)
+
+    async def _read_batches(self, nursery: trio.Nursery) -> None:
+        while True:
+            payload = await self._framed.receive_frame()
+            self._last_received = trio.current_time()
+            for frame in decode_frames(payload):
+                self._dispatch(frame, nursery)
+
+    def _dispatch(self, frame: Frame, nursery: trio.Nursery) -> None:
+        message = frame.message
+        if frame.stream == CONNECTION_STREAM:
+            self._receive_for_connection(message)
+        elif isinstance(message, Open | Question):
+            self._accept_stream(frame.stream, message, nursery)
+        elif isinstance(message, Cancel):
+            scope = self._serving.get(frame.stream)
+            if scope is not None:
+                scope.cancel()
+        elif (stream := self._streams.get(frame.stream)) is not None:
+            stream.deliver(message)
+        else:
+            self.dropped_frames += 1
+
+    def _receive_for_connection(self, message: Message) -> None:
+        if isinstance(message, Heartbeat):
+            self.last_heartbeat = message
+            self._handler.receive_heartbeat(self, message)
+        elif isinstance(message, Notice):
+            self._handler.receive_notice(self, message.topic, message.body)
+
+    def _accept_stream(
+        self, number: int, message: Open | Question, nursery: trio.Nursery
+    ) -> None:
+        if number in self._streams or number % 2 == self._next_stream % 2:
+            # A doubled frame must not start the same attempt twice.
+            self.dropped_frames += 1
+            return
+        stream = self._streams[number] = PeerStream(self, number)
+        if isinstance(message, Open):
+            nursery.start_soon(self._serve_opened, stream, message)
+        else:
+            nursery.start_soon(self._serve_question, stream, message)
+
+    async def _serve_opened(self, stream: PeerStream, opening: Open) -> None:
+        with trio.CancelScope() as scope:
+            self._serving[stream.number] = scope
+            try:
+                await self._handler.serve_stream(stream, opening)
+            except PeerLost:
+                pass
+            finally:
+                self._serving.pop(stream.number, None)
+                stream.close()
+
+    async def _serve_question(self, stream: PeerStream, question: Question) -> None:
+        try:
+            answer = await self._handler.answer_question(
+                self, question.topic, question.body
+            )
+            stream.send(Answer(answer))
+        finally:
+            stream.close()
+
+    async def _write_batches(self) -> None:
+        while True:
+            while not self._outbox:
+                self._outbox_filled = trio.Event()
+                await self._outbox_filled.wait()
+            await self._framed.send_frame(encode_frames(self._take_batch()))
+
+    def _take_batch(self) -> list[Frame]:
+        frames: list[Frame] = []
+        size = 0
+        while self._outbox and size < MAX_BATCH_BYTES:
+            if len(frames) == MAX_BATCH_FRAMES:
+                break
+            frame = self._outbox.popleft()
+            frames.append(frame)
+            size += _estimate_size(frame.message)
+        return frames
+
+    async def _send_heartbeats(self) -> None:
+        sequence = 0
+        while True:
+            health = self._handler.describe_health()
+            sequence += 1
+            self.queue_frame(
+                Frame(
+                    CONNECTION_STREAM,
+                    Heartbeat(
+                        sequence=sequence,
+                        table_revision=health.table_revision,
+                        running=health.running,
+                        tokens_in_flight=health.tokens_in_flight,
+                        leaving=health.leaving,
+                    ),
+                )
+            )
+            await trio.sleep(self._times.heartbeat_s)
+
+    async def _watch_silence(self) -> None:
+        # A device between the two ends may forget an open connection: nothing arrives
+        # and nothing fails. Heartbeats come often, so silence shows it; closing here
+        # makes the owner open a new connection instead of taking the target for dead.
+        while True:
+            await trio.sleep(self._times.heartbeat_s)
+            silent_s = trio.current_time() - self._last_received
+            if silent_s > self._times.silence_s:
+                raise PeerLost(f"the connection was silent for {silent_s:.1f} s")
+
+    def _lose(self, error: PeerLost) -> None:
+        self._lost = error
+        for stream in list(self._streams.values()):
+            stream.lose(error)
+        self._streams.clear()
+
+
+def _estimate_size(message: Message) -> int:
+    return len(message.data) if isinstance(message, Chunk) else _SMALL_FRAME_BYTES
+
+
+def _get_first(group: BaseExceptionGroup[_Kind], kind: type[_Kind]) -> _Kind:
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            return _get_first(error, kind)
+        return error
+    raise AssertionError("an exception group is never empty")
--- /dev/null
+++ b/src/hyssopvane/_internal/utils/logs.py
@@ -0,0 +1,52 @@
+"""Write logs: one line of key=value pairs for each event."""
+
+import json
+import sys
+from typing import Any
+
+from loguru import logger
+
+_PLAIN = frozenset(
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+,@%"
+)
+
+
+def configure_logs(*, level: str, role: str, vm: str) -> None:
+    """Send every event to standard error, with the process's role and VM."""
+    logger.remove()
+    logger.configure(extra={"role": role, "vm": vm})
+    logger.add(sys.stderr, level=level.upper(), format=_format_record, colorize=False)
+
+
+def log_event(level: str, event: str, **fields: object) -> None:
+    """Log an event with its fields in the given order."""
+    logger.opt(depth=1).bind(fields=fields).log(level.upper(), event)
+
+
+def format_pairs(fields: dict[str, object]) -> str:
+    """Join fields as key=value; a value with other characters is quoted as JSON."""
+    return " ".join(f"{key}={_format_value(value)}" for key, value in fields.items())
+
+
+def _format_value(value: object) -> str:
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    text = str(value)
+    return text if text and _PLAIN.issuperset(text) else json.dumps(text)
+
+
+def _format_record(record: Any) -> str:
+    extra = record["extra"]
+    pairs = format_pairs(
+        {
+            "time": record["time"].strftime("%Y-%m-%dT%H:%M:%S.%f"),
+            "level": record["level"].name.lower(),
+            "role": extra.get("role", "-"),
+            "vm": extra.get("vm", "-"),
+            "event": record["message"],
+            **extra.get("fields", {}),
+        }
+    )
+    # loguru formats the returned text once more, so braces and tags are escaped.
+    escaped = pairs.replace("{", "{{").replace("}", "}}").replace("<", r"\<")
+    return escaped + "\n{exception}"
--- /dev/null
+++ b/src/hyssopvane/_internal/utils/metrics.py
@@ -0,0 +1,57 @@
+"""Count what a process does, by OpenTelemetry, and render it for Prometheus."""
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, generate_latest
+
+
+class Metrics:
+    """Hold the instruments of one process."""
+
+    def __init__(self, *, role: str, vm: str) -> None:
+        # A registry of its own: the demo runs several roles in one process.
+        self._registry = CollectorRegistry()
+        self._reader = PrometheusMetricReader(
+            disable_target_info=True, scope_info_enabled=False, registry=self._registry
+        )
+        self._provider = MeterProvider(
+            metric_readers=[self._reader],
+            resource=Resource({"service.name": "hyssopvane"}),
+            shutdown_on_exit=False,
+        )
+        meter = self._provider.get_meter("hyssopvane")
+        self._labels = {"role": role, "vm": vm}
+        self._requests = meter.create_counter("hyssopvane_requests")
+        self._refusals = meter.create_counter("hyssopvane_refusals")
+        self._retries = meter.create_counter("hyssopvane_retries")
+        self._events = meter.create_counter("hyssopvane_events")
+        self._duration = meter.create_histogram("hyssopvane_request_seconds")
+
+    def count_request(self, *, service: str, outcome: str) -> None:
+        """Count an answered request."""
+        self._requests.add(1, {**self._labels, "service": service, "outcome": outcome})
+
+    def count_refusal(self, reason: str) -> None:
+        """Count a refusal by its reason."""
+        self._refusals.add(1, {**self._labels, "reason": reason})
+
+    def count_retry(self, reason: str) -> None:
+        """Count a retry by its reason."""
+        self._retries.add(1, {**self._labels, "reason": reason})
+
+    def count_event(self, event: str, amount: int = 1) -> None:
+        """Count something an operator may want to watch."""
+        self._events.add(amount, {**self._labels, "event": event})
+
+    def record_duration(self, *, service: str, seconds: float) -> None:
+        """Record the time of a request from its head to its last byte."""
+        self._duration.record(seconds, {**self._labels, "service": service})
+
+    def render(self) -> bytes:
+        """Return all instruments in the Prometheus text format."""
+        return generate_latest(self._registry)
+
+    def close(self) -> None:
+        """Release the instruments, so that another process object can start."""
+        self._provider.shutdown()
--- /dev/null
+++ b/tests/unit/test_peer_connection.py
@@ -0,0 +1,253 @@
+"""Test the connection between two processes."""
+
+import pytest
+import trio
+import trio.testing
+
+from hyssopvane._internal.exceptions import PeerLost
+from hyssopvane._internal.protocol.codec import encode_frames
+from hyssopvane._internal.protocol.messages import (
+    Cancel,
+    Chunk,
+    End,
+    Frame,
+    Head,
+    Heartbeat,
+)
+from hyssopvane._internal.transport.peer_connection import (
+    STREAM_WINDOW_BYTES,
+    PeerConnection,
+)
+from tests.lib.peers import (
+    TIMES,
+    RecordingHandler,
+    connect_pair,
+    make_hello,
+    make_opening,
+)
+
+
+def run(test):
+    """Run an async test on a clock that jumps over waits."""
+    trio.run(test, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+async def read_body(stream):
+    """Return the joined chunks until the end."""
+    parts = []
+    while True:
+        message = await stream.receive()
+        if isinstance(message, End):
+            return b"".join(parts)
+        assert isinstance(message, Chunk)
+        parts.append(message.data)
+
+
+async def echo(stream, opening):
+    """Answer with the body that was sent."""
+    stream.send(Head(200, ()))
+    await stream.send_data(await read_body(stream))
+    stream.send(End())
+
+
+@pytest.mark.parametrize("size", [0, 1, STREAM_WINDOW_BYTES, 10 * STREAM_WINDOW_BYTES])
+def test_stream_carries_bodies_of_any_size(size):
+    async def main():
+        async with connect_pair(echo) as pair:
+            stream = pair.opener.open_stream(make_opening())
+            body = bytes(range(256)) * (size // 256 + 1)
+            body = body[:size]
+            async with trio.open_nursery() as nursery:
+
+                async def send():
+                    await stream.send_data(body)
+                    stream.send(End())
+
+                nursery.start_soon(send)
+                assert await stream.receive() == Head(200, ())
+                assert await read_body(stream) == body
+
+    run(main)
+
+
+def test_slow_reader_bounds_memory_and_holds_back_nobody():
+    """A caller on a bad line reads one answer slowly while others want theirs.
+
+    Without a window the whole answer would pile up in the entry's memory; with one
+    window for all streams the others would wait for the slow one.
+    """
+
+    async def main():
+        sent = {}
+
+        async def produce(stream, opening):
+            sent[opening.request_id] = 0
+            for _ in range(100):
+                await stream.send_data(b"x" * 4096)
+                sent[opening.request_id] += 4096
+            stream.send(End())
+
+        async with connect_pair(produce) as pair:
+            slow = pair.opener.open_stream(make_opening(request_id="slow"))
+            fast = pair.opener.open_stream(make_opening(request_id="fast"))
+            assert len(await read_body(fast)) == 100 * 4096
+            await trio.testing.wait_all_tasks_blocked()
+            assert sent["slow"] <= STREAM_WINDOW_BYTES
+            assert len(await read_body(slow)) == 100 * 4096
+
+    run(main)
+
+
+def test_cancel_ends_the_work():
+    """A caller hangs up. Work that goes on would take a place from one who waits."""
+
+    async def main():
+        ended = trio.Event()
+
+        async def work(stream, opening):
+            try:
+                await trio.sleep_forever()
+            finally:
+                ended.set()
+
+        async with connect_pair(work) as pair:
+            stream = pair.opener.open_stream(make_opening())
+            await trio.testing.wait_all_tasks_blocked()
+            stream.send(Cancel())
+            with trio.fail_after(1):
+                await ended.wait()
+
+    run(main)
+
+
+def test_silent_connection_is_closed():
+    """A firewall between two VMs forgets an open connection: nothing arrives any more.
+
+    A caller would wait until its deadline for a target that works well.
+    """
+
+    async def main():
+        near, _forgotten = trio.testing.memory_stream_pair()
+        connection = PeerConnection(
+            near,
+            hello=make_hello("a"),
+            handler=RecordingHandler(),
+            times=TIMES,
+            opener=True,
+        )
+        greeting = encode_frames([Frame(0, make_hello("b"))])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection.run)
+            await _forgotten.send_all(len(greeting).to_bytes(4, "big") + greeting)
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            stream = connection.open_stream(make_opening())
+            with pytest.raises(PeerLost, match="silent"):
+                await stream.receive()
+            assert connection.lost
+
+    run(main)
+
+
+def test_stream_keeps_what_arrived_before_the_loss():
+    async def main():
+        async def answer_and_close(stream, opening):
+            stream.send(Head(200, ()))
+            await stream.send_data(b"part")
+            await trio.sleep(1)
+            stream.connection.close()
+
+        async with connect_pair(answer_and_close) as pair:
+            stream = pair.opener.open_stream(make_opening())
+            await trio.sleep(2)
+            assert await stream.receive() == Head(200, ())
+            assert await stream.receive() == Chunk(b"part")
+            with pytest.raises(PeerLost):
+                await stream.receive()
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    ("hello", "why"),
+    [
+        (make_hello("b", version=99), "version 99"),
+        (make_hello("b", token="another-token-xx"), "token"),
+    ],
+)
+def test_greeting_is_checked(hello, why):
+    async def main():
+        near, far = trio.testing.memory_stream_pair()
+        connection = PeerConnection(
+            near,
+            hello=make_hello("a"),
+            handler=RecordingHandler(),
+            times=TIMES,
+            opener=True,
+        )
+        greeting = encode_frames([Frame(0, hello)])
+        await far.send_all(len(greeting).to_bytes(4, "big") + greeting)
+        await connection.run()
+        assert why in connection.why_lost
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"\xff\xff\xff\xff", b"\x00\x00\x00\x05hello", b"\x00\x00\x10\x00cut"],
+    ids=["too-long", "garbage", "cut"],
+)
+def test_bad_frames_end_the_connection(data):
+    """A peer sends garbage, a frame over the limit, or dies within a frame.
+
+    Only this connection may end; a process that fell over would take all callers down.
+    """
+
+    async def main():
+        near, far = trio.testing.memory_stream_pair()
+        connection = PeerConnection(
+            near,
+            hello=make_hello("a"),
+            handler=RecordingHandler(),
+            times=TIMES,
+            opener=True,
+        )
+        await far.send_all(data)
+        await far.send_eof() if hasattr(far, "send_eof") else None
+        await connection.run()
+        assert connection.why_lost
+
+    run(main)
+
+
+def test_doubled_opening_starts_once():
+    """The same frame arrives twice; a second start would be a second bid."""
+
+    async def main():
+        started = []
+
+        async def serve(stream, opening):
+            started.append(opening.request_id)
+            await trio.sleep(1)
+
+        async with connect_pair(serve) as pair:
+            stream = pair.opener.open_stream(make_opening())
+            pair.opener.queue_frame(Frame(stream.number, make_opening()))
+            await trio.sleep(0.5)
+            assert started == ["r"]
+            assert pair.accepter.dropped_frames == 1
+
+    run(main)
+
+
+def test_questions_notices_and_heartbeats_reach_the_peer():
+    async def main():
+        async with connect_pair() as pair:
+            assert await pair.opener.ask("topic", b"body") == b"topic:body"
+            pair.opener.notify("news", b"x")
+            await trio.sleep(1.2)
+            assert pair.accepter_handler.notices == [("news", b"x")]
+            assert [one.sequence for one in pair.opener_handler.heartbeats] == [1, 2, 3]
+            assert isinstance(pair.opener.last_heartbeat, Heartbeat)
+
+    run(main)
