--- /dev/null
+++ b/src/hyssopvane/_internal/standins/expert_rank.py
@@ -0,0 +1,156 @@
+"""Model the orders and the expert map of one rank."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+MAX_STAGED_MAPS = 2
+"""Maps whose weights fit beside the one in use."""
+
+
+class OrderKind(StrEnum):
+    """Name what an order asks of an engine."""
+
+    LOAD_MODEL = "load-model"
+    LOAD_ADAPTER = "load-adapter"
+    LOAD_VERSION = "load-version"
+    CHANGE_ROLE = "change-role"
+    STAGE = "stage"
+    ARM = "arm"
+    DECIDE = "decide"
+    ABORT = "abort"
+
+
+class OrderRefusal(StrEnum):
+    """Name why an order was refused."""
+
+    OLD_FENCE = "old-fence"
+    NOT_STAGED = "not-staged"
+    STEP_PASSED = "step-passed"
+    NOT_ARMED = "not-armed"
+    OTHER_MAP_ARMED = "other-map-armed"
+    ALREADY_DECIDED = "already-decided"
+    NO_MEMORY = "no-memory"
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """Ask an engine to change what it runs."""
+
+    kind: OrderKind
+    fence: int
+    value: str
+    """Name of the model, adapter, version, role or expert map."""
+    weights_bytes: int = 0
+    step: int = 0
+    """Step from which an armed map is used."""
+
+
+@dataclass(frozen=True, slots=True)
+class Arming:
+    """Tell which map is armed for which step."""
+
+    map: str
+    step: int
+    decided: bool = False
+
+
+class ExpertRank:
+    """Count steps and switch the expert map at the step that was decided."""
+
+    def __init__(self, expert_map: str, *, checks_fence: bool) -> None:
+        self.step = 0
+        self.map = expert_map
+        self.staged: dict[str, int] = {}
+        self.armed: Arming | None = None
+        self.highest_fence = 0
+        self.loaded: dict[OrderKind, str] = {}
+        self.accepted: list[Order] = []
+        self._checks_fence = checks_fence
+
+    def take_order(self, order: Order) -> OrderRefusal | None:
+        """Carry out an order, or return why it is refused."""
+        if self._checks_fence and order.fence < self.highest_fence:
+            return OrderRefusal.OLD_FENCE
+        self.highest_fence = max(self.highest_fence, order.fence)
+        refusal = self._carry_out(order)
+        if refusal is None:
+            self.accepted.append(order)
+        return refusal
+
+    def advance_step(self) -> bool:
+        """Begin the next step; return false while it waits for a decision."""
+        if self._must_wait(self.step + 1):
+            return False
+        self.step += 1
+        self._switch_map()
+        return True
+
+    def skip_steps(self, steps: int) -> None:
+        """Begin several steps, up to one that waits for a decision."""
+        target = self.step + steps
+        if self._must_wait(target) and self.armed is not None:
+            target = self.armed.step - 1
+        self.step = target
+        self._switch_map()
+
+    def _must_wait(self, step: int) -> bool:
+        # Without the wait this rank would use the old map in a step in which ranks
+        # that know the decision use the new one.
+        armed = self.armed
+        return armed is not None and not armed.decided and step >= armed.step
+
+    def _switch_map(self) -> None:
+        armed = self.armed
+        if armed is None or not armed.decided or self.step < armed.step:
+            return
+        self.map = armed.map
+        self.staged.pop(armed.map, None)
+        self.armed = None
+
+    def _carry_out(self, order: Order) -> OrderRefusal | None:
+        match order.kind:
+            case OrderKind.STAGE:
+                return self._stage(order)
+            case OrderKind.ARM:
+                return self._arm(order)
+            case OrderKind.DECIDE:
+                return self._decide(order)
+            case OrderKind.ABORT:
+                return self._abort(order)
+            case _:
+                self.loaded[order.kind] = order.value
+                return None
+
+    def _stage(self, order: Order) -> OrderRefusal | None:
+        if order.value not in self.staged and len(self.staged) >= MAX_STAGED_MAPS:
+            return OrderRefusal.NO_MEMORY
+        self.staged[order.value] = order.weights_bytes
+        return None
+
+    def _arm(self, order: Order) -> OrderRefusal | None:
+        if order.value not in self.staged:
+            return OrderRefusal.NOT_STAGED
+        if order.step <= self.step:
+            return OrderRefusal.STEP_PASSED
+        wanted = Arming(order.value, order.step)
+        if self.armed is not None and self.armed != wanted:
+            return OrderRefusal.OTHER_MAP_ARMED
+        self.armed = wanted
+        return None
+
+    def _decide(self, order: Order) -> OrderRefusal | None:
+        if self.armed is None:
+            # A repeat of a decision that was carried out is no error.
+            return None if self.map == order.value else OrderRefusal.NOT_ARMED
+        if self.armed.map != order.value:
+            return OrderRefusal.OTHER_MAP_ARMED
+        self.armed = Arming(self.armed.map, self.armed.step, decided=True)
+        return None
+
+    def _abort(self, order: Order) -> OrderRefusal | None:
+        if self.armed is not None and self.armed.map == order.value:
+            if self.armed.decided:
+                return OrderRefusal.ALREADY_DECIDED
+            self.armed = None
+        self.staged.pop(order.value, None)
+        return None
--- /dev/null
+++ b/src/hyssopvane/_internal/standins/process.py
@@ -0,0 +1,60 @@
+"""Run a stand-in as its own process."""
+
+import argparse
+import dataclasses
+import signal
+from collections.abc import Sequence
+from typing import Protocol, TypeVar
+
+import trio
+
+Config = TypeVar("Config")
+
+
+class Serve(Protocol):
+    """Serve on an address until the shutdown; report "ip:port" once it is bound."""
+
+    async def __call__(
+        self,
+        *,
+        bind: str,
+        shutdown: trio.Event,
+        task_status: trio.TaskStatus[str],
+    ) -> None: ...
+
+
+def parse_config(
+    config_type: type[Config], arguments: Sequence[str] | None = None
+) -> tuple[str, Config]:
+    """Read `--bind` and an option for each field of a data class with defaults."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--bind", default="127.0.0.1:0")
+    for field in dataclasses.fields(config_type):  # type: ignore[arg-type]
+        option = "--" + field.name.replace("_", "-")
+        if isinstance(field.default, bool):
+            parser.add_argument(option, action="store_true")
+        else:
+            parser.add_argument(option, type=type(field.default), default=field.default)
+    values = vars(parser.parse_args(arguments))
+    bind = values.pop("bind")
+    return bind, config_type(**values)
+
+
+def run_process(serve: Serve, *, bind: str) -> None:
+    """Serve until SIGTERM or SIGINT and print the bound address."""
+    trio.run(_serve_until_signal, serve, bind)
+
+
+async def _serve_until_signal(serve: Serve, bind: str) -> None:
+    shutdown = trio.Event()
+
+    async def run(*, task_status: trio.TaskStatus[str]) -> None:
+        await serve(bind=bind, shutdown=shutdown, task_status=task_status)
+        nursery.cancel_scope.cancel()
+
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(run)
+            print(f"listening address={address}", flush=True)
+            async for _ in signals:
+                shutdown.set()
