--- a/src/hyssopvane/_internal/cli/registry.py
+++ b/src/hyssopvane/_internal/cli/registry.py
@@ -14,5 +14,6 @@
 COMMANDS: dict[str, CommandEntry] = {
     "run entry": CommandEntry("run_entry", "RunEntryCommand"),
     "run agent": CommandEntry("run_agent", "RunAgentCommand"),
+    "demo": CommandEntry("demo", "DemoCommand"),
     "check": CommandEntry("check", "CheckCommand"),
 }
--- a/src/hyssopvane/_internal/roles/call.py
+++ b/src/hyssopvane/_internal/roles/call.py
@@ -1,5 +1,6 @@
 """Hold a caller's request and the way its answer is written."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -92,14 +93,14 @@
     """Tell the server to cut the connection: the answer can't be completed."""
 
 
-async def run_until_disconnect(work: Any, wait_for_disconnect: Any) -> bool:
-    """Run `work` until it ends or the caller has gone; tell whether it ended."""
-    ended = False
+async def run_until_disconnect(
+    work: Callable[[], Awaitable[None]],
+    wait_for_disconnect: Callable[[], Awaitable[None]],
+) -> None:
+    """Run `work` until it ends or the caller has gone."""
 
     async def run_work() -> None:
-        nonlocal ended
         await work()
-        ended = True
         nursery.cancel_scope.cancel()
 
     async def watch_caller() -> None:
@@ -109,4 +110,3 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(watch_caller)
         nursery.start_soon(run_work)
-    return ended
--- a/src/hyssopvane/_internal/roles/caller_app.py
+++ b/src/hyssopvane/_internal/roles/caller_app.py
@@ -116,8 +116,9 @@
 
         outcome = "cut"
         try:
-            ended = await run_until_disconnect(run, wait)
-            outcome = "ended" if ended else "caller-gone"
+            await run_until_disconnect(run, wait)
+            # The server reports the caller gone after a whole answer, too.
+            outcome = "ended" if reply.ended else "caller-gone"
         except* AnswerCut:
             pass
         return outcome
--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -61,8 +61,11 @@
         self._callers_closed = trio.Event()
         self._source = DirectorySource()
         self._store = EtcdKeyValueStore(address=settings.platform)
-        self._table = TableReader(self._store)
-        self.scheduler = Scheduler(random=Random(self.incarnation))
+        self._random = Random(self.incarnation)
+        self._table = TableReader(
+            self._store, random=self._random, report=_log_table_error
+        )
+        self.scheduler = Scheduler(random=self._random)
         self._pool = PeerPool(
             hello=self._make_hello(),
             handler=self,
@@ -70,7 +73,7 @@
             times=ConnectionTimes(
                 heartbeat_s=settings.heartbeat_s, silence_s=settings.silence_s
             ),
-            random=Random(self.incarnation),
+            random=self._random,
         )
         self.dispatcher = Dispatcher(
             scheduler=self.scheduler,
@@ -226,6 +229,10 @@
             await trio.sleep(_VM_LIST_INTERVAL_S)
 
 
+def _log_table_error(error: HyssopvaneError) -> None:
+    log_event("warning", "table-unavailable", why=error)
+
+
 def _select_agents(records: tuple[VmRecord, ...]) -> frozenset[PeerAddress]:
     return frozenset(
         PeerAddress(record.name, record.address)
--- a/src/hyssopvane/_internal/roles/operators.py
+++ b/src/hyssopvane/_internal/roles/operators.py
@@ -30,6 +30,10 @@
         self.vm = settings.vm
         self.token = settings.token
 
+    @abstractmethod
+    async def close(self) -> None:
+        """Release what the process holds."""
+
     @abstractmethod
     def is_ready(self) -> bool:
         """Tell whether the process takes new work."""
--- /dev/null
+++ b/src/hyssopvane/_internal/standins/demo.py
@@ -0,0 +1,81 @@
+"""Show a newcomer the whole path."""
+
+import signal
+from collections.abc import Callable
+from random import Random
+
+import trio
+import uuid6
+
+from hyssopvane._internal.coordination.etcd_key_value import EtcdKeyValueStore
+from hyssopvane._internal.coordination.table_import import read_example_edit
+from hyssopvane._internal.coordination.table_store import TableEditor
+from hyssopvane._internal.standins.installation import (
+    TOKEN,
+    Installation,
+    InstallationPlan,
+)
+from hyssopvane._internal.utils.logs import configure_logs
+
+DEMO_KEY = "demo-key"
+"""Key of the example customer that the printed commands use."""
+
+_READY_INTERVAL_S = 0.05
+
+
+async def run_demo(plan: InstallationPlan, show: Callable[[str], None]) -> None:
+    """Run an installation until Ctrl-C or SIGTERM."""
+    configure_logs(level="warning", role="demo", vm="loopback")
+    installation = Installation(plan)
+    with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+        async with trio.open_nursery() as nursery:
+            await installation.start(nursery)
+            await _import_example(installation, nursery)
+            await wait_until_ready(installation)
+            for line in describe_demo(installation):
+                show(line)
+            async for _ in signals:
+                break
+            show("closing: requests in progress end first")
+            await installation.drain()
+            nursery.cancel_scope.cancel()
+    await installation.close()
+    show("closed")
+
+
+async def wait_until_ready(installation: Installation) -> None:
+    """Wait until each entry has the table and reaches every target."""
+    for entry in installation.entries:
+        while not entry.is_ready() or (
+            len(entry.scheduler.describe_targets()) < len(installation.agents)
+        ):
+            await trio.sleep(_READY_INTERVAL_S)
+
+
+def describe_demo(installation: Installation) -> list[str]:
+    """Return the lines that tell what to try."""
+    entry = installation.entries[0]
+    service = installation.plan.targets[0].service
+    url = f"http://{entry.callers_address}/{service}/v1/completions"
+    operators = f"http://{entry.operators_address}"
+    return [
+        f"{installation.plan.name}: {len(installation.entries)} entries, "
+        f"{len(installation.agents)} targets; Ctrl-C ends it",
+        "a streamed draft:",
+        f"  curl -N -i {url} -H 'Authorization: Bearer {DEMO_KEY}' "
+        f"-H 'Idempotency-Key: {uuid6.uuid7()}' "
+        """-d '{"prompt": "the name Maharaj", "max_tokens": 40, "stream": true}'""",
+        "what is in force, and the counters:",
+        f"  curl {operators}/in-force -H 'Authorization: Bearer {TOKEN}'",
+        f"  curl {operators}/metrics -H 'Authorization: Bearer {TOKEN}'",
+        "the table:",
+        f"  hyssopvane table show --platform {installation.platform_address}",
+    ]
+
+
+async def _import_example(installation: Installation, nursery: trio.Nursery) -> None:
+    store = EtcdKeyValueStore(installation.platform_address)
+    await store.start(nursery)
+    editor = TableEditor(store, random=Random(0))
+    await editor.commit(read_example_edit(installation.plan.name, key=DEMO_KEY))
+    await store.close()
--- a/src/hyssopvane/_internal/standins/installation.py
+++ b/src/hyssopvane/_internal/standins/installation.py
@@ -1,5 +1,6 @@
 """Run a small installation on loopback in one process."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -157,7 +158,7 @@
         return agents + entries
 
 
-def _make_target(plan: TargetPlan) -> partial[object]:
+def _make_target(plan: TargetPlan) -> Callable[..., Awaitable[object]]:
     if plan.is_engine:
         return partial(
             serve_engine, EngineConfig(), bind=LOOPBACK, shutdown=trio.Event()
--- a/src/hyssopvane/_internal/utils/metrics.py
+++ b/src/hyssopvane/_internal/utils/metrics.py
@@ -5,6 +5,8 @@
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
 
+_DURATION_BUCKETS_S = (0.005, 0.02, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0, 600.0)
+
 
 class Metrics:
     """Hold the instruments of one process."""
@@ -26,7 +28,10 @@
         self._refusals = meter.create_counter("hyssopvane_refusals")
         self._retries = meter.create_counter("hyssopvane_retries")
         self._events = meter.create_counter("hyssopvane_events")
-        self._duration = meter.create_histogram("hyssopvane_request_seconds")
+        self._duration = meter.create_histogram(
+            "hyssopvane_request_seconds",
+            explicit_bucket_boundaries_advisory=_DURATION_BUCKETS_S,
+        )
 
     def count_request(self, *, service: str, outcome: str) -> None:
         """Count an answered request."""
