--- a/src/hyssopvane/_internal/standins/asgi.py
+++ b/src/hyssopvane/_internal/standins/asgi.py
@@ -14,6 +14,7 @@
     Scope,
 )
 
+BYTES_TYPE = "application/octet-stream"
 JSON_TYPE = "application/json"
 EVENT_STREAM_TYPE = "text/event-stream"
 
@@ -57,16 +58,27 @@
         status: int,
         body: bytes,
         *,
-        content_type: str = "application/octet-stream",
+        content_type: str = BYTES_TYPE,
         headers: Mapping[str, str] | None = None,
     ) -> None:
         """Send an answer whose body is known."""
-        length = {"content-length": str(len(body))}
-        await self.start(
-            status, content_type=content_type, headers=length | dict(headers or {})
+        await self.start_bytes(
+            status, len(body), content_type=content_type, headers=headers
         )
         await self.send_chunk(body, more=False)
 
+    async def start_bytes(
+        self,
+        status: int,
+        length: int,
+        *,
+        content_type: str = BYTES_TYPE,
+        headers: Mapping[str, str] | None = None,
+    ) -> None:
+        """Send the head of an answer whose length is known."""
+        pairs = {"content-length": str(length)} | dict(headers or {})
+        await self.start(status, content_type=content_type, headers=pairs)
+
     async def start(
         self,
         status: int,
--- a/src/hyssopvane/_internal/standins/engine_server.py
+++ b/src/hyssopvane/_internal/standins/engine_server.py
@@ -21,7 +21,7 @@
 )
 from hyssopvane._internal.standins.expert_rank import Order, OrderKind
 from hyssopvane._internal.standins.journal import Caller, Journal
-from hyssopvane._internal.standins.process import parse_config, run_process
+from hyssopvane._internal.standins.process import parse_options, run_process
 from hyssopvane._internal.transport.asgi_server import serve_asgi
 
 GRACEFUL_TIMEOUT_S = 30.0
@@ -196,18 +196,22 @@
 
 def main() -> None:
     """Run an engine as its own process, which exits at once on a crash."""
-    bind, config = parse_config(EngineConfig)
+    options, config = parse_options(EngineConfig)
 
     async def serve(
         *, bind: str, shutdown: trio.Event, task_status: trio.TaskStatus[str]
     ) -> None:
         crashed = await serve_engine(
-            config, bind=bind, shutdown=shutdown, task_status=task_status
+            config,
+            bind=bind,
+            shutdown=shutdown,
+            journal=options.make_journal(),
+            task_status=task_status,
         )
         if crashed:
             os._exit(CRASH_EXIT_CODE)
 
-    run_process(serve, bind=bind)
+    run_process(serve, bind=options.bind)
 
 
 if __name__ == "__main__":
--- a/src/hyssopvane/_internal/standins/plain_service.py
+++ b/src/hyssopvane/_internal/standins/plain_service.py
@@ -6,13 +6,18 @@
 
 import trio
 
-from hyssopvane._internal.standins.asgi import Request, Responder, Router
+from hyssopvane._internal.standins.asgi import (
+    BYTES_TYPE,
+    Request,
+    Responder,
+    Router,
+)
+from hyssopvane._internal.standins.filler import split_filler
 from hyssopvane._internal.standins.journal import Caller, Journal, RunEvent
-from hyssopvane._internal.standins.process import parse_config, run_process
+from hyssopvane._internal.standins.process import parse_options, run_process
 from hyssopvane._internal.transport.asgi_server import serve_asgi
 
 GRACEFUL_TIMEOUT_S = 30.0
-FILLER = b"0123456789abcdef" * 4096
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,13 +130,9 @@
 
 
 async def _send_filler(length: int, responder: Responder, status: int) -> None:
-    await responder.start(
-        status,
-        content_type="application/octet-stream",
-        headers={"content-length": str(length)},
-    )
-    for start in range(0, length, len(FILLER)):
-        await responder.send_chunk(FILLER[: length - start])
+    await responder.start_bytes(status, length)
+    for chunk in split_filler(length):
+        await responder.send_chunk(chunk)
     await responder.send_chunk(b"", more=False)
 
 
@@ -139,15 +140,16 @@
     await responder.send_bytes(
         status,
         request.body,
-        content_type=request.headers.get("content-type", "application/octet-stream"),
+        content_type=request.headers.get("content-type", BYTES_TYPE),
         headers={"x-echo-method": request.method, "x-echo-path": request.path},
     )
 
 
 def main() -> None:
     """Run a plain service as its own process."""
-    bind, config = parse_config(PlainServiceConfig)
-    run_process(partial(serve_plain_service, config), bind=bind)
+    options, config = parse_options(PlainServiceConfig)
+    serve = partial(serve_plain_service, config, journal=options.make_journal())
+    run_process(serve, bind=options.bind)
 
 
 if __name__ == "__main__":
--- a/src/hyssopvane/_internal/standins/process.py
+++ b/src/hyssopvane/_internal/standins/process.py
@@ -4,10 +4,13 @@
 import dataclasses
 import signal
 from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Protocol, TypeVar
 
 import trio
 
+from hyssopvane._internal.standins.journal import Journal, JournalEntry
+
 Config = TypeVar("Config")
 
 
@@ -23,12 +26,26 @@
     ) -> None: ...
 
 
-def parse_config(
+@dataclass(frozen=True, slots=True)
+class ProcessOptions:
+    """Hold the options that all stand-ins have."""
+
+    bind: str
+    print_journal: bool
+
+    def make_journal(self) -> Journal:
+        """Return a journal, printed line by line if that was asked for."""
+        return Journal(_print_entry if self.print_journal else None)
+
+
+def parse_options(
     config_type: type[Config], arguments: Sequence[str] | None = None
-) -> tuple[str, Config]:
-    """Read `--bind` and an option for each field of a data class with defaults."""
+) -> tuple[ProcessOptions, Config]:
+    """Read the common options and one for each field of a data class."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--bind", default="127.0.0.1:0")
+    # The printed lines outlive a crash, which the journal's own page does not.
+    parser.add_argument("--print-journal", action="store_true")
     for field in dataclasses.fields(config_type):  # type: ignore[arg-type]
         option = "--" + field.name.replace("_", "-")
         if isinstance(field.default, bool):
@@ -36,8 +53,13 @@
         else:
             parser.add_argument(option, type=type(field.default), default=field.default)
     values = vars(parser.parse_args(arguments))
-    bind = values.pop("bind")
-    return bind, config_type(**values)
+    options = ProcessOptions(values.pop("bind"), values.pop("print_journal"))
+    return options, config_type(**values)
+
+
+def _print_entry(entry: JournalEntry) -> None:
+    pairs = dataclasses.asdict(entry).items()
+    print("journal", *(f"{name}={value}" for name, value in pairs), flush=True)
 
 
 def run_process(serve: Serve, *, bind: str) -> None:
--- /dev/null
+++ b/src/hyssopvane/_internal/standins/rank_group.py
@@ -0,0 +1,128 @@
+"""Model a group of ranks that run in lock-step on an expert map."""
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from hyssopvane._internal.standins.expert_rank import ExpertRank
+
+BASE_STEP_MS = 4.5
+WAIT_MS = 4.5
+"""Time that one more look for a decision takes."""
+
+MS_PER_TOKEN = 0.01
+"""Time that a token adds to the step of the rank that its expert is on."""
+
+HISTORY_LENGTH = 100_000
+
+
+@dataclass(frozen=True, slots=True)
+class ExpertMap:
+    """Tell on which ranks each expert is; replicas share its tokens evenly."""
+
+    name: str
+    ranks_by_expert: tuple[tuple[int, ...], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RankStep:
+    """Record the map that a rank used in a step."""
+
+    step: int
+    rank: int
+    map: str
+
+
+@dataclass(frozen=True, slots=True)
+class StepReport:
+    """Tell how one step went."""
+
+    step: int
+    step_ms: float
+    skew: float
+    """Time of the slowest rank divided by the mean; 1 when all are even."""
+    maps_used: tuple[str, ...]
+    """Map of each rank that has begun the step, in rank order."""
+    waiting: tuple[int, ...]
+    """Ranks that wait for a decision and hold the step back."""
+
+
+def spread_experts(name: str, *, ranks: int, experts: int) -> ExpertMap:
+    """Return the map that puts the experts on the ranks in turn."""
+    return ExpertMap(name, tuple((expert % ranks,) for expert in range(experts)))
+
+
+class RankGroup:
+    """Advance ranks together, at the pace of the slowest."""
+
+    def __init__(self, ranks: int, experts: int, *, checks_fence: bool = False) -> None:
+        first = spread_experts("initial", ranks=ranks, experts=experts)
+        self.step = 0
+        self.ranks = [
+            ExpertRank(first.name, checks_fence=checks_fence) for _ in range(ranks)
+        ]
+        self.history: deque[RankStep] = deque(maxlen=HISTORY_LENGTH)
+        self.split_steps: list[int] = []
+        """Steps in which two ranks used different maps; must stay empty."""
+        self._checks_fence = checks_fence
+        self._maps = {first.name: first}
+        self._stalls_ms = [0.0] * ranks
+        self._maps_in_step: set[str] = set()
+
+    def add_map(self, expert_map: ExpertMap) -> None:
+        """Make a map known, so that ranks can be ordered to use it."""
+        self._maps[expert_map.name] = expert_map
+
+    def stall(self, rank: int, stall_ms: float) -> None:
+        """Hold a rank up in its next step."""
+        self._stalls_ms[rank] += stall_ms
+
+    def restart(self, rank: int, expert_map: str) -> None:
+        """Replace a rank by a new one that starts with the given map."""
+        fresh = ExpertRank(expert_map, checks_fence=self._checks_fence)
+        fresh.step = self.step
+        self.ranks[rank] = fresh
+
+    def advance(self, loads: Sequence[float]) -> StepReport:
+        """Run one step, with the tokens of each expert, or wait for a decision."""
+        for index, rank in enumerate(self.ranks):
+            if rank.step == self.step and rank.advance_step():
+                self._record(index, rank)
+        waiting = [i for i, rank in enumerate(self.ranks) if rank.step == self.step]
+        if waiting:
+            return self._make_report([WAIT_MS], waiting)
+        self.step += 1
+        self._maps_in_step.clear()
+        times = self._measure_ranks(loads)
+        self._stalls_ms = [0.0] * len(self.ranks)
+        return self._make_report(times, waiting)
+
+    def _record(self, index: int, rank: ExpertRank) -> None:
+        self.history.append(RankStep(rank.step, index, rank.map))
+        self._maps_in_step.add(rank.map)
+        if len(self._maps_in_step) > 1 and rank.step not in self.split_steps[-1:]:
+            self.split_steps.append(rank.step)
+
+    def _measure_ranks(self, loads: Sequence[float]) -> list[float]:
+        tokens = [0.0] * len(self.ranks)
+        for index, rank in enumerate(self.ranks):
+            ranks_by_expert = self._maps[rank.map].ranks_by_expert
+            for load, holders in zip(loads, ranks_by_expert, strict=True):
+                if index in holders:
+                    tokens[index] += load / len(holders)
+        return [
+            BASE_STEP_MS + MS_PER_TOKEN * count + stall_ms
+            for count, stall_ms in zip(tokens, self._stalls_ms, strict=True)
+        ]
+
+    def _make_report(self, times: list[float], waiting: list[int]) -> StepReport:
+        slowest = max(times)
+        return StepReport(
+            step=self.step,
+            step_ms=slowest,
+            skew=slowest * len(times) / sum(times),
+            maps_used=tuple(
+                rank.map for i, rank in enumerate(self.ranks) if i not in waiting
+            ),
+            waiting=tuple(waiting),
+        )
--- /dev/null
+++ b/src/hyssopvane/_internal/standins/weight_store.py
@@ -0,0 +1,93 @@
+"""Serve weights of models and experts at a limited rate."""
+
+from dataclasses import dataclass
+from functools import partial
+
+import trio
+
+from hyssopvane._internal.standins.asgi import Request, Responder, Router
+from hyssopvane._internal.standins.filler import CHUNK, split_filler
+from hyssopvane._internal.standins.process import parse_options, run_process
+from hyssopvane._internal.transport.asgi_server import serve_asgi
+
+GRACEFUL_TIMEOUT_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class WeightStoreConfig:
+    """Describe a weight store."""
+
+    bytes_per_s: float = 100e6
+    """Rate that all readers share."""
+    object_bytes: int = 10_000_000
+    """Length of weights when the query doesn't say."""
+
+
+class TokenBucket:
+    """Grant bytes at a rate, with a burst of limited size."""
+
+    def __init__(self, rate: float, burst: float, *, now: float) -> None:
+        self._rate = rate
+        self._burst = burst
+        self._level = burst
+        self._filled_at = now
+
+    def reserve(self, amount: int, now: float) -> float:
+        """Grant an amount and return the seconds to wait before it may be used."""
+        refill = (now - self._filled_at) * self._rate
+        self._level = min(self._burst, self._level + refill) - amount
+        self._filled_at = now
+        return max(0.0, -self._level / self._rate)
+
+
+class WeightStore:
+    """Answer `GET /weights/NAME?bytes=N` at the shared rate."""
+
+    def __init__(self, config: WeightStoreConfig) -> None:
+        self.app = Router({}, fallback=self._answer)
+        self._config = config
+        self._bucket = TokenBucket(
+            config.bytes_per_s, len(CHUNK), now=trio.current_time()
+        )
+
+    async def _answer(self, request: Request, responder: Responder) -> None:
+        if request.method != "GET" or not request.path.startswith("/weights/"):
+            await responder.send_json(404, {"error": "ask for GET /weights/NAME"})
+            return
+        length = int(request.query.get("bytes", self._config.object_bytes))
+        await responder.run_while_connected(partial(self._send, length, responder))
+
+    async def _send(self, length: int, responder: Responder) -> None:
+        await responder.start_bytes(200, length)
+        for chunk in split_filler(length):
+            wait_s = self._bucket.reserve(len(chunk), trio.current_time())
+            await trio.sleep(wait_s)
+            await responder.send_chunk(chunk)
+        await responder.send_chunk(b"", more=False)
+
+
+async def serve_weight_store(
+    config: WeightStoreConfig,
+    *,
+    bind: str,
+    shutdown: trio.Event,
+    task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve until the shutdown."""
+    await serve_asgi(
+        WeightStore(config).app,
+        bind=bind,
+        graceful_timeout_s=GRACEFUL_TIMEOUT_S,
+        shutdown=shutdown,
+        task_status=task_status,
+    )
+
+
+def main() -> None:
+    """Run a weight store as its own process."""
+    options, config = parse_options(WeightStoreConfig)
+    run_process(partial(serve_weight_store, config), bind=options.bind)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/functional/test_target_standins.py
@@ -0,0 +1,150 @@
+"""Test the targets' stand-ins as processes and in a nursery."""
+
+import json
+from functools import partial
+
+import httpcore
+import pytest
+import trio
+
+from hyssopvane._internal.standins.engine import EngineConfig, make_token_text
+from hyssopvane._internal.standins.engine_server import CRASH_EXIT_CODE, serve_engine
+from hyssopvane._internal.standins.journal import Journal
+from tests.lib.standin_processes import run_standin
+
+HEADERS = {"X-Request-Id": "request-1", "Idempotency-Key": "key-1"}
+MAX_POLLS = 10_000
+
+
+def call(method, address, path, document=None):
+    content = None if document is None else json.dumps(document).encode()
+    response = httpcore.request(
+        method, f"http://{address}{path}", headers=HEADERS, content=content
+    )
+    return response.status, json.loads(response.content)
+
+
+def read_stream(content):
+    events = content.decode().split("\n\n")
+    assert events[-2:] == ["data: [DONE]", ""]
+    return [json.loads(event.removeprefix("data: ")) for event in events[:-2]]
+
+
+def test_engine_process_streams_cancels_and_takes_orders():
+    with run_standin("engine_server", "--checks-fence") as engine:
+        address = engine.address
+        body = {"prompt": "ship list", "max_tokens": 8, "stream": True}
+        response = httpcore.request(
+            "POST",
+            f"http://{address}/v1/completions",
+            content=json.dumps(body).encode(),
+        )
+        tokens = [make_token_text("ship list", index) for index in range(8)]
+        assert read_stream(response.content) == [
+            {"index": index, "text": text} for index, text in enumerate(tokens)
+        ]
+        rest = {"prompt": "ship list", "max_tokens": 8, "resume_from": 5}
+        answer = {"text": "".join(tokens[5:]), "tokens": 3}
+        assert call("POST", address, "/v1/completions", rest) == (200, answer)
+        assert call("POST", address, "/v1/completions", {})[0] == 400
+
+        body["max_tokens"] = 1_000_000
+        with httpcore.stream(
+            "POST",
+            f"http://{address}/v1/completions",
+            headers=HEADERS,
+            content=json.dumps(body).encode(),
+        ) as response:
+            next(response.iter_stream())
+        events = []
+        for _ in range(MAX_POLLS):
+            events = call("GET", address, "/journal")[1]
+            if events[-1]["event"] == "cancelled":
+                break
+        assert [event["event"] for event in events] == [
+            *("started", "finished") * 2,
+            *("started", "cancelled"),
+        ]
+        assert events[-1]["request_id"] == "request-1"
+        assert events[-1]["idempotency_key"] == "key-1"
+
+        stage = {"kind": "stage", "fence": 2, "payload": {"value": "map-2"}}
+        assert call("POST", address, "/orders", stage)[0] == 200
+        status, refusal = call("POST", address, "/orders", stage | {"fence": 1})
+        assert status == 409
+        assert (refusal["error"], refusal["highest_fence"]) == ("old-fence", 2)
+        assert call("GET", address, "/rank")[1]["staged"] == ["map-2"]
+        assert call("GET", address, "/load")[1]["step_ms"] == 4.5
+        assert engine.stop() == 0
+
+
+def test_engine_process_exits_on_a_poison_prompt():
+    """Crash an engine process with one request.
+
+    The caller's connection ends without an answer, and the run that had started is
+    known only from what the process printed.
+    """
+    with run_standin("engine_server", "--poison=BOOM", "--print-journal") as engine:
+        with pytest.raises(httpcore.RemoteProtocolError):
+            call("POST", engine.address, "/v1/completions", {"prompt": "BOOM"})
+        assert engine.process.wait() == CRASH_EXIT_CODE
+        assert engine.stdout.read() == (
+            "journal event=started run=1 request_id=request-1 idempotency_key=key-1\n"
+        )
+
+
+def test_engine_in_a_nursery_refuses_connections_until_restarted():
+    """Crash an engine that runs in the same process as the test.
+
+    Callers that come while it is gone can't connect; after the restart on the same
+    address they get answers, and the journal still tells of the run that crashed it.
+    """
+    trio.run(_crash_and_restart)
+
+
+async def _crash_and_restart():
+    journal, shutdown = Journal(), trio.Event()
+    serve = partial(
+        serve_engine, EngineConfig(poison="BOOM"), journal=journal, shutdown=shutdown
+    )
+    async with trio.open_nursery() as nursery, httpcore.AsyncConnectionPool() as pool:
+        address = await nursery.start(partial(serve, bind="127.0.0.1:0"))
+        url = f"http://{address}/v1/completions"
+        with pytest.raises((httpcore.RemoteProtocolError, httpcore.ReadError)):
+            await pool.request("POST", url, content=b'{"prompt": "BOOM"}')
+        with pytest.raises(httpcore.ConnectError):
+            await pool.request("POST", url, content=b'{"prompt": "lot 7"}')
+        assert await nursery.start(partial(serve, bind=address)) == address
+        response = await pool.request("POST", url, content=b'{"prompt": "lot 7"}')
+        assert response.status == 200
+        assert [entry.event for entry in journal.entries] == [
+            *("started", "started", "finished")
+        ]
+        shutdown.set()
+
+
+def test_plain_service_process_answers_and_records_each_run():
+    with run_standin("plain_service") as service:
+        address = service.address
+        bid = {"lot": "7", "bidder": "b-1", "amount": 300}
+        confirmed = (201, bid | {"confirmation": 1})
+        assert call("POST", address, "/bids", bid) == confirmed
+        lot = {"lot": "7", "status": "open", "highest_bid": 300}
+        assert call("GET", address, "/lots/7") == (200, lot)
+        assert call("PUT", address, "/any/path?status=503", bid) == (503, bid)
+        assert call("POST", address, "/bids", {"lot": "7"})[0] == 400
+        url = f"http://{address}/?body_bytes=3000000&delay_ms=1"
+        assert len(httpcore.request("GET", url).content) == 3_000_000
+        entries = call("GET", address, "/journal")[1]
+        starts = [entry for entry in entries if entry["event"] == "started"]
+        assert len(starts) == 5
+        assert starts[0]["idempotency_key"] == "key-1"
+        assert service.stop() == 0
+
+
+def test_weight_store_process_sends_the_asked_length():
+    with run_standin("weight_store", "--bytes-per-s=1e9") as store:
+        url = f"http://{store.address}/weights/map-2?bytes=200000"
+        assert len(httpcore.request("GET", url).content) == 200_000
+        assert call("GET", store.address, "/other")[0] == 404
+        assert store.stop() == 0
