Serve a request from caller to target across separate processes

An entry answers callers, reads the table and the list of VMs, and sends work to agents; an agent runs it at its target. The placement is a stub (least in flight, first in first out); limits, keys, claims and expert maps are not there yet.

--- /dev/null
+++ b/src/hyssopvane/_internal/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the example tables."""
--- a/src/hyssopvane/_internal/protocol/headers.py
+++ b/src/hyssopvane/_internal/protocol/headers.py
@@ -41,9 +41,7 @@
         (name, value)
         for name, value in headers
         if name not in _HOP_BY_HOP
-        and name not in # The server in front of the callers writes its own.
-_OF_THE_TARGET_ONLY = frozenset({b"date"})
-_OF_THE_CALLER_ONLY
+        and name not in _OF_THE_CALLER_ONLY
         and name != TARGET_REQUEST_ID
     )
     return kept + ((TARGET_REQUEST_ID, request_id.encode()),)
@@ -54,6 +52,5 @@
     return tuple(
         (name.lower(), value)
         for name, value in headers
-        if name.lower() not in _HOP_BY_HOP
-        and name.lower() not in _OF_THE_TARGET_ONLY
+        if name.lower() not in _HOP_BY_HOP and name.lower() not in _OF_THE_TARGET_ONLY
     )
--- /dev/null
+++ b/tests/functional/test_whole_path.py
@@ -0,0 +1,136 @@
+"""Test the whole path as separate processes."""
+
+import hashlib
+import json
+import signal
+from random import Random
+
+import pytest
+import trio
+
+from hyssopvane._internal.coordination.etcd_key_value import EtcdKeyValueStore
+from hyssopvane._internal.coordination.table_edit import CellWrite, TableEdit
+from hyssopvane._internal.coordination.table_store import TableEditor
+from hyssopvane._internal.state.columns import RowId, RowKind
+from hyssopvane._internal.state.table import CellId
+from tests.lib.http import request
+from tests.lib.processes import TOKEN, open_cluster, wait_until
+
+KEY = "key-of-the-clerks"
+CALLER = {"Authorization": f"Bearer {KEY}"}
+OPERATOR = {"Authorization": f"Bearer {TOKEN}"}
+CLERKS = RowId(RowKind.CUSTOMER, "clerks")
+DRAFT = RowId(RowKind.SERVICE, "draft")
+CHECK = RowId(RowKind.SERVICE, "check")
+
+
+def commit_table(platform):
+    """Put one customer and two services into the table."""
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+
+    async def commit():
+        async with trio.open_nursery() as nursery:
+            store = EtcdKeyValueStore(platform)
+            await store.start(nursery)
+            edit = TableEdit(
+                "edit-1",
+                added=(CLERKS, DRAFT, CHECK),
+                writes=(CellWrite(CellId(CLERKS, "key_sha256"), digest),),
+            )
+            await TableEditor(store, random=Random(0)).commit(edit)
+            await store.close()
+
+    trio.run(commit)
+
+
+@pytest.fixture(scope="module")
+def path(tmp_path_factory):
+    """Run one entry before a model engine and a plain service."""
+    with open_cluster(tmp_path_factory.mktemp("path")) as cluster:
+        commit_table(cluster.platform)
+        engine, _ = cluster.start_standin("engine_server")
+        plain, _ = cluster.start_standin("plain_service")
+        cluster.start_agent("draft-1", service="draft", target=engine)
+        cluster.start_agent("check-1", service="check", target=plain)
+        cluster.entry, cluster.callers = cluster.start_entry("entry-1")
+        wait_until(lambda: count_targets(cluster) == 2)
+        yield cluster
+
+
+def read_in_force(cluster):
+    """Return what the entry says is in force."""
+    answer = request("GET", cluster.operators["entry-1"], "/in-force", headers=OPERATOR)
+    return json.loads(answer.body)
+
+
+def count_targets(cluster):
+    """Return the number of targets that the entry reaches."""
+    in_force = read_in_force(cluster)
+    return len(in_force["targets"]) if in_force["table_revision"] else 0
+
+
+def test_streamed_draft_arrives_whole(path):
+    body = json.dumps({"prompt": "Maharaj", "max_tokens": 30, "stream": True}).encode()
+    answer = request(
+        "POST", path.callers, "/draft/v1/completions", headers=CALLER, body=body
+    )
+    assert answer.status == 200
+    assert answer.headers["hyssopvane-outcome"] == "ran"
+    assert answer.headers["content-type"] == "text/event-stream"
+    assert answer.body.count(b"data: {") == 30
+    assert answer.body.endswith(b"data: [DONE]\n\n")
+
+
+def test_plain_call_arrives_whole(path):
+    answer = request("GET", path.callers, "/check/lots/7", headers=CALLER)
+    assert answer.status == 200
+    assert json.loads(answer.body)["lot"] == "7"
+
+
+@pytest.mark.parametrize(
+    ("method", "url", "headers", "status", "reason"),
+    [
+        ("GET", "/check/lots/7", {}, 401, "unknown-caller"),
+        ("GET", "/check/lots/7", {"Authorization": "Bearer no"}, 401, "unknown-caller"),
+        ("GET", "/nothing", CALLER, 404, "unknown-service"),
+        (
+            "GET",
+            "/check/lots/7",
+            CALLER | {"Hyssopvane-Deadline-Ms": "soon"},
+            400,
+            "malformed",
+        ),
+    ],
+)
+def test_refusal_names_reason_and_remedy(path, method, url, headers, status, reason):
+    answer = request(method, path.callers, url, headers=headers)
+    assert answer.status == status
+    assert answer.headers["hyssopvane-outcome"] == "not-run"
+    assert answer.headers["hyssopvane-reason"] == reason
+    assert json.loads(answer.body)["hint"]
+
+
+@pytest.mark.parametrize("url", ["/in-force", "/metrics", "/explain/x"])
+def test_operators_need_the_token(path, url):
+    address = path.operators["entry-1"]
+    assert request("GET", address, url).status == 401
+    assert request("GET", address, url, headers=OPERATOR).status == 200
+
+
+def test_explain_tells_where_a_request_was_placed(path):
+    answer = request("GET", path.callers, "/check/lots/7", headers=CALLER)
+    request_id = answer.headers["hyssopvane-request-id"]
+    explained = request(
+        "GET", path.operators["entry-1"], f"/explain/{request_id}", headers=OPERATOR
+    )
+    decisions = json.loads(explained.body)["decisions"]
+    assert [one["decision"] for one in decisions] == ["placed"]
+    assert "check-1" in decisions[0]["why"]
+
+
+def test_entry_stops_on_sigterm(tmp_path):
+    with open_cluster(tmp_path) as cluster:
+        entry, _ = cluster.start_entry("entry-2")
+        entry.send_signal(signal.SIGTERM)
+        assert entry.read_to_end() == 0
+        assert "event=stopped" in entry.lines[-1]
--- /dev/null
+++ b/tests/lib/processes.py
@@ -0,0 +1,184 @@
+"""Run the roles and the stand-ins as separate processes."""
+
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import trio
+
+TOKEN = "test-token-of-one-installation"
+START_TIMEOUT_S = 20.0
+_STANDINS = "hyssopvane._internal.standins"
+
+
+class Process:
+    """Hold one started process and the lines it has written."""
+
+    def __init__(self, arguments: list[str]) -> None:
+        self._popen = subprocess.Popen(
+            arguments,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+        self.lines: list[str] = []
+
+    def wait_for(self, pattern: str) -> re.Match[str]:
+        """Read lines until one matches; fail when the process ends before that."""
+        assert self._popen.stdout is not None
+        for line in self._popen.stdout:
+            self.lines.append(line.rstrip("\n"))
+            if match := re.search(pattern, line):
+                return match
+        raise AssertionError(f"no line matches {pattern}: {self.lines}")
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal."""
+        self._popen.send_signal(number)
+
+    def read_to_end(self) -> int:
+        """Wait for the end and return the exit code."""
+        assert self._popen.stdout is not None
+        self.lines.extend(line.rstrip("\n") for line in self._popen.stdout)
+        return self._popen.wait()
+
+    def kill(self) -> None:
+        """End the process at once, when it still runs."""
+        if self._popen.poll() is None:
+            self._popen.send_signal(signal.SIGCONT)
+            self._popen.kill()
+        if self._popen.stdout is not None:
+            self._popen.stdout.close()
+        self._popen.wait()
+
+
+class Cluster:
+    """Start processes of one installation and end them all."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._processes: list[Process] = []
+        self._vms: dict[str, dict[str, str]] = {}
+        self.platform = ""
+        self.vm_list = ""
+        self.operators: dict[str, str] = {}
+
+    def start_platform(self) -> None:
+        """Start the key-value service and the list of VMs."""
+        self.platform, _ = self.start_standin("key_value")
+        self.vm_list, _ = self.start_standin("vm_list")
+
+    def start_standin(self, name: str, *options: str) -> tuple[str, Process]:
+        """Start a stand-in and return its address."""
+        process = self._start(
+            [sys.executable, "-m", f"{_STANDINS}.{name}", "--bind", "127.0.0.1:0"]
+            + list(options)
+        )
+        return process.wait_for(r"address=(\S+)")[1], process
+
+    def start_agent(
+        self, vm: str, *, service: str, target: str, **changes: object
+    ) -> Process:
+        """Start an agent and put it into the list of VMs."""
+        process, address = self._start_role(
+            "agent",
+            vm,
+            "entries",
+            {"target": target, "service": service, "entries": "127.0.0.1:0"} | changes,
+        )
+        self.list_vm(vm, role="agent", service=service, address=address)
+        return process
+
+    def start_entry(self, vm: str, **changes: object) -> tuple[Process, str]:
+        """Start an entry and return its callers' address."""
+        process, address = self._start_role(
+            "entry", vm, "callers", {"callers": "127.0.0.1:0"} | changes
+        )
+        self.list_vm(vm, role="entry", service="", address=address)
+        return process, address
+
+    def list_vm(
+        self, vm: str, *, role: str, service: str, address: str, state: str = "live"
+    ) -> None:
+        """Put a VM into the platform's list."""
+        self._vms[vm] = {
+            "name": vm,
+            "address": address,
+            "availability_zone": "arima",
+            "role": role,
+            "service": service,
+            "state": state,
+        }
+        self._put_vms()
+
+    def unlist_vm(self, vm: str) -> None:
+        """Take a VM out of the platform's list."""
+        del self._vms[vm]
+        self._put_vms()
+
+    def close(self) -> None:
+        """End every process."""
+        for process in reversed(self._processes):
+            process.kill()
+
+    def _put_vms(self) -> None:
+        from tests.lib.http import request
+
+        document = json.dumps({"vms": list(self._vms.values())}).encode()
+        answer = request("PUT", self.vm_list, "/v1/vms", body=document)
+        assert answer.status < 300, answer
+
+    def _start_role(
+        self, role: str, vm: str, listener: str, changes: dict[str, object]
+    ) -> tuple[Process, str]:
+        settings = {
+            "role": role,
+            "vm": vm,
+            "availability_zone": "arima",
+            "platform": self.platform,
+            "vm_list": self.vm_list,
+            "token": TOKEN,
+            "shutdown_delay_s": 0,
+        } | changes
+        path = self._folder / f"{vm}.json"
+        path.write_text(json.dumps(settings))
+        process = self._start(
+            [sys.executable, "-m", "hyssopvane", "run", role, str(path)]
+        )
+        started = process.wait_for(rf"event=started .*{listener}=(\S+)")
+        self.operators[vm] = re.search(r"operators=(\S+)", started.string)[1]
+        return process, started[1]
+
+    def _start(self, arguments: list[str]) -> Process:
+        process = Process(arguments)
+        self._processes.append(process)
+        return process
+
+
+@contextmanager
+def open_cluster(folder: Path) -> Iterator[Cluster]:
+    """Give a cluster with its platform and end all its processes afterwards."""
+    cluster = Cluster(folder)
+    try:
+        cluster.start_platform()
+        yield cluster
+    finally:
+        cluster.close()
+
+
+def wait_until(check, *, timeout_s: float = START_TIMEOUT_S) -> None:
+    """Poll a check until it holds; the timeout only ends a test that hangs."""
+
+    async def poll() -> None:
+        with trio.fail_after(timeout_s):
+            while not await trio.to_thread.run_sync(check):
+                await trio.sleep(0.05)
+
+    trio.run(poll)
