Let entries reach each other over connections opened on demand

A mesh of 960 entries can't hold a connection for each pair within the control budget, so a link opens on its first use and closes when idle. Topics route questions and notices, so that a subsystem adds one without a change to the connection.

--- a/src/hyssopvane/_internal/models/settings.py
+++ b/src/hyssopvane/_internal/models/settings.py
@@ -44,6 +44,8 @@
     role: Literal["entry"]
     callers: Address
     """Address of the callers' listener."""
+    peers: Address
+    """Address on which the entry listens for other entries."""
     max_body_bytes: Annotated[int, Field(ge=1)] = 16 * 1024 * 1024
     max_connections: Annotated[int, Field(ge=1)] = 10_000
 
--- a/src/hyssopvane/_internal/roles/agent.py
+++ b/src/hyssopvane/_internal/roles/agent.py
@@ -1,7 +1,6 @@
 """Run the agent: the only way to the target beside it."""
 
 import secrets
-from functools import partial
 
 import trio
 
@@ -20,7 +19,8 @@
     OperatorsApp,
     serve_operators,
 )
-from hyssopvane._internal.transport.asgi_server import bind_listener, format_address
+from hyssopvane._internal.roles.peer_listener import serve_peers
+from hyssopvane._internal.roles.topics import TopicRouter
 from hyssopvane._internal.transport.peer_connection import (
     ConnectionTimes,
     PeerConnection,
@@ -47,27 +47,17 @@
         self._running: dict[bytes, Attempt] = {}
         self._idle = trio.Event()
         self._connections: set[PeerConnection] = set()
+        self.topics = TopicRouter()
 
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Listen for entries until cancelled."""
-        listener_socket = bind_listener(self.settings.entries)
-        listener_socket.listen(1024)
-        self.entries_address = format_address(listener_socket.getsockname())
-        listener = trio.SocketListener(trio.socket.from_stdlib_socket(listener_socket))
         async with trio.open_nursery() as nursery:
             self.operators_address = await nursery.start(
                 serve_operators, OperatorsApp(self), self.settings.operators
             )
-            nursery.start_soon(
-                partial(
-                    trio.serve_listeners,
-                    self._serve_entry,
-                    [listener],
-                    handler_nursery=nursery,
-                )
-            )
+            self.entries_address = await nursery.start(self._serve_entries)
             log_event(
                 "info",
                 "started",
@@ -121,10 +111,10 @@
     async def answer_question(
         self, peer: PeerConnection, topic: str, body: bytes
     ) -> bytes:
-        return b""
+        return await self.topics.answer(peer, topic, body)
 
     def receive_notice(self, peer: PeerConnection, topic: str, body: bytes) -> None:
-        """Ignore a notice of a topic that this version does not know."""
+        self.topics.receive(peer, topic, body)
 
     async def serve_stream(self, stream: PeerStream, opening: Open) -> None:
         refusal = self._find_refusal(opening)
@@ -151,26 +141,25 @@
             return AgentRefusal.DUPLICATE_ATTEMPT
         return None
 
-    async def _serve_entry(self, socket_stream: trio.SocketStream) -> None:
-        connection = PeerConnection(
-            socket_stream,
+    async def _serve_entries(
+        self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        settings = self.settings
+        await serve_peers(
+            settings.entries,
             hello=Hello(
                 version=PROTOCOL_VERSION,
                 role="agent",
-                vm=self.settings.vm,
-                availability_zone=self.settings.availability_zone,
+                vm=settings.vm,
+                availability_zone=settings.availability_zone,
                 incarnation=self.incarnation,
-                token=self.settings.token,
-                service=self.settings.service,
+                token=settings.token,
+                service=settings.service,
             ),
             handler=self,
             times=ConnectionTimes(
-                heartbeat_s=self.settings.heartbeat_s, silence_s=self.settings.silence_s
+                heartbeat_s=settings.heartbeat_s, silence_s=settings.silence_s
             ),
-            opener=False,
+            connections=self._connections,
+            task_status=task_status,
         )
-        self._connections.add(connection)
-        try:
-            await connection.run()
-        finally:
-            self._connections.discard(connection)
--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -24,12 +24,15 @@
     DirectorySource,
 )
 from hyssopvane._internal.roles.dispatcher import Dispatcher
+from hyssopvane._internal.roles.entry_links import EntryLinks
 from hyssopvane._internal.roles.operators import (
     OperatedProcess,
     OperatorsApp,
     serve_operators,
 )
+from hyssopvane._internal.roles.peer_listener import serve_peers
 from hyssopvane._internal.roles.peer_pool import PeerAddress, PeerObserver, PeerPool
+from hyssopvane._internal.roles.topics import TopicRouter
 from hyssopvane._internal.state.directory import Directory
 from hyssopvane._internal.state.table import Table
 from hyssopvane._internal.state.work import LoadReport, TargetInfo
@@ -43,8 +46,11 @@
 from hyssopvane._internal.utils.logs import log_event
 
 _VM_LIST_INTERVAL_S = 1.0
+# A connection to another entry costs heartbeats both ways, and most are used seldom.
+_IDLE_LINK_S = 30.0
 _SETTLE_INTERVAL_S = 0.05
 _AGENT_ROLE = "agent"
+_ENTRY_ROLE = "entry"
 
 
 class Entry(OperatedProcess, PeerHandler, PeerObserver):
@@ -56,10 +62,14 @@
         self.incarnation = secrets.randbits(63)
         self.leaving = False
         self.callers_address = ""
+        self.peers_address = ""
         self.operators_address = ""
         self._callers_shutdown = trio.Event()
         self._callers_closed = trio.Event()
         self._source = DirectorySource()
+        self._times = ConnectionTimes(
+            heartbeat_s=settings.heartbeat_s, silence_s=settings.silence_s
+        )
         self._store = EtcdKeyValueStore(address=settings.platform)
         self._random = Random(self.incarnation)
         self._table = TableReader(
@@ -70,11 +80,16 @@
             hello=self._make_hello(),
             handler=self,
             observer=self,
-            times=ConnectionTimes(
-                heartbeat_s=settings.heartbeat_s, silence_s=settings.silence_s
-            ),
+            times=self._times,
             random=self._random,
         )
+        self.links = EntryLinks(
+            hello=self._make_hello(),
+            handler=self,
+            times=self._times,
+            idle_s=_IDLE_LINK_S,
+        )
+        self.topics = TopicRouter()
         self.dispatcher = Dispatcher(
             scheduler=self.scheduler,
             pool=self._pool,
@@ -88,6 +103,8 @@
         """Serve callers until cancelled."""
         async with trio.open_nursery() as nursery:
             await self._store.start(nursery)
+            self.links.start(nursery)
+            self.peers_address = await nursery.start(self._serve_peers)
             nursery.start_soon(self._follow_table)
             nursery.start_soon(self._follow_vms, nursery)
             nursery.start_soon(
@@ -101,6 +118,7 @@
                 "info",
                 "started",
                 callers=self.callers_address,
+                peers=self.peers_address,
                 operators=self.operators_address,
                 incarnation=self.incarnation,
             )
@@ -143,16 +161,16 @@
         return Heartbeat(sequence=0, leaving=self.leaving)
 
     def receive_heartbeat(self, peer: PeerConnection, heartbeat: Heartbeat) -> None:
-        if peer.peer is not None:
+        if peer.peer is not None and peer.peer.role == _AGENT_ROLE:
             self.observe_heartbeat(peer.peer.vm, heartbeat)
 
     async def answer_question(
         self, peer: PeerConnection, topic: str, body: bytes
     ) -> bytes:
-        return b""
+        return await self.topics.answer(peer, topic, body)
 
     def receive_notice(self, peer: PeerConnection, topic: str, body: bytes) -> None:
-        """Ignore a notice of a topic that this version does not know."""
+        self.topics.receive(peer, topic, body)
 
     async def serve_stream(self, stream: PeerStream, opening: Open) -> None:
         """Do nothing: nobody sends work to an entry by the internal protocol."""
@@ -209,6 +227,17 @@
         )
         self._callers_closed.set()
 
+    async def _serve_peers(
+        self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        await serve_peers(
+            self.settings.peers,
+            hello=self._make_hello(),
+            handler=self,
+            times=self._times,
+            task_status=task_status,
+        )
+
     async def _follow_table(self) -> None:
         sender, receiver = trio.open_memory_channel[Table](1)
         async with trio.open_nursery() as nursery:
@@ -226,6 +255,7 @@
                 log_event("warning", "vm-list-unavailable", why=error)
             else:
                 self._pool.update(_select_agents(records), nursery)
+                self.links.update(_select_entries(records, own_vm=self.settings.vm))
             await trio.sleep(_VM_LIST_INTERVAL_S)
 
 
@@ -239,3 +269,11 @@
         for record in records
         if record.role == _AGENT_ROLE
     )
+
+
+def _select_entries(records: tuple[VmRecord, ...], *, own_vm: str) -> dict[str, str]:
+    return {
+        record.name: record.address
+        for record in records
+        if record.role == _ENTRY_ROLE and record.name != own_vm
+    }
--- a/src/hyssopvane/_internal/standins/installation.py
+++ b/src/hyssopvane/_internal/standins/installation.py
@@ -125,6 +125,7 @@
                 token=TOKEN,
                 operators=LOOPBACK,
                 callers=LOOPBACK,
+                peers=LOOPBACK,
                 shutdown_delay_s=0,
             )
         )
@@ -149,7 +150,7 @@
         entries = tuple(
             VmRecord(
                 name=entry.settings.vm,
-                address=entry.callers_address,
+                address=entry.peers_address,
                 availability_zone=entry.settings.availability_zone,
                 role=VmRole.ENTRY,
             )
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -98,11 +98,15 @@
 
     def start_entry(self, vm: str, **changes: object) -> tuple[Process, str]:
         """Start an entry and return its callers' address."""
-        process, address = self._start_role(
-            "entry", vm, "callers", {"callers": "127.0.0.1:0"} | changes
+        process, peers = self._start_role(
+            "entry",
+            vm,
+            "peers",
+            {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0"} | changes,
         )
-        self.list_vm(vm, role="entry", service="", address=address)
-        return process, address
+        self.list_vm(vm, role="entry", service="", address=peers)
+        callers = re.search(r"callers=(\S+)", process.lines[-1])
+        return process, callers[1]
 
     def list_vm(
         self, vm: str, *, role: str, service: str, address: str, state: str = "live"
