Usable: key-value client, its stand-in, list of VMs, table and its store

An edit is committed by compare-and-swap on its pages and carries an edit id, which the page remembers; a lost reply is resolved by reading the page back and looking for it. The cell revisions an edit builds on are taken once and never renewed, so an edit that is tried again can't overwrite what another operator had accepted in between. A reader never takes an older page over and asks for news where its watch is silent.

Seen failing with the protection taken out: - no look for the edit id: the lost reply's test and the property of racing operators fail; - base revisions renewed at each try: the lost write's test and the race on one cell fail; - reader takes older pages: its property fails (older weights come back); - no question after silence (the watch is closed instead): the same property fails.

--- /dev/null
+++ b/src/hyssopvane/_internal/coordination/key_value.py
@@ -0,0 +1,119 @@
+"""Describe the platform's key-value service."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
+
+import trio
+
+ABSENT = 0
+"""Revision of a key that does not exist."""
+
+NO_LEASE = 0
+
+MAX_VALUE_BYTES = 1024 * 1024
+"""Largest value that the service takes."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyValue:
+    """Hold one key as it was at one revision of the service."""
+
+    key: str
+    value: bytes
+    revision: int
+    """Revision of the service at which this value was written."""
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Hold the keys under a prefix as of one revision of the service."""
+
+    revision: int
+    items: tuple[KeyValue, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Swap:
+    """Ask for one key to change if its revision is still the expected one."""
+
+    key: str
+    value: bytes | None
+    """New value, or None to delete the key."""
+    expected_revision: int
+    lease: int = NO_LEASE
+
+
+@dataclass(frozen=True, slots=True)
+class Swapped:
+    """Tell that every swap of a transaction was carried out."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class SwapLost:
+    """Tell that no swap was carried out, and show the keys as they are."""
+
+    current: tuple[KeyValue, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class WatchEvent:
+    """Tell that a key was written, or deleted where the value is None."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class KeyValueStore(ABC):
+    """Read and change the platform's key-value service.
+
+    A call raises `KeyValueUnavailable` when it was certainly not carried out,
+    `KeyValueUnknown` when a write was sent but its answer was lost, and
+    `KeyValueRefused` when the service refuses it.
+    """
+
+    @abstractmethod
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Make the store ready for calls."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close all connections."""
+
+    @abstractmethod
+    async def get(self, key: str) -> KeyValue | None:
+        """Return the latest committed value of a key."""
+
+    @abstractmethod
+    async def get_prefix(self, prefix: str, *, min_revision: int = 0) -> Snapshot:
+        """Return the keys under a prefix that were written at or after a revision."""
+
+    @abstractmethod
+    async def compare_and_swap(self, swaps: Sequence[Swap]) -> Swapped | SwapLost:
+        """Carry out all swaps in one transaction, or none of them."""
+
+    @abstractmethod
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Create a lease and return its id."""
+
+    @abstractmethod
+    async def keep_lease(self, lease: int) -> bool:
+        """Renew a lease; return False when it has lapsed."""
+
+    @abstractmethod
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+
+    @abstractmethod
+    def watch(
+        self, prefix: str, start_revision: int
+    ) -> AbstractAsyncContextManager[trio.MemoryReceiveChannel[WatchEvent]]:
+        """Receive the changes under a prefix from a revision on.
+
+        The channel ends when the service closes the watch or no longer has the
+        start revision; the caller then loads the prefix again.
+        """
--- /dev/null
+++ b/src/hyssopvane/_internal/coordination/table_edit.py
@@ -0,0 +1,189 @@
+"""Apply an operator's edit to pages of the table."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+
+from hyssopvane._internal.coordination.table_pages import (
+    Cell,
+    Page,
+    StoredRow,
+    get_page_key,
+)
+from hyssopvane._internal.exceptions import EditConflict, TableError
+from hyssopvane._internal.state.columns import RowId, RowKind, get_column
+from hyssopvane._internal.state.table import CellId
+
+_WHOLE_TABLE_COLUMNS = frozenset({"path_prefix", "key_sha256", "service"})
+"""Columns whose cells must fit to other rows."""
+
+
+@dataclass(frozen=True, slots=True)
+class CellWrite:
+    """Ask for one cell to hold a text."""
+
+    cell: CellId
+    text: str
+    expected_revision: int | None = None
+    """Cell revision the operator has seen; None takes the one found at the start."""
+
+
+@dataclass(frozen=True, slots=True)
+class TableEdit:
+    """Hold the changes that are carried out together or not at all."""
+
+    edit_id: str
+    writes: tuple[CellWrite, ...] = ()
+    added: tuple[RowId, ...] = ()
+    """Rows that must not exist yet."""
+    ensured: tuple[RowId, ...] = ()
+    """Rows that are added where they don't exist."""
+    removed: tuple[RowId, ...] = ()
+
+    def get_rows(self) -> set[RowId]:
+        """Return the rows that the edit touches."""
+        rows = {write.cell.row for write in self.writes}
+        return rows | {*self.added, *self.ensured, *self.removed}
+
+    def needs_whole_table(self) -> bool:
+        """Return whether the edit must be checked against other rows."""
+        columns = {write.cell.column for write in self.writes}
+        kinds = {row.kind for row in (*self.added, *self.ensured, *self.removed)}
+        return bool(columns & _WHOLE_TABLE_COLUMNS) or RowKind.SERVICE in kinds
+
+
+@dataclass(frozen=True, slots=True)
+class EditBase:
+    """Hold the revisions that an edit builds on.
+
+    They are taken once, before the first write is sent, and stay the same however
+    often the edit is tried. Suppose the answer to a write is lost, another operator
+    then changes the cell, and the edit is tried again on what is there by now: the
+    other's accepted value would be gone, and its operator would notice only that the
+    cell has its old value. A base that is never renewed turns this into a conflict.
+    """
+
+    cells: Mapping[CellId, int]
+    rows: Mapping[RowId, int]
+
+
+Pages = Mapping[str, Page]
+
+
+def check_edit(edit: TableEdit) -> None:
+    """Refuse an edit with an unknown column or a value out of range."""
+    for write in edit.writes:
+        column = get_column(write.cell.row.kind, write.cell.column)
+        column.parse(write.text, row=write.cell.row)
+
+
+def take_base(edit: TableEdit, pages: Pages) -> EditBase:
+    """Return the revisions that an edit builds on."""
+    return EditBase(
+        cells={
+            write.cell: _get_cell_revision(pages, write.cell)
+            if write.expected_revision is None
+            else write.expected_revision
+            for write in edit.writes
+        },
+        rows={row: _get_row_version(pages, row) for row in edit.removed},
+    )
+
+
+def apply_edit(edit: TableEdit, pages: Pages, base: EditBase) -> dict[str, Page]:
+    """Return the pages that the edit changes, or refuse it whole."""
+    _check_rows(edit, pages)
+    _check_base(edit, pages, base)
+    changed = {
+        key: pages[key].begin_edit(edit.edit_id)
+        for key in {get_page_key(row) for row in edit.get_rows()}
+    }
+    for row in (*edit.added, *edit.ensured):
+        _add_row(changed, row)
+    for write in edit.writes:
+        _write_cell(changed, write, edit.edit_id)
+    for row in edit.removed:
+        key = get_page_key(row)
+        changed[key] = changed[key].without_row(row)
+    return changed
+
+
+def _check_rows(edit: TableEdit, pages: Pages) -> None:
+    for row in edit.added:
+        if _find_row(pages, row) is not None:
+            raise TableError(
+                f"{row} is already in the table",
+                hint="set its cells with `hyssopvane table set`; nothing was changed",
+            )
+    created = {*edit.added, *edit.ensured}
+    needed = {write.cell.row for write in edit.writes} - created
+    for row in sorted({*needed, *edit.removed}, key=str):
+        if _find_row(pages, row) is None:
+            raise TableError(
+                f"{row} is not in the table",
+                hint=f"add it with `hyssopvane table add {row}`, or correct the name; "
+                "nothing was changed",
+            )
+
+
+def _check_base(edit: TableEdit, pages: Pages, base: EditBase) -> None:
+    for write in edit.writes:
+        found = _get_cell_revision(pages, write.cell)
+        if found != base.cells[write.cell]:
+            _raise_conflict(pages, write, base.cells[write.cell], found)
+    for row in edit.removed:
+        if _get_row_version(pages, row) != base.rows[row]:
+            raise EditConflict(
+                f"another operator changed {row} first",
+                hint="read the row again and decide anew",
+            )
+
+
+def _raise_conflict(pages: Pages, write: CellWrite, expected: int, found: int) -> None:
+    row, name = write.cell.row, write.cell.column
+    stored = _find_row(pages, row)
+    cell = stored.cells.get(name) if stored else None
+    column = get_column(row.kind, name)
+    value = cell.text if cell else f"{column.format(column.default)} (the default)"
+    raise EditConflict(
+        f"another operator changed {row} {name} first: it is {value}",
+        context=f"expected cell revision {expected}, found {found}",
+        hint=f"if {write.text} is still wanted, set it again with --expect {found}",
+    )
+
+
+def _add_row(pages: dict[str, Page], row: RowId) -> None:
+    key = get_page_key(row)
+    if row not in pages[key].rows:
+        pages[key] = pages[key].with_row(row, StoredRow(pages[key].sequence))
+
+
+def _write_cell(pages: dict[str, Page], write: CellWrite, edit_id: str) -> None:
+    row, name = write.cell.row, write.cell.column
+    key = get_page_key(row)
+    stored = pages[key].rows[row]
+    # The stored text is the canonical one, so equal values read alike everywhere.
+    column = get_column(row.kind, name)
+    text = column.format(column.parse(write.text, row=row))
+    cell = Cell(text, pages[key].sequence, edit_id)
+    cells = {**stored.cells, name: cell}
+    pages[key] = pages[key].with_row(row, replace(stored, cells=cells))
+
+
+def _find_row(pages: Pages, row: RowId) -> StoredRow | None:
+    return pages[get_page_key(row)].rows.get(row)
+
+
+def _get_cell_revision(pages: Pages, cell: CellId) -> int:
+    stored = _find_row(pages, cell.row)
+    return stored.get_cell_revision(cell.column) if stored else 0
+
+
+def _get_row_version(pages: Pages, row: RowId) -> int:
+    stored = _find_row(pages, row)
+    if stored is None:
+        return 0
+    return max(stored.revision, *_get_revisions(stored.cells.values()))
+
+
+def _get_revisions(cells: Iterable[Cell]) -> list[int]:
+    return [0, *(cell.revision for cell in cells)]
--- /dev/null
+++ b/src/hyssopvane/_internal/coordination/vm_list.py
@@ -0,0 +1,89 @@
+"""Read the platform's list of live and leaving VMs."""
+
+from enum import StrEnum
+
+import httpcore
+import trio
+from pydantic import BaseModel, ConfigDict, TypeAdapter, ValidationError
+from pydantic.dataclasses import dataclass
+
+from hyssopvane._internal.exceptions import VmListError
+
+DEFAULT_TIMEOUT_S = 2.0
+
+
+class VmRole(StrEnum):
+    """Name the kinds of VM that the system runs on."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+
+
+class VmState(StrEnum):
+    """Name the states that the platform's list knows."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class VmRecord:
+    """Hold one VM as the platform lists it, which may be late."""
+
+    name: str
+    address: str
+    availability_zone: str
+    role: VmRole
+    service: str = ""
+    """Service of the agent's target; empty for an entry."""
+    state: VmState = VmState.LIVE
+
+
+class VmListDocument(BaseModel):
+    """Hold the list as it is sent."""
+
+    model_config = ConfigDict(frozen=True)
+
+    vms: tuple[VmRecord, ...]
+
+
+_ADAPTER = TypeAdapter(VmListDocument)
+
+
+async def fetch_vms(
+    address: str, *, timeout_s: float = DEFAULT_TIMEOUT_S
+) -> tuple[VmRecord, ...]:
+    """Return the list from the service at "ip:port"."""
+    try:
+        with trio.fail_after(timeout_s):
+            async with httpcore.AsyncConnectionPool() as pool:
+                response = await pool.request("GET", f"http://{address}/v1/vms")
+    except (
+        trio.TooSlowError,
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+    ) as error:
+        raise VmListError(
+            "the list of VMs can't be read",
+            context=address,
+            hint="the last list stays in use; check the platform's service",
+        ) from error
+    return parse_vms(response.content, source=address)
+
+
+def parse_vms(content: bytes, *, source: str) -> tuple[VmRecord, ...]:
+    """Read the list from JSON."""
+    try:
+        return _ADAPTER.validate_json(content).vms
+    except ValidationError as error:
+        raise VmListError(
+            f"the list of VMs is malformed: {error.errors()[0]['msg']}",
+            context=source,
+            hint="the last list stays in use; check the platform's service",
+        ) from error
+
+
+def format_vms(vms: tuple[VmRecord, ...]) -> bytes:
+    """Write the list as JSON."""
+    return _ADAPTER.dump_json(VmListDocument(vms=vms))
--- a/src/hyssopvane/_internal/exceptions.py
+++ b/src/hyssopvane/_internal/exceptions.py
@@ -40,6 +40,14 @@
     """Report a write that may or may not have been carried out."""
 
 
+class KeyValueRefused(KeyValueError):
+    """Report a call that the service refuses and that must not be sent again as is."""
+
+
+class VmListError(HyssopvaneError):
+    """Report the platform's list of VMs that can't be read."""
+
+
 class ProtocolError(HyssopvaneError):
     """Report a peer that does not keep to the internal protocol."""
 
--- /dev/null
+++ b/src/hyssopvane/_internal/standins/key_value.py
@@ -0,0 +1,333 @@
+"""Stand in for the platform's key-value service: a subset of etcd's JSON gateway."""
+
+import json
+from base64 import b64decode, b64encode
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, TypeAlias
+
+import trio
+from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, Scope
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from hyssopvane._internal.standins.asgi import (
+    answer_lifespan,
+    get_route,
+    read_json,
+    send_json,
+    start_answer,
+)
+from hyssopvane._internal.standins.key_value_state import (
+    Compare,
+    Delete,
+    KeyValueState,
+    Put,
+    StoredEvent,
+    StoredItem,
+    UnknownLease,
+)
+from hyssopvane._internal.standins.process import run_standin
+from hyssopvane._internal.transport.asgi_server import serve_asgi
+
+JsonObject: TypeAlias = dict[str, Any]
+
+MAX_REQUEST_VALUE_BYTES = 1024 * 1024
+"""Largest value that the service takes."""
+
+LONGEST_IDLE_S = 3600.0
+
+_GRPC_INVALID_ARGUMENT = 3
+_GRPC_NOT_FOUND = 5
+_GRPC_UNAVAILABLE = 14
+
+
+class Faults(BaseModel):
+    """Choose what goes wrong with the calls that follow."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    down: bool = False
+    """Refuse every call before it has any effect, and end the watches."""
+    delay_ms: float = Field(default=0, ge=0)
+    """Wait before each call takes effect."""
+    lose_next_write_answers: int = Field(default=0, ge=0)
+    """Carry out as many writes but cut their answers."""
+    stale_reads: bool = False
+    """Answer reads as of the moment at which this was switched on."""
+
+
+class _Refusal(Exception):
+    """Carry an error in the form that the gateway gives it."""
+
+    def __init__(self, status: int, code: int, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.message = message
+
+
+class KeyValueApp:
+    """Serve the state over HTTP, with faults that tests switch on."""
+
+    def __init__(self, clock: Callable[[], float] = trio.current_time) -> None:
+        self.state = KeyValueState(clock)
+        self.faults = Faults()
+        self.calls: Counter[str] = Counter()
+        self._clock = clock
+        self._stale: KeyValueState | None = None
+        self._changed = trio.Event()
+        self._calls: dict[str, Callable[[JsonObject], JsonObject]] = {
+            "/v3/kv/range": self._range,
+            "/v3/kv/txn": self._txn,
+            "/v3/lease/grant": self._grant,
+            "/v3/lease/keepalive": self._keep_alive,
+            "/v3/lease/revoke": self._revoke,
+            "/v3/kv/lease/revoke": self._revoke,
+        }
+
+    async def __call__(
+        self, scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
+    ) -> None:
+        if scope["type"] == "lifespan":
+            await answer_lifespan(receive, send)
+            return
+        route = get_route(scope)
+        try:
+            await self._answer(route, receive, send)
+        except _Refusal as refusal:
+            await send_json(send, refusal.status, _format_refusal(refusal))
+        except (ValueError, KeyError, TypeError) as error:
+            bad = _Refusal(400, _GRPC_INVALID_ARGUMENT, f"bad request: {error!r}")
+            await send_json(send, bad.status, _format_refusal(bad))
+
+    def set_faults(self, faults: Faults) -> None:
+        """Switch faults on and off."""
+        if not faults.stale_reads:
+            self._stale = None
+        elif self._stale is None:
+            self._stale = self.state.copy_items()
+        self.faults = faults
+        self._wake_watches()
+
+    async def _answer(
+        self, route: str, receive: ASGIReceiveCallable, send: ASGISendCallable
+    ) -> None:
+        method, _, path = route.partition(" ")
+        if route == "GET /calls":
+            await send_json(send, 200, dict(self.calls))
+        elif route == "POST /faults":
+            self._set_faults_from(await read_json(receive))
+            await send_json(send, 200, self.faults.model_dump())
+        elif route == "POST /v3/watch":
+            await self._watch(await read_json(receive), receive, send)
+        elif method == "POST" and path in self._calls:
+            await self._answer_call(path, await read_json(receive), send)
+        else:
+            raise _Refusal(404, _GRPC_NOT_FOUND, "Not Found")
+
+    def _set_faults_from(self, document: JsonObject) -> None:
+        try:
+            self.set_faults(Faults.model_validate(document))
+        except ValidationError as error:
+            raise _Refusal(400, _GRPC_INVALID_ARGUMENT, str(error)) from error
+
+    async def _answer_call(
+        self, path: str, request: JsonObject, send: ASGISendCallable
+    ) -> None:
+        self.calls[path.rpartition("/")[2]] += 1
+        await self._wait_as_slow()
+        revision = self.state.revision
+        try:
+            answer = self._calls[path](request)
+        except UnknownLease as error:
+            raise _Refusal(
+                404, _GRPC_NOT_FOUND, "etcdserver: requested lease not found"
+            ) from error
+        if self.state.revision != revision:
+            self._wake_watches()
+        if path != "/v3/kv/range" and self.faults.lose_next_write_answers > 0:
+            self.faults.lose_next_write_answers -= 1
+            await _cut_answer(send)
+            return
+        await send_json(send, 200, answer)
+
+    async def _wait_as_slow(self) -> None:
+        self._refuse_when_down()
+        await trio.sleep(self.faults.delay_ms / 1000)
+        self._refuse_when_down()
+
+    def _refuse_when_down(self) -> None:
+        if self.faults.down:
+            raise _Refusal(503, _GRPC_UNAVAILABLE, "etcdserver: no leader")
+
+    def _range(self, request: JsonObject) -> JsonObject:
+        state = self._stale or self.state
+        items = state.get_range(
+            _decode(request["key"]),
+            _decode(request.get("range_end", "")),
+            int(request.get("min_mod_revision", 0)),
+        )
+        return _format_range(items, state.revision)
+
+    def _txn(self, request: JsonObject) -> JsonObject:
+        compares = [
+            Compare(_decode(item["key"]), int(item.get("mod_revision", 0)))
+            for item in request.get("compare", [])
+        ]
+        changes = [_parse_change(item) for item in request.get("success", [])]
+        if self.state.commit(compares, changes):
+            return {"header": _format_header(self.state.revision), "succeeded": True}
+        responses = [
+            {"response_range": self._range(item["request_range"])}
+            for item in request.get("failure", [])
+        ]
+        return {"header": _format_header(self.state.revision), "responses": responses}
+
+    def _grant(self, request: JsonObject) -> JsonObject:
+        ttl_s = int(request["TTL"])
+        lease = self.state.grant_lease(ttl_s)
+        # Watches wait for the next lease that lapses, which may be this one.
+        self._wake_watches()
+        return {
+            "header": _format_header(self.state.revision),
+            "ID": str(lease),
+            "TTL": str(ttl_s),
+        }
+
+    def _keep_alive(self, request: JsonObject) -> JsonObject:
+        lease = int(request["ID"])
+        result = {"header": _format_header(self.state.revision), "ID": str(lease)}
+        ttl_s = self.state.keep_lease(lease)
+        if ttl_s > 0:
+            result["TTL"] = str(ttl_s)
+        return {"result": result}
+
+    def _revoke(self, request: JsonObject) -> JsonObject:
+        self.state.revoke_lease(int(request["ID"]))
+        return {"header": _format_header(self.state.revision)}
+
+    async def _watch(
+        self, request: JsonObject, receive: ASGIReceiveCallable, send: ASGISendCallable
+    ) -> None:
+        create = request["create_request"]
+        self.calls["watch"] += 1
+        await self._wait_as_slow()
+        await start_answer(send, 200)
+        await _send_line(send, {**self._make_result(), "created": True})
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send_changes, create, send, nursery.cancel_scope)
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            nursery.cancel_scope.cancel()
+
+    async def _send_changes(
+        self, create: JsonObject, send: ASGISendCallable, scope: trio.CancelScope
+    ) -> None:
+        key, range_end = _decode(create["key"]), _decode(create.get("range_end", ""))
+        start = int(create.get("start_revision", 0)) or self.state.revision + 1
+        while not self.faults.down:
+            changed = self._changed
+            events = self.state.get_events(start, key, range_end)
+            start = max(start, self.state.revision + 1)
+            if events:
+                line = {**self._make_result(), "events": _format_events(events)}
+                await _send_line(send, line)
+            else:
+                with trio.move_on_after(self._get_wait_s()):
+                    await changed.wait()
+        await send({"type": "http.response.body", "body": b"", "more_body": False})
+        scope.cancel()
+
+    def _get_wait_s(self) -> float:
+        expiry = self.state.get_next_expiry()
+        return LONGEST_IDLE_S if expiry is None else max(0, expiry - self._clock())
+
+    def _make_result(self) -> JsonObject:
+        return {"header": _format_header(self.state.revision), "watch_id": "0"}
+
+    def _wake_watches(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+async def serve_key_value(
+    bind: str,
+    *,
+    app: KeyValueApp | None = None,
+    task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve the stand-in until cancelled; report its address."""
+    await serve_asgi(
+        app or KeyValueApp(),
+        bind=bind,
+        graceful_timeout_s=0,
+        shutdown=trio.Event(),
+        task_status=task_status,
+    )
+
+
+async def _cut_answer(send: ASGISendCallable) -> None:
+    # The announced length never comes, so that the server closes the connection.
+    await start_answer(send, 200, length=1_000_000)
+    await send({"type": "http.response.body", "body": b" ", "more_body": True})
+
+
+async def _send_line(send: ASGISendCallable, result: JsonObject) -> None:
+    line = json.dumps({"result": result}).encode() + b"\n"
+    await send({"type": "http.response.body", "body": line, "more_body": True})
+
+
+def _parse_change(item: JsonObject) -> Put | Delete:
+    if "request_delete_range" in item:
+        return Delete(_decode(item["request_delete_range"]["key"]))
+    put = item["request_put"]
+    value = _decode(put.get("value", ""))
+    if len(value) > MAX_REQUEST_VALUE_BYTES:
+        raise _Refusal(400, _GRPC_INVALID_ARGUMENT, "etcdserver: request is too large")
+    return Put(_decode(put["key"]), value, int(put.get("lease", 0)))
+
+
+def _format_range(items: list[StoredItem], revision: int) -> JsonObject:
+    return {
+        "header": _format_header(revision),
+        "kvs": [_format_item(item) for item in items],
+        "count": str(len(items)),
+    }
+
+
+def _format_events(events: list[StoredEvent]) -> list[JsonObject]:
+    return [
+        {"type": "DELETE" if event.is_delete else "PUT", "kv": _format_item(event.item)}
+        for event in events
+    ]
+
+
+def _format_item(item: StoredItem) -> JsonObject:
+    return {
+        "key": b64encode(item.key).decode(),
+        "value": b64encode(item.value).decode(),
+        "create_revision": str(item.create_revision),
+        "mod_revision": str(item.mod_revision),
+        "version": str(item.version),
+        "lease": str(item.lease),
+    }
+
+
+def _format_header(revision: int) -> JsonObject:
+    return {"revision": str(revision)}
+
+
+def _format_refusal(refusal: _Refusal) -> JsonObject:
+    return {
+        "error": refusal.message,
+        "message": refusal.message,
+        "code": refusal.code,
+    }
+
+
+def _decode(text: str) -> bytes:
+    return b64decode(text)
+
+
+if __name__ == "__main__":
+    run_standin(serve_key_value, "Run the stand-in key-value service.")
--- /dev/null
+++ b/src/hyssopvane/_internal/standins/key_value_state.py
@@ -0,0 +1,198 @@
+"""Keep the keys, leases and history of the stand-in key-value service."""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+MAX_HISTORY = 100_000
+"""Events kept for watches that start in the past."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoredItem:
+    """Hold one key with the revisions that etcd shows for it."""
+
+    key: bytes
+    value: bytes
+    create_revision: int
+    mod_revision: int
+    version: int
+    lease: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StoredEvent:
+    """Hold one change; the item of a deletion has no value."""
+
+    item: StoredItem
+    is_delete: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Compare:
+    """Expect a key to be at a revision; 0 means that it is absent."""
+
+    key: bytes
+    mod_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """Write one key."""
+
+    key: bytes
+    value: bytes
+    lease: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Delete:
+    """Delete one key."""
+
+    key: bytes
+
+
+@dataclass(slots=True)
+class _Lease:
+    ttl_s: int
+    expires: float
+
+
+class UnknownLease(Exception):
+    """Report a lease that never was or has lapsed."""
+
+
+class KeyValueState:
+    """Apply calls one after another, each at its own revision."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._items: dict[bytes, StoredItem] = {}
+        self._leases: dict[int, _Lease] = {}
+        self._next_lease = 1
+        self._history: deque[StoredEvent] = deque(maxlen=MAX_HISTORY)
+        self.revision = 1
+
+    def get_range(
+        self, key: bytes, range_end: bytes = b"", min_mod_revision: int = 0
+    ) -> list[StoredItem]:
+        """Return a key, or the keys from one to another, in order."""
+        self.expire_leases()
+        if not range_end:
+            found = [self._items[key]] if key in self._items else []
+        else:
+            found = sorted(
+                (item for item in self._items.values() if key <= item.key < range_end),
+                key=lambda item: item.key,
+            )
+        return [item for item in found if item.mod_revision >= min_mod_revision]
+
+    def commit(
+        self, compares: Iterable[Compare], changes: Iterable[Put | Delete]
+    ) -> bool:
+        """Carry out all changes at one revision if every key is as expected."""
+        self.expire_leases()
+        if not all(self._holds(compare) for compare in compares):
+            return False
+        wanted = list(changes)
+        for change in wanted:
+            if isinstance(change, Put) and change.lease not in {0, *self._leases}:
+                raise UnknownLease
+        self._apply(wanted)
+        return True
+
+    def grant_lease(self, ttl_s: int) -> int:
+        """Create a lease and return its id."""
+        lease = self._next_lease
+        self._next_lease += 1
+        self._leases[lease] = _Lease(ttl_s, self._clock() + ttl_s)
+        return lease
+
+    def keep_lease(self, lease: int) -> int:
+        """Renew a lease and return its time to live, or 0 when it has lapsed."""
+        self.expire_leases()
+        held = self._leases.get(lease)
+        if held is None:
+            return 0
+        held.expires = self._clock() + held.ttl_s
+        return held.ttl_s
+
+    def revoke_lease(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+        self.expire_leases()
+        if self._leases.pop(lease, None) is None:
+            raise UnknownLease
+        self._delete_leased(lease)
+
+    def expire_leases(self) -> None:
+        """Delete the keys of leases whose time is over."""
+        now = self._clock()
+        for lease in [k for k, held in self._leases.items() if held.expires <= now]:
+            del self._leases[lease]
+            self._delete_leased(lease)
+
+    def get_next_expiry(self) -> float | None:
+        """Return the clock value at which the next lease lapses."""
+        return min((lease.expires for lease in self._leases.values()), default=None)
+
+    def get_events(
+        self, start_revision: int, key: bytes, range_end: bytes
+    ) -> list[StoredEvent]:
+        """Return the changes of a range from a revision on, oldest first."""
+        self.expire_leases()
+        found: list[StoredEvent] = []
+        for event in reversed(self._history):
+            if event.item.mod_revision < start_revision:
+                break
+            if event.item.key == key or key <= event.item.key < range_end:
+                found.append(event)
+        found.reverse()
+        return found
+
+    def copy_items(self) -> "KeyValueState":
+        """Return a copy that later changes do not reach."""
+        copy = KeyValueState(self._clock)
+        copy._items = dict(self._items)
+        copy.revision = self.revision
+        return copy
+
+    def _holds(self, compare: Compare) -> bool:
+        item = self._items.get(compare.key)
+        return (item.mod_revision if item else 0) == compare.mod_revision
+
+    def _apply(self, changes: list[Put | Delete]) -> None:
+        effective = [
+            change
+            for change in changes
+            if isinstance(change, Put) or change.key in self._items
+        ]
+        if not effective:
+            return
+        self.revision += 1
+        for change in effective:
+            if isinstance(change, Put):
+                self._put(change)
+            else:
+                self._delete(change.key)
+
+    def _put(self, put: Put) -> None:
+        old = self._items.get(put.key)
+        item = StoredItem(
+            key=put.key,
+            value=put.value,
+            create_revision=old.create_revision if old else self.revision,
+            mod_revision=self.revision,
+            version=old.version + 1 if old else 1,
+            lease=put.lease,
+        )
+        self._items[put.key] = item
+        self._history.append(StoredEvent(item, is_delete=False))
+
+    def _delete(self, key: bytes) -> None:
+        del self._items[key]
+        gone = StoredItem(key, b"", 0, self.revision, 0)
+        self._history.append(StoredEvent(gone, is_delete=True))
+
+    def _delete_leased(self, lease: int) -> None:
+        keys = [key for key, item in self._items.items() if item.lease == lease]
+        self._apply([Delete(key) for key in keys])
--- /dev/null
+++ b/src/hyssopvane/_internal/state/table.py
@@ -0,0 +1,187 @@
+"""Hold the operators' table as one process sees it."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from types import MappingProxyType
+
+from hyssopvane._internal.exceptions import TableError
+from hyssopvane._internal.state.columns import (
+    COLUMNS,
+    CellValue,
+    RowId,
+    RowKind,
+    get_column,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class CustomerRow:
+    """Hold the weight and the limits of one customer."""
+
+    name: str
+    key_sha256: str = ""
+    """SHA-256 of the caller's API key in hexadecimal; empty when there is none."""
+    weight: int = 100
+    priority: int = 5
+    rate_limit: float = 0.0
+    rate_burst: int = 0
+    concurrency_limit: int = 0
+    token_limit: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRow:
+    """Hold the limits and rules of one service."""
+
+    name: str
+    path_prefix: str = ""
+    """Paths of the service; "/" and the name unless set."""
+    repeatable: bool = False
+    key_required: bool = False
+    idempotency_window_s: int = 600
+    deadline_s: float = 60.0
+    queue_limit: int = 1000
+    queue_token_limit: int = 2_000_000
+    target_concurrency: int = 32
+    target_tokens: int = 100_000
+    retry_budget: int = 10
+    """Retries, in per cent of fresh requests."""
+    max_ejected: int = 30
+    """Targets that may be set aside as slow, in per cent."""
+    quarantine_s: int = 3600
+    skew_worth: float = 0.0
+    move_cost: float = 1.0
+    move_from_hour: int = 0
+    move_to_hour: int = 24
+    checks_fence: bool = False
+
+    def __post_init__(self) -> None:
+        if not self.path_prefix:
+            object.__setattr__(self, "path_prefix", f"/{self.name}")
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRow:
+    """Hold the weight and the limits of one target."""
+
+    name: str
+    service: str = ""
+    weight: int = 100
+    concurrency_limit: int = 0
+    in_service: bool = True
+
+
+Row = CustomerRow | ServiceRow | TargetRow
+
+ROW_TYPES: Mapping[RowKind, type[CustomerRow] | type[ServiceRow] | type[TargetRow]] = {
+    RowKind.CUSTOMER: CustomerRow,
+    RowKind.SERVICE: ServiceRow,
+    RowKind.TARGET: TargetRow,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class CellId:
+    """Name one cell of the table."""
+
+    row: RowId
+    column: str
+
+
+@dataclass(frozen=True, slots=True)
+class Table:
+    """Hold every row in force as of one revision of the key-value service."""
+
+    revision: int = 0
+    customers: Mapping[str, CustomerRow] = field(
+        default_factory=lambda: MappingProxyType({})
+    )
+    services: Mapping[str, ServiceRow] = field(
+        default_factory=lambda: MappingProxyType({})
+    )
+    targets: Mapping[str, TargetRow] = field(
+        default_factory=lambda: MappingProxyType({})
+    )
+    cell_revisions: Mapping[CellId, int] = field(
+        default_factory=lambda: MappingProxyType({})
+    )
+    """Revisions of the cells that were set; others have their row's revision."""
+    row_revisions: Mapping[RowId, int] = field(
+        default_factory=lambda: MappingProxyType({})
+    )
+    """Revisions at which the rows were added."""
+
+    def get_rows(self, kind: RowKind) -> Mapping[str, Row]:
+        """Return the rows of one kind by name."""
+        rows: dict[RowKind, Mapping[str, Row]] = {
+            RowKind.CUSTOMER: self.customers,
+            RowKind.SERVICE: self.services,
+            RowKind.TARGET: self.targets,
+        }
+        return rows[kind]
+
+    def get_cell_revision(self, cell: CellId) -> int:
+        """Return the revision of a cell, 0 when its row does not exist."""
+        row_revision = self.row_revisions.get(cell.row, 0)
+        return self.cell_revisions.get(cell, row_revision)
+
+
+def build_row(row: RowId, cells: Mapping[str, str]) -> Row:
+    """Make a row of the texts of its cells; others have their defaults."""
+    values = {
+        name: get_column(row.kind, name).parse(text, row=row)
+        for name, text in cells.items()
+    }
+    return _make_row(row, values)
+
+
+def _make_row(row: RowId, values: Mapping[str, CellValue]) -> Row:
+    # Each column's type is checked when its text is parsed, so the fields agree.
+    return ROW_TYPES[row.kind](row.name, **values)  # type: ignore[arg-type]
+
+
+def get_cell(row: Row, kind: RowKind, column: str) -> CellValue:
+    """Return the value of one cell, the default where it was never set."""
+    get_column(kind, column)
+    value: CellValue = getattr(row, column)
+    return value
+
+
+def format_cell(row: Row, kind: RowKind, column: str) -> str:
+    """Return the text of one cell."""
+    return COLUMNS[kind][column].format(get_cell(row, kind, column))
+
+
+def check_references(table: Table) -> None:
+    """Refuse a table whose rows don't fit together."""
+    for target in table.targets.values():
+        if target.service and target.service not in table.services:
+            raise TableError(
+                f"target/{target.name} belongs to service {target.service!r}, "
+                "which is not in the table",
+                context=f"services: {', '.join(sorted(table.services)) or 'none'}",
+                hint="add the service first; nothing was changed",
+            )
+    _check_unique(
+        "path_prefix",
+        {f"service/{row.name}": row.path_prefix for row in table.services.values()},
+    )
+    _check_unique(
+        "key_sha256",
+        {
+            f"customer/{row.name}": row.key_sha256
+            for row in table.customers.values()
+            if row.key_sha256
+        },
+    )
+
+
+def _check_unique(column: str, values: Mapping[str, str]) -> None:
+    owners: dict[str, str] = {}
+    for row, value in values.items():
+        other = owners.setdefault(value, row)
+        if other != row:
+            raise TableError(
+                f"{row} and {other} have the same {column} {value!r}",
+                hint=f"give each its own {column}; nothing was changed",
+            )
--- /dev/null
+++ b/tests/unit/test_table_store.py
@@ -0,0 +1,415 @@
+"""Test edits that race and lose replies, and readers that lose the service."""
+
+import itertools
+from collections import Counter
+from random import Random
+
+import pytest
+import trio
+import trio.testing
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hyssopvane._internal.coordination import table_pages
+from hyssopvane._internal.coordination.key_value import KeyValue
+from hyssopvane._internal.coordination.table_edit import CellWrite, TableEdit
+from hyssopvane._internal.coordination.table_pages import (
+    PAGE_PREFIX,
+    get_page_key,
+    parse_page,
+)
+from hyssopvane._internal.coordination.table_store import (
+    EditAccepted,
+    TableEditor,
+    TableReader,
+)
+from hyssopvane._internal.exceptions import (
+    EditConflict,
+    KeyValueUnavailable,
+    KeyValueUnknown,
+    TableError,
+)
+from hyssopvane._internal.standins.key_value_state import KeyValueState, Put
+from hyssopvane._internal.state.columns import parse_row_id
+from hyssopvane._internal.state.table import CellId
+from tests.lib.fake_key_value import FakeKeyValueStore, Fault
+
+ALICE = parse_row_id("customer/alice")
+WEIGHT = CellId(ALICE, "weight")
+PRIORITY = CellId(ALICE, "priority")
+
+
+def run_mocked(function):
+    return trio.run(function, clock=trio.testing.MockClock(autojump_threshold=0.0))
+
+
+def set_cell(cell, text, edit_id, expected=None):
+    return TableEdit(edit_id, writes=(CellWrite(cell, text, expected),))
+
+
+def make_editor(store, seed=1, **options):
+    return TableEditor(store, random=Random(seed), **options)
+
+
+async def add_alice(state, nursery):
+    editor = make_editor(FakeKeyValueStore(state, nursery))
+    await editor.commit(TableEdit("add", added=(ALICE,)))
+
+
+async def load_table(state, nursery):
+    reader = TableReader(FakeKeyValueStore(state, nursery), random=Random(1))
+    return await reader.load()
+
+
+def count_landings(state):
+    """Count how often each edit came into a cell."""
+    landings = Counter()
+    last = {}
+    for event in state.get_events(0, PAGE_PREFIX.encode(), b"u"):
+        page = parse_page(KeyValue("page", event.item.value, 0))
+        for row, stored in page.rows.items():
+            for name, cell in stored.cells.items():
+                if last.get((row, name)) != cell.edit_id:
+                    landings[cell.edit_id] += 1
+                last[row, name] = cell.edit_id
+    return landings
+
+
+def scripted(faults):
+    """Return each fault once, then none."""
+    rest = list(faults)
+    return lambda: rest.pop(0) if rest else Fault.NONE
+
+
+@pytest.mark.parametrize("fault", [Fault.LOST_REPLY, Fault.LATE_WRITE])
+def test_lost_reply_is_resolved_without_a_second_write(fault):
+    """The service carries out an edit but its answer is lost on the way.
+
+    Before the operator's command looks again, a colleague sets the same cell. A
+    command that simply tried again would put back its own value: the colleague was
+    told that the edit is accepted, and would later find the old limit in force.
+    """
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            await add_alice(state, nursery)
+            store = FakeKeyValueStore(
+                state, nursery, choose_fault=scripted([Fault.NONE, fault])
+            )
+
+            async def edit_first():
+                await make_editor(store).commit(set_cell(WEIGHT, "200", "first"))
+
+            async def edit_second():
+                while not count_landings(state)["first"]:
+                    await trio.sleep(0.001)
+                other = FakeKeyValueStore(state, nursery)
+                await make_editor(other).commit(set_cell(WEIGHT, "300", "second"))
+
+            async with trio.open_nursery() as operators:
+                operators.start_soon(edit_first)
+                operators.start_soon(edit_second)
+            assert (await load_table(state, nursery)).customers["alice"].weight == 300
+            assert count_landings(state) == {"first": 1, "second": 1}
+
+    run_mocked(run)
+
+
+def test_write_that_got_lost_is_not_repeated_over_a_newer_value():
+    """A write is lost before it reaches the service, and its sender can't know.
+
+    Meanwhile a colleague sets the same cell and is told that it is accepted. Were the
+    first command to try again on top of that, the colleague's value would be gone
+    without a conflict shown to anybody.
+    """
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            await add_alice(state, nursery)
+            faults = [Fault.NONE, Fault.LOST_WRITE, Fault.DOWN, Fault.DOWN]
+            store = FakeKeyValueStore(state, nursery, choose_fault=scripted(faults))
+
+            async def edit_second():
+                while store.calls < 3:
+                    await trio.sleep(0.001)
+                other = FakeKeyValueStore(state, nursery)
+                await make_editor(other).commit(set_cell(WEIGHT, "300", "second"))
+
+            async with trio.open_nursery() as operators:
+                operators.start_soon(edit_second)
+                with pytest.raises(EditConflict) as error:
+                    await make_editor(store).commit(set_cell(WEIGHT, "200", "first"))
+            assert "300" in str(error.value)
+            assert count_landings(state) == {"second": 1}
+
+    run_mocked(run)
+
+
+def test_service_that_stays_down_after_a_lost_reply_leaves_the_outcome_unknown():
+    """The answer to a write is lost and the service does not come back.
+
+    The operator must not be told that nothing was changed, as that may be wrong, and
+    gets the id with which the same edit can be sent again without being done twice.
+    """
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            await add_alice(state, nursery)
+            faults = [Fault.NONE, Fault.LOST_REPLY, *[Fault.DOWN] * 1000]
+            store = FakeKeyValueStore(state, nursery, choose_fault=scripted(faults))
+            with pytest.raises(KeyValueUnknown) as error:
+                await make_editor(store).commit(set_cell(WEIGHT, "200", "first"))
+            assert "first" in error.value.context
+            again = make_editor(FakeKeyValueStore(state, nursery))
+            await again.commit(set_cell(WEIGHT, "200", "first"))
+            assert count_landings(state) == {"first": 1}
+
+    run_mocked(run)
+
+
+def test_edit_is_refused_at_once_while_the_service_is_down():
+    """The service is down when an operator sets a cell; nothing can have changed."""
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            store = FakeKeyValueStore(
+                state, nursery, choose_fault=scripted([Fault.DOWN])
+            )
+            with pytest.raises(KeyValueUnavailable):
+                await make_editor(store).commit(set_cell(WEIGHT, "200", "first"))
+
+    run_mocked(run)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(
+    seed=st.integers(0, 2**32),
+    edits=st.lists(
+        st.tuples(
+            st.sampled_from([WEIGHT, PRIORITY]),
+            st.sampled_from([None, 1, 2, 3]),
+            st.floats(0, 0.2),
+        ),
+        min_size=2,
+        max_size=8,
+    ),
+    faults=st.lists(st.sampled_from(Fault), max_size=40),
+)
+def test_racing_operators_never_revert_an_accepted_cell(seed, edits, faults):
+    """Operators edit one row at one moment while the service is down, stale or
+    loses replies. An edit that comes into force a second time, or comes into force
+    although its operator was told that it lost, undoes what a colleague was told is
+    accepted.
+    """
+    outcomes = {}
+
+    async def run():
+        random = Random(seed)
+        choose_fault = scripted(faults)
+        state = KeyValueState(trio.current_time)
+
+        async def edit(nursery, edit_id, cell, expected, delay):
+            await trio.sleep(delay)
+            store = FakeKeyValueStore(
+                state,
+                nursery,
+                choose_fault=choose_fault,
+                choose_delay=lambda: random.uniform(0, 0.05),
+            )
+            editor = make_editor(store, seed + int(edit_id))
+            try:
+                outcomes[edit_id] = await editor.commit(
+                    set_cell(cell, edit_id, edit_id, expected)
+                )
+            except (EditConflict, KeyValueUnavailable, KeyValueUnknown) as error:
+                outcomes[edit_id] = error
+
+        async with trio.open_nursery() as nursery:
+            await add_alice(state, nursery)
+            async with trio.open_nursery() as operators:
+                for number, (cell, expected, delay) in enumerate(edits):
+                    arguments = (nursery, str(number + 1), cell, expected, delay)
+                    operators.start_soon(edit, *arguments)
+        return count_landings(state)
+
+    landings = run_mocked(run)
+    for edit_id, outcome in outcomes.items():
+        if isinstance(outcome, EditAccepted):
+            assert landings[edit_id] == 1
+        elif isinstance(outcome, KeyValueUnknown):
+            assert landings[edit_id] <= 1
+        else:
+            assert landings[edit_id] == 0
+
+
+@pytest.mark.parametrize(
+    ("cells", "accepted"), [((WEIGHT, PRIORITY), 2), ((WEIGHT, WEIGHT), 1)]
+)
+def test_race_of_two_operators(cells, accepted):
+    """Two operators read the row at one moment and both set a cell.
+
+    On different cells neither may lose its edit; on the same cell one must be told.
+    """
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        outcomes = []
+
+        async def edit(nursery, number, cell):
+            store = FakeKeyValueStore(state, nursery, choose_delay=lambda: 0.01)
+            edit = set_cell(cell, str(number), str(number))
+            try:
+                outcomes.append(await make_editor(store, number).commit(edit))
+            except EditConflict:
+                pass
+
+        async with trio.open_nursery() as nursery:
+            await add_alice(state, nursery)
+            async with trio.open_nursery() as operators:
+                for number, cell in enumerate(cells, start=1):
+                    operators.start_soon(edit, nursery, number, cell)
+        assert len(outcomes) == accepted
+
+    run_mocked(run)
+
+
+@pytest.mark.parametrize(
+    ("edit", "words"),
+    [
+        (set_cell(WEIGHT, "0", "e"), ["customer/alice", "weight", "'0'", "10000"]),
+        (set_cell(CellId(ALICE, "wieght"), "1", "e"), ["wieght", "weight"]),
+        (set_cell(CellId(parse_row_id("customer/bob"), "weight"), "1", "e"), ["add"]),
+        (TableEdit("e", added=(ALICE,)), ["already"]),
+        (TableEdit("e", removed=(parse_row_id("service/x"),)), ["not in the table"]),
+        (
+            TableEdit(
+                "e",
+                ensured=(parse_row_id("target/t"),),
+                writes=(CellWrite(CellId(parse_row_id("target/t"), "service"), "x"),),
+            ),
+            ["target/t", "'x'", "add the service first"],
+        ),
+    ],
+)
+def test_refused_edit_changes_nothing_and_names_the_remedy(edit, words):
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            await add_alice(state, nursery)
+            revision = state.revision
+            with pytest.raises(TableError) as error:
+                await make_editor(FakeKeyValueStore(state, nursery)).commit(edit)
+            assert all(word in str(error.value) for word in words)
+            assert state.revision == revision
+
+    run_mocked(run)
+
+
+def test_row_that_is_added_again_does_not_match_the_old_one():
+    """A row is removed and added anew while an operator still looks at the old one.
+
+    The operator's expected revision must not fit the new row by accident.
+    """
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            await add_alice(state, nursery)
+            editor = make_editor(FakeKeyValueStore(state, nursery))
+            old = (await load_table(state, nursery)).get_cell_revision(WEIGHT)
+            await editor.commit(TableEdit("remove", removed=(ALICE,)))
+            await editor.commit(TableEdit("again", added=(ALICE,)))
+            with pytest.raises(EditConflict):
+                await editor.commit(set_cell(WEIGHT, "7", "late", old))
+
+    run_mocked(run)
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(
+    seed=st.integers(0, 2**32),
+    faults=st.lists(st.sampled_from(Fault), max_size=30),
+)
+def test_reader_follows_and_never_goes_back(seed, faults):
+    """A reader's watch goes silent, its reads are stale and the service is down.
+
+    Each edit must still come into force, and once it is, no older limit may return.
+    """
+    seen = []
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        random = Random(seed)
+        async with trio.open_nursery() as nursery:
+            await add_alice(state, nursery)
+            store = FakeKeyValueStore(state, nursery, choose_fault=scripted(faults))
+            reader = TableReader(store, random=random)
+            send, receive = trio.open_memory_channel(0)
+
+            async def edit():
+                editor = make_editor(FakeKeyValueStore(state, nursery))
+                for weight in range(1, 11):
+                    await trio.sleep(random.uniform(0, 3))
+                    await editor.commit(set_cell(WEIGHT, str(weight), str(weight)))
+
+            nursery.start_soon(reader.follow, send)
+            nursery.start_soon(edit)
+            with trio.fail_after(1000):
+                while not seen or seen[-1].customers["alice"].weight != 10:
+                    seen.append(await receive.receive())
+            nursery.cancel_scope.cancel()
+
+    run_mocked(run)
+    weights = [table.customers["alice"].weight % 100 for table in seen]
+    assert weights == sorted(weights)
+    revisions = [table.revision for table in seen]
+    assert revisions == sorted(set(revisions))
+
+
+def test_page_too_large_is_refused(monkeypatch):
+    monkeypatch.setattr(table_pages, "MAX_PAGE_BYTES", 10_000)
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            names = (f"{number:063d}" for number in itertools.count())
+            rows = (parse_row_id(f"service/{name}") for name in names)
+            on_page = (row for row in rows if get_page_key(row) == get_page_key(ALICE))
+            rows = tuple(itertools.islice(on_page, 30))
+            cells = [
+                CellWrite(CellId(row, "path_prefix"), "/" + row.name * 4)
+                for row in rows
+            ]
+            edit = TableEdit("big", ensured=rows, writes=tuple(cells))
+            with pytest.raises(TableError) as error:
+                await make_editor(FakeKeyValueStore(state, nursery)).commit(edit)
+            assert "too large" in str(error.value)
+            assert state.revision == 1
+
+    run_mocked(run)
+
+
+def test_page_that_cannot_be_read_leaves_the_last_one_in_force():
+    """Somebody writes a page by hand, and it is not what a reader can use.
+
+    The rows of this page keep their last limits, and other pages still come through.
+    """
+    reports = []
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            await add_alice(state, nursery)
+            store = FakeKeyValueStore(state, nursery)
+            reader = TableReader(store, random=Random(1), report=reports.append)
+            await reader.load()
+            key = state.get_range(PAGE_PREFIX.encode(), b"u")[0].key
+            state.commit([], [Put(key, b"{}")])
+            return await reader.load()
+
+    assert "alice" in run_mocked(run).customers
+    assert "can't be read" in str(reports[0])
