--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -186,3 +186,26 @@
                 await trio.sleep(0.05)
 
     trio.run(poll)
+
+
+@contextmanager
+def run_standin_process(module: str) -> Iterator[str]:
+    """Run one stand-in and give its address."""
+    process = Process([sys.executable, "-m", f"{_STANDINS}.{module}"])
+    try:
+        yield process.wait_for(r"address=(\S+)")[1]
+    finally:
+        process.kill()
+
+
+def run_hyssopvane(
+    *arguments: str, platform: str = ""
+) -> subprocess.CompletedProcess[str]:
+    """Run the command line to its end."""
+    return subprocess.run(
+        [sys.executable, "-m", "hyssopvane", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        env={**os.environ, "HYSSOPVANE_PLATFORM": platform},
+    )
