--- /dev/null
+++ b/bench/path.py
@@ -0,0 +1,180 @@
+"""Measure what the path adds to a request and a token, against the bare target."""
+
+import argparse
+import json
+import statistics
+import sys
+import tempfile
+import time
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+import trio
+
+from bench.client import Endpoint, Timings, measure_plain_calls, measure_streams
+from bench.processes import Usage, read_usage
+from tests.lib.installation import KEY, commit_table, wait_for_targets
+from tests.lib.processes import Cluster, Process, open_cluster
+
+_PLAIN_CALLS = 1_000
+_PLAIN_CONCURRENCY = (1, 8)
+_TOKENS = 200
+_STREAMS = (1, 8, 32, 64)
+_MICROSECONDS = 1_000_000
+_MILLISECONDS = 1_000
+_MEBIBYTE = 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """Hold one measured load."""
+
+    load: str
+    units: int
+    """Requests or tokens."""
+    entry_us: float
+    """Processor time of the entry for each unit, in microseconds."""
+    agent_us: float
+    direct_ms: float
+    """Median time of a call straight to the target, in milliseconds."""
+    path_ms: float
+    gap_p95_ms: float
+    """Time between tokens for 95 in 100, in milliseconds."""
+    failures: int
+
+
+@dataclass(frozen=True, slots=True)
+class Idle:
+    """Hold what an idle process costs."""
+
+    role: str
+    start_s: float
+    resident_mib: float
+    processor_percent: float
+
+
+class PathBench:
+    """Hold the running processes of one measurement."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+        commit_table(cluster.platform)
+        self._engine, _ = cluster.start_standin("engine_server", "--slots", "64")
+        self._plain, _ = cluster.start_standin("plain_service")
+        self._agents: list[Process] = []
+        self.start_s: dict[str, float] = {}
+        for service, target in (("draft", self._engine), ("check", self._plain)):
+            started_at = time.monotonic()
+            self._agents.append(
+                cluster.start_agent(f"{service}-1", service=service, target=target)
+            )
+            self.start_s["agent"] = time.monotonic() - started_at
+        started_at = time.monotonic()
+        self._entry, self._callers = cluster.start_entry("entry-1")
+        self.start_s["entry"] = time.monotonic() - started_at
+        wait_for_targets(cluster, "entry-1", 2)
+
+    def measure_idle(self) -> list[Idle]:
+        """Measure memory and processor time without load."""
+        pids = {"entry": self._entry.pid, "agent": self._agents[0].pid}
+        before = {role: read_usage(pid) for role, pid in pids.items()}
+        seconds = 5.0
+        time.sleep(seconds)
+        lines = []
+        for role, pid in pids.items():
+            after = read_usage(pid)
+            lines.append(
+                Idle(
+                    role,
+                    round(self.start_s[role], 2),
+                    round(after.resident_bytes / _MEBIBYTE, 1),
+                    round(100 * after.since(before[role]) / seconds, 2),
+                )
+            )
+        return lines
+
+    def measure_plain(self, concurrency: int) -> Line:
+        """Measure plain calls."""
+
+        async def run(endpoint: Endpoint) -> Timings:
+            return await measure_plain_calls(
+                endpoint, "/lots/7", count=_PLAIN_CALLS, concurrency=concurrency
+            )
+
+        direct = trio.run(run, Endpoint(self._plain))
+        before = self._read_usages(1)
+        timings = trio.run(run, Endpoint(self._callers, "/check", KEY))
+        return self._make_line(
+            f"plain x{concurrency}", 1, before, direct, timings, units=_PLAIN_CALLS
+        )
+
+    def measure_tokens(self, streams: int) -> Line:
+        """Measure streamed answers."""
+
+        async def run(endpoint: Endpoint) -> Timings:
+            return await measure_streams(
+                endpoint, tokens=_TOKENS, count=2 * streams, concurrency=streams
+            )
+
+        direct = trio.run(run, Endpoint(self._engine))
+        before = self._read_usages(0)
+        timings = trio.run(run, Endpoint(self._callers, "/draft", KEY))
+        return self._make_line(
+            f"streams x{streams}", 0, before, direct, timings, units=timings.tokens
+        )
+
+    def _read_usages(self, agent: int) -> tuple[Usage, Usage]:
+        return read_usage(self._entry.pid), read_usage(self._agents[agent].pid)
+
+    def _make_line(
+        self,
+        load: str,
+        agent: int,
+        before: tuple[Usage, Usage],
+        direct: Timings,
+        timings: Timings,
+        *,
+        units: int,
+    ) -> Line:
+        entry, agent_usage = self._read_usages(agent)
+        gaps = sorted(timings.gaps_s)
+        return Line(
+            load=load,
+            units=units,
+            entry_us=round(entry.since(before[0]) / units * _MICROSECONDS, 1),
+            agent_us=round(agent_usage.since(before[1]) / units * _MICROSECONDS, 1),
+            direct_ms=round(statistics.median(direct.whole_s) * _MILLISECONDS, 2),
+            path_ms=round(statistics.median(timings.whole_s) * _MILLISECONDS, 2),
+            gap_p95_ms=round(gaps[int(len(gaps) * 0.95)] * _MILLISECONDS, 2)
+            if gaps
+            else 0.0,
+            failures=timings.failures,
+        )
+
+
+def main(arguments: list[str]) -> int:
+    """Measure, print a table and write JSON when asked."""
+    parser = argparse.ArgumentParser(prog="bench path", description=__doc__)
+    parser.add_argument("--json", type=Path)
+    options = parser.parse_args(arguments)
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        open_cluster(Path(folder)) as cluster,
+    ):
+        bench = PathBench(cluster)
+        idle = bench.measure_idle()
+        lines = [bench.measure_plain(one) for one in _PLAIN_CONCURRENCY]
+        lines += [bench.measure_tokens(one) for one in _STREAMS]
+    for row in (*idle, *lines):
+        print("  ".join(f"{name}={value}" for name, value in asdict(row).items()))
+    if options.json:
+        document = {
+            "idle": [asdict(one) for one in idle],
+            "loads": [asdict(one) for one in lines],
+        }
+        options.json.write_text(json.dumps(document, indent=2) + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,34 @@
+"""Read what the kernel says of a process."""
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+_KIB = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Hold a process's processor time in seconds and its memory in bytes."""
+
+    processor_s: float
+    resident_bytes: int
+
+    def since(self, before: "Usage") -> float:
+        """Return the processor time in seconds since an earlier reading."""
+        return self.processor_s - before.processor_s
+
+
+def read_usage(pid: int) -> Usage:
+    """Return the usage of a running process."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return Usage(ticks / _TICKS_PER_SECOND, _read_resident_bytes(pid))
+
+
+def _read_resident_bytes(pid: int) -> int:
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * _KIB
+    return 0
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -1,46 +1,15 @@
 """Test the whole path as separate processes."""
 
-import hashlib
 import json
 import signal
-from random import Random
 
 import pytest
-import trio
 
-from hyssopvane._internal.coordination.etcd_key_value import EtcdKeyValueStore
-from hyssopvane._internal.coordination.table_edit import CellWrite, TableEdit
-from hyssopvane._internal.coordination.table_store import TableEditor
-from hyssopvane._internal.state.columns import RowId, RowKind
-from hyssopvane._internal.state.table import CellId
 from tests.lib.http import request
-from tests.lib.processes import TOKEN, open_cluster, wait_until
+from tests.lib.installation import KEY, OPERATOR, commit_table, wait_for_targets
+from tests.lib.processes import open_cluster
 
-KEY = "key-of-the-clerks"
 CALLER = {"Authorization": f"Bearer {KEY}"}
-OPERATOR = {"Authorization": f"Bearer {TOKEN}"}
-CLERKS = RowId(RowKind.CUSTOMER, "clerks")
-DRAFT = RowId(RowKind.SERVICE, "draft")
-CHECK = RowId(RowKind.SERVICE, "check")
-
-
-def commit_table(platform):
-    """Put one customer and two services into the table."""
-    digest = hashlib.sha256(KEY.encode()).hexdigest()
-
-    async def commit():
-        async with trio.open_nursery() as nursery:
-            store = EtcdKeyValueStore(platform)
-            await store.start(nursery)
-            edit = TableEdit(
-                "edit-1",
-                added=(CLERKS, DRAFT, CHECK),
-                writes=(CellWrite(CellId(CLERKS, "key_sha256"), digest),),
-            )
-            await TableEditor(store, random=Random(0)).commit(edit)
-            await store.close()
-
-    trio.run(commit)
 
 
 @pytest.fixture(scope="module")
@@ -53,22 +22,10 @@
         cluster.start_agent("draft-1", service="draft", target=engine)
         cluster.start_agent("check-1", service="check", target=plain)
         cluster.entry, cluster.callers = cluster.start_entry("entry-1")
-        wait_until(lambda: count_targets(cluster) == 2)
+        wait_for_targets(cluster, "entry-1", 2)
         yield cluster
 
 
-def read_in_force(cluster):
-    """Return what the entry says is in force."""
-    answer = request("GET", cluster.operators["entry-1"], "/in-force", headers=OPERATOR)
-    return json.loads(answer.body)
-
-
-def count_targets(cluster):
-    """Return the number of targets that the entry reaches."""
-    in_force = read_in_force(cluster)
-    return len(in_force["targets"]) if in_force["table_revision"] else 0
-
-
 def test_streamed_draft_arrives_whole(path):
     body = json.dumps({"prompt": "Maharaj", "max_tokens": 30, "stream": True}).encode()
     answer = request(
--- /dev/null
+++ b/tests/lib/installation.py
@@ -0,0 +1,63 @@
+"""Give an installation of separate processes its table, and wait for it."""
+
+import hashlib
+import json
+from collections.abc import Iterable
+from random import Random
+
+import trio
+
+from hyssopvane._internal.coordination.etcd_key_value import EtcdKeyValueStore
+from hyssopvane._internal.coordination.table_edit import CellWrite, TableEdit
+from hyssopvane._internal.coordination.table_store import TableEditor
+from hyssopvane._internal.state.columns import RowId, RowKind
+from hyssopvane._internal.state.table import CellId
+from tests.lib.http import request
+from tests.lib.processes import TOKEN, Cluster, wait_until
+
+KEY = "key-of-the-clerks"
+OPERATOR = {"Authorization": f"Bearer {TOKEN}"}
+CLERKS = RowId(RowKind.CUSTOMER, "clerks")
+DRAFT = RowId(RowKind.SERVICE, "draft")
+CHECK = RowId(RowKind.SERVICE, "check")
+
+
+def make_table_edit(cells: Iterable[tuple[RowId, str, str]] = ()) -> TableEdit:
+    """Return an edit with one customer, two services and the given cells."""
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    writes = [CellWrite(CellId(CLERKS, "key_sha256"), digest)]
+    writes += [CellWrite(CellId(row, column), text) for row, column, text in cells]
+    return TableEdit("edit-1", added=(CLERKS, DRAFT, CHECK), writes=tuple(writes))
+
+
+def commit_table(platform: str, cells: Iterable[tuple[RowId, str, str]] = ()) -> None:
+    """Put one customer and two services into the table."""
+
+    async def commit() -> None:
+        async with trio.open_nursery() as nursery:
+            store = EtcdKeyValueStore(platform)
+            await store.start(nursery)
+            editor = TableEditor(store, random=Random(0))
+            await editor.commit(make_table_edit(cells))
+            await store.close()
+
+    trio.run(commit)
+
+
+def read_in_force(cluster: Cluster, vm: str) -> dict[str, object]:
+    """Return what a process says is in force."""
+    answer = request("GET", cluster.operators[vm], "/in-force", headers=OPERATOR)
+    document: dict[str, object] = json.loads(answer.body)
+    return document
+
+
+def wait_for_targets(cluster: Cluster, vm: str, count: int) -> None:
+    """Wait until an entry has a table and reaches that many targets."""
+
+    def is_ready() -> bool:
+        in_force = read_in_force(cluster, vm)
+        targets = in_force["targets"]
+        assert isinstance(targets, list)
+        return bool(in_force["table_revision"]) and len(targets) == count
+
+    wait_until(is_ready)
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -6,7 +6,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 
@@ -30,6 +30,11 @@
         )
         self.lines: list[str] = []
 
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._popen.pid
+
     def wait_for(self, pattern: str) -> re.Match[str]:
         """Read lines until one matches; fail when the process ends before that."""
         assert self._popen.stdout is not None
@@ -105,8 +110,7 @@
             {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0"} | changes,
         )
         self.list_vm(vm, role="entry", service="", address=peers)
-        callers = re.search(r"callers=(\S+)", process.lines[-1])
-        return process, callers[1]
+        return process, _find(r"callers=(\S+)", process.lines[-1])
 
     def list_vm(
         self, vm: str, *, role: str, service: str, address: str, state: str = "live"
@@ -157,7 +161,7 @@
             [sys.executable, "-m", "hyssopvane", "run", role, str(path)]
         )
         started = process.wait_for(rf"event=started .*{listener}=(\S+)")
-        self.operators[vm] = re.search(r"operators=(\S+)", started.string)[1]
+        self.operators[vm] = _find(r"operators=(\S+)", started.string)
         return process, started[1]
 
     def _start(self, arguments: list[str]) -> Process:
@@ -166,6 +170,12 @@
         return process
 
 
+def _find(pattern: str, line: str) -> str:
+    match = re.search(pattern, line)
+    assert match is not None, line
+    return match[1]
+
+
 @contextmanager
 def open_cluster(folder: Path) -> Iterator[Cluster]:
     """Give a cluster with its platform and end all its processes afterwards."""
@@ -177,7 +187,9 @@
         cluster.close()
 
 
-def wait_until(check, *, timeout_s: float = START_TIMEOUT_S) -> None:
+def wait_until(
+    check: Callable[[], bool], *, timeout_s: float = START_TIMEOUT_S
+) -> None:
     """Poll a check until it holds; the timeout only ends a test that hangs."""
 
     async def poll() -> None:
