--- a/src/hyssopvane/_internal/standins/key_value.py
+++ b/src/hyssopvane/_internal/standins/key_value.py
@@ -10,13 +10,6 @@
 from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, Scope
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from hyssopvane._internal.standins.asgi import (
-    answer_lifespan,
-    get_route,
-    read_json,
-    send_json,
-    start_answer,
-)
 from hyssopvane._internal.standins.key_value_state import (
     Compare,
     Delete,
@@ -26,7 +19,14 @@
     StoredItem,
     UnknownLease,
 )
-from hyssopvane._internal.standins.process import run_standin
+from hyssopvane._internal.standins.platform_asgi import (
+    answer_lifespan,
+    get_route,
+    read_json,
+    send_json,
+    start_answer,
+)
+from hyssopvane._internal.standins.platform_process import run_standin
 from hyssopvane._internal.transport.asgi_server import serve_asgi
 
 JsonObject: TypeAlias = dict[str, Any]
--- a/src/hyssopvane/_internal/standins/process.py
+++ b/src/hyssopvane/_internal/standins/process.py
@@ -1,26 +1,82 @@
-"""Run one stand-in as its own process."""
+"""Run a stand-in as its own process."""
 
 import argparse
+import dataclasses
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol, TypeVar
 
 import trio
 
-ServeFunction = Callable[..., Awaitable[None]]
+from hyssopvane._internal.standins.journal import Journal, JournalEntry
 
+Config = TypeVar("Config")
 
-def run_standin(serve: ServeFunction, description: str) -> None:
-    """Serve on the address of the command line until SIGTERM or SIGINT."""
-    parser = argparse.ArgumentParser(description=description)
-    parser.add_argument("--bind", default="127.0.0.1:0", metavar="IP:PORT")
-    trio.run(_serve_until_signal, serve, parser.parse_args().bind)
 
+class Serve(Protocol):
+    """Serve on an address until the shutdown; report "ip:port" once it is bound."""
+
+    async def __call__(
+        self,
+        *,
+        bind: str,
+        shutdown: trio.Event,
+        task_status: trio.TaskStatus[str],
+    ) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessOptions:
+    """Hold the options that all stand-ins have."""
+
+    bind: str
+    print_journal: bool
+
+    def make_journal(self) -> Journal:
+        """Return a journal, printed line by line if that was asked for."""
+        return Journal(_print_entry if self.print_journal else None)
+
+
+def parse_options(
+    config_type: type[Config], arguments: Sequence[str] | None = None
+) -> tuple[ProcessOptions, Config]:
+    """Read the common options and one for each field of a data class."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--bind", default="127.0.0.1:0")
+    # The printed lines outlive a crash, which the journal's own page does not.
+    parser.add_argument("--print-journal", action="store_true")
+    for field in dataclasses.fields(config_type):  # type: ignore[arg-type]
+        option = "--" + field.name.replace("_", "-")
+        if isinstance(field.default, bool):
+            parser.add_argument(option, action="store_true")
+        else:
+            parser.add_argument(option, type=type(field.default), default=field.default)
+    values = vars(parser.parse_args(arguments))
+    options = ProcessOptions(values.pop("bind"), values.pop("print_journal"))
+    return options, config_type(**values)
+
+
+def _print_entry(entry: JournalEntry) -> None:
+    pairs = dataclasses.asdict(entry).items()
+    print("journal", *(f"{name}={value}" for name, value in pairs), flush=True)
+
+
+def run_process(serve: Serve, *, bind: str) -> None:
+    """Serve until SIGTERM or SIGINT and print the bound address."""
+    trio.run(_serve_until_signal, serve, bind)
+
+
+async def _serve_until_signal(serve: Serve, bind: str) -> None:
+    shutdown = trio.Event()
+
+    async def run(*, task_status: trio.TaskStatus[str]) -> None:
+        await serve(bind=bind, shutdown=shutdown, task_status=task_status)
+        nursery.cancel_scope.cancel()
 
-async def _serve_until_signal(serve: ServeFunction, bind: str) -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with trio.open_nursery() as nursery:
-            address = await nursery.start(serve, bind)
+            address = await nursery.start(run)
             print(f"listening address={address}", flush=True)
             async for _ in signals:
-                nursery.cancel_scope.cancel()
-                return
+                shutdown.set()
--- a/src/hyssopvane/_internal/standins/vm_list.py
+++ b/src/hyssopvane/_internal/standins/vm_list.py
@@ -10,14 +10,14 @@
 
 from hyssopvane._internal.coordination.vm_list import VmRecord, format_vms, parse_vms
 from hyssopvane._internal.exceptions import VmListError
-from hyssopvane._internal.standins.asgi import (
+from hyssopvane._internal.standins.platform_asgi import (
     answer_lifespan,
     get_route,
     read_body,
     read_json,
     send_json,
 )
-from hyssopvane._internal.standins.process import run_standin
+from hyssopvane._internal.standins.platform_process import run_standin
 from hyssopvane._internal.transport.asgi_server import serve_asgi
 
 
--- a/tests/functional/test_key_value.py
+++ b/tests/functional/test_key_value.py
@@ -19,13 +19,13 @@
     KeyValueUnavailable,
     KeyValueUnknown,
 )
-from tests.lib.processes import run_standin_process
+from tests.lib.standin_processes import run_standin
 
 
 @pytest.fixture(scope="module")
 def shared_address():
-    with run_standin_process("key_value") as address:
-        yield address
+    with run_standin("key_value") as standin:
+        yield standin.address
 
 
 @pytest.fixture
