--- a/src/hyssopvane/_internal/cli/registry.py
+++ b/src/hyssopvane/_internal/cli/registry.py
@@ -16,4 +16,10 @@
     "run agent": CommandEntry("run_agent", "RunAgentCommand"),
     "demo": CommandEntry("demo", "DemoCommand"),
     "check": CommandEntry("check", "CheckCommand"),
+    "table show": CommandEntry("table_show", "TableShowCommand"),
+    "table set": CommandEntry("table_set", "TableSetCommand"),
+    "table add": CommandEntry("table_add", "TableAddCommand"),
+    "table remove": CommandEntry("table_remove", "TableRemoveCommand"),
+    "table import": CommandEntry("table_import", "TableImportCommand"),
+    "table export": CommandEntry("table_export", "TableExportCommand"),
 }
--- a/src/hyssopvane/_internal/state/columns.py
+++ b/src/hyssopvane/_internal/state/columns.py
@@ -53,8 +53,8 @@
     default: CellValue
     meaning: str
     unit: str = ""
-    low: float | None = None
-    high: float | None = None
+    low: int | float | None = None
+    high: int | float | None = None
 
     def parse(self, text: str, *, row: RowId) -> CellValue:
         """Return the value of a cell; raise `TableError` when it can't be used."""
@@ -77,7 +77,7 @@
         """Return the values that are allowed, in words."""
         words = _RANGES.get(self.type)
         if words is None:
-            words = f"{self.type} from {self.low:g} to {self.high:g}"
+            words = f"{self.type} from {self.low} to {self.high}"
         return f"{words} {self.unit}".strip()
 
     def _is_in_range(self, value: CellValue) -> bool:
--- a/src/hyssopvane/_internal/state/table.py
+++ b/src/hyssopvane/_internal/state/table.py
@@ -160,7 +160,8 @@
                 f"target/{target.name} belongs to service {target.service!r}, "
                 "which is not in the table",
                 context=f"services: {', '.join(sorted(table.services)) or 'none'}",
-                hint="add the service first; nothing was changed",
+                hint="add the service first, or give the target another; "
+                "nothing was changed",
             )
     _check_unique(
         "path_prefix",
