Usable: edits that must fit together are checked in their transaction

An edit that refers to other rows (a service, a path, a key) names every page it was checked against in its transaction, so two edits of different pages that are each right can't be wrong together, and a write that arrives late can't follow its refusal. Ruled out: rewriting the pages unchanged, which would wake every watch.

Seen failing with the checks taken out: a target whose service is gone, one key of two customers, and the late write's test.

--- a/src/hyssopvane/_internal/coordination/etcd_key_value.py
+++ b/src/hyssopvane/_internal/coordination/etcd_key_value.py
@@ -11,6 +11,7 @@
 
 from hyssopvane._internal.coordination.key_value import (
     NO_LEASE,
+    Check,
     KeyValue,
     KeyValueStore,
     Snapshot,
@@ -79,8 +80,11 @@
         answer = await self._call("/v3/kv/range", request)
         return Snapshot(_parse_revision(answer), _parse_items(answer))
 
-    async def compare_and_swap(self, swaps: Sequence[Swap]) -> Swapped | SwapLost:
-        answer = await self._call("/v3/kv/txn", _make_transaction(swaps), writes=True)
+    async def compare_and_swap(
+        self, swaps: Sequence[Swap], *, checks: Sequence[Check] = ()
+    ) -> Swapped | SwapLost:
+        transaction = _make_transaction(swaps, checks)
+        answer = await self._call("/v3/kv/txn", transaction, writes=True)
         if answer.get("succeeded", False):
             return Swapped(_parse_revision(answer))
         current: list[KeyValue] = []
@@ -213,19 +217,20 @@
     return b"\0"
 
 
-def _make_transaction(swaps: Sequence[Swap]) -> JsonObject:
+def _make_transaction(swaps: Sequence[Swap], checks: Sequence[Check]) -> JsonObject:
+    compared: tuple[Swap | Check, ...] = (*swaps, *checks)
     return {
         "compare": [
             {
-                "key": _encode(swap.key),
+                "key": _encode(item.key),
                 "target": "MOD",
                 "result": "EQUAL",
-                "mod_revision": str(swap.expected_revision),
+                "mod_revision": str(item.expected_revision),
             }
-            for swap in swaps
+            for item in compared
         ],
         "success": [_make_change(swap) for swap in swaps],
-        "failure": [{"request_range": {"key": _encode(swap.key)}} for swap in swaps],
+        "failure": [{"request_range": {"key": _encode(item.key)}} for item in compared],
     }
 
 
--- a/src/hyssopvane/_internal/coordination/key_value.py
+++ b/src/hyssopvane/_internal/coordination/key_value.py
@@ -45,6 +45,14 @@
     lease: int = NO_LEASE
 
 
+@dataclass(frozen=True, slots=True)
+class Check:
+    """Ask that one key is still at a revision, without changing it."""
+
+    key: str
+    expected_revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class Swapped:
     """Tell that every swap of a transaction was carried out."""
@@ -93,8 +101,10 @@
         """Return the keys under a prefix that were written at or after a revision."""
 
     @abstractmethod
-    async def compare_and_swap(self, swaps: Sequence[Swap]) -> Swapped | SwapLost:
-        """Carry out all swaps in one transaction, or none of them."""
+    async def compare_and_swap(
+        self, swaps: Sequence[Swap], *, checks: Sequence[Check] = ()
+    ) -> Swapped | SwapLost:
+        """Carry out all swaps in one transaction, or none when a key has changed."""
 
     @abstractmethod
     async def grant_lease(self, ttl_s: int) -> int:
--- a/src/hyssopvane/_internal/coordination/table_store.py
+++ b/src/hyssopvane/_internal/coordination/table_store.py
@@ -8,6 +8,7 @@
 
 from hyssopvane._internal.coordination.key_value import (
     ABSENT,
+    Check,
     KeyValue,
     KeyValueStore,
     Swap,
@@ -149,17 +150,31 @@
     async def _swap(
         self, read: _PagesRead, changed: Mapping[str, Page]
     ) -> EditAccepted | None:
+        swaps = [
+            Swap(key, format_page(page), read.revisions[key])
+            for key, page in sorted(changed.items())
+        ]
         result = await self._store.compare_and_swap(
-            [
-                Swap(key, format_page(page), read.revisions[key])
-                for key, page in sorted(changed.items())
-            ]
+            swaps, checks=self._make_checks(read, changed)
         )
         if isinstance(result, Swapped):
             return EditAccepted(result.revision)
         self._remember(result.current)
         return None
 
+    def _make_checks(
+        self, read: _PagesRead, changed: Mapping[str, Page]
+    ) -> list[Check]:
+        # Two edits of different pages can each be right and be wrong together: one
+        # removes a service while the other gives it a target. One would notice a
+        # target that gets no work. The one that comes second finds a page changed.
+        # So does a write with a lost reply that arrives after the table has come to
+        # refuse its edit: the refusal is final.
+        if not self._edit.needs_whole_table():
+            return []
+        others = sorted(read.revisions.keys() - changed.keys())
+        return [Check(key, read.revisions[key]) for key in others]
+
     async def _read_pages(self) -> _PagesRead:
         if self._edit.needs_whole_table():
             self._remember((await self._store.get_prefix(PAGE_PREFIX)).items)
--- a/tests/lib/fake_key_value.py
+++ b/tests/lib/fake_key_value.py
@@ -8,6 +8,7 @@
 
 from hyssopvane._internal.coordination.etcd_key_value import get_range_end
 from hyssopvane._internal.coordination.key_value import (
+    Check,
     KeyValue,
     KeyValueStore,
     Snapshot,
@@ -78,12 +79,14 @@
         items = state.get_range(key, get_range_end(key), min_revision)
         return Snapshot(state.revision, tuple(to_key_value(item) for item in items))
 
-    async def compare_and_swap(self, swaps: Sequence[Swap]) -> Swapped | SwapLost:
+    async def compare_and_swap(
+        self, swaps: Sequence[Swap], *, checks: Sequence[Check] = ()
+    ) -> Swapped | SwapLost:
         fault = await self._begin()
         if fault is Fault.LATE_WRITE:
-            self._nursery.start_soon(self._swap_late, swaps)
+            self._nursery.start_soon(self._swap_late, swaps, checks)
         elif fault is not Fault.LOST_WRITE:
-            swapped = self._swap(swaps)
+            swapped = self._swap(swaps, checks)
             if fault is not Fault.LOST_REPLY:
                 return swapped
         if fault is Fault.NONE or fault is Fault.STALE_READ:
@@ -147,12 +150,15 @@
         self._older = copy
         return copy
 
-    async def _swap_late(self, swaps: Sequence[Swap]) -> None:
+    async def _swap_late(self, swaps: Sequence[Swap], checks: Sequence[Check]) -> None:
         await trio.sleep(LATE_S)
-        self._swap(swaps)
+        self._swap(swaps, checks)
 
-    def _swap(self, swaps: Sequence[Swap]) -> Swapped | SwapLost:
-        compares = [Compare(s.key.encode(), s.expected_revision) for s in swaps]
+    def _swap(
+        self, swaps: Sequence[Swap], checks: Sequence[Check]
+    ) -> Swapped | SwapLost:
+        compared: tuple[Swap | Check, ...] = (*swaps, *checks)
+        compares = [Compare(c.key.encode(), c.expected_revision) for c in compared]
         changes = [
             Delete(s.key.encode())
             if s.value is None
@@ -161,7 +167,7 @@
         ]
         if self.state.commit(compares, changes):
             return Swapped(self.state.revision)
-        found = [item for s in swaps for item in self.state.get_range(s.key.encode())]
+        found = [item for c in compares for item in self.state.get_range(c.key)]
         return SwapLost(tuple(to_key_value(item) for item in found))
 
 
--- a/tests/unit/test_table_store.py
+++ b/tests/unit/test_table_store.py
@@ -31,8 +31,8 @@
 )
 from hyssopvane._internal.standins.key_value_state import KeyValueState, Put
 from hyssopvane._internal.state.columns import parse_row_id
-from hyssopvane._internal.state.table import CellId
-from tests.lib.fake_key_value import FakeKeyValueStore, Fault
+from hyssopvane._internal.state.table import CellId, check_references
+from tests.lib.fake_key_value import LATE_S, FakeKeyValueStore, Fault
 
 ALICE = parse_row_id("customer/alice")
 WEIGHT = CellId(ALICE, "weight")
@@ -413,3 +413,109 @@
 
     assert "alice" in run_mocked(run).customers
     assert "can't be read" in str(reports[0])
+
+
+def test_stale_reads_do_not_hold_back_an_edit():
+    """The replica that answers reads stays behind, so a page is always seen too old.
+
+    The answer to the swap that lost shows the page as it is, and the edit goes on
+    from there; else the operator would be told that too many edit at one time.
+    """
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            await add_alice(state, nursery)
+            stale = FakeKeyValueStore(
+                state, nursery, choose_fault=lambda: Fault.STALE_READ
+            )
+            other = make_editor(FakeKeyValueStore(state, nursery))
+            await other.commit(set_cell(PRIORITY, "1", "1"))
+            await make_editor(stale).commit(set_cell(WEIGHT, "200", "200"))
+            assert count_landings(state) == {"1": 1, "200": 1}
+
+    run_mocked(run)
+
+
+def set_service(target, service):
+    row = parse_row_id(f"target/{target}")
+    write = CellWrite(CellId(row, "service"), service)
+    return TableEdit(f"set {target}", writes=(write,), ensured=(row,))
+
+
+def set_key(customer):
+    write = CellWrite(CellId(parse_row_id(customer), "key_sha256"), "a" * 64)
+    return TableEdit(f"set {customer}", writes=(write,), ensured=(write.cell.row,))
+
+
+@pytest.mark.parametrize(
+    "edits",
+    [
+        (
+            TableEdit("remove", removed=(parse_row_id("service/draft"),)),
+            set_service("t-1", "draft"),
+        ),
+        (set_key("customer/bob"), set_key("customer/carol")),
+    ],
+    ids=["service and its target", "one key of two customers"],
+)
+def test_edits_that_do_not_fit_together_are_not_both_accepted(edits):
+    """Two operators change different rows at one moment. Each edit is right by itself,
+    but together they give a target whose service is gone, or two customers one key.
+
+    The first leaves a target without work, the second bills one customer for another.
+    """
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        refused = []
+
+        async def commit(nursery, edit):
+            store = FakeKeyValueStore(state, nursery, choose_delay=lambda: 0.01)
+            try:
+                await make_editor(store).commit(edit)
+            except TableError as error:
+                refused.append(error)
+
+        async with trio.open_nursery() as nursery:
+            editor = make_editor(FakeKeyValueStore(state, nursery))
+            service = parse_row_id("service/draft")
+            await editor.commit(TableEdit("add", added=(service,)))
+            async with trio.open_nursery() as operators:
+                for edit in edits:
+                    operators.start_soon(commit, nursery, edit)
+            check_references(await load_table(state, nursery))
+        assert len(refused) == 1
+
+    run_mocked(run)
+
+
+def test_write_that_arrives_late_does_not_follow_its_refusal():
+    """A write is still on its way when another edit takes away what it refers to.
+
+    Read back, the table refuses the edit by now, and the operator is told that
+    nothing was changed. The write that arrives afterwards must not prove this wrong.
+    """
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            editor = make_editor(FakeKeyValueStore(state, nursery))
+            service = parse_row_id("service/draft")
+            await editor.commit(TableEdit("add", added=(service,)))
+            faults = [Fault.NONE, Fault.LATE_WRITE, Fault.DOWN]
+            store = FakeKeyValueStore(state, nursery, choose_fault=scripted(faults))
+
+            async def remove():
+                while store.calls < 3:
+                    await trio.sleep(0.001)
+                await editor.commit(TableEdit("remove", removed=(service,)))
+
+            async with trio.open_nursery() as operators:
+                operators.start_soon(remove)
+                with pytest.raises(TableError):
+                    await make_editor(store).commit(set_service("t-1", "draft"))
+            await trio.sleep(2 * LATE_S)
+            assert not (await load_table(state, nursery)).targets
+
+    run_mocked(run)
