--- a/src/hyssopvane/_internal/coordination/table_store.py
+++ b/src/hyssopvane/_internal/coordination/table_store.py
@@ -267,19 +267,22 @@
             await send.send(self.table)
         start_revision = self._loaded_revision + 1
         async with self._store.watch(PAGE_PREFIX, start_revision) as events:
-            self._backoff.reset()
             while True:
                 items: list[KeyValue] | None = None
                 with trio.move_on_after(self._refresh_s):
                     items = await _receive_items(events)
                 if items is None:
                     if not await self._refresh():
+                        self._backoff.reset()
                         continue
                     # The watch missed a change, so it is no longer heard.
                     await send.send(self.table)
                     return
                 if not items:
+                    # The delays keep growing where watches end at once while reads
+                    # work, or every reader would load the table many times a second.
                     return
+                self._backoff.reset()
                 if self._accept(items):
                     await send.send(self.table)
 
--- a/tests/functional/test_key_value.py
+++ b/tests/functional/test_key_value.py
@@ -19,6 +19,8 @@
     KeyValueUnavailable,
     KeyValueUnknown,
 )
+from hyssopvane._internal.standins.platform_asgi import answer_lifespan, read_body
+from hyssopvane._internal.transport.asgi_server import serve_asgi
 from tests.lib.standin_processes import run_standin
 
 
@@ -191,3 +193,48 @@
 def test_malformed_call_gets_an_error(address, body):
     url = f"http://{address}/v3/kv/range"
     assert httpcore.request("POST", url, content=body).status == 400
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"[]", b"{}", b'{"header": 1}', b'{"header": {}, "kvs": [{}]}']
+)
+def test_malformed_answer_is_a_typed_error(body):
+    """Something else answers at the service's address, and not as it should.
+
+    A process must go on with its last table, as it does while the service is down.
+    """
+
+    async def answer(scope, receive, send):
+        if scope["type"] == "lifespan":
+            await answer_lifespan(receive, send)
+            return
+        await read_body(receive)
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await send({"type": "http.response.body", "body": body + b"\n"})
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(
+                lambda task_status: serve_asgi(
+                    answer,
+                    bind="127.0.0.1:0",
+                    graceful_timeout_s=0,
+                    shutdown=trio.Event(),
+                    task_status=task_status,
+                )
+            )
+            store = EtcdKeyValueStore(address, timeout_s=10)
+            await store.start(nursery)
+            with pytest.raises(KeyValueUnavailable):
+                await store.get_prefix("a/")
+            with pytest.raises(KeyValueUnknown):
+                await store.compare_and_swap([Swap("a/1", b"1", 0)])
+            with pytest.raises(KeyValueUnknown):
+                await store.grant_lease(1)
+            async with store.watch("a/", 1) as events:
+                with pytest.raises(trio.EndOfChannel):
+                    await events.receive()
+            await store.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -98,11 +98,15 @@
 
     def start_entry(self, vm: str, **changes: object) -> tuple[Process, str]:
         """Start an entry and return its callers' address."""
-        process, address = self._start_role(
-            "entry", vm, "callers", {"callers": "127.0.0.1:0"} | changes
+        process, peers = self._start_role(
+            "entry",
+            vm,
+            "peers",
+            {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0"} | changes,
         )
-        self.list_vm(vm, role="entry", service="", address=address)
-        return process, address
+        self.list_vm(vm, role="entry", service="", address=peers)
+        callers = re.search(r"callers=(\S+)", process.lines[-1])
+        return process, callers[1]
 
     def list_vm(
         self, vm: str, *, role: str, service: str, address: str, state: str = "live"
@@ -182,3 +186,26 @@
                 await trio.sleep(0.05)
 
     trio.run(poll)
+
+
+@contextmanager
+def run_standin_process(module: str) -> Iterator[str]:
+    """Run one stand-in and give its address."""
+    process = Process([sys.executable, "-m", f"{_STANDINS}.{module}"])
+    try:
+        yield process.wait_for(r"address=(\S+)")[1]
+    finally:
+        process.kill()
+
+
+def run_hyssopvane(
+    *arguments: str, platform: str = ""
+) -> subprocess.CompletedProcess[str]:
+    """Run the command line to its end."""
+    return subprocess.run(
+        [sys.executable, "-m", "hyssopvane", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        env={**os.environ, "HYSSOPVANE_PLATFORM": platform},
+    )
--- a/tests/unit/test_table_store.py
+++ b/tests/unit/test_table_store.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections import Counter
+from contextlib import asynccontextmanager
 from random import Random
 
 import pytest
@@ -519,3 +520,33 @@
             assert not (await load_table(state, nursery)).targets
 
     run_mocked(run)
+
+
+class _NoWatchStore(FakeKeyValueStore):
+    @asynccontextmanager
+    async def watch(self, prefix, start_revision):
+        self.calls += 1
+        send, receive = trio.open_memory_channel(0)
+        send.close()
+        yield receive
+
+
+def test_watch_that_ends_at_once_is_tried_ever_more_rarely():
+    """The service answers reads but ends each watch at once, for an hour.
+
+    Readers that come back without a pause would use up its reads a second, and
+    operators and callers would find it slow.
+    """
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            store = _NoWatchStore(state, nursery)
+            reader = TableReader(store, random=Random(1))
+            send, _receive = trio.open_memory_channel(1)
+            nursery.start_soon(reader.follow, send)
+            await trio.sleep(3600)
+            nursery.cancel_scope.cancel()
+        return store.calls
+
+    assert run_mocked(run) < 3600
