Usable: limits of one transaction, pages for peers, watches from too far back

An import too large for one transaction is refused with the remedy; the stand-in refuses more than 128 changes and ends a watch whose history is gone, as etcd does.

--- a/src/hyssopvane/_internal/coordination/table_store.py
+++ b/src/hyssopvane/_internal/coordination/table_store.py
@@ -1,6 +1,6 @@
 """Edit and follow the table in the platform's key-value service."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -55,6 +55,9 @@
 12 s, one such question and its timeout must fit in.
 """
 
+MAX_TRANSACTION_BYTES = 1_400_000
+"""Largest sum of pages in a transaction; etcd takes 1.5 MiB with all around them."""
+
 ErrorReport = Callable[[HyssopvaneError], None]
 
 
@@ -154,6 +157,7 @@
             Swap(key, format_page(page), read.revisions[key])
             for key, page in sorted(changed.items())
         ]
+        _check_size(swaps)
         result = await self._store.compare_and_swap(
             swaps, checks=self._make_checks(read, changed)
         )
@@ -189,7 +193,7 @@
             {key: seen[key].revision if key in seen else ABSENT for key in keys},
         )
 
-    def _remember(self, items: tuple[KeyValue, ...] | list[KeyValue]) -> None:
+    def _remember(self, items: Sequence[KeyValue]) -> None:
         # A stale read must not hide what a lost swap has already shown.
         for item in items:
             known = self._seen.get(item.key)
@@ -218,6 +222,16 @@
     return [f"{PAGE_PREFIX}{number:02d}" for number in range(PAGE_COUNT)]
 
 
+def _check_size(swaps: list[Swap]) -> None:
+    size = sum(len(swap.value or b"") for swap in swaps)
+    if size > MAX_TRANSACTION_BYTES:
+        raise TableError(
+            f"the edit is too large for one transaction: {size} bytes",
+            context=f"the key-value service takes {MAX_TRANSACTION_BYTES}",
+            hint="import fewer rows at a time; nothing was changed",
+        )
+
+
 def _check_whole_table(read: _PagesRead, changed: Mapping[str, Page]) -> None:
     pages = {**read.pages, **changed}
     parsed = [build_parsed_page(page, ABSENT) for page in pages.values()]
@@ -244,6 +258,7 @@
         self._report = report
         self._refresh_s = refresh_s
         self._pages: dict[str, ParsedPage] = {}
+        self._items: dict[str, KeyValue] = {}
         self._loaded_revision = 0
         self.table = Table()
         """Table that was last accepted; it stays while the service is down."""
@@ -283,22 +298,27 @@
                     # work, or every reader would load the table many times a second.
                     return
                 self._backoff.reset()
-                if self._accept(items):
+                if self.accept(items):
                     await send.send(self.table)
 
     async def _load(self) -> bool:
         snapshot = await self._store.get_prefix(PAGE_PREFIX)
         self._loaded_revision = snapshot.revision
-        return self._accept(snapshot.items)
+        return self.accept(snapshot.items)
 
     async def _refresh(self) -> bool:
         snapshot = await self._store.get_prefix(
             PAGE_PREFIX, min_revision=self.table.revision + 1
         )
-        return self._accept(snapshot.items)
+        return self.accept(snapshot.items)
+
+    def get_pages(self, *, min_revision: int = 0) -> tuple[KeyValue, ...]:
+        """Return the pages in force that are at least as new, to pass on to peers."""
+        items = self._items.values()
+        return tuple(item for item in items if item.revision >= min_revision)
 
-    def _accept(self, items: tuple[KeyValue, ...] | list[KeyValue]) -> bool:
-        """Take newer pages over; return whether there were any."""
+    def accept(self, items: Sequence[KeyValue]) -> bool:
+        """Take newer pages over, also from a peer; return whether there were any."""
         changed = False
         for item in items:
             known = self._pages.get(item.key)
@@ -313,6 +333,7 @@
                 self._report(error)
                 continue
             self._pages[item.key] = page
+            self._items[item.key] = item
             changed = True
         if changed:
             self.table = build_table(self._pages.values())
--- a/src/hyssopvane/_internal/standins/key_value.py
+++ b/src/hyssopvane/_internal/standins/key_value.py
@@ -34,6 +34,9 @@
 MAX_REQUEST_VALUE_BYTES = 1024 * 1024
 """Largest value that the service takes."""
 
+MAX_TRANSACTION_CHANGES = 128
+"""Compares, and changes, that etcd takes in one transaction."""
+
 LONGEST_IDLE_S = 3600.0
 
 _GRPC_INVALID_ARGUMENT = 3
@@ -170,6 +173,13 @@
         return _format_range(items, state.revision)
 
     def _txn(self, request: JsonObject) -> JsonObject:
+        for part in ("compare", "success", "failure"):
+            if len(request.get(part, [])) > MAX_TRANSACTION_CHANGES:
+                raise _Refusal(
+                    400,
+                    _GRPC_INVALID_ARGUMENT,
+                    "etcdserver: too many operations in txn request",
+                )
         compares = [
             Compare(_decode(item["key"]), int(item.get("mod_revision", 0)))
             for item in request.get("compare", [])
@@ -226,6 +236,9 @@
         key, range_end = _decode(create["key"]), _decode(create.get("range_end", ""))
         start = int(create.get("start_revision", 0)) or self.state.revision + 1
         while not self.faults.down:
+            if start < self.state.oldest_revision:
+                await _send_line(send, self._make_compacted_result())
+                break
             changed = self._changed
             events = self.state.get_events(start, key, range_end)
             start = max(start, self.state.revision + 1)
@@ -242,6 +255,10 @@
         expiry = self.state.get_next_expiry()
         return LONGEST_IDLE_S if expiry is None else max(0, expiry - self._clock())
 
+    def _make_compacted_result(self) -> JsonObject:
+        oldest = str(self.state.oldest_revision)
+        return {**self._make_result(), "canceled": True, "compact_revision": oldest}
+
     def _make_result(self) -> JsonObject:
         return {"header": _format_header(self.state.revision), "watch_id": "0"}
 
--- a/src/hyssopvane/_internal/standins/key_value_state.py
+++ b/src/hyssopvane/_internal/standins/key_value_state.py
@@ -135,6 +135,14 @@
         """Return the clock value at which the next lease lapses."""
         return min((lease.expires for lease in self._leases.values()), default=None)
 
+    @property
+    def oldest_revision(self) -> int:
+        """Return the first revision from which a watch can still start."""
+        if len(self._history) < MAX_HISTORY:
+            return 0
+        # Older events of the same revision may already be gone.
+        return self._history[0].item.mod_revision + 1
+
     def get_events(
         self, start_revision: int, key: bytes, range_end: bytes
     ) -> list[StoredEvent]:
--- a/tests/functional/test_key_value.py
+++ b/tests/functional/test_key_value.py
@@ -1,6 +1,7 @@
 """Test the key-value client against the stand-in in its own process."""
 
 import json
+from functools import partial
 
 import httpcore
 import pytest
@@ -19,10 +20,14 @@
     KeyValueUnavailable,
     KeyValueUnknown,
 )
+from hyssopvane._internal.standins.key_value import KeyValueApp, serve_key_value
+from hyssopvane._internal.standins.key_value_state import MAX_HISTORY, Put
 from hyssopvane._internal.standins.platform_asgi import answer_lifespan, read_body
 from hyssopvane._internal.transport.asgi_server import serve_asgi
 from tests.lib.standin_processes import run_standin
 
+LOOPBACK = "127.0.0.1:0"
+
 
 @pytest.fixture(scope="module")
 def shared_address():
@@ -181,6 +186,39 @@
     run_with_store(address, run)
 
 
+def test_transaction_with_too_many_changes_is_refused(address):
+    async def run(store):
+        with pytest.raises(KeyValueRefused):
+            await store.compare_and_swap(
+                [Swap(f"many/{number}", b"", 0) for number in range(129)]
+            )
+
+    run_with_store(address, run)
+
+
+def test_watch_that_starts_too_far_back_ends():
+    """The service has dropped the history that a reader was cut off from.
+
+    Its watch must end, so that the reader loads anew and misses no change.
+    """
+
+    async def run():
+        app = KeyValueApp()
+        for number in range(MAX_HISTORY + 1):
+            app.state.commit([], [Put(b"a", str(number).encode())])
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(partial(serve_key_value, LOOPBACK, app=app))
+            store = EtcdKeyValueStore(address, timeout_s=10)
+            await store.start(nursery)
+            async with store.watch("a", 1) as events:
+                with pytest.raises(trio.EndOfChannel):
+                    await events.receive()
+            await store.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
 def test_value_too_large_is_refused(address):
     async def run(store):
         with pytest.raises(KeyValueRefused):
--- a/tests/unit/test_columns.py
+++ b/tests/unit/test_columns.py
@@ -8,6 +8,7 @@
 
 from hyssopvane._internal.coordination.table_csv import FIELDS, format_csv, parse_csv
 from hyssopvane._internal.coordination.table_edit import apply_edit, take_base
+from hyssopvane._internal.coordination.table_import import read_example
 from hyssopvane._internal.coordination.table_pages import (
     Page,
     build_parsed_page,
@@ -20,6 +21,7 @@
     ROW_TYPES,
     ServiceRow,
     build_row,
+    check_references,
     format_cell,
 )
 from hyssopvane._internal.state.table_text import format_rows
@@ -157,3 +159,11 @@
     for name, column in COLUMNS[kind].items():
         if name != "path_prefix":
             assert format_cell(row, kind, name) == column.format(column.default)
+
+
+@pytest.mark.parametrize("name", ["registry", "tengerkhuv"])
+def test_example_can_be_imported(name):
+    table = build_table_from_csv(read_example(name))
+    check_references(table)
+    assert len(table.services) >= 2
+    assert len(table.customers) >= 10
--- a/tests/unit/test_table_store.py
+++ b/tests/unit/test_table_store.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hyssopvane._internal.coordination import table_pages
+from hyssopvane._internal.coordination import table_pages, table_store
 from hyssopvane._internal.coordination.key_value import KeyValue
 from hyssopvane._internal.coordination.table_edit import CellWrite, TableEdit
 from hyssopvane._internal.coordination.table_pages import (
@@ -394,6 +394,46 @@
     run_mocked(run)
 
 
+def test_edit_too_large_for_one_transaction_is_refused(monkeypatch):
+    monkeypatch.setattr(table_store, "MAX_TRANSACTION_BYTES", 2_000)
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            rows = tuple(parse_row_id(f"target/t-{number}") for number in range(100))
+            with pytest.raises(TableError) as error:
+                await make_editor(FakeKeyValueStore(state, nursery)).commit(
+                    TableEdit("big", ensured=rows)
+                )
+            assert "import fewer rows" in str(error.value)
+            assert state.revision == 1
+
+    run_mocked(run)
+
+
+def test_pages_of_a_peer_are_taken_over_only_when_newer():
+    """A peer that was paused passes pages on that others have long replaced."""
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            await add_alice(state, nursery)
+            store = FakeKeyValueStore(state, nursery)
+            paused, current = (
+                TableReader(store, random=Random(seed)) for seed in range(2)
+            )
+            await paused.load()
+            await make_editor(store).commit(set_cell(WEIGHT, "200", "200"))
+            await current.load()
+        assert not current.accept(paused.get_pages())
+        assert current.table.customers["alice"].weight == 200
+        revision = paused.table.revision
+        assert paused.accept(current.get_pages(min_revision=revision + 1))
+        assert paused.table == current.table
+
+    run_mocked(run)
+
+
 def test_page_that_cannot_be_read_leaves_the_last_one_in_force():
     """Somebody writes a page by hand, and it is not what a reader can use.
 
