--- a/src/hyssopvane/_internal/coordination/table_store.py
+++ b/src/hyssopvane/_internal/coordination/table_store.py
@@ -213,10 +213,22 @@
             "the reply to the edit was lost, and it can't be read back whether "
             "the table has it",
             context=f"edit id {self._edit.edit_id}",
-            hint="run the same command again with --edit-id and this id: "
-            "it is carried out at most once",
+            hint=f"run the same command again with {self._describe_repeat()}: "
+            "it is not carried out twice",
         )
 
+    def _describe_repeat(self) -> str:
+        """Return the options that make it safe to run the command again.
+
+        A page forgets an edit's id after some further edits; the revision that the
+        edit builds on still keeps it from overwriting a colleague's value then.
+        """
+        options = f"--edit-id {self._edit.edit_id}"
+        if self._base is not None and len(self._base.cells) == 1:
+            (revision,) = self._base.cells.values()
+            options += f" --expect {revision}"
+        return options
+
 
 def _get_page_keys() -> list[str]:
     return [f"{PAGE_PREFIX}{number:02d}" for number in range(PAGE_COUNT)]
--- a/tests/unit/test_table_store.py
+++ b/tests/unit/test_table_store.py
@@ -15,6 +15,7 @@
 from hyssopvane._internal.coordination.key_value import KeyValue
 from hyssopvane._internal.coordination.table_edit import CellWrite, TableEdit
 from hyssopvane._internal.coordination.table_pages import (
+    MAX_RECENT_EDITS,
     PAGE_PREFIX,
     get_page_key,
     parse_page,
@@ -163,10 +164,14 @@
             store = FakeKeyValueStore(state, nursery, choose_fault=scripted(faults))
             with pytest.raises(KeyValueUnknown) as error:
                 await make_editor(store).commit(set_cell(WEIGHT, "200", "200"))
-            assert "edit id 200" in error.value.context
+            assert "--edit-id 200 --expect 1" in error.value.hint
             again = make_editor(FakeKeyValueStore(state, nursery))
-            await again.commit(set_cell(WEIGHT, "200", "200"))
+            await again.commit(set_cell(WEIGHT, "200", "200", expected=1))
             assert count_landings(state) == {"200": 1}
+            for number in range(MAX_RECENT_EDITS + 1):
+                await again.commit(set_cell(PRIORITY, "1", f"other {number}"))
+            with pytest.raises(EditConflict):
+                await again.commit(set_cell(WEIGHT, "200", "200", expected=1))
 
     run_mocked(run)
 
