--- a/tests/unit/test_columns.py
+++ b/tests/unit/test_columns.py
@@ -1,6 +1,8 @@
 """Test the columns, cells and text of the table."""
 
 import dataclasses
+import re
+from pathlib import Path
 
 import pytest
 from hypothesis import given, settings
@@ -167,3 +169,13 @@
     check_references(table)
     assert len(table.services) >= 2
     assert len(table.customers) >= 10
+
+
+def test_page_for_operators_describes_every_column():
+    page = (Path(__file__).parents[2] / "docs" / "table.md").read_text("utf-8")
+    for columns in COLUMNS.values():
+        for column in columns.values():
+            described = f"{column.describe_range()} | {column.meaning} |"
+            assert re.search(
+                rf"\| `{column.name}` \| [^|]+ \| {re.escape(described)}", page
+            )
