Let the last part of an answer be sent whole

Cause: the server reports a disconnect from within the sending of an answer's last part; the stand-ins took it for a caller who has gone and cancelled the sending.

--- a/src/hyssopvane/_internal/standins/asgi.py
+++ b/src/hyssopvane/_internal/standins/asgi.py
@@ -100,8 +100,6 @@
 
     async def send_chunk(self, chunk: bytes, *, more: bool = True) -> None:
         """Send a part of the body."""
-        # Set before the last part, because the server reports a disconnect at once
-        # after it, which would make a whole answer look like a caller who has gone.
         self.ended = not more
         await self._send(
             {"type": "http.response.body", "body": chunk, "more_body": more}
@@ -118,7 +116,11 @@
     async def _cancel_when_gone(self, scope: trio.CancelScope) -> None:
         while (await self._receive())["type"] != "http.disconnect":
             pass
-        scope.cancel()
+        # The server reports a disconnect also from within the sending of the last
+        # part. A cancel there would interrupt it between two requests: the kept
+        # connection would never count as idle and hold up the shutdown.
+        if not self.ended:
+            scope.cancel()
 
 
 Handler: TypeAlias = Callable[[Request, Responder], Awaitable[None]]
--- a/tests/functional/test_target_standins.py
+++ b/tests/functional/test_target_standins.py
@@ -150,6 +150,12 @@
         assert service.stop() == 0
 
 
+def test_kept_connection_does_not_hold_up_the_shutdown():
+    with run_standin("plain_service") as service, httpcore.ConnectionPool() as pool:
+        pool.request("GET", f"http://{service.address}/lots/7")
+        assert service.stop() == 0
+
+
 def test_weight_store_process_sends_the_asked_length():
     with run_standin("weight_store", "--bytes-per-s=1e9") as store:
         url = f"http://{store.address}/weights/map-2?bytes=200000"
--- a/tests/lib/standin_processes.py
+++ b/tests/lib/standin_processes.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 from typing import IO
 
-STOP_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 20.0
+"""Shorter than the time after which a stand-in cuts off what is still open."""
 
 
 @dataclass(frozen=True, slots=True)
