Stop at once when only kept connections are open

Cause: the server reports http.disconnect from within the sending of an answer's last part; the entry then cancelled that sending, so a kept connection never counted as idle and the shutdown waited for longest_request_s. Ruled out: the listener's delay, which the test sets to 0. The test here uses an hour.

The processes of tests write to files now: a pipe that nobody reads filled up and stopped the entry in the bench of the path, which hung.

--- a/bench/path.py
+++ b/bench/path.py
@@ -165,7 +165,8 @@
         idle = bench.measure_idle()
         lines = [bench.measure_plain(one) for one in _PLAIN_CONCURRENCY]
         lines += [bench.measure_tokens(one) for one in _STREAMS]
-    for row in (*idle, *lines):
+    rows: list[Idle | Line] = [*idle, *lines]
+    for row in rows:
         print("  ".join(f"{name}={value}" for name, value in asdict(row).items()))
     if options.json:
         document = {
--- a/src/hyssopvane/_internal/roles/caller_app.py
+++ b/src/hyssopvane/_internal/roles/caller_app.py
@@ -113,6 +113,11 @@
 
         async def wait() -> None:
             await wait_for_disconnect(receive)
+            if reply.ended:
+                # The server reports a caller gone from within the sending of the last
+                # part. Cancelling that sending leaves a kept connection that never
+                # counts as idle, and a shutdown waits for it to its time limit.
+                await trio.sleep_forever()
 
         outcome = "cut"
         try:
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -3,6 +3,7 @@
 import json
 import signal
 
+import httpcore
 import pytest
 
 from tests.lib.http import request
@@ -91,3 +92,24 @@
         entry.send_signal(signal.SIGTERM)
         assert entry.read_to_end() == 0
         assert "event=stopped" in entry.lines[-1]
+
+
+def test_entry_with_a_kept_connection_stops_at_once(tmp_path):
+    """A caller keeps its connection open after an answer, as browsers do.
+
+    The entry took that connection for a request in progress, so its VM was not replaced
+    before the longest request's time had passed.
+    """
+    with open_cluster(tmp_path) as cluster:
+        commit_table(cluster.platform)
+        plain, _ = cluster.start_standin("plain_service")
+        cluster.start_agent("check-1", service="check", target=plain)
+        # The test would hang for an hour without the protection.
+        entry, callers = cluster.start_entry("entry-1", longest_request_s=3_600)
+        wait_for_targets(cluster, "entry-1", 1)
+        with httpcore.ConnectionPool() as pool:
+            headers = [("Host", callers), *CALLER.items()]
+            url = f"http://{callers}/check/lots/7"
+            assert pool.request("GET", url, headers=headers).status == 200
+            entry.send_signal(signal.SIGTERM)
+            assert entry.read_to_end() == 0
--- a/tests/lib/http.py
+++ b/tests/lib/http.py
@@ -27,7 +27,7 @@
         answer = pool.request(
             method,
             f"http://{address}{path}",
-            headers={"Host": address, **(headers or {})},
+            headers=[("Host", address), *(headers or {}).items()],
             content=body,
             extensions={"timeout": {"connect": 5, "read": 30, "write": 5, "pool": 5}},
         )
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -6,6 +6,8 @@
 import signal
 import subprocess
 import sys
+import tempfile
+import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -14,18 +16,23 @@
 
 TOKEN = "test-token-of-one-installation"
 START_TIMEOUT_S = 20.0
+POLL_S = 0.02
 _STANDINS = "hyssopvane._internal.standins"
 
 
 class Process:
-    """Hold one started process and the lines it has written."""
+    """Hold one started process and the lines it has written.
+
+    The lines go to a file: a pipe that nobody reads would fill up and stop the process.
+    """
 
     def __init__(self, arguments: list[str]) -> None:
+        self._log = tempfile.TemporaryFile()
+        self._offset = 0
         self._popen = subprocess.Popen(
             arguments,
-            stdout=subprocess.PIPE,
+            stdout=self._log,
             stderr=subprocess.STDOUT,
-            text=True,
             env={**os.environ, "PYTHONUNBUFFERED": "1"},
         )
         self.lines: list[str] = []
@@ -37,12 +44,15 @@
 
     def wait_for(self, pattern: str) -> re.Match[str]:
         """Read lines until one matches; fail when the process ends before that."""
-        assert self._popen.stdout is not None
-        for line in self._popen.stdout:
-            self.lines.append(line.rstrip("\n"))
-            if match := re.search(pattern, line):
-                return match
-        raise AssertionError(f"no line matches {pattern}: {self.lines}")
+        while True:
+            ended = self._popen.poll() is not None
+            for line in self._read_lines():
+                self.lines.append(line)
+                if match := re.search(pattern, line):
+                    return match
+            if ended:
+                raise AssertionError(f"no line matches {pattern}: {self.lines}")
+            time.sleep(POLL_S)
 
     def send_signal(self, number: int) -> None:
         """Send a signal."""
@@ -50,18 +60,25 @@
 
     def read_to_end(self) -> int:
         """Wait for the end and return the exit code."""
-        assert self._popen.stdout is not None
-        self.lines.extend(line.rstrip("\n") for line in self._popen.stdout)
-        return self._popen.wait()
+        code = self._popen.wait()
+        self.lines.extend(self._read_lines())
+        return code
 
     def kill(self) -> None:
         """End the process at once, when it still runs."""
         if self._popen.poll() is None:
             self._popen.send_signal(signal.SIGCONT)
             self._popen.kill()
-        if self._popen.stdout is not None:
-            self._popen.stdout.close()
         self._popen.wait()
+        self._log.close()
+
+    def _read_lines(self) -> Iterator[str]:
+        descriptor = self._log.fileno()
+        data = os.pread(descriptor, os.fstat(descriptor).st_size, self._offset)
+        while (end := data.find(b"\n")) >= 0:
+            line, data = data[:end], data[end + 1 :]
+            self._offset += end + 1
+            yield line.decode(errors="replace")
 
 
 class Cluster:
