--- /dev/null
+++ b/src/hyssopvane/_internal/coordination/claim_pages.py
@@ -0,0 +1,128 @@
+"""Encode claims for the key-value service and for questions between entries."""
+
+from pathlib import Path
+from typing import Any
+
+from hyssopvane._internal import protocol
+from hyssopvane._internal.exceptions import ProtocolError
+from hyssopvane._internal.protocol.codec import load_schema
+from hyssopvane._internal.state.claims import (
+    BUCKET_COUNT,
+    Claim,
+    ClaimChange,
+    ClaimKey,
+    ClaimPage,
+)
+
+CLAIM_PREFIX = "claims/page/"
+_SCHEMA_FILE = Path(protocol.__file__).with_name("claims.capnp")
+_Target = tuple[str, int]
+
+
+def get_page_key(slice_number: int, bucket: int) -> str:
+    """Return the key of a page in the key-value service."""
+    return f"{CLAIM_PREFIX}{slice_number:012d}/{bucket}"
+
+
+def encode_page(page: ClaimPage) -> bytes:
+    """Encode a page; a target is written once for all its claims."""
+    message = load_schema(_SCHEMA_FILE).Page.new_message()
+    numbers: dict[_Target, int] = {}
+    builders = message.init("claims", len(page.claims))
+    for builder, (key_hash, claim) in zip(builders, page.claims.items(), strict=True):
+        target = (claim.target, claim.incarnation)
+        number = numbers.setdefault(target, len(numbers))
+        _write_claim(builder, key_hash, claim, number)
+    targets = message.init("targets", len(numbers))
+    for builder, target in zip(targets, numbers, strict=True):
+        builder.name, builder.incarnation = target
+    encoded: bytes = message.to_bytes()
+    return encoded
+
+
+def decode_page(data: bytes) -> ClaimPage:
+    """Decode a page; raise `ProtocolError` when it is not one."""
+    import capnp
+
+    try:
+        with load_schema(_SCHEMA_FILE).Page.from_bytes(data) as page:
+            targets = [(one.name, one.incarnation) for one in page.targets]
+            return ClaimPage(
+                {
+                    one.keyHash: _read_claim(one, targets[one.target])
+                    for one in page.claims
+                }
+            )
+    except (capnp.KjException, IndexError) as error:
+        raise ProtocolError(
+            "a page of claims can't be decoded",
+            context=str(error).splitlines()[0][:200],
+            hint="run the same version on all entries",
+        ) from error
+
+
+def encode_change(change: ClaimChange) -> bytes:
+    """Encode a change for another entry."""
+    message = load_schema(_SCHEMA_FILE).Change.new_message()
+    message.slice = change.key.slice
+    message.expectedAttempt = change.expected_attempt
+    _write_claim(message.claim, change.key.key_hash, change.claim, 0)
+    _write_target(message.target, change.claim)
+    encoded: bytes = message.to_bytes()
+    return encoded
+
+
+def decode_change(data: bytes) -> ClaimChange:
+    """Decode a change from another entry."""
+    with load_schema(_SCHEMA_FILE).Change.from_bytes(data) as message:
+        key_hash = message.claim.keyHash
+        target = (message.target.name, message.target.incarnation)
+        return ClaimChange(
+            key=ClaimKey(key_hash, message.slice, key_hash % BUCKET_COUNT),
+            expected_attempt=message.expectedAttempt,
+            claim=_read_claim(message.claim, target),
+        )
+
+
+def encode_result(key_hash: int, claim: Claim | None) -> bytes:
+    """Encode the claim that a change found or made."""
+    message = load_schema(_SCHEMA_FILE).Result.new_message()
+    message.written = None
+    if claim is not None:
+        message.present = True
+        _write_claim(message.claim, key_hash, claim, 0)
+        _write_target(message.target, claim)
+    encoded: bytes = message.to_bytes()
+    return encoded
+
+
+def decode_result(data: bytes) -> Claim | None:
+    """Decode the claim that a change found or made."""
+    with load_schema(_SCHEMA_FILE).Result.from_bytes(data) as message:
+        if not message.present:
+            return None
+        target = (message.target.name, message.target.incarnation)
+        return _read_claim(message.claim, target)
+
+
+def _write_claim(builder: Any, key_hash: int, claim: Claim, target: int) -> None:
+    builder.keyHash = key_hash
+    builder.attempt = claim.attempt
+    builder.bodyDigest = claim.body_digest
+    builder.target = target
+    builder.void = claim.void
+
+
+def _write_target(builder: Any, claim: Claim) -> None:
+    builder.name = claim.target
+    builder.incarnation = claim.incarnation
+
+
+def _read_claim(reader: Any, target: _Target) -> Claim:
+    return Claim(
+        attempt=reader.attempt,
+        body_digest=reader.bodyDigest,
+        target=target[0],
+        incarnation=target[1],
+        void=reader.void,
+    )
--- a/src/hyssopvane/_internal/models/refusals.py
+++ b/src/hyssopvane/_internal/models/refusals.py
@@ -34,6 +34,7 @@
     KEY_EXPIRED = "key-expired"
     KEY_FROM_FUTURE = "key-from-future"
     KEY_BODY_MISMATCH = "key-body-mismatch"
+    KEY_VOID = "key-void"
     CLAIM_UNAVAILABLE = "claim-unavailable"
     ANSWER_DROPPED = "answer-dropped"
     QUARANTINED = "quarantined"
@@ -44,7 +45,7 @@
 
 
 class AgentRefusal(StrEnum):
-    """Name why an agent did not start an attempt; each proves that it did not run."""
+    """Name why an agent did not start an attempt."""
 
     LEAVING = "leaving"
     WRONG_INCARNATION = "wrong-incarnation"
@@ -53,8 +54,28 @@
     TARGET_FULL = "target-full"
     TARGET_UNREACHABLE = "target-unreachable"
     KEY_UNKNOWN = "key-unknown"
+    KEY_EXPIRED = "key-expired"
+    KEY_HELD = "key-held"
+    KEY_OTHER = "key-other"
     CANCELLED = "cancelled"
 
+    @property
+    def proves_not_run(self) -> bool:
+        """Tell whether the attempt never ran and never will."""
+        return self not in _PROVE_NOTHING
+
+
+# An earlier copy of the attempt, or another attempt of the key, has started; or what is
+# known of the key has been forgotten.
+_PROVE_NOTHING = frozenset(
+    {
+        AgentRefusal.DUPLICATE_ATTEMPT,
+        AgentRefusal.KEY_HELD,
+        AgentRefusal.KEY_OTHER,
+        AgentRefusal.KEY_EXPIRED,
+    }
+)
+
 
 @dataclass(frozen=True, slots=True)
 class RefusalRule:
@@ -102,6 +123,9 @@
     RefusalReason.KEY_BODY_MISMATCH: RefusalRule(
         422, "use a fresh key for another request"
     ),
+    RefusalReason.KEY_VOID: RefusalRule(
+        409, "use a fresh key; a caller was told that this one never ran"
+    ),
     RefusalReason.CLAIM_UNAVAILABLE: RefusalRule(
         503, "send the same key again after Retry-After"
     ),
--- /dev/null
+++ b/src/hyssopvane/_internal/protocol/claims.capnp
@@ -0,0 +1,43 @@
+@0xd8a3b1f47c20e695;
+# Claims of idempotency keys: the pages in the key-value service and the questions
+# between entries.
+
+struct Claim {
+  # Three words: 24 bytes a claim in a page.
+  keyHash @0 :UInt64;
+  attempt @1 :UInt64;
+  bodyDigest @2 :UInt32;
+  target @3 :UInt16;
+  # Index into the page's targets.
+  void @4 :Bool;
+}
+
+struct Target {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Page {
+  claims @0 :List(Claim);
+  targets @1 :List(Target);
+}
+
+struct Change {
+  slice @0 :UInt64;
+  expectedAttempt @1 :UInt64;
+  claim @2 :Claim;
+  target @3 :Target;
+}
+
+struct Result {
+  union {
+    written @0 :Void;
+    # The claim that is in the page now follows.
+    unavailable @1 :Void;
+    # Certainly not carried out.
+    unknown @2 :Void;
+  }
+  claim @3 :Claim;
+  target @4 :Target;
+  present @5 :Bool;
+}
--- a/src/hyssopvane/_internal/protocol/codec.py
+++ b/src/hyssopvane/_internal/protocol/codec.py
@@ -137,6 +137,7 @@
     opening.bodyDigest = message.body_digest
     opening.join = message.join
     opening.resumeFrom = message.resume_from
+    opening.keyWindowS = message.key_window_s
 
 
 def _read_open(reader: Any) -> Open:
@@ -154,6 +155,7 @@
         body_digest=bytes(opening.bodyDigest),
         join=opening.join,
         resume_from=opening.resumeFrom,
+        key_window_s=opening.keyWindowS,
     )
 
 
--- a/src/hyssopvane/_internal/protocol/messages.py
+++ b/src/hyssopvane/_internal/protocol/messages.py
@@ -49,8 +49,11 @@
     key: str = ""
     body_digest: bytes = b""
     join: bool = False
+    """Whether to give the answer of this attempt and start nothing."""
     resume_from: int = 0
     """Bytes of the answer's body that the caller already has."""
+    key_window_s: int = 0
+    """Age in seconds after which the key is no longer run."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +76,10 @@
     """Tell that a body is whole."""
 
 
+ANSWER_DROPPED = "answer-dropped"
+"""Reason of a `Broken` for an attempt that ended and whose answer is not kept."""
+
+
 @dataclass(frozen=True, slots=True)
 class Broken:
     """Tell that an attempt began and its answer can't be completed."""
--- a/src/hyssopvane/_internal/protocol/peer.capnp
+++ b/src/hyssopvane/_internal/protocol/peer.capnp
@@ -65,6 +65,7 @@
   join @10 :Bool;
   # Deliver the answer of the attempt that holds the key; start nothing.
   resumeFrom @11 :UInt64;
+  keyWindowS @12 :UInt32;
 }
 
 struct Head {
--- a/src/hyssopvane/_internal/roles/agent.py
+++ b/src/hyssopvane/_internal/roles/agent.py
@@ -1,6 +1,7 @@
 """Run the agent: the only way to the target beside it."""
 
 import secrets
+import time
 
 import trio
 
@@ -14,6 +15,7 @@
     Refused,
 )
 from hyssopvane._internal.roles.attempt import Attempt
+from hyssopvane._internal.roles.keyed_runs import KeyedRuns
 from hyssopvane._internal.roles.operators import (
     OperatedProcess,
     OperatorsApp,
@@ -21,6 +23,7 @@
 )
 from hyssopvane._internal.roles.peer_listener import serve_peers
 from hyssopvane._internal.roles.topics import TopicRouter
+from hyssopvane._internal.state.attempts import AttemptRegister
 from hyssopvane._internal.transport.peer_connection import (
     ConnectionTimes,
     PeerConnection,
@@ -46,6 +49,10 @@
         self._target = TargetClient(settings.target)
         self._running: dict[bytes, Attempt] = {}
         self._idle = trio.Event()
+        self._register = AttemptRegister(self.incarnation)
+        self._keyed = KeyedRuns(
+            register=self._register, target=self._target, memory=self.decisions
+        )
         self._connections: set[PeerConnection] = set()
         self.topics = TopicRouter()
 
@@ -54,6 +61,7 @@
     ) -> None:
         """Listen for entries until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._keyed.start(nursery)
             self.operators_address = await nursery.start(
                 serve_operators, OperatorsApp(self), self.settings.operators
             )
@@ -72,10 +80,11 @@
     async def drain(self) -> None:
         """Refuse new work and wait until all work in progress has ended."""
         self.leaving = True
-        log_event("info", "draining", running=len(self._running))
+        log_event("info", "draining", running=self._count_running())
         while self._running:
             self._idle = trio.Event()
             await self._idle.wait()
+        await self._keyed.wait_idle()
 
     async def close(self) -> None:
         """Release the connections to the target and the instruments."""
@@ -96,14 +105,16 @@
             "target": self.settings.target,
             "incarnation": self.incarnation,
             "leaving": self.leaving,
-            "running": len(self._running),
+            "running": self._count_running(),
             "entries": sorted(
                 one.peer.vm for one in self._connections if one.peer is not None
             ),
         }
 
     def describe_health(self) -> Heartbeat:
-        return Heartbeat(sequence=0, running=len(self._running), leaving=self.leaving)
+        return Heartbeat(
+            sequence=0, running=self._count_running(), leaving=self.leaving
+        )
 
     def receive_heartbeat(self, peer: PeerConnection, heartbeat: Heartbeat) -> None:
         """Do nothing: an agent asks nothing of its entries' health."""
@@ -117,13 +128,20 @@
         self.topics.receive(peer, topic, body)
 
     async def serve_stream(self, stream: PeerStream, opening: Open) -> None:
-        refusal = self._find_refusal(opening)
+        if opening.key:
+            await self._keyed.serve(stream, opening, leaving=self.leaving)
+            return
+        refusal = self._accept(opening)
         if refusal is not None:
             self.metrics.count_refusal(refusal.value)
             stream.send(Refused(refusal.value))
             return
         attempt = self._running[opening.attempt] = Attempt(
-            stream, opening, target=self._target, memory=self.decisions
+            stream,
+            opening,
+            target=self._target,
+            memory=self.decisions,
+            register=self._register,
         )
         try:
             await attempt.run()
@@ -132,14 +150,22 @@
             if not self._running:
                 self._idle.set()
 
-    def _find_refusal(self, opening: Open) -> AgentRefusal | None:
-        if opening.incarnation != self.incarnation:
-            return AgentRefusal.WRONG_INCARNATION
-        if self.leaving:
-            return AgentRefusal.LEAVING
-        if opening.attempt in self._running:
-            return AgentRefusal.DUPLICATE_ATTEMPT
-        return None
+    def _accept(self, opening: Open) -> AgentRefusal | None:
+        now = time.time()
+        if self.leaving and opening.incarnation == self.incarnation:
+            # The entry goes on to another target on the strength of this answer, so a
+            # late copy must find the attempt buried.
+            buried = self._register.bury(opening.attempt, owner=None, now=now)
+            return AgentRefusal.LEAVING if buried.proves_not_run else buried
+        refusal = self._register.accept(
+            opening.attempt, incarnation=opening.incarnation, owner=None, now=now
+        )
+        if refusal is None:
+            self._register.start(opening.attempt)
+        return refusal
+
+    def _count_running(self) -> int:
+        return len(self._running) + self._keyed.busy
 
     async def _serve_entries(
         self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
--- a/src/hyssopvane/_internal/roles/attempt.py
+++ b/src/hyssopvane/_internal/roles/attempt.py
@@ -1,4 +1,4 @@
-"""Run one attempt at the target and relay its answer."""
+"""Run one attempt without a key at the target and relay its answer."""
 
 import time
 from collections.abc import AsyncIterator
@@ -16,6 +16,7 @@
     Open,
     Refused,
 )
+from hyssopvane._internal.state.attempts import AttemptRegister
 from hyssopvane._internal.state.decisions import DecisionMemory, DecisionRecord
 from hyssopvane._internal.transport.peer_connection import PeerStream
 from hyssopvane._internal.transport.target_client import (
@@ -35,11 +36,13 @@
         *,
         target: TargetClient,
         memory: DecisionMemory,
+        register: AttemptRegister,
     ) -> None:
         self._stream = stream
         self._opening = opening
         self._target = target
         self._memory = memory
+        self._register = register
 
     async def run(self) -> None:
         """Run the attempt; the stream's last message tells how it ended."""
@@ -55,6 +58,7 @@
                 await self._relay(response)
         except TargetUnreachable as error:
             # The connection was never made, so the target can't have seen the request.
+            self._register.undo_start(opening.attempt)
             self._record("refused", f"target unreachable: {error}")
             self._stream.send(Refused(AgentRefusal.TARGET_UNREACHABLE.value))
         except TargetFailed as error:
