--- /dev/null
+++ b/src/hyssopvane/_internal/policy/attempts.py
@@ -0,0 +1,182 @@
+"""Plan the attempts of each request: where, when, and whether another follows."""
+
+from dataclasses import dataclass, field
+from random import Random
+
+from hyssopvane._internal.models.refusals import Outcome, Refusal, RefusalReason
+from hyssopvane._internal.policy.placement import Placer
+from hyssopvane._internal.policy.retries import Retrier, RetryAt, RetryDenial
+from hyssopvane._internal.policy.suspects import BodyId, Crash, SuspectBook
+from hyssopvane._internal.state.table import ServiceRow, Table
+from hyssopvane._internal.state.work import (
+    AttemptReport,
+    AttemptResult,
+    LoadReport,
+    Placed,
+    TargetInfo,
+    WorkRequest,
+)
+
+# Told to callers whose retries are spent. Failing targets are set aside or seen to be
+# gone within this time, so the next try meets others.
+_RETRY_AFTER_S = 1.0
+
+
+@dataclass(slots=True)
+class _Plan:
+    request: WorkRequest
+    attempts: int = 0
+    target: TargetInfo | None = None
+    tried: set[str] = field(default_factory=set)
+    not_before: float = 0.0
+    may_have_run: bool = False
+
+
+class AttemptPlanner:
+    """Join placement, retries and crash suspects for the requests of one entry."""
+
+    def __init__(self, *, random: Random, availability_zone: str = "") -> None:
+        self.placer = Placer(random=random, availability_zone=availability_zone)
+        self.retrier = Retrier(random=random)
+        self.suspects = SuspectBook()
+        self._table = Table()
+        self._plans: dict[str, _Plan] = {}
+
+    def apply_table(self, table: Table) -> None:
+        """Put the limits of a table in force."""
+        self._table = table
+        self.placer.apply_table(table)
+        for service in table.services.values():
+            self.retrier.set_percent(service.name, service.retry_budget)
+
+    def connect(self, info: TargetInfo, *, now: float) -> None:
+        """Start to place work on a target."""
+        self.placer.connect(info, now=now)
+
+    def disconnect(self, name: str) -> None:
+        """Stop to place work on a target."""
+        self.placer.disconnect(name)
+
+    def observe_load(self, name: str, report: LoadReport, *, now: float) -> None:
+        """Take note of what a target's agent reports."""
+        self.placer.observe_load(name, report, now=now)
+
+    def admit(self, request: WorkRequest, *, now: float) -> Refusal | None:
+        """Refuse a request whose body is quarantined; else count it as fresh work."""
+        if self.suspects.is_quarantined(_get_body(request), now=now):
+            return Refusal(RefusalReason.QUARANTINED, Outcome.NOT_RUN)
+        self.retrier.add_fresh(request.service, now=now)
+        return None
+
+    def place(self, request: WorkRequest, *, now: float) -> Placed | Refusal | None:
+        """Choose a target; return None when the request has to wait."""
+        plan = self._plans.get(request.request_id)
+        if plan is not None and now < plan.not_before:
+            return None
+        body = _get_body(request)
+        if request.body_digest and self.suspects.is_quarantined(body, now=now):
+            return Refusal(RefusalReason.QUARANTINED, self.forget(request, now=now))
+        excluded = self.suspects.find_excluded(body, now=now)
+        if excluded is None:
+            return None
+        tried = plan.tried if plan is not None else ()
+        info = self.placer.place(request, now=now, tried=tried, excluded=excluded)
+        if info is None:
+            return None
+        plan = self._plans.setdefault(request.request_id, plan or _Plan(request))
+        plan.attempts += 1
+        plan.target = info
+        plan.tried.add(info.name)
+        if request.body_digest:
+            self.suspects.start(body, info.name)
+        return Placed(info.name, info.incarnation, plan.attempts)
+
+    def is_held(self, request: WorkRequest, *, now: float) -> bool:
+        """Tell whether a request waits for itself alone, not for a free place.
+
+        Such a request must not hold back those behind it in the queue: it waits for
+        its retry's time, or for another suspect to end.
+        """
+        plan = self._plans.get(request.request_id)
+        if plan is not None and now < plan.not_before:
+            return True
+        return self.suspects.is_suspect(_get_body(request), now=now)
+
+    def finish(
+        self, request_id: str, report: AttemptReport, *, now: float
+    ) -> RetryAt | RetryDenial | Refusal | None:
+        """Take note of an attempt's end; return None when it was answered.
+
+        After a `RetryAt` the request is to be placed again; else it is forgotten.
+        """
+        plan = self._plans.get(request_id)
+        if plan is None:
+            return None
+        self._end_attempt(plan, report, now)
+        if report.result in (AttemptResult.ANSWERED, AttemptResult.CANCELLED):
+            del self._plans[request_id]
+            return None
+        plan.may_have_run |= report.result is not AttemptResult.NOT_STARTED
+        request = plan.request
+        if self.suspects.is_quarantined(_get_body(request), now=now):
+            return Refusal(RefusalReason.QUARANTINED, self.forget(request, now=now))
+        retry = self.retrier.decide(request, report, attempts=plan.attempts, now=now)
+        if isinstance(retry, RetryAt):
+            plan.not_before = retry.at
+            return retry
+        outcome = self.forget(request, now=now)
+        if retry is RetryDenial.NOT_REPEATABLE:
+            return retry
+        return Refusal(
+            RefusalReason.RETRIES_SPENT, outcome, _RETRY_AFTER_S, retry.value
+        )
+
+    def get_outcome(self, request_id: str) -> Outcome:
+        """Return what may be told of a request that runs nowhere now."""
+        # A repeatable request may have run at a target that was lost, and then be
+        # refused when it comes to its second attempt. Its caller must not be told
+        # that it was not run.
+        plan = self._plans.get(request_id)
+        ran = plan is not None and plan.may_have_run
+        return Outcome.UNKNOWN if ran else Outcome.NOT_RUN
+
+    def forget(self, request: WorkRequest, *, now: float) -> Outcome:
+        """Drop a request, wherever it is; return what may be told of it."""
+        outcome = self.get_outcome(request.request_id)
+        plan = self._plans.pop(request.request_id, None)
+        if plan is not None and plan.target is not None:
+            self._leave_target(plan, None, now)
+        return outcome
+
+    def _end_attempt(self, plan: _Plan, report: AttemptReport, now: float) -> None:
+        target = plan.target
+        if target is None:
+            return
+        self._leave_target(plan, report, now)
+        body = _get_body(plan.request)
+        if report.result is AttemptResult.ANSWERED:
+            self.suspects.clear(body)
+        # A lost connection is mostly the network or the VM, and 140 VMs fail on an
+        # ordinary day; an agent that lives and says that its target broke is proof.
+        elif report.result is AttemptResult.BROKEN and plan.request.body_digest:
+            service = self._table.services.get(plan.request.service)
+            row = service or ServiceRow(plan.request.service)
+            self.suspects.note_crash(
+                body,
+                Crash(target.name, target.incarnation, now),
+                quarantine_s=row.quarantine_s,
+                now=now,
+            )
+
+    def _leave_target(
+        self, plan: _Plan, report: AttemptReport | None, now: float
+    ) -> None:
+        assert plan.target is not None
+        self.placer.release(plan.request.request_id, report, now=now)
+        if plan.request.body_digest:
+            self.suspects.stop(_get_body(plan.request), plan.target.name)
+        plan.target = None
+
+
+def _get_body(request: WorkRequest) -> BodyId:
+    return BodyId(request.service, request.body_digest)
--- /dev/null
+++ b/src/hyssopvane/_internal/policy/retries.py
@@ -0,0 +1,151 @@
+"""Decide whether and when a failed attempt is followed by another."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from random import Random
+
+from hyssopvane._internal.models.refusals import AgentRefusal
+from hyssopvane._internal.state.work import AttemptReport, AttemptResult, WorkRequest
+
+# Three attempts meet three targets. If all three fail, a fourth is more likely to
+# carry the harm on than to find a target that works.
+MAX_ATTEMPTS = 3
+# Retries that an entry may save up: a target with 32 requests in flight that leaves
+# must not have half of them refused on a quiet afternoon.
+BUDGET_BURST = 32.0
+# Retries a second beside the share of fresh work. A service with a request a minute
+# would else never earn one; 960 entries add at most 960 a second to 87,000.
+BUDGET_PER_S = 1.0
+# Bounds of the random wait before the second attempt, doubled before the third.
+FIRST_BACKOFF_S = 0.05
+LONGEST_BACKOFF_S = 2.0
+# These say that another target is needed, not that there is too much work: a wait
+# would only delay the caller.
+_AT_ONCE = frozenset(
+    {
+        AgentRefusal.LEAVING.value,
+        AgentRefusal.WRONG_INCARNATION.value,
+        AgentRefusal.TARGET_UNREACHABLE.value,
+        "not-connected",
+    }
+)
+
+
+class RetryDenial(StrEnum):
+    """Name why an attempt is not followed by another."""
+
+    NOT_REPEATABLE = "not-repeatable"
+    ATTEMPTS_SPENT = "attempts-spent"
+    BUDGET_SPENT = "budget-spent"
+    DEADLINE = "deadline"
+
+
+@dataclass(frozen=True, slots=True)
+class RetryAt:
+    """Allow another attempt at a clock value, which may be now."""
+
+    at: float
+    reason: str
+    """Why the last attempt failed, to be counted."""
+
+
+class RetryBudget:
+    """Allow retries as a share of fresh work.
+
+    When a service is saturated, each refused attempt asks for another, and the load
+    grows by the number of attempts just when there is no room. With 10% the retries
+    add at most 10% to the load, whatever fails.
+    """
+
+    def __init__(self, *, percent: int) -> None:
+        self.percent = percent
+        self._credit = BUDGET_BURST if percent else 0.0
+        self._filled_at: float | None = None
+
+    def add_fresh(self, *, now: float) -> None:
+        """Earn credit by a fresh request."""
+        self._fill(now)
+        self._add(self.percent / 100)
+
+    def take(self, *, now: float) -> bool:
+        """Spend the credit for one retry; return False when there is none."""
+        self._fill(now)
+        if self._credit < 1.0:
+            return False
+        self._credit -= 1.0
+        return True
+
+    def _fill(self, now: float) -> None:
+        if self._filled_at is not None:
+            self._add((now - self._filled_at) * BUDGET_PER_S)
+        self._filled_at = now
+
+    def _add(self, credit: float) -> None:
+        if self.percent:
+            self._credit = min(BUDGET_BURST, self._credit + credit)
+
+
+class Retrier:
+    """Decide about retries of one entry; each service has its own budget."""
+
+    def __init__(self, *, random: Random) -> None:
+        self._random = random
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def set_percent(self, service: str, percent: int) -> None:
+        """Set the retries of a service in per cent of fresh requests."""
+        budget = self._get_budget(service)
+        budget.percent = percent
+
+    def add_fresh(self, service: str, *, now: float) -> None:
+        """Take note of a fresh request."""
+        self._get_budget(service).add_fresh(now=now)
+
+    def decide(
+        self,
+        request: WorkRequest,
+        report: AttemptReport,
+        *,
+        attempts: int,
+        now: float,
+    ) -> RetryAt | RetryDenial:
+        """Decide about the next attempt after one that failed."""
+        if not is_retry_safe(request, report):
+            return RetryDenial.NOT_REPEATABLE
+        if attempts >= MAX_ATTEMPTS:
+            return RetryDenial.ATTEMPTS_SPENT
+        at = now + self._get_delay(report, attempts)
+        if at >= request.deadline:
+            return RetryDenial.DEADLINE
+        if not self._get_budget(request.service).take(now=now):
+            return RetryDenial.BUDGET_SPENT
+        return RetryAt(at, report.reason or report.result.value)
+
+    def _get_delay(self, report: AttemptReport, attempts: int) -> float:
+        if report.reason in _AT_ONCE:
+            return report.retry_after_s
+        # Whole groups fail together, and 32 callers that come back in one step would
+        # hit the next group together.
+        bound = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * 2 ** (attempts - 1))
+        return report.retry_after_s + self._random.uniform(bound / 2, bound)
+
+    def _get_budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(percent=_DEFAULT_PERCENT)
+        return budget
+
+
+_DEFAULT_PERCENT = 10
+
+
+def is_retry_safe(request: WorkRequest, report: AttemptReport) -> bool:
+    """Tell whether another attempt can't run the request a second time against rule.
+
+    A timeout or a lost connection proves nothing. Only a refusal by the agent, which
+    keeps a tombstone for the attempt, proves that it did not run and never will.
+    """
+    if report.result is AttemptResult.NOT_STARTED:
+        return True
+    failed = report.result in (AttemptResult.LOST, AttemptResult.BROKEN)
+    return failed and request.repeatable
--- a/src/hyssopvane/_internal/policy/scheduler.py
+++ b/src/hyssopvane/_internal/policy/scheduler.py
@@ -1,14 +1,15 @@
 """Decide where and when each request of an entry runs."""
 
 from collections import OrderedDict
-from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 
 from hyssopvane._internal.models.refusals import Outcome, Refusal, RefusalReason
+from hyssopvane._internal.policy.attempts import AttemptPlanner
+from hyssopvane._internal.policy.retries import RetryAt
+from hyssopvane._internal.state.table import Table
 from hyssopvane._internal.state.work import (
     AttemptReport,
-    AttemptResult,
     Decision,
     LoadReport,
     Placed,
@@ -18,22 +19,11 @@
 )
 
 _RETRY_AFTER_S = 1.0
-_MAX_ATTEMPTS = 3
-
-
-@dataclass(slots=True)
-class _Target:
-    info: TargetInfo
-    in_flight: int = 0
-    leaving: bool = False
 
 
 @dataclass(slots=True)
 class _Request:
     request: WorkRequest
-    attempts: int = 0
-    target: str = ""
-    tried: set[str] = field(default_factory=set)
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,41 +31,48 @@
     """Limit the work of one service."""
 
     queue_limit: int = 1000
-    target_concurrency: int = 32
 
 
 class Scheduler:
     """Hold the queue and the targets of one entry; the caller brings the clock."""
 
-    def __init__(self, *, random: Random) -> None:
-        self._random = random
-        self._targets: dict[str, _Target] = {}
+    def __init__(self, *, random: Random, availability_zone: str = "") -> None:
+        self.planner = AttemptPlanner(
+            random=random, availability_zone=availability_zone
+        )
         self._requests: dict[str, _Request] = {}
         self._queue: OrderedDict[str, None] = OrderedDict()
         self._limits = ServiceLimits()
+        self._now = 0.0
+
+    def apply_table(self, table: Table) -> None:
+        """Put the weights and limits of a table in force."""
+        self.planner.apply_table(table)
 
     def connect_target(self, info: TargetInfo) -> None:
         """Start to place work on a target."""
-        self._targets[info.name] = _Target(info)
+        self.planner.connect(info, now=self._now)
 
     def disconnect_target(self, name: str) -> None:
         """Stop to place work on a target."""
-        self._targets.pop(name, None)
+        self.planner.disconnect(name)
 
     def observe_load(self, name: str, report: LoadReport) -> None:
         """Take note of what a target's agent reports."""
-        target = self._targets.get(name)
-        if target is not None:
-            target.leaving = report.leaving
+        self.planner.observe_load(name, report, now=self._now)
 
     def submit(self, request: WorkRequest, *, now: float) -> Decision:
         """Place, queue or refuse a new request."""
+        self._now = now
         if now >= request.deadline:
             return Refusal(RefusalReason.DEADLINE_UNREACHABLE, Outcome.NOT_RUN)
-        if not any(True for _ in self._find_targets(request.service)):
+        if not self.planner.placer.has_target(request.service):
             return Refusal(RefusalReason.NO_TARGET, Outcome.NOT_RUN, _RETRY_AFTER_S)
+        refusal = self.planner.admit(request, now=now)
+        if refusal is not None:
+            return refusal
         entry = self._requests[request.request_id] = _Request(request)
-        placed = self._place(entry)
+        placed = self._place(entry, now=now)
         if placed is not None:
             return placed
         if len(self._queue) >= self._limits.queue_limit:
@@ -88,16 +85,11 @@
         self, request_id: str, report: AttemptReport, *, now: float
     ) -> Decision | None:
         """Take note of an attempt's end; return the next decision, None when done."""
+        self._now = now
         entry = self._requests.get(request_id)
         if entry is None:
             return None
-        self._release(entry)
-        if report.result is AttemptResult.NOT_STARTED or (
-            report.result is AttemptResult.LOST and entry.request.repeatable
-        ):
-            return self._retry(entry, now=now)
-        del self._requests[request_id]
-        return None
+        return self._retry(entry, report, now=now)
 
     def withdraw(self, request_id: str) -> None:
         """Forget a request whose caller has gone."""
@@ -108,12 +100,14 @@
 
     def collect(self, *, now: float) -> list[tuple[str, Decision]]:
         """Return new decisions about waiting requests."""
+        self._now = now
         changed: list[tuple[str, Decision]] = []
         for request_id in list(self._queue):
             entry = self._requests[request_id]
-            decision: Decision | None = self._place(entry)
+            decision = self._place(entry, now=now)
             if decision is None and now >= entry.request.deadline:
-                decision = Refusal(RefusalReason.DEADLINE_UNREACHABLE, Outcome.NOT_RUN)
+                outcome = self.planner.forget(entry.request, now=now)
+                decision = Refusal(RefusalReason.DEADLINE_UNREACHABLE, outcome)
                 del self._requests[request_id]
             if decision is not None:
                 del self._queue[request_id]
@@ -126,55 +120,26 @@
 
     def describe_targets(self) -> list[dict[str, object]]:
         """Return what is known of each target."""
-        return [
-            {
-                "name": target.info.name,
-                "service": target.info.service,
-                "in_flight": target.in_flight,
-                "leaving": target.leaving,
-            }
-            for target in self._targets.values()
-        ]
-
-    def _retry(self, entry: _Request, *, now: float) -> Decision:
+        return self.planner.placer.describe(now=self._now)
+
+    def _retry(
+        self, entry: _Request, report: AttemptReport, *, now: float
+    ) -> Decision | None:
         request_id = entry.request.request_id
-        if entry.attempts >= _MAX_ATTEMPTS or now >= entry.request.deadline:
-            del self._requests[request_id]
-            return Refusal(RefusalReason.RETRIES_SPENT, Outcome.NOT_RUN, _RETRY_AFTER_S)
-        placed = self._place(entry)
-        if placed is not None:
-            return placed
-        self._queue[request_id] = None
-        return Waiting()
+        retry = self.planner.finish(request_id, report, now=now)
+        if isinstance(retry, RetryAt):
+            placed = self._place(entry, now=now)
+            if placed is None:
+                self._queue[request_id] = None
+            return placed or Waiting()
+        del self._requests[request_id]
+        return retry if isinstance(retry, Refusal) else None
 
-    def _place(self, entry: _Request) -> Placed | None:
-        candidates = [
-            target
-            for target in self._find_targets(entry.request.service)
-            if target.in_flight < self._limits.target_concurrency
-        ]
-        fresh = [one for one in candidates if one.info.name not in entry.tried]
-        if not (fresh or candidates):
-            return None
-        chosen = min(
-            fresh or candidates,
-            key=lambda target: (target.in_flight, self._random.random()),
-        )
-        chosen.in_flight += 1
-        entry.attempts += 1
-        entry.target = chosen.info.name
-        entry.tried.add(entry.target)
-        return Placed(entry.target, chosen.info.incarnation, entry.attempts)
-
-    def _find_targets(self, service: str) -> Iterable[_Target]:
-        return (
-            target
-            for target in self._targets.values()
-            if target.info.service == service and not target.leaving
-        )
+    def _place(self, entry: _Request, *, now: float) -> Placed | Refusal | None:
+        decision = self.planner.place(entry.request, now=now)
+        if isinstance(decision, Refusal):
+            del self._requests[entry.request.request_id]
+        return decision
 
     def _release(self, entry: _Request) -> None:
-        target = self._targets.get(entry.target)
-        if target is not None and entry.target:
-            target.in_flight -= 1
-        entry.target = ""
+        self.planner.forget(entry.request, now=self._now)
--- /dev/null
+++ b/src/hyssopvane/_internal/policy/suspects.py
@@ -0,0 +1,210 @@
+"""Find the request that crashes its targets, and keep it from the others."""
+
+from collections import Counter, OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+# Crashes after which a body is refused. At the first crash every request that ran at
+# the target may be the cause; a second one with the same suspect is hardly chance.
+CRASHES_TO_QUARANTINE = 2
+# Time for which a body that was running in a crash is a suspect. Callers that repeat
+# do so within minutes; an unrelated second crash that late must not be held against it.
+SUSPECT_S = 600.0
+# Two entries see one crash within milliseconds of each other, and a target that crashed
+# is not back within this time; closer reports are of the same crash.
+SAME_CRASH_S = 2.0
+# Crashes that a suspect stood in, kept while reports of its neighbours still come.
+_MAX_EXPLAINED = 256
+# 32 suspects a crash and 140 crashes on an ordinary day come nowhere near; a caller
+# that varies its body at each try fills it, and the oldest suspects go first.
+MAX_CASES = 2_048
+
+
+@dataclass(frozen=True, slots=True)
+class BodyId:
+    """Name a body by its service and digest."""
+
+    service: str
+    digest: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """Name one crash of a target."""
+
+    target: str
+    incarnation: int
+    at: float
+
+    def is_same(self, other: "Crash") -> bool:
+        """Tell whether two reports are of one crash."""
+        return (
+            self.target == other.target
+            and self.incarnation == other.incarnation
+            and abs(self.at - other.at) < SAME_CRASH_S
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """Hold what is known against one body."""
+
+    crashes: tuple[Crash, ...]
+    quarantined: bool
+    until: float
+    """Clock value at which the case is forgotten."""
+
+
+class SuspectBook:
+    """Hold the cases against bodies, as one entry knows them.
+
+    Targets that a body can crash, fleet-wide, while its caller keeps sending it: the
+    copies that run when word of the first crash arrives, and one more for each entry
+    that gets the body before word of the second crash arrives. One caller that sends
+    through one entry, one at a time, crashes two; through three entries at once, at
+    most six and in general three. Without the book it crashes all of them.
+    """
+
+    def __init__(self, *, max_cases: int = MAX_CASES) -> None:
+        self._max_cases = max_cases
+        self._cases: OrderedDict[BodyId, Case] = OrderedDict()
+        self._running: dict[str, Counter[BodyId]] = {}
+        self._changed: set[BodyId] = set()
+        self._explained: OrderedDict[Crash, None] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._cases)
+
+    def is_quarantined(self, body: BodyId, *, now: float) -> bool:
+        """Tell whether a body is to be refused."""
+        case = self._find(body, now)
+        return case is not None and case.quarantined
+
+    def is_suspect(self, body: BodyId, *, now: float) -> bool:
+        """Tell whether a body was running in a crash and has not finished since."""
+        case = self._find(body, now)
+        return case is not None and not case.quarantined
+
+    def find_excluded(self, body: BodyId, *, now: float) -> frozenset[str] | None:
+        """Return the targets that must not run a body now, None when none may.
+
+        A target runs at most one suspect at a time, so that the next crash tells
+        which one it was. A suspect runs at one target at a time: two copies would
+        crash two targets to learn what one tells.
+        """
+        if not self.is_suspect(body, now=now):
+            return frozenset()
+        if any(body in bodies for bodies in self._running.values()):
+            return None
+        return frozenset(
+            target
+            for target, bodies in self._running.items()
+            if any(self.is_suspect(other, now=now) for other in bodies)
+        )
+
+    def start(self, body: BodyId, target: str) -> None:
+        """Take note that a body begins to run at a target."""
+        self._running.setdefault(target, Counter())[body] += 1
+
+    def stop(self, body: BodyId, target: str) -> None:
+        """Take note that a body no longer runs at a target."""
+        bodies = self._running.get(target)
+        if bodies is None:
+            return
+        bodies[body] -= 1
+        if bodies[body] <= 0:
+            del bodies[body]
+        if not bodies:
+            del self._running[target]
+
+    def clear(self, body: BodyId) -> None:
+        """Drop the case against a body that finished."""
+        case = self._cases.get(body)
+        if case is not None and not case.quarantined:
+            del self._cases[body]
+            self._changed.add(body)
+
+    def note_crash(
+        self, body: BodyId, crash: Crash, *, quarantine_s: float, now: float
+    ) -> None:
+        """Hold a crash against a body that was running in it."""
+        known = self._find(body, now)
+        if known is not None:
+            self._explain(crash)
+        elif self._is_explained(crash, now):
+            # The suspect that ran beside it is the likelier cause. Its neighbours
+            # would else stand accused for each crash that it brings about.
+            return
+        crashes = _add_crash(known.crashes if known else (), crash)
+        if known is not None and crashes == known.crashes:
+            return
+        self._keep(body, _judge(crashes, quarantine_s, now))
+        self._changed.add(body)
+
+    def merge(
+        self, body: BodyId, case: Case, *, quarantine_s: float, now: float
+    ) -> None:
+        """Add what other entries know against a body."""
+        known = self._find(body, now)
+        crashes = case.crashes
+        for crash in known.crashes if known else ():
+            crashes = _add_crash(crashes, crash)
+        merged = case
+        if not case.quarantined and crashes != case.crashes:
+            merged = _judge(crashes, quarantine_s, now)
+        if known is not None and known.quarantined and not merged.quarantined:
+            merged = known
+        if merged != known:
+            self._keep(body, merged)
+        if merged != case:
+            self._changed.add(body)
+
+    def drop(self, body: BodyId) -> None:
+        """Forget a case that another entry has cleared."""
+        self._cases.pop(body, None)
+
+    def take_changes(self) -> dict[BodyId, Case | None]:
+        """Return the cases that changed here since the last call, None for cleared."""
+        changed = {body: self._cases.get(body) for body in self._changed}
+        self._changed.clear()
+        return changed
+
+    def return_changes(self, bodies: Iterable[BodyId]) -> None:
+        """Give back changes that could not be shared, for the next try."""
+        self._changed.update(bodies)
+
+    def _explain(self, crash: Crash) -> None:
+        self._explained[crash] = None
+        if len(self._explained) > _MAX_EXPLAINED:
+            self._explained.popitem(last=False)
+
+    def _is_explained(self, crash: Crash, now: float) -> bool:
+        if any(crash.is_same(other) for other in self._explained):
+            return True
+        running = self._running.get(crash.target, ())
+        return any(self._find(other, now) is not None for other in running)
+
+    def _keep(self, body: BodyId, case: Case) -> None:
+        self._cases[body] = case
+        self._cases.move_to_end(body)
+        while len(self._cases) > self._max_cases:
+            self._cases.popitem(last=False)
+
+    def _find(self, body: BodyId, now: float) -> Case | None:
+        case = self._cases.get(body)
+        if case is not None and case.until <= now:
+            del self._cases[body]
+            return None
+        return case
+
+
+def _add_crash(crashes: tuple[Crash, ...], crash: Crash) -> tuple[Crash, ...]:
+    if any(crash.is_same(other) for other in crashes):
+        return crashes
+    return (*crashes, crash)[:CRASHES_TO_QUARANTINE]
+
+
+def _judge(crashes: tuple[Crash, ...], quarantine_s: float, now: float) -> Case:
+    if len(crashes) >= CRASHES_TO_QUARANTINE:
+        return Case(crashes, True, now + quarantine_s)
+    return Case(crashes, False, now + SUSPECT_S)
--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -75,7 +75,9 @@
         self._table = TableReader(
             self._store, random=self._random, report=_log_table_error
         )
-        self.scheduler = Scheduler(random=self._random)
+        self.scheduler = Scheduler(
+            random=self._random, availability_zone=settings.availability_zone
+        )
         self._pool = PeerPool(
             hello=self._make_hello(),
             handler=self,
@@ -244,6 +246,7 @@
             nursery.start_soon(self._table.follow, sender)
             async for table in receiver:
                 self._source.directory = Directory(table)
+                self.scheduler.apply_table(table)
                 log_event("info", "table-in-force", revision=table.revision)
 
     async def _follow_vms(self, nursery: trio.Nursery) -> None:
--- a/src/hyssopvane/_internal/state/work.py
+++ b/src/hyssopvane/_internal/state/work.py
@@ -45,6 +45,16 @@
     leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class CacheReport:
+    """Tell changes of a target's prefix cache; they come late and with gaps."""
+
+    stored: tuple[int, ...] = ()
+    evicted: tuple[int, ...] = ()
+    gap: bool = False
+    """Whether changes before these were lost."""
+
+
 @dataclass(frozen=True, slots=True)
 class Placed:
     """Send the request to this target now."""
