--- a/src/hyssopvane/_internal/policy/ejection.py
+++ b/src/hyssopvane/_internal/policy/ejection.py
@@ -236,7 +236,7 @@
         health.until = now + health.ejection_s
 
     def _is_bad(self, health: _Health) -> bool:
-        if health.observations < MIN_OBSERVATIONS:
+        if health.observations < MIN_OBSERVATIONS or self._median_latency is None:
             return False
         slow = self._get_ratio(health.log_latency) > EJECT_RATIO
         failing = (
--- a/src/hyssopvane/_internal/policy/placement.py
+++ b/src/hyssopvane/_internal/policy/placement.py
@@ -76,6 +76,7 @@
     near: list[_Target] = field(default_factory=list)
     far: list[_Target] = field(default_factory=list)
     by_name: dict[str, _Target] = field(default_factory=dict)
+    seeds: dict[str, int] = field(default_factory=dict)
     rankings: OrderedDict[int, tuple[str, ...]] = field(default_factory=OrderedDict)
     weight: float = 0.0
     """Sum of the targets' weights."""
@@ -123,6 +124,7 @@
         self._targets[info.name] = target
         pool = self._get_pool(info.service)
         pool.by_name[info.name] = target
+        pool.seeds[info.name] = rendezvous.hash_name(info.name)
         pool.ejector.connect(info.name, info.incarnation)
         self._arrange(pool)
 
@@ -133,6 +135,7 @@
             return
         pool = self._pools[target.info.service]
         del pool.by_name[name]
+        del pool.seeds[name]
         pool.own_tokens -= target.load.own_tokens
         pool.ejector.disconnect(name)
         self._arrange(pool)
@@ -419,7 +422,7 @@
         ranking = pool.rankings.get(prefix)
         if ranking is None:
             key = prefix.to_bytes(8, "big")
-            ranking = tuple(rendezvous.rank(key, pool.by_name, count=_AFFINITY_CHOICES))
+            ranking = tuple(rendezvous.rank(key, pool.seeds, count=_AFFINITY_CHOICES))
             pool.rankings[prefix] = ranking
             if len(pool.rankings) > _MAX_RANKINGS:
                 pool.rankings.popitem(last=False)
--- a/src/hyssopvane/_internal/policy/rendezvous.py
+++ b/src/hyssopvane/_internal/policy/rendezvous.py
@@ -1,6 +1,7 @@
 """Rank names for a key so that a join or leave moves few keys."""
 
-from collections.abc import Iterable
+import heapq
+from collections.abc import Mapping
 
 import xxhash
 
@@ -15,7 +16,9 @@
     return xxhash.xxh3_64_intdigest(key, seed=seed)
 
 
-def rank(key: bytes, names: Iterable[str], *, count: int) -> list[str]:
-    """Return the names that rank highest for a key, the highest first."""
-    scored = sorted((score(key, hash_name(name)), name) for name in names)
-    return [name for _, name in reversed(scored[-count:])] if count else []
+def rank(key: bytes, seeds: Mapping[str, int], *, count: int) -> list[str]:
+    """Return the names whose seeds rank highest for a key, the highest first."""
+    scored = heapq.nlargest(
+        count, ((score(key, seed), name) for name, seed in seeds.items())
+    )
+    return [name for _, name in scored]
--- a/src/hyssopvane/_internal/policy/retries.py
+++ b/src/hyssopvane/_internal/policy/retries.py
@@ -59,7 +59,7 @@
 
     def __init__(self, *, percent: int) -> None:
         self.percent = percent
-        self._credit = BUDGET_BURST if percent else 0.0
+        self._credit = BUDGET_BURST
         self._filled_at: float | None = None
 
     def add_fresh(self, *, now: float) -> None:
@@ -70,7 +70,7 @@
     def take(self, *, now: float) -> bool:
         """Spend the credit for one retry; return False when there is none."""
         self._fill(now)
-        if self._credit < 1.0:
+        if not self.percent or self._credit < 1.0:
             return False
         self._credit -= 1.0
         return True
@@ -81,8 +81,7 @@
         self._filled_at = now
 
     def _add(self, credit: float) -> None:
-        if self.percent:
-            self._credit = min(BUDGET_BURST, self._credit + credit)
+        self._credit = min(BUDGET_BURST, self._credit + credit)
 
 
 class Retrier:
--- /dev/null
+++ b/tests/unit/test_suspects.py
@@ -0,0 +1,168 @@
+"""Test how the request that crashes its targets is found."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hyssopvane._internal.policy.suspects import (
+    SUSPECT_S,
+    BodyId,
+    Crash,
+    SuspectBook,
+)
+
+POISON = BodyId("draft", b"poison")
+OTHER = BodyId("draft", b"other")
+QUARANTINE_S = 3600.0
+
+
+def crash_target(book, target, *, now, bodies):
+    """Let a target crash with some bodies, in this order of their reports."""
+    for body in bodies:
+        book.stop(body, target)
+        book.note_crash(body, Crash(target, 1, now), quarantine_s=QUARANTINE_S, now=now)
+
+
+def run_until_crash(book, target, *, now, bodies):
+    for body in bodies:
+        book.start(body, target)
+    crash_target(book, target, now=now, bodies=bodies)
+
+
+def test_second_crash_quarantines_and_neighbours_are_cleared():
+    """A request crashes the target that runs it, and its caller sends it again.
+
+    Its neighbours lose their answers each time, and without the book the request
+    takes the service's targets down one after another.
+    """
+    book = SuspectBook()
+    run_until_crash(book, "t0", now=0.0, bodies=[POISON, OTHER])
+    assert book.is_suspect(POISON, now=1.0)
+    assert book.is_suspect(OTHER, now=1.0)
+    book.start(OTHER, "t1")
+    book.stop(OTHER, "t1")
+    book.clear(OTHER)
+    assert not book.is_suspect(OTHER, now=2.0)
+    run_until_crash(book, "t2", now=5.0, bodies=[POISON])
+    assert book.is_quarantined(POISON, now=6.0)
+    assert book.is_quarantined(POISON, now=5.0 + QUARANTINE_S - 1)
+    assert not book.is_quarantined(POISON, now=5.0 + QUARANTINE_S)
+
+
+@pytest.mark.parametrize("order", [[POISON, OTHER], [OTHER, POISON]])
+def test_neighbours_of_a_suspect_are_not_accused(order):
+    book = SuspectBook()
+    run_until_crash(book, "t0", now=0.0, bodies=[POISON])
+    run_until_crash(book, "t1", now=10.0, bodies=order)
+    assert book.is_quarantined(POISON, now=11.0)
+    assert not book.is_suspect(OTHER, now=11.0)
+
+
+def test_target_runs_one_suspect_at_a_time():
+    book = SuspectBook()
+    run_until_crash(book, "t0", now=0.0, bodies=[POISON, OTHER])
+    book.start(OTHER, "t1")
+    assert book.find_excluded(POISON, now=1.0) == {"t1"}
+    assert book.find_excluded(BodyId("draft", b"clean"), now=1.0) == frozenset()
+
+
+def test_suspect_runs_at_one_target_at_a_time():
+    book = SuspectBook()
+    run_until_crash(book, "t0", now=0.0, bodies=[POISON])
+    assert book.find_excluded(POISON, now=1.0) == frozenset()
+    book.start(POISON, "t1")
+    assert book.find_excluded(POISON, now=1.0) is None
+
+
+@pytest.mark.parametrize(
+    ("second", "quarantined"),
+    [
+        (Crash("t0", 1, 0.3), False),
+        (Crash("t0", 1, 30.0), True),
+        (Crash("t0", 2, 0.3), True),
+        (Crash("t1", 1, 0.3), True),
+    ],
+    ids=["same-crash", "same-target-later", "restarted-target", "other-target"],
+)
+def test_one_crash_counts_once(second, quarantined):
+    book = SuspectBook()
+    for crash in (Crash("t0", 1, 0.0), second):
+        book.note_crash(POISON, crash, quarantine_s=QUARANTINE_S, now=crash.at)
+    assert book.is_quarantined(POISON, now=31.0) is quarantined
+
+
+def test_old_suspicion_is_forgotten():
+    book = SuspectBook()
+    run_until_crash(book, "t0", now=0.0, bodies=[POISON])
+    run_until_crash(book, "t1", now=SUSPECT_S + 1, bodies=[POISON])
+    assert not book.is_quarantined(POISON, now=SUSPECT_S + 2)
+
+
+def test_crashes_seen_by_two_entries_add_up():
+    """A caller sends a body that crashes targets through two entries.
+
+    Each entry sees one crash. Only together they know that it was the same body.
+    """
+    books = [SuspectBook(), SuspectBook()]
+    for number, book in enumerate(books):
+        run_until_crash(book, f"t{number}", now=0.0, bodies=[POISON])
+    changes = books[0].take_changes()
+    books[1].merge(POISON, changes[POISON], quarantine_s=QUARANTINE_S, now=0.1)
+    assert books[1].is_quarantined(POISON, now=0.2)
+    shared = books[1].take_changes()
+    books[0].merge(POISON, shared[POISON], quarantine_s=QUARANTINE_S, now=0.3)
+    assert books[0].is_quarantined(POISON, now=0.4)
+    assert books[0].take_changes() == {}
+
+
+def test_cases_stay_bounded():
+    book = SuspectBook(max_cases=10)
+    for number in range(50):
+        body = BodyId("draft", bytes([number]))
+        run_until_crash(book, f"t{number}", now=number * 10.0, bodies=[body])
+    assert len(book) == 10
+
+
+_BODIES = [BodyId("draft", bytes([number])) for number in range(6)]
+
+
+@settings(derandomize=True, max_examples=80, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["start", "finish", "crash"]),
+            st.integers(0, 5),
+            st.integers(0, 3),
+        ),
+        max_size=200,
+    )
+)
+def test_targets_never_run_two_suspects(steps):
+    """Several bodies run when targets crash, again and again.
+
+    Were two suspects allowed on one target, its crash would not tell which was the
+    cause, and an innocent caller would be refused for an hour.
+    """
+    book = SuspectBook()
+    running: dict[str, list[BodyId]] = {f"t{number}": [] for number in range(4)}
+    for step, (action, index, number) in enumerate(steps):
+        now = step * 3.0
+        body, target = _BODIES[index], f"t{number}"
+        if action == "start":
+            excluded = book.find_excluded(body, now=now)
+            if excluded is None or target in excluded:
+                continue
+            if book.is_quarantined(body, now=now):
+                continue
+            accused = [one for one in running[target] if book.is_suspect(one, now=now)]
+            if book.is_suspect(body, now=now):
+                assert not accused
+            running[target].append(body)
+            book.start(body, target)
+        elif action == "finish" and body in running[target]:
+            running[target].remove(body)
+            book.stop(body, target)
+            book.clear(body)
+        elif action == "crash":
+            bodies, running[target] = running[target], []
+            crash_target(book, target, now=now, bodies=bodies)
