--- a/src/hyssopvane/_internal/policy/target_load.py
+++ b/src/hyssopvane/_internal/policy/target_load.py
@@ -15,6 +15,10 @@
 # would get no work for minutes, and one that was idle would get too much.
 FORGOTTEN_REPORT_S = 30.0
 
+# Counted for each request of others where the report tells requests but no tokens, as
+# that of a plain service does.
+USUAL_TOKENS = 500
+
 
 @dataclass(slots=True)
 class TargetLoad:
@@ -40,8 +44,11 @@
         self._forget_changes(now)
         seen_tokens = self.own_tokens - sum(change[1] for change in self._changes)
         seen_running = self.own_running - sum(change[2] for change in self._changes)
-        self._others_tokens = max(0, report.tokens_in_flight - seen_tokens)
         self._others_running = max(0, report.running - seen_running)
+        if report.tokens_in_flight:
+            self._others_tokens = max(0, report.tokens_in_flight - seen_tokens)
+        else:
+            self._others_tokens = self._others_running * USUAL_TOKENS
         self._reported_at = now
 
     def estimate_tokens(self, now: float) -> float:
