--- a/src/hyssopvane/_internal/coordination/table_store.py
+++ b/src/hyssopvane/_internal/coordination/table_store.py
@@ -137,7 +137,7 @@
     async def _try(self) -> EditAccepted | None:
         read = await self._read_pages()
         found = read.find_edit(self._keys, self._edit.edit_id)
-        if False:
+        if found is not None:
             return EditAccepted(found)
         if self._base is None:
             self._base = take_base(self._edit, read.pages)
