Usable: admit, queue and refuse by customer

Cause: the scheduler held one queue in order of arrival, bounded by count alone, and told a caller only at its deadline that it would not be served.

Customers are held to rate, concurrency and tokens in flight on arrival. What waits is ordered by priority, then by start-time fair queueing in tokens per weight, with a lane for short and one for long work of a customer. A wait is predicted from the tokens ahead and the rate at which places come free (tokens in flight / time that a token is held); what can't be answered in time is refused at once with Retry-After.

--- /dev/null
+++ b/src/hyssopvane/_internal/policy/admission.py
@@ -0,0 +1,195 @@
+"""Hold customers to their limits as requests arrive."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from hyssopvane._internal.models.refusals import Outcome, Refusal, RefusalReason
+from hyssopvane._internal.state.table import CustomerRow
+
+# A caller told to come back sooner than this would find nothing changed.
+MIN_RETRY_AFTER_S = 1.0
+# A caller sent away for longer would stay away though the load is long over.
+MAX_RETRY_AFTER_S = 60.0
+# A bucket holds one second of its rate unless the table gives a burst: a terminal that
+# sends its second's worth at once is no abuse.
+_BURST_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """Give the part of a customer's limits that this entry may use."""
+
+    fraction: float = 1.0
+
+
+WHOLE = Share()
+
+
+class TokenBucket:
+    """Let requests pass at a rate, with bursts."""
+
+    __slots__ = ("_at", "_level")
+
+    def __init__(self, *, burst: float, now: float) -> None:
+        self._level = burst
+        self._at = now
+
+    def measure_wait(self, *, rate: float, burst: float, now: float) -> float:
+        """Return the seconds until one request may pass; 0 when it may now."""
+        passed_s = max(0.0, now - self._at)
+        self._level = min(burst, self._level + passed_s * rate)
+        self._at = now
+        if self._level >= 1:
+            return 0.0
+        return (1 - self._level) / rate if rate else MAX_RETRY_AFTER_S
+
+    def take(self) -> None:
+        """Let one request pass."""
+        self._level -= 1
+
+
+@dataclass(slots=True)
+class CustomerUse:
+    """Count what a customer has open at this entry, and what it asked for."""
+
+    requests: int = 0
+    tokens: int = 0
+    bucket: TokenBucket | None = None
+    asked: int = 0
+    """Requests that came since the last look, whether admitted or not."""
+    refused: int = 0
+    """Of these, refused by a limit."""
+    refused_tokens: int = 0
+    most_requests: int = 0
+    most_tokens: int = 0
+
+
+class Admission:
+    """Check each new request against its customer's share of the limits.
+
+    Made for one customer that sends far more than it has bought, by a loop gone wild or
+    a deadline rush. Without a limit on arrival its requests fill queues and targets,
+    and the neighbours wait. Rate bounds how often it comes, concurrency and tokens
+    bound what it holds: few huge requests do the harm of many small ones. A refusal
+    costs microseconds and comes at once, so the load is gone when it is told.
+    """
+
+    def __init__(self) -> None:
+        self._rows: Mapping[str, CustomerRow] = {}
+        self._shares: dict[str, Share] = {}
+        self._uses: dict[str, CustomerUse] = {}
+
+    def update_rows(self, rows: Mapping[str, CustomerRow]) -> None:
+        """Apply the customers of the table in force."""
+        self._rows = rows
+        for name in [one for one in self._uses if one not in rows]:
+            # Requests in progress of a row that was removed still count down.
+            if not self._uses[name].requests:
+                del self._uses[name]
+
+    def set_share(self, customer: str, share: Share) -> None:
+        """Apply the part of a customer's limits that this entry may use."""
+        self._shares[customer] = share
+
+    def get_row(self, customer: str) -> CustomerRow:
+        """Return a customer's row; one without limits when the table has none."""
+        return self._rows.get(customer) or CustomerRow(customer)
+
+    def get_uses(self) -> Mapping[str, CustomerUse]:
+        """Return what each customer has open and has asked for."""
+        return self._uses
+
+    def check(
+        self, customer: str, tokens: int, *, hold_s: float, now: float
+    ) -> Refusal | None:
+        """Refuse a request above a limit; `take` must follow when it is let in.
+
+        `hold_s` is the time that a request of average size stays, for Retry-After.
+        """
+        use = self._get_use(customer)
+        use.asked += 1
+        row = self._rows.get(customer)
+        if row is None:
+            return None
+        refusal = self._check_row(row, use, tokens, hold_s=hold_s, now=now)
+        if refusal is not None:
+            use.refused += 1
+            use.refused_tokens += tokens
+        return refusal
+
+    def take(self, customer: str, tokens: int) -> None:
+        """Count a request that was let in."""
+        use = self._get_use(customer)
+        use.requests += 1
+        use.tokens += tokens
+        use.most_requests = max(use.most_requests, use.requests)
+        use.most_tokens = max(use.most_tokens, use.tokens)
+        if use.bucket is not None:
+            use.bucket.take()
+
+    def give_back(self, customer: str, tokens: int) -> None:
+        """Count a request that is over."""
+        use = self._get_use(customer)
+        use.requests -= 1
+        use.tokens -= tokens
+
+    def _get_use(self, customer: str) -> CustomerUse:
+        use = self._uses.get(customer)
+        if use is None:
+            use = self._uses[customer] = CustomerUse()
+        return use
+
+    def _check_row(
+        self,
+        row: CustomerRow,
+        use: CustomerUse,
+        tokens: int,
+        *,
+        hold_s: float,
+        now: float,
+    ) -> Refusal | None:
+        fraction = self._shares.get(row.name, WHOLE).fraction
+        # One request at a time is let in whatever the share: a limit lower than the
+        # number of entries can't be split into whole requests, and a request larger
+        # than a share of tokens would else never run.
+        if row.concurrency_limit and use.requests:
+            limit = int(row.concurrency_limit * fraction)
+            if use.requests >= limit:
+                return _refuse(
+                    RefusalReason.CONCURRENCY_LIMIT, hold_s / use.requests, row.name
+                )
+        if row.token_limit and use.requests:
+            excess = use.tokens + tokens - row.token_limit * fraction
+            if excess > 0:
+                wait_s = hold_s * min(1.0, excess / max(1, use.tokens))
+                return _refuse(RefusalReason.TOKEN_LIMIT, wait_s, row.name)
+        return self._check_rate(row, use, fraction=fraction, now=now)
+
+    def _check_rate(
+        self, row: CustomerRow, use: CustomerUse, *, fraction: float, now: float
+    ) -> Refusal | None:
+        if not row.rate_limit:
+            use.bucket = None
+            return None
+        rate = row.rate_limit * fraction
+        burst = max(1.0, (row.rate_burst or row.rate_limit * _BURST_S) * fraction)
+        if use.bucket is None:
+            use.bucket = TokenBucket(burst=burst, now=now)
+        wait_s = use.bucket.measure_wait(rate=rate, burst=burst, now=now)
+        if wait_s > 0:
+            return _refuse(RefusalReason.RATE_LIMIT, wait_s, row.name)
+        return None
+
+
+def clamp_retry_after(wait_s: float) -> float:
+    """Return a time to come back that is neither useless nor endless."""
+    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+
+
+def _refuse(reason: RefusalReason, wait_s: float, customer: str) -> Refusal:
+    return Refusal(
+        reason,
+        Outcome.NOT_RUN,
+        clamp_retry_after(wait_s),
+        detail=f"a limit of customer/{customer} in the table",
+    )
--- /dev/null
+++ b/src/hyssopvane/_internal/policy/queueing.py
@@ -0,0 +1,349 @@
+"""Order the requests that wait for a place: by priority, then fair by customer."""
+
+import heapq
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from itertools import count
+
+# Made for saturation by urgent work. Strict priority alone would let a customer of
+# low priority wait for ever, while nothing tells its callers so. Each class that is
+# passed over earns a tenth of the tokens that pass it, so urgent work loses a tenth at
+# most, and whatever waits is served in the end.
+PASSED_OVER_SHARE = 0.1
+
+# Made for long and short work of one customer. A record check of a few hundred tokens
+# behind a pile of long drafts would wait for all of them. Two lanes that get equal
+# tokens let a short request pass dozens of long ones, and still the long ones move:
+# they get at least half. 2,000 tokens lie between a check and a draft with its sources.
+LONG_TOKENS = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class QueuedItem:
+    """Describe one waiting request."""
+
+    request_id: str
+    customer: str
+    priority: int
+    tokens: int
+    deadline: float
+    arrived_at: float
+
+
+@dataclass(slots=True)
+class _Lane:
+    """Hold short or long requests of one flow, in order of arrival."""
+
+    items: OrderedDict[str, QueuedItem] = field(default_factory=OrderedDict)
+    tokens: int = 0
+    served: float = 0.0
+
+
+class Flow:
+    """Hold what one customer has waiting in one priority class."""
+
+    __slots__ = ("customer", "entry", "lanes", "start", "tokens", "weight")
+
+    def __init__(self, customer: str) -> None:
+        self.customer = customer
+        self.weight = 1.0
+        self.lanes = (_Lane(), _Lane())
+        self.tokens = 0
+        self.start = 0.0
+        self.entry = 0
+
+    @property
+    def size(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self.lanes[0].items) + len(self.lanes[1].items)
+
+    def get_lane(self, tokens: int) -> _Lane:
+        """Return the lane of a request."""
+        return self.lanes[tokens >= LONG_TOKENS]
+
+    def choose_lane(self) -> _Lane:
+        """Return the lane that is served next."""
+        short, long = self.lanes
+        if not short.items:
+            return long
+        if not long.items or short.served <= long.served:
+            return short
+        return long
+
+    def count_ahead(self, tokens: int) -> int:
+        """Return the customer's own tokens that a new request waits for."""
+        lane = self.get_lane(tokens)
+        return min(2 * lane.tokens, self.tokens)
+
+    def add(self, item: QueuedItem) -> None:
+        """Append a request to its lane."""
+        lane = self.get_lane(item.tokens)
+        if not lane.items:
+            # A lane that was empty must not have saved up a claim on the other one.
+            other = self.lanes[lane is self.lanes[0]]
+            if other.items:
+                lane.served = max(lane.served, other.served)
+        lane.items[item.request_id] = item
+        lane.tokens += item.tokens
+        self.tokens += item.tokens
+
+    def remove(self, item: QueuedItem) -> None:
+        """Take a request out of its lane."""
+        lane = self.get_lane(item.tokens)
+        del lane.items[item.request_id]
+        lane.tokens -= item.tokens
+        self.tokens -= item.tokens
+
+    def find_newest(self) -> QueuedItem:
+        """Return the request that came last."""
+        lasts = (
+            next(reversed(lane.items.values())) for lane in self.lanes if lane.items
+        )
+        return max(lasts, key=lambda item: item.arrived_at)
+
+
+class PriorityClass:
+    """Order the flows of one priority by start-time fair queueing.
+
+    Each flow carries a virtual start time; the least is served, and then advances by
+    tokens / weight. A flow that was idle starts at the present virtual time: it can't
+    save up service, nor is it punished for what it got while nobody else waited.
+    """
+
+    def __init__(self) -> None:
+        self.flows: dict[str, Flow] = {}
+        self.tokens = 0
+        self.weight = 0.0
+        """Of the flows with something waiting."""
+        self.credit = 0.0
+        self._virtual = 0.0
+        self._heap: list[tuple[float, int, Flow]] = []
+        self._sequence = count(1)
+
+    def add(self, item: QueuedItem, weight: float) -> None:
+        """Append a request to its customer's flow."""
+        flow = self.flows.get(item.customer)
+        if flow is None:
+            flow = self.flows[item.customer] = Flow(item.customer)
+        if not flow.tokens:
+            flow.weight = weight
+            flow.start = max(flow.start, self._virtual)
+            self.weight += weight
+            self._push(flow)
+        flow.add(item)
+        self.tokens += item.tokens
+
+    def remove(self, item: QueuedItem) -> None:
+        """Take a request out without serving it."""
+        flow = self.flows[item.customer]
+        flow.remove(item)
+        self.tokens -= item.tokens
+        if not flow.tokens:
+            self._retire(flow)
+
+    def peek(self) -> QueuedItem:
+        """Return the request that is served next."""
+        flow = self._find_first()
+        return next(iter(flow.choose_lane().items.values()))
+
+    def pop(self) -> QueuedItem:
+        """Serve the next request."""
+        flow = self._find_first()
+        lane = flow.choose_lane()
+        item = next(iter(lane.items.values()))
+        self._virtual = max(self._virtual, flow.start)
+        flow.start += item.tokens / flow.weight
+        lane.served += item.tokens
+        flow.remove(item)
+        self.tokens -= item.tokens
+        if flow.tokens:
+            self._push(flow)
+        else:
+            self._retire(flow)
+        return item
+
+    def count_ahead(self, customer: str, weight: float, tokens: int) -> float:
+        """Return the tokens of this class that go before a new request.
+
+        Made for one customer that floods the queue. A wait predicted from the whole
+        queue would refuse its neighbours, who are served from their own share; so
+        only that many tokens of others count as fairness lets pass.
+        """
+        flow = self.flows.get(customer)
+        if flow is None or not flow.tokens:
+            return 0.0
+        own = flow.count_ahead(tokens)
+        return min(own * self.weight / flow.weight, self.tokens)
+
+    def _push(self, flow: Flow) -> None:
+        flow.entry = next(self._sequence)
+        heapq.heappush(self._heap, (flow.start, flow.entry, flow))
+
+    def _retire(self, flow: Flow) -> None:
+        flow.entry = 0
+        self.weight -= flow.weight
+        if not self.tokens:
+            self.weight = 0.0
+            self._heap.clear()
+
+    def _find_first(self) -> Flow:
+        # Entries of flows that emptied or moved since are dropped here, so that a
+        # caller who leaves costs no search.
+        while self._heap[0][1] != self._heap[0][2].entry:
+            heapq.heappop(self._heap)
+        return self._heap[0][2]
+
+
+class FairQueue:
+    """Hold what waits for one service at one entry."""
+
+    def __init__(self) -> None:
+        self.classes: dict[int, PriorityClass] = {}
+        self.tokens = 0
+        self._items: dict[str, QueuedItem] = {}
+        self._order: list[int] = []
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self._items
+
+    def add(self, item: QueuedItem, *, weight: float) -> None:
+        """Append a request; its customer's weight is what holds while it waits."""
+        if item.priority not in self.classes:
+            self.classes[item.priority] = PriorityClass()
+            self._order = sorted(self.classes)
+        self.classes[item.priority].add(item, weight)
+        self._items[item.request_id] = item
+        self.tokens += item.tokens
+
+    def remove(self, request_id: str) -> QueuedItem | None:
+        """Take out a request whose caller has gone or that is refused."""
+        item = self._items.pop(request_id, None)
+        if item is not None:
+            self.tokens -= item.tokens
+            self.classes[item.priority].remove(item)
+        return item
+
+    def peek(self) -> QueuedItem | None:
+        """Return the request that is served next."""
+        chosen = self._choose_class()
+        return None if chosen is None else self.classes[chosen].peek()
+
+    def pop(self) -> QueuedItem:
+        """Serve the next request."""
+        chosen = self._choose_class()
+        assert chosen is not None
+        item = self.classes[chosen].pop()
+        del self._items[item.request_id]
+        self.tokens -= item.tokens
+        self._credit(chosen, item.tokens)
+        return item
+
+    def get_class(self, priority: int) -> PriorityClass | None:
+        """Return a class that was ever used."""
+        return self.classes.get(priority)
+
+    def count_ahead(
+        self, customer: str, *, priority: int, weight: float, tokens: int
+    ) -> float:
+        """Return the queued tokens that go before a new request."""
+        ahead = 0.0
+        for number in self._order:
+            if number > priority:
+                break
+            one = self.classes[number]
+            if number < priority:
+                ahead += one.tokens
+            else:
+                ahead += one.count_ahead(customer, weight, tokens)
+        return ahead
+
+    def iterate_flows(self) -> Iterator[tuple[int, PriorityClass, Flow]]:
+        """Yield each flow with something waiting, the most urgent class first."""
+        for number in self._order:
+            one = self.classes[number]
+            for flow in list(one.flows.values()):
+                if flow.tokens:
+                    yield number, one, flow
+
+    def predict_waits(self) -> Iterator[tuple[QueuedItem, float]]:
+        """Yield each waiting request with the tokens before it.
+
+        What the caller removes while it iterates no longer counts as before others.
+        """
+        above = 0.0
+        for number in self._order:
+            one = self.classes[number]
+            for flow in list(one.flows.values()):
+                for lane in flow.lanes:
+                    yield from _predict_lane(one, flow, lane, above)
+            above += one.tokens
+
+    def find_loser(
+        self, newcomer: QueuedItem, *, weight: float, limit: int, in_tokens: bool
+    ) -> QueuedItem:
+        """Return the request that a full queue gives up: the newcomer or a waiting one.
+
+        Made for a queue filled by one customer. Refusing whoever comes next would hit
+        the innocent, who come at their usual pace, more often than the one that fills
+        it. So a customer above its share of the queue loses its newest request; of
+        several, the one of the lowest priority, then the one furthest above. Its
+        newest is chosen because it has waited least and can come back soonest.
+        """
+        total_weight = sum(flow.weight for _, _, flow in self.iterate_flows())
+        own = self._find_flow(newcomer)
+        if own is None:
+            total_weight += weight
+        worst = (0, 0.0)
+        loser: Flow | None = None
+        for priority, _, flow in self.iterate_flows():
+            amount = flow.tokens if in_tokens else flow.size
+            if flow is own:
+                amount += newcomer.tokens if in_tokens else 1
+            excess = amount / flow.weight - limit / total_weight
+            if excess > 0 and (priority, excess) > worst:
+                worst = (priority, excess)
+                loser = flow
+        if loser is None or loser is own:
+            return newcomer
+        return loser.find_newest()
+
+    def _find_flow(self, item: QueuedItem) -> Flow | None:
+        one = self.classes.get(item.priority)
+        flow = one.flows.get(item.customer) if one else None
+        return flow if flow is not None and flow.tokens else None
+
+    def _choose_class(self) -> int | None:
+        first: int | None = None
+        for number in self._order:
+            one = self.classes[number]
+            if not one.tokens:
+                continue
+            if first is None:
+                first = number
+            elif one.credit >= one.peek().tokens:
+                return number
+        return first
+
+    def _credit(self, served: int, tokens: int) -> None:
+        passed = [number for number in self._order if self.classes[number].tokens]
+        lower = [number for number in passed if number > served]
+        for number in lower:
+            self.classes[number].credit += tokens * PASSED_OVER_SHARE / len(lower)
+        one = self.classes[served]
+        # What an emptied class had earned is void: it is no longer passed over.
+        one.credit = max(0.0, one.credit - tokens) if one.tokens else 0.0
+
+
+def _predict_lane(
+    one: PriorityClass, flow: Flow, lane: _Lane, above: float
+) -> Iterator[tuple[QueuedItem, float]]:
+    before = 0
+    for item in list(lane.items.values()):
+        own = min(2 * before, flow.tokens)
+        yield item, above + min(own * one.weight / flow.weight, one.tokens)
+        if item.request_id in lane.items:
+            before += item.tokens
--- a/src/hyssopvane/_internal/policy/scheduler.py
+++ b/src/hyssopvane/_internal/policy/scheduler.py
@@ -1,11 +1,18 @@
-"""Decide where and when each request of an entry runs."""
+"""Decide when and where each request of an entry runs."""
 
-from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from random import Random
 
 from hyssopvane._internal.models.refusals import Outcome, Refusal, RefusalReason
+from hyssopvane._internal.policy.admission import Admission, clamp_retry_after
+from hyssopvane._internal.policy.measures import ServiceMeter
+from hyssopvane._internal.policy.queueing import (
+    PASSED_OVER_SHARE,
+    FairQueue,
+    QueuedItem,
+)
+from hyssopvane._internal.state.table import ServiceRow, Table
 from hyssopvane._internal.state.work import (
     AttemptReport,
     AttemptResult,
@@ -20,6 +27,21 @@
 _RETRY_AFTER_S = 1.0
 _MAX_ATTEMPTS = 3
 
+# Predictions are noisy. On arrival the wait counts a quarter more, so that few of the
+# admitted are refused later, when they have waited in vain.
+_ARRIVAL_MARGIN = 1.25
+# The run time is a rough guess from the size of the body, so it takes up at most half
+# of the time a caller allows: a request that starts promptly is never refused for it.
+_MAX_RUN_SHARE = 0.5
+# Looking through the queue costs about a microsecond a request. Four times a second, a
+# full queue of a thousand costs well under a hundredth of a core.
+_REVIEW_INTERVAL_S = 0.25
+# Callers refused in one burst would come back in one burst; spread their return.
+_RETURN_SPREAD = 0.5
+
+# Attempts that ended so say nothing on how long work holds a place.
+_UNTIMED = frozenset({AttemptResult.NOT_STARTED, AttemptResult.LOST})
+
 
 @dataclass(slots=True)
 class _Target:
@@ -31,17 +53,28 @@
 @dataclass(slots=True)
 class _Request:
     request: WorkRequest
+    tokens: int
+    arrived_at: float = 0.0
+    sent_at: float = 0.0
     attempts: int = 0
     target: str = ""
     tried: set[str] = field(default_factory=set)
+    outcome: Outcome = Outcome.NOT_RUN
+    """What is proved of the attempts so far."""
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceLimits:
-    """Limit the work of one service."""
+class _Service:
+    """Hold what waits and runs of one service at this entry."""
 
-    queue_limit: int = 1000
-    target_concurrency: int = 32
+    def __init__(self, name: str) -> None:
+        self.row = ServiceRow(name)
+        self.queue = FairQueue()
+        self.meter = ServiceMeter()
+        # Requests whose attempt proved not to have run. They have waited their turn
+        # already, so they go first; each may be barred from targets that others may
+        # use, so one of them that finds no place must not hold up the queue.
+        self.again: dict[str, _Request] = {}
+        self.reviewed_at = 0.0
 
 
 class Scheduler:
@@ -51,8 +84,15 @@
         self._random = random
         self._targets: dict[str, _Target] = {}
         self._requests: dict[str, _Request] = {}
-        self._queue: OrderedDict[str, None] = OrderedDict()
-        self._limits = ServiceLimits()
+        self._services: dict[str, _Service] = {}
+        self._decided: list[tuple[str, Decision]] = []
+        self.admission = Admission()
+
+    def update_table(self, table: Table, *, now: float) -> None:
+        """Apply the weights and limits of the table in force."""
+        self.admission.update_rows(table.customers)
+        for name in table.services.keys() | self._services.keys():
+            self._get_service(name).row = table.services.get(name, ServiceRow(name))
 
     def connect_target(self, info: TargetInfo) -> None:
         """Start to place work on a target."""
@@ -70,19 +110,22 @@
 
     def submit(self, request: WorkRequest, *, now: float) -> Decision:
         """Place, queue or refuse a new request."""
-        if now >= request.deadline:
-            return Refusal(RefusalReason.DEADLINE_UNREACHABLE, Outcome.NOT_RUN)
-        if not any(True for _ in self._find_targets(request.service)):
-            return Refusal(RefusalReason.NO_TARGET, Outcome.NOT_RUN, _RETRY_AFTER_S)
-        entry = self._requests[request.request_id] = _Request(request)
-        placed = self._place(entry)
-        if placed is not None:
-            return placed
-        if len(self._queue) >= self._limits.queue_limit:
-            del self._requests[request.request_id]
-            return Refusal(RefusalReason.QUEUE_FULL, Outcome.NOT_RUN, _RETRY_AFTER_S)
-        self._queue[request.request_id] = None
-        return Waiting()
+        refusal = self._refuse_on_arrival(request, now=now)
+        if refusal is not None:
+            return refusal
+        service = self._get_service(request.service)
+        entry = _Request(request, max(1, request.tokens), arrived_at=now)
+        decision: Decision | None = None
+        if not service.queue:
+            # Nobody is overtaken. With others waiting, only the queue says whose turn
+            # it is: a newcomer that takes the place just freed would starve them.
+            decision = self._start(entry, now=now)
+        if decision is None:
+            decision = self._enqueue(entry, service, now=now)
+        if not isinstance(decision, Refusal):
+            self._requests[request.request_id] = entry
+            self.admission.take(request.customer, entry.tokens)
+        return decision
 
     def finish(
         self, request_id: str, report: AttemptReport, *, now: float
@@ -91,34 +134,38 @@
         entry = self._requests.get(request_id)
         if entry is None:
             return None
-        self._release(entry)
+        self._stop(entry, report, now=now)
+        if report.result is not AttemptResult.NOT_STARTED:
+            # Nothing proves that a lost attempt did not run, also when it may be
+            # repeated: a later refusal must not say so.
+            entry.outcome = Outcome.UNKNOWN
         if report.result is AttemptResult.NOT_STARTED or (
             report.result is AttemptResult.LOST and entry.request.repeatable
         ):
             return self._retry(entry, now=now)
-        del self._requests[request_id]
+        self._forget(entry)
         return None
 
     def withdraw(self, request_id: str) -> None:
         """Forget a request whose caller has gone."""
-        self._queue.pop(request_id, None)
-        entry = self._requests.pop(request_id, None)
-        if entry is not None:
-            self._release(entry)
+        entry = self._requests.get(request_id)
+        if entry is None:
+            return
+        service = self._get_service(entry.request.service)
+        service.queue.remove(request_id)
+        service.again.pop(request_id, None)
+        self._stop(entry, None, now=0.0)
+        self._forget(entry)
 
     def collect(self, *, now: float) -> list[tuple[str, Decision]]:
         """Return new decisions about waiting requests."""
-        changed: list[tuple[str, Decision]] = []
-        for request_id in list(self._queue):
-            entry = self._requests[request_id]
-            decision: Decision | None = self._place(entry)
-            if decision is None and now >= entry.request.deadline:
-                decision = Refusal(RefusalReason.DEADLINE_UNREACHABLE, Outcome.NOT_RUN)
-                del self._requests[request_id]
-            if decision is not None:
-                del self._queue[request_id]
-                changed.append((request_id, decision))
-        return changed
+        for service in self._services.values():
+            self._place_again(service, now=now)
+            self._place_queued(service, now=now)
+            self._review(service, now=now)
+        decided = self._decided
+        self._decided = []
+        return decided
 
     def count_requests(self) -> int:
         """Return the number of requests that wait or run."""
@@ -136,22 +183,191 @@
             for target in self._targets.values()
         ]
 
+    def _refuse_on_arrival(self, request: WorkRequest, *, now: float) -> Refusal | None:
+        if now >= request.deadline:
+            return Refusal(RefusalReason.DEADLINE_UNREACHABLE, Outcome.NOT_RUN)
+        if not any(True for _ in self._find_targets(request.service)):
+            return Refusal(
+                RefusalReason.NO_TARGET, Outcome.NOT_RUN, self._spread(_RETRY_AFTER_S)
+            )
+        service = self._get_service(request.service)
+        return self.admission.check(
+            request.customer,
+            max(1, request.tokens),
+            hold_s=service.meter.predict_hold_s(),
+            now=now,
+        )
+
+    def _start(self, entry: _Request, *, now: float) -> Placed | None:
+        placed = self._place(entry)
+        if placed is not None:
+            entry.sent_at = now
+            meter = self._get_service(entry.request.service).meter
+            meter.count_start(entry.tokens, priority=entry.request.priority, now=now)
+        return placed
+
+    def _stop(
+        self, entry: _Request, report: AttemptReport | None, *, now: float
+    ) -> None:
+        if entry.target:
+            untimed = report is None or report.result in _UNTIMED
+            self._get_service(entry.request.service).meter.count_end(
+                entry.tokens, held_s=None if untimed else now - entry.sent_at
+            )
+        self._release(entry)
+
+    def _forget(self, entry: _Request) -> None:
+        del self._requests[entry.request.request_id]
+        self.admission.give_back(entry.request.customer, entry.tokens)
+
+    def _enqueue_again(self, entry: _Request) -> Waiting:
+        service = self._get_service(entry.request.service)
+        service.again[entry.request.request_id] = entry
+        return Waiting()
+
+    def _enqueue(
+        self, entry: _Request, service: _Service, *, now: float
+    ) -> Waiting | Refusal:
+        request = entry.request
+        weight = float(self.admission.get_row(request.customer).weight)
+        item = QueuedItem(
+            request_id=request.request_id,
+            customer=request.customer,
+            priority=request.priority,
+            tokens=entry.tokens,
+            deadline=request.deadline,
+            arrived_at=now,
+        )
+        ahead = service.queue.count_ahead(
+            item.customer, priority=item.priority, weight=weight, tokens=item.tokens
+        )
+        late_s = self._predict_lateness(service, item, ahead * _ARRIVAL_MARGIN, now=now)
+        if late_s > 0:
+            return self._refuse_late(late_s)
+        return self._make_room(service, item, weight, now=now)
+
+    def _make_room(
+        self, service: _Service, item: QueuedItem, weight: float, *, now: float
+    ) -> Waiting | Refusal:
+        queue, row = service.queue, service.row
+        if item.tokens > row.queue_token_limit or not row.queue_limit:
+            return self._refuse_full(service, now=now)
+        while (
+            len(queue) >= row.queue_limit
+            or queue.tokens + item.tokens > row.queue_token_limit
+        ):
+            in_tokens = len(queue) < row.queue_limit
+            loser = queue.find_loser(
+                item,
+                weight=weight,
+                limit=row.queue_token_limit if in_tokens else row.queue_limit,
+                in_tokens=in_tokens,
+            )
+            if loser is item:
+                return self._refuse_full(service, now=now)
+            self._drop(service, loser, self._refuse_full(service, now=now))
+        queue.add(item, weight=weight)
+        return Waiting()
+
+    def _predict_lateness(
+        self, service: _Service, item: QueuedItem, ahead: float, *, now: float
+    ) -> float:
+        """Return the seconds by which a waiting request would miss its deadline.
+
+        Made for load beyond capacity. A request that can't be answered in time would
+        take a place from one that can, and its caller would learn of it only at the
+        deadline. While nothing is measured yet, only the queue's limits hold.
+        """
+        drain = service.meter.measure_drain(
+            item.priority, now=now, floor=PASSED_OVER_SHARE
+        )
+        wait_s = ahead / drain if drain else 0.0
+        run_s = min(
+            service.meter.predict_run_s(item.tokens),
+            _MAX_RUN_SHARE * (item.deadline - item.arrived_at),
+        )
+        return now + wait_s + run_s - item.deadline
+
+    def _refuse_late(self, late_s: float) -> Refusal:
+        return Refusal(
+            RefusalReason.DEADLINE_UNREACHABLE, Outcome.NOT_RUN, self._spread(late_s)
+        )
+
+    def _refuse_full(self, service: _Service, *, now: float) -> Refusal:
+        drain = service.meter.measure_drain(0, now=now, floor=PASSED_OVER_SHARE)
+        wait_s = service.queue.tokens / drain if drain else 0.0
+        return Refusal(RefusalReason.QUEUE_FULL, Outcome.NOT_RUN, self._spread(wait_s))
+
+    def _spread(self, wait_s: float) -> float:
+        """Return a time to come back, spread so that not all come at once."""
+        return clamp_retry_after(wait_s) * (1 + _RETURN_SPREAD * self._random.random())
+
+    def _drop(self, service: _Service, item: QueuedItem, refusal: Refusal) -> None:
+        service.queue.remove(item.request_id)
+        self._forget(self._requests[item.request_id])
+        self._decided.append((item.request_id, refusal))
+
+    def _place_again(self, service: _Service, *, now: float) -> None:
+        for request_id, entry in list(service.again.items()):
+            decision: Decision | None = None
+            if now >= entry.request.deadline:
+                self._forget(entry)
+                decision = Refusal(RefusalReason.DEADLINE_UNREACHABLE, entry.outcome)
+            else:
+                decision = self._start(entry, now=now)
+            if decision is not None:
+                del service.again[request_id]
+                self._decided.append((request_id, decision))
+
+    def _place_queued(self, service: _Service, *, now: float) -> None:
+        while (item := service.queue.peek()) is not None:
+            late_s = self._predict_lateness(service, item, 0.0, now=now)
+            if late_s > 0:
+                # It would hold a place and still miss its deadline.
+                self._drop(service, item, self._refuse_late(late_s))
+                continue
+            placed = self._start(self._requests[item.request_id], now=now)
+            if placed is None:
+                return
+            service.queue.pop()
+            self._decided.append((item.request_id, placed))
+
+    def _review(self, service: _Service, *, now: float) -> None:
+        """Refuse what is now known not to reach its turn in time.
+
+        Made for a loss of capacity, as half of the targets gone at once. What was
+        admitted before would else wait until its deadline to be refused, and keep
+        others from a wait that they can afford.
+        """
+        if now - service.reviewed_at < _REVIEW_INTERVAL_S:
+            return
+        service.reviewed_at = now
+        for item, ahead in service.queue.predict_waits():
+            late_s = self._predict_lateness(service, item, ahead, now=now)
+            if late_s > 0:
+                self._drop(service, item, self._refuse_late(late_s))
+
+    def _get_service(self, name: str) -> _Service:
+        service = self._services.get(name)
+        if service is None:
+            service = self._services[name] = _Service(name)
+        return service
+
     def _retry(self, entry: _Request, *, now: float) -> Decision:
-        request_id = entry.request.request_id
         if entry.attempts >= _MAX_ATTEMPTS or now >= entry.request.deadline:
-            del self._requests[request_id]
-            return Refusal(RefusalReason.RETRIES_SPENT, Outcome.NOT_RUN, _RETRY_AFTER_S)
-        placed = self._place(entry)
+            self._forget(entry)
+            return Refusal(RefusalReason.RETRIES_SPENT, entry.outcome, _RETRY_AFTER_S)
+        placed = self._start(entry, now=now)
         if placed is not None:
             return placed
-        self._queue[request_id] = None
-        return Waiting()
+        return self._enqueue_again(entry)
 
     def _place(self, entry: _Request) -> Placed | None:
         candidates = [
             target
             for target in self._find_targets(entry.request.service)
-            if target.in_flight < self._limits.target_concurrency
+            if target.in_flight
+            < self._get_service(entry.request.service).row.target_concurrency
         ]
         fresh = [one for one in candidates if one.info.name not in entry.tried]
         if not (fresh or candidates):
--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -244,6 +244,7 @@
             nursery.start_soon(self._table.follow, sender)
             async for table in receiver:
                 self._source.directory = Directory(table)
+                self.scheduler.update_table(table, now=trio.current_time())
                 log_event("info", "table-in-force", revision=table.revision)
 
     async def _follow_vms(self, nursery: trio.Nursery) -> None:
