--- a/src/hyssopvane/_internal/policy/attempts.py
+++ b/src/hyssopvane/_internal/policy/attempts.py
@@ -42,10 +42,10 @@
         self._table = Table()
         self._plans: dict[str, _Plan] = {}
 
-    def apply_table(self, table: Table) -> None:
+    def update_table(self, table: Table) -> None:
         """Put the limits of a table in force."""
         self._table = table
-        self.placer.apply_table(table)
+        self.placer.update_table(table)
         for service in table.services.values():
             self.retrier.set_percent(service.name, service.retry_budget)
 
@@ -61,13 +61,16 @@
         """Take note of what a target's agent reports."""
         self.placer.observe_load(name, report, now=now)
 
-    def admit(self, request: WorkRequest, *, now: float) -> Refusal | None:
-        """Refuse a request whose body is quarantined; else count it as fresh work."""
+    def refuse(self, request: WorkRequest, *, now: float) -> Refusal | None:
+        """Refuse a new request whose body is quarantined."""
         if self.suspects.is_quarantined(_get_body(request), now=now):
             return Refusal(RefusalReason.QUARANTINED, Outcome.NOT_RUN)
-        self.retrier.add_fresh(request.service, now=now)
         return None
 
+    def add_fresh(self, request: WorkRequest, *, now: float) -> None:
+        """Count an accepted request as fresh work, which earns retries."""
+        self.retrier.add_fresh(request.service, now=now)
+
     def place(self, request: WorkRequest, *, now: float) -> Placed | Refusal | None:
         """Choose a target; return None when the request has to wait."""
         plan = self._plans.get(request.request_id)
--- a/src/hyssopvane/_internal/policy/placement.py
+++ b/src/hyssopvane/_internal/policy/placement.py
@@ -103,7 +103,7 @@
         self._known: OrderedDict[str, int] = OrderedDict()
         self.beliefs = PrefixBeliefs()
 
-    def apply_table(self, table: Table) -> None:
+    def update_table(self, table: Table) -> None:
         """Put the weights and limits of a table in force."""
         self._table = table
         for service, pool in self._pools.items():
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -37,7 +37,7 @@
 def make_placer(names, *, rows=(), service=None, zones=("a",), own_zone="a", seed=1):
     placer = Placer(random=Random(seed), availability_zone=own_zone)
     row = service or ServiceRow("draft")
-    placer.apply_table(
+    placer.update_table(
         Table(services={"draft": row}, targets={one.name: one for one in rows})
     )
     for number, name in enumerate(names):
@@ -103,7 +103,7 @@
 def test_own_zone_comes_first_then_spills():
     placer = make_placer(["t0", "t1", "t2", "t3"], zones=["a", "b"])
     service = ServiceRow("draft", target_concurrency=10)
-    placer.apply_table(Table(services={"draft": service}))
+    placer.update_table(Table(services={"draft": service}))
     assert set(place_many(placer, 10)) == {"t0", "t2"}
     spilled = place_many(placer, 20)
     assert spilled["t1"] + spilled["t3"] >= 10
