--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -9,10 +9,11 @@
 from hyssopvane._internal.coordination.etcd_key_value import EtcdKeyValueStore
 from hyssopvane._internal.coordination.quarantine import QuarantineShare
 from hyssopvane._internal.coordination.table_store import TableReader
-from hyssopvane._internal.coordination.vm_list import VmRecord, fetch_vms
+from hyssopvane._internal.coordination.vm_list import VmRecord, VmRole, fetch_vms
 from hyssopvane._internal.exceptions import HyssopvaneError
 from hyssopvane._internal.models.settings import EntrySettings
 from hyssopvane._internal.policy.scheduler import Scheduler
+from hyssopvane._internal.policy.subsets import Member, SubsetMap
 from hyssopvane._internal.protocol.messages import (
     PROTOCOL_VERSION,
     Heartbeat,
@@ -79,6 +80,7 @@
         self.scheduler = Scheduler(
             random=self._random, availability_zone=settings.availability_zone
         )
+        self._subset = SubsetMap(Member(settings.vm, settings.availability_zone))
         self._quarantine = QuarantineShare(
             self._store,
             self.scheduler.planner.suspects,
@@ -266,10 +268,30 @@
                 # The platform's list may be out for long; the last one stays in use.
                 log_event("warning", "vm-list-unavailable", why=error)
             else:
-                self._pool.update(_select_agents(records), nursery)
+                self._pool.update(self._select_agents(records), nursery)
                 self.links.update(_select_entries(records, own_vm=self.settings.vm))
             await trio.sleep(_VM_LIST_INTERVAL_S)
 
+    def _select_agents(self, records: tuple[VmRecord, ...]) -> frozenset[PeerAddress]:
+        """Return the agents that this entry connects to."""
+        chosen = self._subset.update(
+            entries=_list_members(records, VmRole.ENTRY),
+            targets=_list_members(records, VmRole.AGENT),
+        )
+        return frozenset(
+            PeerAddress(record.name, record.address)
+            for record in records
+            if record.role is VmRole.AGENT and record.name in chosen
+        )
+
+
+def _list_members(records: tuple[VmRecord, ...], role: VmRole) -> list[Member]:
+    return [
+        Member(record.name, record.availability_zone, record.service)
+        for record in records
+        if record.role is role
+    ]
+
 
 def _log_table_error(error: HyssopvaneError) -> None:
     log_event("warning", "table-unavailable", why=error)
@@ -279,14 +301,6 @@
     log_event("warning", "quarantine-unavailable", why=error)
 
 
-def _select_agents(records: tuple[VmRecord, ...]) -> frozenset[PeerAddress]:
-    return frozenset(
-        PeerAddress(record.name, record.address)
-        for record in records
-        if record.role == _AGENT_ROLE
-    )
-
-
 def _select_entries(records: tuple[VmRecord, ...], *, own_vm: str) -> dict[str, str]:
     return {
         record.name: record.address
--- a/src/hyssopvane/_internal/roles/peer_pool.py
+++ b/src/hyssopvane/_internal/roles/peer_pool.py
@@ -1,7 +1,7 @@
 """Keep connections from an entry to the agents of its targets."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 import trio
@@ -21,6 +21,7 @@
 _FIRST_BACKOFF_S = 0.1
 _LAST_BACKOFF_S = 5.0
 _CONNECT_TIMEOUT_S = 2.0
+_RETIRE_INTERVAL_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +32,13 @@
     address: str
 
 
+@dataclass(slots=True)
+class _Peer:
+    address: PeerAddress
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    retiring: bool = False
+
+
 class PeerObserver(ABC):
     """Learn which peers can be reached."""
 
@@ -64,7 +72,7 @@
         self._observer = observer
         self._times = times
         self._random = random
-        self._scopes: dict[PeerAddress, trio.CancelScope] = {}
+        self._peers: dict[PeerAddress, _Peer] = {}
         self._connections: dict[str, PeerConnection] = {}
 
     def get_connection(self, vm: str) -> PeerConnection | None:
@@ -72,20 +80,30 @@
         return self._connections.get(vm)
 
     def update(self, peers: frozenset[PeerAddress], nursery: trio.Nursery) -> None:
-        """Connect to new peers and leave those that are no longer named."""
-        for address in self._scopes.keys() - peers:
-            self._scopes.pop(address).cancel()
-        for address in peers - self._scopes.keys():
-            scope = self._scopes[address] = trio.CancelScope()
-            nursery.start_soon(self._keep_connected, address, scope)
-
-    async def _keep_connected(
-        self, address: PeerAddress, scope: trio.CancelScope
-    ) -> None:
+        """Connect to new peers; leave the others once their streams have ended."""
+        for address in self._peers.keys() - peers:
+            nursery.start_soon(self._retire, self._peers.pop(address))
+        for address in peers - self._peers.keys():
+            peer = self._peers[address] = _Peer(address)
+            nursery.start_soon(self._keep_connected, peer)
+
+    async def _retire(self, peer: _Peer) -> None:
+        # The list of VMs is late, and the subset changes with each entry that comes or
+        # goes. To close a connection at once would cut the answers that it carries.
+        peer.retiring = True
+        vm = peer.address.vm
+        connection = self._connections.pop(vm, None)
+        if connection is not None:
+            self._observer.disconnect_peer(vm)
+            while connection.open_streams and not connection.lost:
+                await trio.sleep(_RETIRE_INTERVAL_S)
+        peer.scope.cancel()
+
+    async def _keep_connected(self, peer: _Peer) -> None:
         backoff_s = _FIRST_BACKOFF_S
-        with scope:
-            while True:
-                if await self._connect_once(address):
+        with peer.scope:
+            while not peer.retiring:
+                if await self._connect_once(peer.address):
                     backoff_s = _FIRST_BACKOFF_S
                 await trio.sleep(backoff_s * self._random.uniform(0.5, 1.0))
                 backoff_s = min(backoff_s * 2, _LAST_BACKOFF_S)
@@ -120,8 +138,9 @@
             # The task ended before it greeted: the peer refused the greeting.
             log_event("warning", "peer-refused", peer=vm)
         finally:
-            if greeted:
+            if self._connections.get(vm) is connection:
                 del self._connections[vm]
                 self._observer.disconnect_peer(vm)
+            if greeted:
                 log_event("info", "peer-disconnected", peer=vm, why=connection.why_lost)
         return greeted
