--- a/src/hyssopvane/_internal/policy/subsets.py
+++ b/src/hyssopvane/_internal/policy/subsets.py
@@ -1,8 +1,8 @@
 """Choose the bounded subset of targets that each entry connects to."""
 
-from bisect import insort
+import math
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from hyssopvane._internal.policy import rendezvous
 
@@ -32,23 +32,77 @@
     service: str = ""
 
 
-# Whether the entry is in the target's region, its rank, and its name.
-_Ranked = tuple[bool, int, str]
+_HASH_RANGE = 2.0**64
 
 
-@dataclass(slots=True)
-class _TargetPicks:
-    """Hold the entries that a target picks, the highest ranked last."""
+class ZoneMap:
+    """Group entries by availability zone and share each target's picks among zones.
 
-    member: Member
-    key: bytes
-    own: list[_Ranked] = field(default_factory=list)
-    others: list[_Ranked] = field(default_factory=list)
+    The shares depend on the zones and the rough number of their entries alone, so an
+    entry that comes or goes moves connections only in its own zone.
+    """
+
+    def __init__(self, entries: Iterable[Member], region_of: Mapping[str, str]) -> None:
+        self._region_of = region_of
+        self.seeds: dict[str, dict[str, int]] = {}
+        for one in entries:
+            seeds = self.seeds.setdefault(one.availability_zone, {})
+            seeds[one.name] = rendezvous.hash_name(one.name)
+        self.sizes = {
+            zone: 1 << len(seeds).bit_length() for zone, seeds in self.seeds.items()
+        }
+        """Entries of each zone, in powers of two."""
+
+    def share_picks(self, target: Member) -> dict[str, int]:
+        """Return how many entries of each zone a target picks."""
+        own = target.availability_zone
+        key = target.name.encode()
+        zones = sorted(self.seeds, key=lambda zone: self._rank_zone(key, own, zone))
+        near = [zone for zone in zones if self.is_same_region(zone, own)]
+        far = [zone for zone in zones if not self.is_same_region(zone, own)]
+        shares: dict[str, int] = dict.fromkeys(zones, 0)
+        missing = self._share_among(near, shares, own, ENTRIES_PER_TARGET)
+        self._share_among(far, shares, own, missing)
+        return {zone: share for zone, share in shares.items() if share}
+
+    def _share_among(
+        self, zones: list[str], shares: dict[str, int], own: str, missing: int
+    ) -> int:
+        # Round after round, so that a zone which has lost its entries does not leave
+        # its targets with fewer.
+        free = {zone: len(self.seeds[zone]) for zone in zones}
+        while missing and any(free.values()):
+            for zone in zones:
+                most = OWN_ZONE_ENTRIES if zone == own else 1
+                share = min(most, free[zone], missing)
+                shares[zone] += share
+                free[zone] -= share
+                missing -= share
+        return missing
+
+    def pick(self, target: Member, zone: str, count: int) -> list[str]:
+        """Return the entries of a zone that a target picks."""
+        return rendezvous.rank(target.name.encode(), self.seeds[zone], count=count)
+
+    def pick_all(self, target: Member) -> list[str]:
+        """Return all entries that a target picks."""
+        shares = self.share_picks(target)
+        return [
+            name
+            for zone, count in shares.items()
+            for name in self.pick(target, zone, count)
+        ]
+
+    def is_same_region(self, zone: str, other: str) -> bool:
+        """Tell whether two zones are in one region, as far as that is known."""
+        return self._region_of.get(zone, "") == self._region_of.get(other, "")
 
-    def find_names(self) -> set[str]:
-        # A zone that has lost its entries must not leave its targets with fewer.
-        missing = ENTRIES_PER_TARGET - len(self.own)
-        return {name for _, _, name in (*self.own, *self.others[-missing:])}
+    def _rank_zone(self, key: bytes, own: str, zone: str) -> float:
+        if zone == own:
+            return -1.0
+        # A zone with twice the entries wins twice as often.
+        rank = rendezvous.score(key, rendezvous.hash_name(zone))
+        return -math.log((rank + 1) / _HASH_RANGE) / self.sizes[zone]
 
 
 class SubsetMap:
@@ -65,103 +119,91 @@
     ) -> None:
         self._own = own
         self._region_of = region_of or {}
-        self._entries: dict[str, Member] = {}
-        self._seeds: dict[str, int] = {}
-        self._targets: dict[str, Member] = {}
-        self._picks: dict[str, _TargetPicks] = {}
+        self._entries: frozenset[Member] = frozenset()
+        self._targets: frozenset[Member] = frozenset()
+        self._zones = ZoneMap((), {})
+        self._shares: dict[Member, int] = {}
+        """Picks that each target makes in this entry's zone."""
+        self._picks: dict[Member, bool] = {}
+        """Whether a target that picks in this entry's zone picks this entry."""
+        self._chosen: frozenset[str] = frozenset()
 
     def update(
         self, *, entries: Iterable[Member], targets: Iterable[Member]
     ) -> frozenset[str]:
         """Take the live list; return the names of this entry's targets."""
-        self._update_entries(entries)
-        self._targets = {one.name: one for one in targets}
-        if len(self._targets) <= FULL_SUBSET:
+        # This entry may not be on the lagging list yet.
+        new_entries = frozenset((*entries, self._own))
+        new_targets = frozenset(targets)
+        if new_entries == self._entries and new_targets == self._targets:
+            return self._chosen
+        if new_entries != self._entries:
+            self._take_entries(new_entries)
+        self._targets = new_targets
+        self._chosen = frozenset(self._choose())
+        return self._chosen
+
+    def _take_entries(self, entries: frozenset[Member]) -> None:
+        zones = ZoneMap(entries, self._region_of)
+        own_zone = self._own.availability_zone
+        counts = {zone: len(seeds) for zone, seeds in zones.seeds.items()}
+        old = {zone: len(seeds) for zone, seeds in self._zones.seeds.items()}
+        if zones.sizes != self._zones.sizes or _cap(counts) != _cap(old):
+            self._shares.clear()
             self._picks.clear()
-            return frozenset(self._targets)
-        self._update_picks()
-        chosen = {
-            name
-            for name, picks in self._picks.items()
-            if self._own.name in picks.find_names()
-        }
-        return frozenset(self._fill_up(chosen))
+        elif zones.seeds[own_zone] != self._zones.seeds[own_zone]:
+            self._picks.clear()
+        self._entries = entries
+        self._zones = zones
 
-    def _update_entries(self, entries: Iterable[Member]) -> None:
-        # This entry may not be on the lagging list yet.
-        new = {one.name: one for one in entries} | {self._own.name: self._own}
-        gone = {name for name, one in self._entries.items() if new.get(name) != one}
-        joined = [one for name, one in new.items() if self._entries.get(name) != one]
-        self._entries = new
-        for name in gone:
-            self._seeds.pop(name, None)
-        for one in joined:
-            self._seeds[one.name] = rendezvous.hash_name(one.name)
-        if gone:
-            self._picks = {
-                name: picks
-                for name, picks in self._picks.items()
-                if not gone & {one[2] for one in (*picks.own, *picks.others)}
-            }
-        for picks in self._picks.values():
-            for one in joined:
-                self._offer(picks, one)
-
-    def _update_picks(self) -> None:
-        for name in self._picks.keys() - self._targets.keys():
-            del self._picks[name]
-        for name, member in self._targets.items():
-            known = self._picks.get(name)
-            if known is None or known.member != member:
-                self._picks[name] = self._pick(member)
-
-    def _pick(self, target: Member) -> _TargetPicks:
-        picks = _TargetPicks(target, target.name.encode())
-        for entry in self._entries.values():
-            self._offer(picks, entry)
-        return picks
-
-    def _offer(self, picks: _TargetPicks, entry: Member) -> None:
-        zone, entrys_zone = picks.member.availability_zone, entry.availability_zone
-        near = self._get_region(entrys_zone) == self._get_region(zone)
-        rank = rendezvous.score(picks.key, self._seeds[entry.name])
-        own = entrys_zone == zone
-        _insert(
-            picks.own if own else picks.others,
-            (near, rank, entry.name),
-            limit=OWN_ZONE_ENTRIES if own else ENTRIES_PER_TARGET,
+    def _choose(self) -> set[str]:
+        if len(self._targets) <= FULL_SUBSET:
+            return {one.name for one in self._targets}
+        for gone in self._shares.keys() - self._targets:
+            del self._shares[gone]
+            self._picks.pop(gone, None)
+        own_zone = self._own.availability_zone
+        for target in self._targets - self._shares.keys():
+            self._shares[target] = self._zones.share_picks(target).get(own_zone, 0)
+        chosen = set()
+        for target, share in self._shares.items():
+            if share and self._is_picked(target, share):
+                chosen.add(target.name)
+        return fill_up(self._own, chosen, self._targets, self._zones)
+
+    def _is_picked(self, target: Member, share: int) -> bool:
+        picked = self._picks.get(target)
+        if picked is None:
+            names = self._zones.pick(target, self._own.availability_zone, share)
+            picked = self._picks[target] = self._own.name in names
+        return picked
+
+
+def fill_up(
+    own: Member, chosen: set[str], targets: Iterable[Member], zones: ZoneMap
+) -> set[str]:
+    """Add the targets that rank highest for an entry to services with too few."""
+    by_service: dict[str, list[Member]] = {}
+    for one in targets:
+        by_service.setdefault(one.service, []).append(one)
+    key = own.name.encode()
+
+    def rank(target: Member) -> tuple[bool, bool, int]:
+        zone = target.availability_zone
+        return (
+            zone == own.availability_zone,
+            zones.is_same_region(zone, own.availability_zone),
+            rendezvous.score(key, rendezvous.hash_name(target.name)),
         )
 
-    def _get_region(self, zone: str) -> str:
-        return self._region_of.get(zone, "")
-
-    def _fill_up(self, chosen: set[str]) -> set[str]:
-        """Add the targets that rank highest here to services with too few."""
-        by_service: dict[str, list[Member]] = {}
-        for one in self._targets.values():
-            by_service.setdefault(one.service, []).append(one)
-        key = self._own.name.encode()
-        for members in by_service.values():
-            missing = TARGETS_PER_SERVICE - sum(one.name in chosen for one in members)
-            if missing <= 0:
-                continue
+    for members in by_service.values():
+        missing = TARGETS_PER_SERVICE - sum(one.name in chosen for one in members)
+        if missing > 0:
             rest = [one for one in members if one.name not in chosen]
-            rest.sort(key=lambda one: self._rank_to_fill(key, one), reverse=True)
+            rest.sort(key=rank, reverse=True)
             chosen |= {one.name for one in rest[:missing]}
-        return chosen
-
-    def _rank_to_fill(self, key: bytes, target: Member) -> tuple[bool, bool, int]:
-        zone, own_zone = target.availability_zone, self._own.availability_zone
-        return (
-            zone == own_zone,
-            self._get_region(zone) == self._get_region(own_zone),
-            rendezvous.score(key, rendezvous.hash_name(target.name)),
-        )
+    return chosen
 
 
-def _insert(ranked: list[_Ranked], item: _Ranked, *, limit: int) -> None:
-    if len(ranked) < limit:
-        insort(ranked, item)
-    elif item > ranked[0]:
-        ranked[0] = item
-        ranked.sort()
+def _cap(counts: Mapping[str, int]) -> dict[str, int]:
+    return {zone: min(count, ENTRIES_PER_TARGET) for zone, count in counts.items()}
