Usable: outcomes for callers under load, measured and tested

A customer now counts on what nobody else takes of late, at least its share; the last tenth of a queue is kept for customers within their share. Ruled out: evicting alone.

--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,201 @@
+"""Compare outcomes for callers at 1x, 2x and 5x of capacity."""
+
+import argparse
+import json
+from collections import Counter
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from random import Random
+
+from bench.baselines import FifoBounded, FifoUnbounded, NoAdmission
+from bench.replay import Replay, Result, Scheduling
+from bench.workloads import (
+    DEADLINE_S,
+    DURATION_S,
+    SCENARIOS,
+    SLOTS,
+    Scenario,
+    make_table,
+    make_targets,
+)
+from hyssopvane._internal.models.refusals import RefusalReason
+from hyssopvane._internal.policy.scheduler import Scheduler
+
+FACTORS = (1.0, 2.0, 5.0)
+# The first seconds fill the targets and tell nothing of the load.
+_WARM_UP_S = DEADLINE_S
+_AT_ONCE_S = 0.05
+_SEED = 4
+_FIFO_LIMIT = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Outcomes:
+    """Tell how the callers of one run fared."""
+
+    scenario: str
+    factor: float
+    policy: str
+    requests: int
+    in_time: float
+    """Share answered within the deadline."""
+    refused_at_once: float
+    refused_later: float
+    """Share refused after a wait, before anything ran."""
+    late: float
+    """Share that ran, but not to its end by the deadline, or was lost."""
+    goodput: float
+    """Tokens a second of the answers in time."""
+    fairness: float
+    """Jain's index of what customers got, to their share."""
+    worst_within_share: float
+    """Least share in time among the customers within their share."""
+    wait_within_p99_s: float
+    """Their longest waits, and so on for all that were sent to a target."""
+    wait_p50_s: float
+    wait_p99_s: float
+
+
+def _make_scheduler(random: Random) -> Scheduling:
+    scheduler = Scheduler(random=random)
+    scheduler.update_table(make_table(), now=0.0)
+    return scheduler
+
+
+POLICIES: Mapping[str, Callable[[Random], Scheduling]] = {
+    "hyssopvane": _make_scheduler,
+    "fifo": lambda random: FifoUnbounded(concurrency=SLOTS),
+    "fifo-bounded": lambda random: FifoBounded(concurrency=SLOTS, limit=_FIFO_LIMIT),
+    "no-admission": lambda random: NoAdmission(),
+}
+
+
+def run_scenario(scenario: Scenario, *, factor: float, policy: str) -> list[Result]:
+    """Run one scenario under one policy."""
+    replay = Replay([POLICIES[policy](Random(_SEED))], make_targets())
+    scenario.prepare(replay)
+    arrivals = scenario.make_arrivals(Random(_SEED), factor)
+    return replay.run(arrivals, until=DURATION_S + 2 * DEADLINE_S)
+
+
+def measure_outcomes(
+    scenario: Scenario, results: Sequence[Result], *, factor: float, policy: str
+) -> Outcomes:
+    """Summarize one run."""
+    counted = [one for one in results if one.arrival.at >= _WARM_UP_S]
+    total = max(1, len(counted))
+    unsent = [one for one in counted if one.refusal and not one.attempts]
+    at_once = sum(one.wait_s <= _AT_ONCE_S for one in unsent)
+    in_time = sum(one.in_time for one in counted)
+    waits = sorted(one.wait_s for one in counted if one.attempts)
+    within = sorted(
+        one.wait_s
+        for one in counted
+        if one.attempts and one.arrival.request.customer in scenario.within_share
+    )
+    return Outcomes(
+        scenario=scenario.name,
+        factor=factor,
+        policy=policy,
+        requests=len(counted),
+        in_time=in_time / total,
+        refused_at_once=at_once / total,
+        refused_later=(len(unsent) - at_once) / total,
+        late=(total - in_time - len(unsent)) / total,
+        goodput=_measure_goodput(results),
+        fairness=_measure_fairness(counted),
+        worst_within_share=min(
+            (_measure_in_time(counted, name) for name in scenario.within_share),
+            default=1.0,
+        ),
+        wait_within_p99_s=_find_quantile(within, 0.99),
+        wait_p50_s=_find_quantile(waits, 0.5),
+        wait_p99_s=_find_quantile(waits, 0.99),
+    )
+
+
+def count_refusals(results: Sequence[Result]) -> Counter[RefusalReason | None]:
+    """Count the results by reason; None is an answer."""
+    return Counter(one.refusal for one in results)
+
+
+def _measure_goodput(results: Sequence[Result]) -> float:
+    tokens = sum(
+        one.arrival.request.tokens
+        for one in results
+        if one.in_time
+        and one.finished_at is not None
+        and _WARM_UP_S <= one.finished_at < DURATION_S
+    )
+    return tokens / (DURATION_S - _WARM_UP_S)
+
+
+def _measure_in_time(results: Sequence[Result], customer: str) -> float:
+    own = [one for one in results if one.arrival.request.customer == customer]
+    return sum(one.in_time for one in own) / max(1, len(own))
+
+
+def _measure_fairness(results: Sequence[Result]) -> float:
+    asked: Counter[str] = Counter()
+    got: Counter[str] = Counter()
+    for one in results:
+        request = one.arrival.request
+        asked[request.customer] += request.tokens
+        got[request.customer] += request.tokens * one.in_time
+    shares = _fill_shares(asked, sum(got.values()))
+    ratios = [got[name] / shares[name] for name in asked if shares[name]]
+    squares = sum(ratio * ratio for ratio in ratios)
+    return sum(ratios) ** 2 / (len(ratios) * squares) if squares else 0.0
+
+
+def _fill_shares(asked: Mapping[str, int], total: float) -> dict[str, float]:
+    """Divide what was answered so that nobody gets more than asked (max-min)."""
+    shares: dict[str, float] = {}
+    left = total
+    for number, name in enumerate(sorted(asked, key=asked.__getitem__)):
+        shares[name] = min(asked[name], left / (len(asked) - number))
+        left -= shares[name]
+    return shares
+
+
+def _find_quantile(values: Sequence[float], quantile: float) -> float:
+    if not values:
+        return 0.0
+    return values[min(len(values) - 1, int(len(values) * quantile))]
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Print a table of all scenarios, loads and policies."""
+    parser = argparse.ArgumentParser(prog="bench load", description=__doc__)
+    parser.add_argument("--json", type=Path, help="write the figures to this file")
+    parser.add_argument("--scenario", choices=sorted(SCENARIOS), action="append")
+    parser.add_argument("--policy", choices=sorted(POLICIES), action="append")
+    options = parser.parse_args(arguments)
+    rows: list[Outcomes] = []
+    print(
+        "scenario  load policy        in time  at once   later    late  goodput"
+        "  Jain  within     p99  wait p50    p99"
+    )
+    for name in options.scenario or SCENARIOS:
+        for factor in FACTORS:
+            for policy in options.policy or POLICIES:
+                results = run_scenario(SCENARIOS[name], factor=factor, policy=policy)
+                row = measure_outcomes(
+                    SCENARIOS[name], results, factor=factor, policy=policy
+                )
+                rows.append(row)
+                print(_format(row), flush=True)
+    if options.json is not None:
+        options.json.write_text(json.dumps([asdict(row) for row in rows], indent=1))
+    return 0
+
+
+def _format(row: Outcomes) -> str:
+    return (
+        f"{row.scenario:9} {row.factor:3.0f}x {row.policy:13}"
+        f" {row.in_time:7.1%} {row.refused_at_once:8.1%} {row.refused_later:7.1%}"
+        f" {row.late:7.1%} {row.goodput:8.0f} {row.fairness:5.3f}"
+        f" {row.worst_within_share:7.1%}"
+        f" {row.wait_within_p99_s:6.2f}s {row.wait_p50_s:8.2f}s {row.wait_p99_s:5.2f}s"
+    )
--- a/src/hyssopvane/_internal/policy/measures.py
+++ b/src/hyssopvane/_internal/policy/measures.py
@@ -8,6 +8,12 @@
 # Weight of the past at each end of an attempt: about the last fifty count.
 _PAST_WEIGHT = 0.98
 
+# A customer that takes less than this part of its class claims no share in predictions.
+_ACTIVE_SHARE = 0.001
+# Tokens a second below which a customer's meter is dropped, so that memory follows the
+# customers of the last minute.
+_FORGOTTEN_RATE = 0.01
+
 
 class RateMeter:
     """Measure tokens a second, with the past fading."""
@@ -31,6 +37,39 @@
         return math.exp((self._at - now) / _RATE_WINDOW_S)
 
 
+class _FlowMeter:
+    __slots__ = ("active", "rate", "weight")
+
+    def __init__(self, weight: float) -> None:
+        self.rate = RateMeter()
+        self.weight = weight
+        self.active = False
+
+
+class _ClassMeter:
+    def __init__(self) -> None:
+        self.rate = RateMeter()
+        self.flows: dict[str, _FlowMeter] = {}
+        self.active_weight = 0.0
+
+    def get_flow(self, customer: str, weight: float) -> _FlowMeter:
+        flow = self.flows.get(customer)
+        if flow is None:
+            flow = self.flows[customer] = _FlowMeter(weight)
+        return flow
+
+    def review(self, *, now: float) -> None:
+        least = self.rate.get_rate(now=now) * _ACTIVE_SHARE
+        self.active_weight = 0.0
+        for customer, flow in list(self.flows.items()):
+            rate = flow.rate.get_rate(now=now)
+            flow.active = rate > least
+            if flow.active:
+                self.active_weight += flow.weight
+            elif rate < _FORGOTTEN_RATE:
+                del self.flows[customer]
+
+
 class ServiceMeter:
     """Measure one service from the attempts that this entry has sent.
 
@@ -47,13 +86,17 @@
         self._held = 0.0
         self._token_seconds = 0.0
         self._requests = 0.0
-        self._placed: dict[int, RateMeter] = {}
+        self._classes: dict[int, _ClassMeter] = {}
 
-    def count_start(self, tokens: int, *, priority: int, now: float) -> None:
+    def count_start(
+        self, tokens: int, *, priority: int, customer: str, weight: float, now: float
+    ) -> None:
         """Count an attempt that is sent."""
         self.tokens_in_flight += tokens
         self.requests_in_flight += 1
-        self._placed.setdefault(priority, RateMeter()).add(tokens, now=now)
+        one = self._get_class(priority)
+        one.rate.add(tokens, now=now)
+        one.get_flow(customer, weight).rate.add(tokens, now=now)
 
     def count_end(self, tokens: int, *, held_s: float | None) -> None:
         """Count an attempt's end; None when its time tells nothing."""
@@ -74,18 +117,44 @@
         """Return how long a request of average size holds its place."""
         return self._held / self._requests if self._requests else 0.0
 
-    def measure_drain(self, priority: int, *, now: float, floor: float) -> float | None:
-        """Return the tokens a second that a class can count on; None when unknown.
+    def measure_drain(self) -> float | None:
+        """Return the tokens a second that get a place; None when unknown."""
+        if not self._token_seconds or not self.tokens_in_flight:
+            return None
+        return self.tokens_in_flight * self._tokens / self._token_seconds
 
-        What more urgent classes took of late is lost to it, but for the floor that
-        it is promised.
+    def measure_flow_drain(
+        self, priority: int, customer: str, *, weight: float, floor: float, now: float
+    ) -> float | None:
+        """Return the tokens a second that a customer can count on; None when unknown.
+
+        It is what nobody else takes, but at least its share of its class. What more
+        urgent classes took of late is lost to the class, but for the floor that it is
+        promised. The share alone would be too little for a customer whose neighbours
+        are modest, and the whole too much: they are served before it.
         """
-        if not self._token_seconds or not self.tokens_in_flight:
+        total = self.measure_drain()
+        if total is None:
             return None
-        total = self.tokens_in_flight * self._tokens / self._token_seconds
-        taken = sum(
-            meter.get_rate(now=now)
-            for number, meter in self._placed.items()
+        above = sum(
+            one.rate.get_rate(now=now)
+            for number, one in self._classes.items()
             if number < priority
         )
-        return max(total - taken, total * floor)
+        left = max(total - above, total * floor)
+        one = self._get_class(priority)
+        flow = one.get_flow(customer, weight)
+        others = one.rate.get_rate(now=now) - flow.rate.get_rate(now=now)
+        share = weight / (one.active_weight + (0.0 if flow.active else weight))
+        return max(left - others, left * share)
+
+    def review(self, *, now: float) -> None:
+        """Find which customers took work of late; the others claim no share."""
+        for one in self._classes.values():
+            one.review(now=now)
+
+    def _get_class(self, priority: int) -> _ClassMeter:
+        one = self._classes.get(priority)
+        if one is None:
+            one = self._classes[priority] = _ClassMeter()
+        return one
--- a/src/hyssopvane/_internal/policy/queueing.py
+++ b/src/hyssopvane/_internal/policy/queueing.py
@@ -14,8 +14,9 @@
 
 # Made for long and short work of one customer. A record check of a few hundred tokens
 # behind a pile of long drafts would wait for all of them. Two lanes that get equal
-# tokens let a short request pass dozens of long ones, and still the long ones move:
-# they get at least half. 2,000 tokens lie between a check and a draft with its sources.
+# tokens let it pass them, and still the long ones move: each is served after about
+# its own tokens of short work. 2,000 tokens lie between a check and a draft with its
+# sources.
 LONG_TOKENS = 2_000
 
 
@@ -39,6 +40,11 @@
     tokens: int = 0
     served: float = 0.0
 
+    @property
+    def next_end(self) -> float:
+        """Return what the lane will have got when its next request is served."""
+        return self.served + next(iter(self.items.values())).tokens
+
 
 class Flow:
     """Hold what one customer has waiting in one priority class."""
@@ -65,16 +71,14 @@
     def choose_lane(self) -> _Lane:
         """Return the lane that is served next."""
         short, long = self.lanes
-        if not short.items:
-            return long
-        if not long.items or short.served <= long.served:
-            return short
-        return long
+        if not (short.items and long.items):
+            return short if short.items else long
+        return short if short.next_end <= long.next_end else long
 
     def count_ahead(self, tokens: int) -> int:
         """Return the customer's own tokens that a new request waits for."""
         lane = self.get_lane(tokens)
-        return min(2 * lane.tokens, self.tokens)
+        return lane.tokens + min(lane.tokens, self.tokens - lane.tokens)
 
     def add(self, item: QueuedItem) -> None:
         """Append a request to its lane."""
@@ -163,18 +167,10 @@
             self._retire(flow)
         return item
 
-    def count_ahead(self, customer: str, weight: float, tokens: int) -> float:
-        """Return the tokens of this class that go before a new request.
-
-        Made for one customer that floods the queue. A wait predicted from the whole
-        queue would refuse its neighbours, who are served from their own share; so
-        only that many tokens of others count as fairness lets pass.
-        """
+    def count_own(self, customer: str, tokens: int) -> int:
+        """Return the customer's own tokens that go before a new request of it."""
         flow = self.flows.get(customer)
-        if flow is None or not flow.tokens:
-            return 0.0
-        own = flow.count_ahead(tokens)
-        return min(own * self.weight / flow.weight, self.tokens)
+        return flow.count_ahead(tokens) if flow is not None else 0
 
     def _push(self, flow: Flow) -> None:
         flow.entry = next(self._sequence)
@@ -246,11 +242,14 @@
         """Return a class that was ever used."""
         return self.classes.get(priority)
 
-    def count_ahead(
-        self, customer: str, *, priority: int, weight: float, tokens: int
-    ) -> float:
-        """Return the queued tokens that go before a new request."""
-        ahead = 0.0
+    def count_ahead(self, customer: str, *, priority: int, tokens: int) -> int:
+        """Return the queued tokens that go before a new request.
+
+        Of its own class, only its customer's count: what others have waiting shows in
+        the rate that the customer can count on. A wait predicted from the whole queue
+        would refuse the neighbours of a customer that floods it.
+        """
+        ahead = 0
         for number in self._order:
             if number > priority:
                 break
@@ -258,7 +257,7 @@
             if number < priority:
                 ahead += one.tokens
             else:
-                ahead += one.count_ahead(customer, weight, tokens)
+                ahead += one.count_own(customer, tokens)
         return ahead
 
     def iterate_flows(self) -> Iterator[tuple[int, PriorityClass, Flow]]:
@@ -269,19 +268,33 @@
                 if flow.tokens:
                     yield number, one, flow
 
-    def predict_waits(self) -> Iterator[tuple[QueuedItem, float]]:
+    def predict_waits(self) -> Iterator[tuple[QueuedItem, int]]:
         """Yield each waiting request with the tokens before it.
 
         What the caller removes while it iterates no longer counts as before others.
         """
-        above = 0.0
+        above = 0
         for number in self._order:
             one = self.classes[number]
             for flow in list(one.flows.values()):
                 for lane in flow.lanes:
-                    yield from _predict_lane(one, flow, lane, above)
+                    yield from _predict_lane(flow, lane, above)
             above += one.tokens
 
+    def is_above_share(
+        self, newcomer: QueuedItem, *, weight: float, limit: float, in_tokens: bool
+    ) -> bool:
+        """Tell whether a customer would hold more than its share of the queue."""
+        total_weight = sum(one.weight for one in self.classes.values())
+        own = self._find_flow(newcomer)
+        amount = newcomer.tokens if in_tokens else 1
+        if own is None:
+            total_weight += weight
+        else:
+            amount += own.tokens if in_tokens else own.size
+            weight = own.weight
+        return amount > limit * weight / total_weight
+
     def find_loser(
         self, newcomer: QueuedItem, *, weight: float, limit: int, in_tokens: bool
     ) -> QueuedItem:
@@ -293,7 +306,7 @@
         several, the one of the lowest priority, then the one furthest above. Its
         newest is chosen because it has waited least and can come back soonest.
         """
-        total_weight = sum(flow.weight for _, _, flow in self.iterate_flows())
+        total_weight = sum(one.weight for one in self.classes.values())
         own = self._find_flow(newcomer)
         if own is None:
             total_weight += weight
@@ -339,11 +352,11 @@
 
 
 def _predict_lane(
-    one: PriorityClass, flow: Flow, lane: _Lane, above: float
-) -> Iterator[tuple[QueuedItem, float]]:
+    flow: Flow, lane: _Lane, above: int
+) -> Iterator[tuple[QueuedItem, int]]:
     before = 0
+    other = flow.tokens - lane.tokens
     for item in list(lane.items.values()):
-        own = min(2 * before, flow.tokens)
-        yield item, above + min(own * one.weight / flow.weight, one.tokens)
+        yield item, above + before + min(before, other)
         if item.request_id in lane.items:
             before += item.tokens
--- a/src/hyssopvane/_internal/policy/scheduler.py
+++ b/src/hyssopvane/_internal/policy/scheduler.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from math import ceil
 from random import Random
 
 from hyssopvane._internal.models.refusals import Outcome, Refusal, RefusalReason
@@ -36,6 +37,10 @@
 # Looking through the queue costs about a microsecond a request. Four times a second, a
 # full queue of a thousand costs well under a hundredth of a core.
 _REVIEW_INTERVAL_S = 0.25
+# Made for one customer that fills the queue. The last tenth is kept for customers
+# within their share; else each of their requests would push out one that has waited,
+# and its caller would be refused later instead of at once.
+_OPEN_QUEUE_SHARE = 0.9
 # Callers refused in one burst would come back in one burst; spread their return.
 _RETURN_SPREAD = 0.5
 
@@ -203,7 +208,13 @@
         if placed is not None:
             entry.sent_at = now
             meter = self._get_service(entry.request.service).meter
-            meter.count_start(entry.tokens, priority=entry.request.priority, now=now)
+            meter.count_start(
+                entry.tokens,
+                priority=entry.request.priority,
+                customer=entry.request.customer,
+                weight=self._get_weight(entry.request.customer),
+                now=now,
+            )
         return placed
 
     def _stop(
@@ -229,7 +240,7 @@
         self, entry: _Request, service: _Service, *, now: float
     ) -> Waiting | Refusal:
         request = entry.request
-        weight = float(self.admission.get_row(request.customer).weight)
+        weight = self._get_weight(request.customer)
         item = QueuedItem(
             request_id=request.request_id,
             customer=request.customer,
@@ -239,7 +250,7 @@
             arrived_at=now,
         )
         ahead = service.queue.count_ahead(
-            item.customer, priority=item.priority, weight=weight, tokens=item.tokens
+            item.customer, priority=item.priority, tokens=item.tokens
         )
         late_s = self._predict_lateness(service, item, ahead * _ARRIVAL_MARGIN, now=now)
         if late_s > 0:
@@ -252,9 +263,17 @@
         queue, row = service.queue, service.row
         if item.tokens > row.queue_token_limit or not row.queue_limit:
             return self._refuse_full(service, now=now)
-        while (
-            len(queue) >= row.queue_limit
-            or queue.tokens + item.tokens > row.queue_token_limit
+        for in_tokens, used, limit in (
+            (False, len(queue) + 1, row.queue_limit),
+            (True, queue.tokens + item.tokens, row.queue_token_limit),
+        ):
+            open_limit = ceil(limit * _OPEN_QUEUE_SHARE)
+            if used > open_limit and queue.is_above_share(
+                item, weight=weight, limit=open_limit, in_tokens=in_tokens
+            ):
+                return self._refuse_full(service, now=now)
+        while len(queue) >= row.queue_limit or (
+            queue.tokens + item.tokens > row.queue_token_limit
         ):
             in_tokens = len(queue) < row.queue_limit
             loser = queue.find_loser(
@@ -278,10 +297,16 @@
         take a place from one that can, and its caller would learn of it only at the
         deadline. While nothing is measured yet, only the queue's limits hold.
         """
-        drain = service.meter.measure_drain(
-            item.priority, now=now, floor=PASSED_OVER_SHARE
-        )
-        wait_s = ahead / drain if drain else 0.0
+        wait_s = 0.0
+        if ahead:
+            drain = service.meter.measure_flow_drain(
+                item.priority,
+                item.customer,
+                weight=self._get_weight(item.customer),
+                floor=PASSED_OVER_SHARE,
+                now=now,
+            )
+            wait_s = ahead / drain if drain else 0.0
         run_s = min(
             service.meter.predict_run_s(item.tokens),
             _MAX_RUN_SHARE * (item.deadline - item.arrived_at),
@@ -294,7 +319,7 @@
         )
 
     def _refuse_full(self, service: _Service, *, now: float) -> Refusal:
-        drain = service.meter.measure_drain(0, now=now, floor=PASSED_OVER_SHARE)
+        drain = service.meter.measure_drain()
         wait_s = service.queue.tokens / drain if drain else 0.0
         return Refusal(RefusalReason.QUEUE_FULL, Outcome.NOT_RUN, self._spread(wait_s))
 
@@ -342,11 +367,15 @@
         if now - service.reviewed_at < _REVIEW_INTERVAL_S:
             return
         service.reviewed_at = now
+        service.meter.review(now=now)
         for item, ahead in service.queue.predict_waits():
             late_s = self._predict_lateness(service, item, ahead, now=now)
             if late_s > 0:
                 self._drop(service, item, self._refuse_late(late_s))
 
+    def _get_weight(self, customer: str) -> float:
+        return float(self.admission.get_row(customer).weight)
+
     def _get_service(self, name: str) -> _Service:
         service = self._services.get(name)
         if service is None:
