--- a/src/hyssopvane/_internal/coordination/etcd_key_value.py
+++ b/src/hyssopvane/_internal/coordination/etcd_key_value.py
@@ -2,8 +2,8 @@
 
 import json
 from base64 import b64decode, b64encode
-from collections.abc import AsyncIterator, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator, Sequence
+from contextlib import asynccontextmanager, contextmanager
 from typing import Any, TypeAlias
 
 import httpcore
@@ -11,6 +11,7 @@
 
 from hyssopvane._internal.coordination.key_value import (
     NO_LEASE,
+    Check,
     KeyValue,
     KeyValueStore,
     Snapshot,
@@ -42,6 +43,9 @@
 )
 """Errors by which the service says that it did not even start on a write."""
 
+_CANCELED = frozenset({408, 499})
+"""Statuses of a call that was given up; a write may have been carried out."""
+
 _NEVER_SENT = (
     httpcore.ConnectError,
     httpcore.ConnectTimeout,
@@ -50,6 +54,9 @@
 )
 
 
+_MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
+
+
 class EtcdKeyValueStore(KeyValueStore):
     """Call the key-value service at one address."""
 
@@ -67,7 +74,8 @@
 
     async def get(self, key: str) -> KeyValue | None:
         answer = await self._call("/v3/kv/range", {"key": _encode(key)})
-        items = _parse_items(answer)
+        with self._parsing(KeyValueUnavailable):
+            items = _parse_items(answer)
         return items[0] if items else None
 
     async def get_prefix(self, prefix: str, *, min_revision: int = 0) -> Snapshot:
@@ -77,26 +85,27 @@
             "min_mod_revision": str(min_revision),
         }
         answer = await self._call("/v3/kv/range", request)
-        return Snapshot(_parse_revision(answer), _parse_items(answer))
+        with self._parsing(KeyValueUnavailable):
+            return Snapshot(_parse_revision(answer), _parse_items(answer))
 
-    async def compare_and_swap(self, swaps: Sequence[Swap]) -> Swapped | SwapLost:
-        answer = await self._call("/v3/kv/txn", _make_transaction(swaps), writes=True)
-        if answer.get("succeeded", False):
-            return Swapped(_parse_revision(answer))
-        current: list[KeyValue] = []
-        for response in answer.get("responses", []):
-            current.extend(_parse_items(response.get("response_range", {})))
-        return SwapLost(tuple(current))
+    async def compare_and_swap(
+        self, swaps: Sequence[Swap], *, checks: Sequence[Check] = ()
+    ) -> Swapped | SwapLost:
+        transaction = _make_transaction(swaps, checks)
+        answer = await self._call("/v3/kv/txn", transaction, writes=True)
+        with self._parsing(KeyValueUnknown):
+            return _parse_transaction(answer)
 
     async def grant_lease(self, ttl_s: int) -> int:
         answer = await self._call("/v3/lease/grant", {"TTL": str(ttl_s)}, writes=True)
-        return int(answer["ID"])
+        with self._parsing(KeyValueUnknown):
+            return int(answer["ID"])
 
     async def keep_lease(self, lease: int) -> bool:
-        answer = await self._call(
-            "/v3/lease/keepalive", {"ID": str(lease)}, writes=True
-        )
-        return int(answer.get("result", {}).get("TTL", 0)) > 0
+        request = {"ID": str(lease)}
+        answer = await self._call("/v3/lease/keepalive", request, writes=True)
+        with self._parsing(KeyValueUnknown):
+            return int(answer["result"].get("TTL", 0)) > 0
 
     async def revoke_lease(self, lease: int) -> None:
         await self._call("/v3/lease/revoke", {"ID": str(lease)}, writes=True)
@@ -186,10 +195,17 @@
         message = str(answer.get("error", "")) if isinstance(answer, dict) else ""
         if message in _NOT_CARRIED_OUT:
             raise self._describe(KeyValueUnavailable, f"is not ready: {message}")
-        if response.status < 500:
+        if 400 <= response.status < 500 and response.status not in _CANCELED:
             raise self._describe(KeyValueRefused, f"refused the call: {message}")
         raise self._describe(lost, f"failed with status {response.status}: {message}")
 
+    @contextmanager
+    def _parsing(self, lost: type[KeyValueError]) -> Iterator[None]:
+        try:
+            yield
+        except _MALFORMED as error:
+            raise self._describe(lost, f"gave a malformed answer: {error!r}") from error
+
     def _describe(self, kind: type[KeyValueError], problem: str) -> KeyValueError:
         return kind(
             f"the key-value service {problem}",
@@ -213,19 +229,20 @@
     return b"\0"
 
 
-def _make_transaction(swaps: Sequence[Swap]) -> JsonObject:
+def _make_transaction(swaps: Sequence[Swap], checks: Sequence[Check]) -> JsonObject:
+    compared: tuple[Swap | Check, ...] = (*swaps, *checks)
     return {
         "compare": [
             {
-                "key": _encode(swap.key),
+                "key": _encode(item.key),
                 "target": "MOD",
                 "result": "EQUAL",
-                "mod_revision": str(swap.expected_revision),
+                "mod_revision": str(item.expected_revision),
             }
-            for swap in swaps
+            for item in compared
         ],
         "success": [_make_change(swap) for swap in swaps],
-        "failure": [{"request_range": {"key": _encode(swap.key)}} for swap in swaps],
+        "failure": [{"request_range": {"key": _encode(item.key)}} for item in compared],
     }
 
 
@@ -245,19 +262,32 @@
     reader that empties the channel never sees half of a transaction.
     """
     try:
-        result = json.loads(line).get("result")
-    except ValueError:
+        result = json.loads(line)["result"]
+        events = [_parse_event(event) for event in result.get("events", [])]
+        canceled = bool(result.get("canceled", False))
+    except _MALFORMED:
         return False
-    if not isinstance(result, dict) or result.get("canceled", False):
+    try:
+        for event in events:
+            send.send_nowait(event)
+    except trio.WouldBlock:
         return False
-    for event in result.get("events", []):
-        item = _parse_item(event["kv"])
-        value = None if event.get("type") == "DELETE" else item.value
-        try:
-            send.send_nowait(WatchEvent(item.key, value, item.revision))
-        except trio.WouldBlock:
-            return False
-    return True
+    return not canceled
+
+
+def _parse_event(event: JsonObject) -> WatchEvent:
+    item = _parse_item(event["kv"])
+    value = None if event.get("type") == "DELETE" else item.value
+    return WatchEvent(item.key, value, item.revision)
+
+
+def _parse_transaction(answer: JsonObject) -> Swapped | SwapLost:
+    if answer.get("succeeded", False):
+        return Swapped(_parse_revision(answer))
+    current: list[KeyValue] = []
+    for response in answer["responses"]:
+        current.extend(_parse_items(response["response_range"]))
+    return SwapLost(tuple(current))
 
 
 async def _split_lines(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
@@ -270,7 +300,7 @@
 
 
 def _parse_revision(answer: JsonObject) -> int:
-    return int(answer.get("header", {}).get("revision", 0))
+    return int(answer["header"]["revision"])
 
 
 def _parse_items(answer: JsonObject) -> tuple[KeyValue, ...]:
