--- a/src/hyssopvane/_internal/policy/scheduler.py
+++ b/src/hyssopvane/_internal/policy/scheduler.py
@@ -1,18 +1,19 @@
 """Decide when and where each request of an entry runs."""
 
-from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from math import ceil
 from random import Random
 
 from hyssopvane._internal.models.refusals import Outcome, Refusal, RefusalReason
 from hyssopvane._internal.policy.admission import Admission, clamp_retry_after
+from hyssopvane._internal.policy.attempts import AttemptPlanner
 from hyssopvane._internal.policy.measures import ServiceMeter
 from hyssopvane._internal.policy.queueing import (
     PASSED_OVER_SHARE,
     FairQueue,
     QueuedItem,
 )
+from hyssopvane._internal.policy.retries import RetryAt
 from hyssopvane._internal.state.table import ServiceRow, Table
 from hyssopvane._internal.state.work import (
     AttemptReport,
@@ -26,7 +27,6 @@
 )
 
 _RETRY_AFTER_S = 1.0
-_MAX_ATTEMPTS = 3
 
 # Predictions are noisy. On arrival the wait counts a quarter more, so that few of the
 # admitted are refused later, when they have waited in vain.
@@ -48,24 +48,13 @@
 _UNTIMED = frozenset({AttemptResult.NOT_STARTED, AttemptResult.LOST})
 
 
-@dataclass(slots=True)
-class _Target:
-    info: TargetInfo
-    in_flight: int = 0
-    leaving: bool = False
-
-
 @dataclass(slots=True)
 class _Request:
     request: WorkRequest
     tokens: int
     arrived_at: float = 0.0
     sent_at: float = 0.0
-    attempts: int = 0
-    target: str = ""
-    tried: set[str] = field(default_factory=set)
-    outcome: Outcome = Outcome.NOT_RUN
-    """What is proved of the attempts so far."""
+    running: bool = False
 
 
 class _Service:
@@ -75,9 +64,9 @@
         self.row = ServiceRow(name)
         self.queue = FairQueue()
         self.meter = ServiceMeter()
-        # Requests whose attempt proved not to have run. They have waited their turn
-        # already, so they go first; each may be barred from targets that others may
-        # use, so one of them that finds no place must not hold up the queue.
+        # Requests that are to run again, and crash suspects. They have waited their
+        # turn already, so they go first; each may be barred from targets that others
+        # may use, so one of them that finds no place must not hold up the queue.
         self.again: dict[str, _Request] = {}
         self.reviewed_at = 0.0
 
@@ -85,9 +74,12 @@
 class Scheduler:
     """Hold the queue and the targets of one entry; the caller brings the clock."""
 
-    def __init__(self, *, random: Random) -> None:
+    def __init__(self, *, random: Random, availability_zone: str = "") -> None:
         self._random = random
-        self._targets: dict[str, _Target] = {}
+        self.planner = AttemptPlanner(
+            random=random, availability_zone=availability_zone
+        )
+        self._now = 0.0
         self._requests: dict[str, _Request] = {}
         self._services: dict[str, _Service] = {}
         self._decided: list[tuple[str, Decision]] = []
@@ -95,33 +87,36 @@
 
     def update_table(self, table: Table, *, now: float) -> None:
         """Apply the weights and limits of the table in force."""
+        self._now = now
+        self.planner.update_table(table)
         self.admission.update_rows(table.customers)
         for name in table.services.keys() | self._services.keys():
             self._get_service(name).row = table.services.get(name, ServiceRow(name))
 
     def connect_target(self, info: TargetInfo) -> None:
         """Start to place work on a target."""
-        self._targets[info.name] = _Target(info)
+        self.planner.connect(info, now=self._now)
 
     def disconnect_target(self, name: str) -> None:
         """Stop to place work on a target."""
-        self._targets.pop(name, None)
+        self.planner.disconnect(name)
 
     def observe_load(self, name: str, report: LoadReport) -> None:
         """Take note of what a target's agent reports."""
-        target = self._targets.get(name)
-        if target is not None:
-            target.leaving = report.leaving
+        self.planner.observe_load(name, report, now=self._now)
 
     def submit(self, request: WorkRequest, *, now: float) -> Decision:
         """Place, queue or refuse a new request."""
+        self._now = now
         refusal = self._refuse_on_arrival(request, now=now)
         if refusal is not None:
             return refusal
         service = self._get_service(request.service)
         entry = _Request(request, max(1, request.tokens), arrived_at=now)
         decision: Decision | None = None
-        if not service.queue:
+        if self.planner.is_held(request, now=now):
+            decision = self._hold(entry, service, now=now)
+        elif not service.queue:
             # Nobody is overtaken. With others waiting, only the queue says whose turn
             # it is: a newcomer that takes the place just freed would starve them.
             decision = self._start(entry, now=now)
@@ -130,6 +125,7 @@
         if not isinstance(decision, Refusal):
             self._requests[request.request_id] = entry
             self.admission.take(request.customer, entry.tokens)
+            self.planner.add_fresh(request, now=now)
         return decision
 
     def finish(
@@ -140,16 +136,11 @@
         if entry is None:
             return None
         self._stop(entry, report, now=now)
-        if report.result is not AttemptResult.NOT_STARTED:
-            # Nothing proves that a lost attempt did not run, also when it may be
-            # repeated: a later refusal must not say so.
-            entry.outcome = Outcome.UNKNOWN
-        if report.result is AttemptResult.NOT_STARTED or (
-            report.result is AttemptResult.LOST and entry.request.repeatable
-        ):
+        retry = self.planner.finish(request_id, report, now=now)
+        if isinstance(retry, RetryAt):
             return self._retry(entry, now=now)
         self._forget(entry)
-        return None
+        return retry if isinstance(retry, Refusal) else None
 
     def withdraw(self, request_id: str) -> None:
         """Forget a request whose caller has gone."""
@@ -159,11 +150,13 @@
         service = self._get_service(entry.request.service)
         service.queue.remove(request_id)
         service.again.pop(request_id, None)
-        self._stop(entry, None, now=0.0)
+        self._stop(entry, None, now=self._now)
+        self._release(entry)
         self._forget(entry)
 
     def collect(self, *, now: float) -> list[tuple[str, Decision]]:
         """Return new decisions about waiting requests."""
+        self._now = now
         for service in self._services.values():
             self._place_again(service, now=now)
             self._place_queued(service, now=now)
@@ -178,35 +171,28 @@
 
     def describe_targets(self) -> list[dict[str, object]]:
         """Return what is known of each target."""
-        return [
-            {
-                "name": target.info.name,
-                "service": target.info.service,
-                "in_flight": target.in_flight,
-                "leaving": target.leaving,
-            }
-            for target in self._targets.values()
-        ]
+        return self.planner.placer.describe(now=self._now)
 
     def _refuse_on_arrival(self, request: WorkRequest, *, now: float) -> Refusal | None:
         if now >= request.deadline:
             return Refusal(RefusalReason.DEADLINE_UNREACHABLE, Outcome.NOT_RUN)
-        if not any(True for _ in self._find_targets(request.service)):
+        if not self.planner.placer.has_target(request.service):
             return Refusal(
                 RefusalReason.NO_TARGET, Outcome.NOT_RUN, self._spread(_RETRY_AFTER_S)
             )
         service = self._get_service(request.service)
-        return self.admission.check(
+        return self.planner.refuse(request, now=now) or self.admission.check(
             request.customer,
             max(1, request.tokens),
             hold_s=service.meter.predict_hold_s(),
             now=now,
         )
 
-    def _start(self, entry: _Request, *, now: float) -> Placed | None:
-        placed = self._place(entry)
-        if placed is not None:
+    def _start(self, entry: _Request, *, now: float) -> Placed | Refusal | None:
+        placed = self._place(entry, now=now)
+        if isinstance(placed, Placed):
             entry.sent_at = now
+            entry.running = True
             meter = self._get_service(entry.request.service).meter
             meter.count_start(
                 entry.tokens,
@@ -220,17 +206,24 @@
     def _stop(
         self, entry: _Request, report: AttemptReport | None, *, now: float
     ) -> None:
-        if entry.target:
+        if entry.running:
+            entry.running = False
             untimed = report is None or report.result in _UNTIMED
             self._get_service(entry.request.service).meter.count_end(
                 entry.tokens, held_s=None if untimed else now - entry.sent_at
             )
-        self._release(entry)
 
     def _forget(self, entry: _Request) -> None:
         del self._requests[entry.request.request_id]
         self.admission.give_back(entry.request.customer, entry.tokens)
 
+    def _hold(
+        self, entry: _Request, service: _Service, *, now: float
+    ) -> Waiting | Refusal:
+        if len(service.again) >= service.row.queue_limit:
+            return self._refuse_full(service, now=now)
+        return self._enqueue_again(entry)
+
     def _enqueue_again(self, entry: _Request) -> Waiting:
         service = self._get_service(entry.request.service)
         service.again[entry.request.request_id] = entry
@@ -336,12 +329,15 @@
         for request_id, entry in list(service.again.items()):
             decision: Decision | None = None
             if now >= entry.request.deadline:
-                self._forget(entry)
-                decision = Refusal(RefusalReason.DEADLINE_UNREACHABLE, entry.outcome)
+                outcome = self.planner.get_outcome(request_id)
+                decision = Refusal(RefusalReason.DEADLINE_UNREACHABLE, outcome)
             else:
                 decision = self._start(entry, now=now)
             if decision is not None:
                 del service.again[request_id]
+                if isinstance(decision, Refusal):
+                    self._release(entry)
+                    self._forget(entry)
                 self._decided.append((request_id, decision))
 
     def _place_queued(self, service: _Service, *, now: float) -> None:
@@ -351,10 +347,17 @@
                 # It would hold a place and still miss its deadline.
                 self._drop(service, item, self._refuse_late(late_s))
                 continue
-            placed = self._start(self._requests[item.request_id], now=now)
-            if placed is None:
+            entry = self._requests[item.request_id]
+            placed = self._start(entry, now=now)
+            if placed is None and not self.planner.is_held(entry.request, now=now):
                 return
             service.queue.pop()
+            if placed is None:
+                # It became a crash suspect while it waited.
+                service.again[item.request_id] = entry
+                continue
+            if isinstance(placed, Refusal):
+                self._forget(entry)
             self._decided.append((item.request_id, placed))
 
     def _review(self, service: _Service, *, now: float) -> None:
@@ -383,43 +386,13 @@
         return service
 
     def _retry(self, entry: _Request, *, now: float) -> Decision:
-        if entry.attempts >= _MAX_ATTEMPTS or now >= entry.request.deadline:
-            self._forget(entry)
-            return Refusal(RefusalReason.RETRIES_SPENT, entry.outcome, _RETRY_AFTER_S)
         placed = self._start(entry, now=now)
-        if placed is not None:
-            return placed
-        return self._enqueue_again(entry)
+        if isinstance(placed, Refusal):
+            self._forget(entry)
+        return placed or self._enqueue_again(entry)
 
-    def _place(self, entry: _Request) -> Placed | None:
-        candidates = [
-            target
-            for target in self._find_targets(entry.request.service)
-            if target.in_flight
-            < self._get_service(entry.request.service).row.target_concurrency
-        ]
-        fresh = [one for one in candidates if one.info.name not in entry.tried]
-        if not (fresh or candidates):
-            return None
-        chosen = min(
-            fresh or candidates,
-            key=lambda target: (target.in_flight, self._random.random()),
-        )
-        chosen.in_flight += 1
-        entry.attempts += 1
-        entry.target = chosen.info.name
-        entry.tried.add(entry.target)
-        return Placed(entry.target, chosen.info.incarnation, entry.attempts)
-
-    def _find_targets(self, service: str) -> Iterable[_Target]:
-        return (
-            target
-            for target in self._targets.values()
-            if target.info.service == service and not target.leaving
-        )
+    def _place(self, entry: _Request, *, now: float) -> Placed | Refusal | None:
+        return self.planner.place(entry.request, now=now)
 
     def _release(self, entry: _Request) -> None:
-        target = self._targets.get(entry.target)
-        if target is not None and entry.target:
-            target.in_flight -= 1
-        entry.target = ""
+        self.planner.forget(entry.request, now=self._now)
