--- a/tests/functional/test_key_value.py
+++ b/tests/functional/test_key_value.py
@@ -1,6 +1,7 @@
 """Test the key-value client against the stand-in in its own process."""
 
 import json
+from functools import partial
 
 import httpcore
 import pytest
@@ -19,13 +20,19 @@
     KeyValueUnavailable,
     KeyValueUnknown,
 )
-from tests.lib.processes import run_standin_process
+from hyssopvane._internal.standins.key_value import KeyValueApp, serve_key_value
+from hyssopvane._internal.standins.key_value_state import MAX_HISTORY, Put
+from hyssopvane._internal.standins.platform_asgi import answer_lifespan, read_body
+from hyssopvane._internal.transport.asgi_server import serve_asgi
+from tests.lib.standin_processes import run_standin
+
+LOOPBACK = "127.0.0.1:0"
 
 
 @pytest.fixture(scope="module")
 def shared_address():
-    with run_standin_process("key_value") as address:
-        yield address
+    with run_standin("key_value") as standin:
+        yield standin.address
 
 
 @pytest.fixture
@@ -179,6 +186,39 @@
     run_with_store(address, run)
 
 
+def test_transaction_with_too_many_changes_is_refused(address):
+    async def run(store):
+        with pytest.raises(KeyValueRefused):
+            await store.compare_and_swap(
+                [Swap(f"many/{number}", b"", 0) for number in range(129)]
+            )
+
+    run_with_store(address, run)
+
+
+def test_watch_that_starts_too_far_back_ends():
+    """The service has dropped the history that a reader was cut off from.
+
+    Its watch must end, so that the reader loads anew and misses no change.
+    """
+
+    async def run():
+        app = KeyValueApp()
+        for number in range(MAX_HISTORY + 1):
+            app.state.commit([], [Put(b"a", str(number).encode())])
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(partial(serve_key_value, LOOPBACK, app=app))
+            store = EtcdKeyValueStore(address, timeout_s=10)
+            await store.start(nursery)
+            async with store.watch("a", 1) as events:
+                with pytest.raises(trio.EndOfChannel):
+                    await events.receive()
+            await store.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
 def test_value_too_large_is_refused(address):
     async def run(store):
         with pytest.raises(KeyValueRefused):
@@ -191,3 +231,48 @@
 def test_malformed_call_gets_an_error(address, body):
     url = f"http://{address}/v3/kv/range"
     assert httpcore.request("POST", url, content=body).status == 400
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"[]", b"{}", b'{"header": 1}', b'{"header": {}, "kvs": [{}]}']
+)
+def test_malformed_answer_is_a_typed_error(body):
+    """Something else answers at the service's address, and not as it should.
+
+    A process must go on with its last table, as it does while the service is down.
+    """
+
+    async def answer(scope, receive, send):
+        if scope["type"] == "lifespan":
+            await answer_lifespan(receive, send)
+            return
+        await read_body(receive)
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await send({"type": "http.response.body", "body": body + b"\n"})
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(
+                lambda task_status: serve_asgi(
+                    answer,
+                    bind="127.0.0.1:0",
+                    graceful_timeout_s=0,
+                    shutdown=trio.Event(),
+                    task_status=task_status,
+                )
+            )
+            store = EtcdKeyValueStore(address, timeout_s=10)
+            await store.start(nursery)
+            with pytest.raises(KeyValueUnavailable):
+                await store.get_prefix("a/")
+            with pytest.raises(KeyValueUnknown):
+                await store.compare_and_swap([Swap("a/1", b"1", 0)])
+            with pytest.raises(KeyValueUnknown):
+                await store.grant_lease(1)
+            async with store.watch("a/", 1) as events:
+                with pytest.raises(trio.EndOfChannel):
+                    await events.receive()
+            await store.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
--- a/tests/unit/test_table_store.py
+++ b/tests/unit/test_table_store.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections import Counter
+from contextlib import asynccontextmanager
 from random import Random
 
 import pytest
@@ -10,10 +11,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hyssopvane._internal.coordination import table_pages
+from hyssopvane._internal.coordination import table_pages, table_store
 from hyssopvane._internal.coordination.key_value import KeyValue
 from hyssopvane._internal.coordination.table_edit import CellWrite, TableEdit
 from hyssopvane._internal.coordination.table_pages import (
+    MAX_RECENT_EDITS,
     PAGE_PREFIX,
     get_page_key,
     parse_page,
@@ -31,8 +33,8 @@
 )
 from hyssopvane._internal.standins.key_value_state import KeyValueState, Put
 from hyssopvane._internal.state.columns import parse_row_id
-from hyssopvane._internal.state.table import CellId
-from tests.lib.fake_key_value import FakeKeyValueStore, Fault
+from hyssopvane._internal.state.table import CellId, check_references
+from tests.lib.fake_key_value import LATE_S, FakeKeyValueStore, Fault
 
 ALICE = parse_row_id("customer/alice")
 WEIGHT = CellId(ALICE, "weight")
@@ -62,16 +64,16 @@
 
 
 def count_landings(state):
-    """Count how often each edit came into a cell."""
+    """Count how often each edit came into a cell; its text is the edit's id."""
     landings = Counter()
     last = {}
     for event in state.get_events(0, PAGE_PREFIX.encode(), b"u"):
         page = parse_page(KeyValue("page", event.item.value, 0))
         for row, stored in page.rows.items():
             for name, cell in stored.cells.items():
-                if last.get((row, name)) != cell.edit_id:
-                    landings[cell.edit_id] += 1
-                last[row, name] = cell.edit_id
+                if last.get((row, name)) != cell.revision:
+                    landings[cell.text] += 1
+                last[row, name] = cell.revision
     return landings
 
 
@@ -99,19 +101,19 @@
             )
 
             async def edit_first():
-                await make_editor(store).commit(set_cell(WEIGHT, "200", "first"))
+                await make_editor(store).commit(set_cell(WEIGHT, "200", "200"))
 
             async def edit_second():
-                while not count_landings(state)["first"]:
+                while not count_landings(state)["200"]:
                     await trio.sleep(0.001)
                 other = FakeKeyValueStore(state, nursery)
-                await make_editor(other).commit(set_cell(WEIGHT, "300", "second"))
+                await make_editor(other).commit(set_cell(WEIGHT, "300", "300"))
 
             async with trio.open_nursery() as operators:
                 operators.start_soon(edit_first)
                 operators.start_soon(edit_second)
             assert (await load_table(state, nursery)).customers["alice"].weight == 300
-            assert count_landings(state) == {"first": 1, "second": 1}
+            assert count_landings(state) == {"200": 1, "300": 1}
 
     run_mocked(run)
 
@@ -135,14 +137,14 @@
                 while store.calls < 3:
                     await trio.sleep(0.001)
                 other = FakeKeyValueStore(state, nursery)
-                await make_editor(other).commit(set_cell(WEIGHT, "300", "second"))
+                await make_editor(other).commit(set_cell(WEIGHT, "300", "300"))
 
             async with trio.open_nursery() as operators:
                 operators.start_soon(edit_second)
                 with pytest.raises(EditConflict) as error:
-                    await make_editor(store).commit(set_cell(WEIGHT, "200", "first"))
+                    await make_editor(store).commit(set_cell(WEIGHT, "200", "200"))
             assert "300" in str(error.value)
-            assert count_landings(state) == {"second": 1}
+            assert count_landings(state) == {"300": 1}
 
     run_mocked(run)
 
@@ -161,11 +163,15 @@
             faults = [Fault.NONE, Fault.LOST_REPLY, *[Fault.DOWN] * 1000]
             store = FakeKeyValueStore(state, nursery, choose_fault=scripted(faults))
             with pytest.raises(KeyValueUnknown) as error:
-                await make_editor(store).commit(set_cell(WEIGHT, "200", "first"))
-            assert "first" in error.value.context
+                await make_editor(store).commit(set_cell(WEIGHT, "200", "200"))
+            assert "--edit-id 200 --expect 1" in error.value.hint
             again = make_editor(FakeKeyValueStore(state, nursery))
-            await again.commit(set_cell(WEIGHT, "200", "first"))
-            assert count_landings(state) == {"first": 1}
+            await again.commit(set_cell(WEIGHT, "200", "200", expected=1))
+            assert count_landings(state) == {"200": 1}
+            for number in range(MAX_RECENT_EDITS + 1):
+                await again.commit(set_cell(PRIORITY, "1", f"other {number}"))
+            with pytest.raises(EditConflict):
+                await again.commit(set_cell(WEIGHT, "200", "200", expected=1))
 
     run_mocked(run)
 
@@ -180,7 +186,7 @@
                 state, nursery, choose_fault=scripted([Fault.DOWN])
             )
             with pytest.raises(KeyValueUnavailable):
-                await make_editor(store).commit(set_cell(WEIGHT, "200", "first"))
+                await make_editor(store).commit(set_cell(WEIGHT, "200", "200"))
 
     run_mocked(run)
 
@@ -393,6 +399,46 @@
     run_mocked(run)
 
 
+def test_edit_too_large_for_one_transaction_is_refused(monkeypatch):
+    monkeypatch.setattr(table_store, "MAX_TRANSACTION_BYTES", 2_000)
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            rows = tuple(parse_row_id(f"target/t-{number}") for number in range(100))
+            with pytest.raises(TableError) as error:
+                await make_editor(FakeKeyValueStore(state, nursery)).commit(
+                    TableEdit("big", ensured=rows)
+                )
+            assert "import fewer rows" in str(error.value)
+            assert state.revision == 1
+
+    run_mocked(run)
+
+
+def test_pages_of_a_peer_are_taken_over_only_when_newer():
+    """A peer that was paused passes pages on that others have long replaced."""
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            await add_alice(state, nursery)
+            store = FakeKeyValueStore(state, nursery)
+            paused, current = (
+                TableReader(store, random=Random(seed)) for seed in range(2)
+            )
+            await paused.load()
+            await make_editor(store).commit(set_cell(WEIGHT, "200", "200"))
+            await current.load()
+        assert not current.accept(paused.get_pages())
+        assert current.table.customers["alice"].weight == 200
+        revision = paused.table.revision
+        assert paused.accept(current.get_pages(min_revision=revision + 1))
+        assert paused.table == current.table
+
+    run_mocked(run)
+
+
 def test_page_that_cannot_be_read_leaves_the_last_one_in_force():
     """Somebody writes a page by hand, and it is not what a reader can use.
 
@@ -413,3 +459,139 @@
 
     assert "alice" in run_mocked(run).customers
     assert "can't be read" in str(reports[0])
+
+
+def test_stale_reads_do_not_hold_back_an_edit():
+    """The replica that answers reads stays behind, so a page is always seen too old.
+
+    The answer to the swap that lost shows the page as it is, and the edit goes on
+    from there; else the operator would be told that too many edit at one time.
+    """
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            await add_alice(state, nursery)
+            stale = FakeKeyValueStore(
+                state, nursery, choose_fault=lambda: Fault.STALE_READ
+            )
+            other = make_editor(FakeKeyValueStore(state, nursery))
+            await other.commit(set_cell(PRIORITY, "1", "1"))
+            await make_editor(stale).commit(set_cell(WEIGHT, "200", "200"))
+            assert count_landings(state) == {"1": 1, "200": 1}
+
+    run_mocked(run)
+
+
+def set_service(target, service):
+    row = parse_row_id(f"target/{target}")
+    write = CellWrite(CellId(row, "service"), service)
+    return TableEdit(f"set {target}", writes=(write,), ensured=(row,))
+
+
+def set_key(customer):
+    write = CellWrite(CellId(parse_row_id(customer), "key_sha256"), "a" * 64)
+    return TableEdit(f"set {customer}", writes=(write,), ensured=(write.cell.row,))
+
+
+@pytest.mark.parametrize(
+    "edits",
+    [
+        (
+            TableEdit("remove", removed=(parse_row_id("service/draft"),)),
+            set_service("t-1", "draft"),
+        ),
+        (set_key("customer/bob"), set_key("customer/carol")),
+    ],
+    ids=["service and its target", "one key of two customers"],
+)
+def test_edits_that_do_not_fit_together_are_not_both_accepted(edits):
+    """Two operators change different rows at one moment. Each edit is right by itself,
+    but together they give a target whose service is gone, or two customers one key.
+
+    The first leaves a target without work, the second bills one customer for another.
+    """
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        refused = []
+
+        async def commit(nursery, edit):
+            store = FakeKeyValueStore(state, nursery, choose_delay=lambda: 0.01)
+            try:
+                await make_editor(store).commit(edit)
+            except TableError as error:
+                refused.append(error)
+
+        async with trio.open_nursery() as nursery:
+            editor = make_editor(FakeKeyValueStore(state, nursery))
+            service = parse_row_id("service/draft")
+            await editor.commit(TableEdit("add", added=(service,)))
+            async with trio.open_nursery() as operators:
+                for edit in edits:
+                    operators.start_soon(commit, nursery, edit)
+            check_references(await load_table(state, nursery))
+        assert len(refused) == 1
+
+    run_mocked(run)
+
+
+def test_write_that_arrives_late_does_not_follow_its_refusal():
+    """A write is still on its way when another edit takes away what it refers to.
+
+    Read back, the table refuses the edit by now, and the operator is told that
+    nothing was changed. The write that arrives afterwards must not prove this wrong.
+    """
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            editor = make_editor(FakeKeyValueStore(state, nursery))
+            service = parse_row_id("service/draft")
+            await editor.commit(TableEdit("add", added=(service,)))
+            faults = [Fault.NONE, Fault.LATE_WRITE, Fault.DOWN]
+            store = FakeKeyValueStore(state, nursery, choose_fault=scripted(faults))
+
+            async def remove():
+                while store.calls < 3:
+                    await trio.sleep(0.001)
+                await editor.commit(TableEdit("remove", removed=(service,)))
+
+            async with trio.open_nursery() as operators:
+                operators.start_soon(remove)
+                with pytest.raises(TableError):
+                    await make_editor(store).commit(set_service("t-1", "draft"))
+            await trio.sleep(2 * LATE_S)
+            assert not (await load_table(state, nursery)).targets
+
+    run_mocked(run)
+
+
+class _NoWatchStore(FakeKeyValueStore):
+    @asynccontextmanager
+    async def watch(self, prefix, start_revision):
+        self.calls += 1
+        send, receive = trio.open_memory_channel(0)
+        send.close()
+        yield receive
+
+
+def test_watch_that_ends_at_once_is_tried_ever_more_rarely():
+    """The service answers reads but ends each watch at once, for an hour.
+
+    Readers that come back without a pause would use up its reads a second, and
+    operators and callers would find it slow.
+    """
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            store = _NoWatchStore(state, nursery)
+            reader = TableReader(store, random=Random(1))
+            send, _receive = trio.open_memory_channel(1)
+            nursery.start_soon(reader.follow, send)
+            await trio.sleep(3600)
+            nursery.cancel_scope.cancel()
+        return store.calls
+
+    assert run_mocked(run) < 3600
