--- a/tests/functional/test_key_value.py
+++ b/tests/functional/test_key_value.py
@@ -24,15 +24,15 @@
 from hyssopvane._internal.standins.key_value_state import MAX_HISTORY, Put
 from hyssopvane._internal.standins.platform_asgi import answer_lifespan, read_body
 from hyssopvane._internal.transport.asgi_server import serve_asgi
-from tests.lib.standin_processes import run_standin
+from tests.lib.processes import run_standin_process
 
 LOOPBACK = "127.0.0.1:0"
 
 
 @pytest.fixture(scope="module")
 def shared_address():
-    with run_standin("key_value") as standin:
-        yield standin.address
+    with run_standin_process("key_value") as address:
+        yield address
 
 
 @pytest.fixture
--- a/tests/functional/test_table_commands.py
+++ b/tests/functional/test_table_commands.py
@@ -7,13 +7,13 @@
 
 from hyssopvane._internal.cli.status_codes import StatusCode
 from tests.lib.commands import run_hyssopvane
-from tests.lib.standin_processes import run_standin
+from tests.lib.processes import run_standin_process
 
 
 @pytest.fixture(scope="module")
 def platform():
-    with run_standin("key_value") as standin:
-        yield standin.address
+    with run_standin_process("key_value") as address:
+        yield address
 
 
 def run_table(platform, *arguments, status=StatusCode.OK):
--- a/tests/functional/test_vm_list.py
+++ b/tests/functional/test_vm_list.py
@@ -14,7 +14,7 @@
 )
 from hyssopvane._internal.exceptions import VmListError
 from hyssopvane._internal.standins.vm_list import VmListApp
-from tests.lib.standin_processes import run_standin
+from tests.lib.processes import run_standin_process
 
 VMS = (
     VmRecord("entry-1", "10.0.0.1:80", "arima", VmRole.ENTRY),
@@ -23,11 +23,11 @@
 
 
 def test_fetch_vms_returns_what_was_put():
-    with run_standin("vm_list") as standin:
-        url = f"http://{standin.address}/v1/vms"
+    with run_standin_process("vm_list") as address:
+        url = f"http://{address}/v1/vms"
         assert httpcore.request("PUT", url, content=b"{").status == 400
         assert httpcore.request("PUT", url, content=format_vms(VMS)).status == 200
-        assert trio.run(fetch_vms, standin.address) == VMS
+        assert trio.run(fetch_vms, address) == VMS
 
 
 def test_list_lags():
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -225,16 +225,3 @@
         yield process.wait_for(r"address=(\S+)")[1]
     finally:
         process.kill()
-
-
-def run_hyssopvane(
-    *arguments: str, platform: str = ""
-) -> subprocess.CompletedProcess[str]:
-    """Run the command line to its end."""
-    return subprocess.run(
-        [sys.executable, "-m", "hyssopvane", *arguments],
-        capture_output=True,
-        text=True,
-        timeout=60,
-        env={**os.environ, "HYSSOPVANE_PLATFORM": platform},
-    )
