--- a/src/hyssopvane/_internal/cli/status_codes.py
+++ b/src/hyssopvane/_internal/cli/status_codes.py
@@ -12,3 +12,5 @@
     BAD_SETTINGS = 3
     CONFLICT = 4
     UNAVAILABLE = 5
+    CUT = 6
+    """A shutdown reached its time limit with requests still in progress."""
--- a/src/hyssopvane/_internal/commands/run_agent.py
+++ b/src/hyssopvane/_internal/commands/run_agent.py
@@ -25,5 +25,5 @@
                 context=str(self.argument("file")),
                 hint=f"use `hyssopvane run {settings.role}`",
             )
-        run_process(settings)
-        return StatusCode.OK
+        drained = run_process(settings)
+        return StatusCode.OK if drained else StatusCode.CUT
--- a/src/hyssopvane/_internal/models/refusals.py
+++ b/src/hyssopvane/_internal/models/refusals.py
@@ -28,6 +28,7 @@
     NO_TARGET = "no-target"
     RETRIES_SPENT = "retries-spent"
     ENTRY_LEAVING = "entry-leaving"
+    TOO_MANY_CONNECTIONS = "too-many-connections"
     NOT_READY = "not-ready"
     KEY_MISSING = "key-missing"
     KEY_MALFORMED = "key-malformed"
@@ -110,7 +111,12 @@
     ),
     RefusalReason.NO_TARGET: RefusalRule(503, "come back after Retry-After"),
     RefusalReason.RETRIES_SPENT: RefusalRule(503, "come back after Retry-After"),
-    RefusalReason.ENTRY_LEAVING: RefusalRule(503, "send the request again"),
+    RefusalReason.ENTRY_LEAVING: RefusalRule(
+        503, "send the request again on a new connection"
+    ),
+    RefusalReason.TOO_MANY_CONNECTIONS: RefusalRule(
+        503, "come back after Retry-After, and keep fewer connections open"
+    ),
     RefusalReason.NOT_READY: RefusalRule(503, "come back after Retry-After"),
     RefusalReason.KEY_MISSING: RefusalRule(
         400, "send an Idempotency-Key header with a fresh UUIDv7"
--- a/src/hyssopvane/_internal/roles/agent.py
+++ b/src/hyssopvane/_internal/roles/agent.py
@@ -54,6 +54,7 @@
             register=self._register, target=self._target, memory=self.decisions
         )
         self._connections: set[PeerConnection] = set()
+        self._stop_accepting = trio.Event()
         self.topics = TopicRouter()
 
     async def run(
@@ -81,10 +82,13 @@
         """Refuse new work and wait until all work in progress has ended."""
         self.leaving = True
         log_event("info", "draining", running=self._count_running())
-        while self._running:
-            self._idle = trio.Event()
-            await self._idle.wait()
-        await self._keyed.wait_idle()
+        # Not with the next heartbeat: until an entry knows, it places work here that is
+        # refused and has to go elsewhere.
+        for connection in self._connections:
+            connection.announce_health()
+        await self._wait_idle()
+        self._stop_accepting.set()
+        await self._finish_connections()
 
     async def close(self) -> None:
         """Release the connections to the target and the instruments."""
@@ -150,6 +154,18 @@
             if not self._running:
                 self._idle.set()
 
+    async def _wait_idle(self) -> None:
+        while self._count_running():
+            while self._running:
+                self._idle = trio.Event()
+                await self._idle.wait()
+            await self._keyed.wait_idle()
+
+    async def _finish_connections(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for connection in tuple(self._connections):
+                nursery.start_soon(connection.finish)
+
     def _accept(self, opening: Open) -> AgentRefusal | None:
         now = time.time()
         if self.leaving and opening.incarnation == self.incarnation:
@@ -187,5 +203,6 @@
                 heartbeat_s=settings.heartbeat_s, silence_s=settings.silence_s
             ),
             connections=self._connections,
+            stop=self._stop_accepting,
             task_status=task_status,
         )
--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -12,6 +12,7 @@
 from hyssopvane._internal.coordination.table_store import TableReader
 from hyssopvane._internal.coordination.vm_list import VmRecord, VmRole, fetch_vms
 from hyssopvane._internal.exceptions import HyssopvaneError
+from hyssopvane._internal.models.refusals import RefusalReason
 from hyssopvane._internal.models.settings import EntrySettings
 from hyssopvane._internal.policy.scheduler import Scheduler
 from hyssopvane._internal.policy.subsets import Member, SubsetMap
@@ -36,12 +37,14 @@
 )
 from hyssopvane._internal.roles.peer_listener import serve_peers
 from hyssopvane._internal.roles.peer_pool import PeerAddress, PeerObserver, PeerPool
+from hyssopvane._internal.roles.refusing_app import MalformedNotes, RefusingApp
 from hyssopvane._internal.roles.topics import TopicRouter
 from hyssopvane._internal.state.claims import MAX_WINDOW_S
 from hyssopvane._internal.state.directory import Directory
 from hyssopvane._internal.state.table import Table
 from hyssopvane._internal.state.work import LoadReport, TargetInfo
 from hyssopvane._internal.transport.asgi_server import serve_asgi
+from hyssopvane._internal.transport.http_server import ConnectionPolicy
 from hyssopvane._internal.transport.peer_connection import (
     ConnectionTimes,
     PeerConnection,
@@ -69,6 +72,7 @@
         self.callers_address = ""
         self.peers_address = ""
         self.operators_address = ""
+        self._callers_leaving = trio.Event()
         self._callers_shutdown = trio.Event()
         self._callers_closed = trio.Event()
         self._source = DirectorySource()
@@ -155,6 +159,7 @@
     async def drain(self) -> None:
         """Leave the balancer, then let every request in progress end whole."""
         self.leaving = True
+        self._callers_leaving.set()
         log_event("info", "draining", open=self.scheduler.count_requests())
         # The balancer keeps sending until it has seen the readiness change; a listener
         # closed before that refuses callers who did nothing wrong.
@@ -256,10 +261,24 @@
             bind=self.settings.callers,
             graceful_timeout_s=self.settings.longest_request_s,
             shutdown=self._callers_shutdown,
+            leaving=self._callers_leaving,
+            policy=self._make_connection_policy(),
             task_status=task_status,
         )
         self._callers_closed.set()
 
+    def _make_connection_policy(self) -> ConnectionPolicy:
+        return ConnectionPolicy(
+            max_connections=self.settings.max_connections,
+            app_when_full=RefusingApp(
+                RefusalReason.TOO_MANY_CONNECTIONS, metrics=self.metrics
+            ),
+            app_when_late=RefusingApp(
+                RefusalReason.ENTRY_LEAVING, metrics=self.metrics
+            ),
+            note_malformed=MalformedNotes(self.metrics),
+        )
+
     async def _serve_peers(
         self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
     ) -> None:
--- a/src/hyssopvane/_internal/roles/peer_listener.py
+++ b/src/hyssopvane/_internal/roles/peer_listener.py
@@ -22,9 +22,13 @@
     handler: PeerHandler,
     times: ConnectionTimes,
     connections: set[PeerConnection] | None = None,
+    stop: trio.Event | None = None,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Run one task for each accepted connection until cancelled."""
+    """Run one task for each accepted connection until cancelled.
+
+    Accept none from `stop` on.
+    """
     open_connections = set() if connections is None else connections
 
     async def serve(stream: trio.SocketStream) -> None:
@@ -41,12 +45,15 @@
     listener.listen(_BACKLOG)
     address = format_address(listener.getsockname())
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(
-            partial(
-                trio.serve_listeners,
-                serve,
-                [trio.SocketListener(trio.socket.from_stdlib_socket(listener))],
-                handler_nursery=nursery,
+        async with trio.open_nursery() as accepting:
+            accepting.start_soon(
+                partial(
+                    trio.serve_listeners,
+                    serve,
+                    [trio.SocketListener(trio.socket.from_stdlib_socket(listener))],
+                    handler_nursery=nursery,
+                )
             )
-        )
-        task_status.started(address)
+            task_status.started(address)
+            await (trio.Event() if stop is None else stop).wait()
+            accepting.cancel_scope.cancel()
--- /dev/null
+++ b/src/hyssopvane/_internal/roles/refusing_app.py
@@ -0,0 +1,48 @@
+"""Refuse callers whom the entry can't serve, before anything of theirs is read."""
+
+from typing import Any
+
+import uuid6
+
+from hyssopvane._internal.models.refusals import Outcome, Refusal, RefusalReason
+from hyssopvane._internal.protocol import headers
+from hyssopvane._internal.roles.call import ReplyWriter
+from hyssopvane._internal.utils.metrics import Metrics
+
+_RETRY_AFTER_S = 1.0
+
+
+class RefusingApp:
+    """Answer every request with one refusal."""
+
+    def __init__(self, reason: RefusalReason, *, metrics: Metrics) -> None:
+        self._reason = reason
+        self._metrics = metrics
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Refuse one request."""
+        if scope["type"] != "http":
+            return
+        self._metrics.count_refusal(self._reason.value)
+        keyed = any(name == headers.IDEMPOTENCY_KEY for name, _ in scope["headers"])
+        # Another attempt of the same key may have run through another entry.
+        outcome = Outcome.UNKNOWN if keyed else Outcome.NOT_RUN
+        refusal = Refusal(self._reason, outcome, _RETRY_AFTER_S)
+        await ReplyWriter(send, request_id=str(uuid6.uuid7())).send_refusal(refusal)
+
+
+class MalformedNotes:
+    """Count bytes that are no HTTP request, and mark their answer as not run."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def __call__(self) -> bytes:
+        """Return the header lines of the answer."""
+        reason = RefusalReason.MALFORMED.value
+        self._metrics.count_refusal(reason)
+        marks = {
+            headers.OUTCOME: Outcome.NOT_RUN.value.encode(),
+            headers.REASON: reason.encode(),
+        }
+        return b"".join(b"%b: %b\r\n" % pair for pair in marks.items())
--- a/src/hyssopvane/_internal/transport/asgi_server.py
+++ b/src/hyssopvane/_internal/transport/asgi_server.py
@@ -2,14 +2,14 @@
 
 import ipaddress
 import socket
-from functools import partial
 
 import trio
 from hypercorn.config import Config
-from hypercorn.trio import serve
+from hypercorn.trio.statsd import StatsdLogger
 from hypercorn.typing import ASGIFramework
 
 from hyssopvane._internal.exceptions import SettingsError
+from hyssopvane._internal.transport.http_server import ConnectionPolicy, HttpServer
 
 KEEP_ALIVE_S = 60.0
 """Time that an idle connection stays open."""
@@ -23,6 +23,9 @@
 MAX_HTTP2_STREAMS = 1_000
 """Requests at one time on an HTTP/2 connection."""
 
+MAX_REQUESTS_ON_A_CONNECTION = 2**31
+"""More than the numbers of streams that HTTP/2 has for one connection."""
+
 BACKLOG = 1_024
 """Connections that the kernel holds until they are accepted."""
 
@@ -33,25 +36,30 @@
     bind: str,
     graceful_timeout_s: float,
     shutdown: trio.Event,
+    leaving: trio.Event | None = None,
     keep_alive_s: float = KEEP_ALIVE_S,
+    policy: ConnectionPolicy | None = None,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve HTTP/1.1 and HTTP/2 until `shutdown` is set and requests have ended.
 
-    Report the bound address as "ip:port". Requests that still run
+    Report the bound address as "ip:port". From `leaving` on callers are told to use
+    another connection; `shutdown` closes the listener. Requests that still run
     `graceful_timeout_s` after the shutdown are cut.
     """
     listener = bind_listener(bind)
-    config = _make_config(
-        listener, graceful_timeout_s=graceful_timeout_s, keep_alive_s=keep_alive_s
+    listener.listen(BACKLOG)
+    server = HttpServer(
+        app,
+        config=_make_config(keep_alive_s=keep_alive_s),
+        policy=policy or ConnectionPolicy(),
+        leaving=trio.Event() if leaving is None else leaving,
+        shutdown=shutdown,
+        graceful_timeout_s=graceful_timeout_s,
     )
     address = format_address(listener.getsockname())
-    # Hypercorn makes its own socket object for the descriptor and closes that one.
-    listener.detach()
     async with trio.open_nursery() as nursery:
-        await nursery.start(
-            partial(serve, app, config, shutdown_trigger=shutdown.wait, mode="asgi")
-        )
+        await nursery.start(server.run, listener)
         task_status.started(address)
 
 
@@ -94,17 +102,15 @@
     return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
 
 
-def _make_config(
-    listener: socket.socket, *, graceful_timeout_s: float, keep_alive_s: float
-) -> Config:
+def _make_config(*, keep_alive_s: float) -> Config:
     config = Config()
-    config.bind = [f"fd://{listener.fileno()}"]
+    config.set_statsd_logger_class(StatsdLogger)
     config.accesslog = None
     config.errorlog = None
-    config.backlog = BACKLOG
-    # Hypercorn's own default of three seconds would cut an answer that takes longer.
-    config.graceful_timeout = graceful_timeout_s
     config.keep_alive_timeout = keep_alive_s
+    # Hypercorn ends an HTTP/2 connection after its thousandth request, and with it the
+    # answers that are still in progress there.
+    config.keep_alive_max_requests = MAX_REQUESTS_ON_A_CONNECTION
     config.h11_max_incomplete_size = MAX_HEADER_BYTES
     config.h2_max_concurrent_streams = MAX_HTTP2_STREAMS
     config.h2_max_header_list_size = MAX_HTTP2_HEADER_BYTES
--- a/src/hyssopvane/_internal/transport/framing.py
+++ b/src/hyssopvane/_internal/transport/framing.py
@@ -38,6 +38,15 @@
             )
         return await self._receive_exactly(length)
 
+    async def send_end(self) -> None:
+        """Tell the peer that nothing more comes; what it sends is still received."""
+        if not isinstance(self._stream, trio.abc.HalfCloseableStream):
+            return
+        try:
+            await self._stream.send_eof()
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise PeerLost("the connection closed while ending") from error
+
     async def close(self) -> None:
         """Close the connection at once."""
         with trio.move_on_after(0):
--- /dev/null
+++ b/src/hyssopvane/_internal/transport/http_connection.py
@@ -0,0 +1,155 @@
+"""Serve one HTTP connection by hypercorn, and end it without cutting an answer."""
+
+from collections.abc import Callable
+from typing import Any
+
+import h2.errors
+import h2.exceptions
+import trio
+from hypercorn.config import Config
+from hypercorn.events import Event, RawData
+from hypercorn.protocol.h2 import H2Protocol
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import ASGIFramework, ConnectionState
+
+LINGER_S = 1.0
+"""Time that a connection without requests stays open at a shutdown.
+
+A caller may send its next request while the news that the connection ends is still on
+the way; longer than one round trip to any caller.
+"""
+
+_HTTP2 = "2"
+_OWN_ERROR = b"HTTP/1.1 4"
+_LINE_END = b"\r\n"
+
+PickApp = Callable[[], ASGIFramework]
+
+
+class HttpConnection(TCPServer):
+    """Run one connection and know which requests are in progress on it."""
+
+    def __init__(
+        self,
+        pick_app: PickApp,
+        stream: trio.SocketStream,
+        *,
+        config: Config,
+        leaving: trio.Event,
+        note_malformed: Callable[[], bytes],
+    ) -> None:
+        self._stopping = WorkerContext(None)
+        super().__init__(
+            self._serve,  # type: ignore[arg-type]
+            config,
+            self._stopping,
+            ConnectionState({}),
+            stream,  # type: ignore[arg-type]
+        )
+        self._pick_app = pick_app
+        self._leaving = leaving
+        self._note_malformed = note_malformed
+        self._open_requests = 0
+        self._open_answers = 0
+        self._free_since = trio.current_time()
+        self._told = False
+
+    async def protocol_send(self, event: Event) -> None:
+        if (
+            isinstance(event, RawData)
+            and not self._open_answers
+            and event.data.startswith(_OWN_ERROR)
+        ):
+            # No application was reached: hypercorn itself refuses bytes that are no
+            # request. The caller still learns that nothing ran.
+            line, _, rest = event.data.partition(_LINE_END)
+            event = RawData(line + _LINE_END + self._note_malformed() + rest)
+        await super().protocol_send(event)
+
+    async def end_if_free(self, *, closing: bool) -> None:
+        """Tell the caller that a connection without requests ends, or end it."""
+        if self._open_requests:
+            return
+        lingered = trio.current_time() - self._free_since >= LINGER_S
+        if lingered and (self._told or (closing and self._get_http2() is None)):
+            await self._stopping.terminated.set()
+        elif not self._told:
+            await self._tell_http2()
+
+    async def _serve(
+        self, scope: Any, receive: Any, send: Any, spawn: Any, call_soon: Any
+    ) -> None:
+        # Read before anything else runs: the answer may close the stream.
+        stream: int = send.__self__.stream_id
+        answer = _Answer(send, scope, self._leaving)
+        self._open_requests += 1
+        try:
+            await self._pick_app()(scope, receive, self._follow(answer))
+        finally:
+            self._open_requests -= 1
+            self._free_since = trio.current_time()
+            if answer.open:
+                self._open_answers -= 1
+                await self._cut_http2(stream)
+        if self._leaving.is_set() and not self._open_requests:
+            await self._tell_http2()
+
+    def _follow(self, answer: "_Answer") -> Callable[[Any], Any]:
+        async def send(message: Any) -> None:
+            was_open = answer.open
+            await answer.send(message)
+            self._open_answers += answer.open - was_open
+
+        return send
+
+    async def _cut_http2(self, stream: int) -> None:
+        # On HTTP/1.1 hypercorn closes the connection of an answer without an end. On
+        # HTTP/2 it only forgets the stream, and the caller would wait for the rest for
+        # ever; a reset tells it at once that the answer is broken.
+        protocol = self._get_http2()
+        if protocol is None:
+            return
+        with trio.CancelScope(shield=True), trio.move_on_after(LINGER_S):
+            try:
+                protocol.connection.reset_stream(
+                    stream, h2.errors.ErrorCodes.INTERNAL_ERROR
+                )
+            except h2.exceptions.ProtocolError:
+                return
+            await protocol._flush()
+
+    async def _tell_http2(self) -> None:
+        # Only while no stream is open: common clients drop the answers in progress when
+        # they read GOAWAY. It names the last stream that was served, so a request that
+        # crosses it on the way is sent again by the client on another connection.
+        protocol = self._get_http2()
+        if protocol is None or self._told:
+            return
+        self._told = True
+        self._free_since = trio.current_time()
+        protocol.connection.close_connection()
+        await protocol._flush()
+
+    def _get_http2(self) -> H2Protocol | None:
+        wrapper = getattr(self, "protocol", None)
+        protocol = None if wrapper is None else wrapper.protocol
+        return protocol if isinstance(protocol, H2Protocol) else None
+
+
+class _Answer:
+    def __init__(self, send: Any, scope: Any, leaving: trio.Event) -> None:
+        self._send = send
+        self._http2 = scope["http_version"] == _HTTP2
+        self._leaving = leaving
+        self.open = False
+
+    async def send(self, message: Any) -> None:
+        if message["type"] == "http.response.start":
+            self.open = True
+            if self._leaving.is_set() and not self._http2:
+                headers = [*message.get("headers", ()), (b"connection", b"close")]
+                message = message | {"headers": headers}
+        await self._send(message)
+        if message["type"] == "http.response.body" and not message.get("more_body"):
+            self.open = False
--- /dev/null
+++ b/src/hyssopvane/_internal/transport/http_server.py
@@ -0,0 +1,178 @@
+"""Accept HTTP connections up to a limit, and end them all at a shutdown."""
+
+import socket
+from collections.abc import Callable
+from copy import copy
+from dataclasses import dataclass
+from functools import partial
+
+import trio
+from hypercorn.config import Config
+from hypercorn.typing import ASGIFramework
+
+from hyssopvane._internal.transport.http_connection import HttpConnection
+
+REFUSED_CONNECTIONS = 100
+"""Connections above the limit that get an answer; more are closed without one."""
+
+_REFUSED_KEEP_ALIVE_S = 2.0
+_DRAIN_INTERVAL_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionPolicy:
+    """Decide what a server does beside its application."""
+
+    max_connections: int | None = None
+    app_when_full: ASGIFramework | None = None
+    """Answers the requests on connections above the limit."""
+    app_when_late: ASGIFramework | None = None
+    """Answers the requests that come on kept connections late in a shutdown."""
+    note_malformed: Callable[[], bytes] = bytes
+    """Counts bytes that are no HTTP and returns header lines for the answer."""
+
+
+class HttpServer:
+    """Run one task for each connection."""
+
+    def __init__(
+        self,
+        app: ASGIFramework,
+        *,
+        config: Config,
+        policy: ConnectionPolicy,
+        leaving: trio.Event,
+        shutdown: trio.Event,
+        graceful_timeout_s: float,
+    ) -> None:
+        self._app = app
+        self._config = config
+        self._policy = policy
+        self._leaving = leaving
+        self._shutdown = shutdown
+        self._graceful_timeout_s = graceful_timeout_s
+        self._late_at = float("inf")
+        self._connections: set[HttpConnection] = set()
+        self._refused = 0
+        self._refused_config = copy(config)
+        self._refused_config.keep_alive_timeout = _REFUSED_KEEP_ALIVE_S
+
+    async def run(
+        self,
+        listener: socket.socket,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until the shutdown is set and requests have ended."""
+        with listener:
+            async with trio.open_nursery() as handlers:
+                async with trio.open_nursery() as accepting:
+                    accepting.start_soon(self._accept, listener.dup(), handlers)
+                    accepting.start_soon(self._drain_before_closing)
+                    task_status.started()
+                    await self._shutdown.wait()
+                    accepting.cancel_scope.cancel()
+                self._accept_pending(listener, handlers)
+                listener.close()
+                now = trio.current_time()
+                self._late_at = now + self._graceful_timeout_s / 2
+                handlers.cancel_scope.deadline = now + self._graceful_timeout_s
+                await self._drain()
+
+    async def _accept(self, listener: socket.socket, handlers: trio.Nursery) -> None:
+        wrapped = trio.SocketListener(trio.socket.from_stdlib_socket(listener))
+        await trio.serve_listeners(self._handle, [wrapped], handler_nursery=handlers)
+
+    def _accept_pending(self, listener: socket.socket, handlers: trio.Nursery) -> None:
+        # The kernel has accepted these callers' connections and closing the listener
+        # would reset them, with the requests they have already sent.
+        listener.setblocking(False)
+        while True:
+            try:
+                accepted, _ = listener.accept()
+            except OSError:
+                return
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
+            handlers.start_soon(self._handle, stream)
+
+    async def _handle(self, stream: trio.SocketStream) -> None:
+        if self._is_full():
+            await self._refuse(stream)
+            return
+        connection = self._make_connection(stream, self._pick_app, self._config)
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+
+    async def _refuse(self, stream: trio.SocketStream) -> None:
+        app = self._policy.app_when_full
+        if app is None or self._refused >= REFUSED_CONNECTIONS:
+            await stream.aclose()
+            return
+        self._refused += 1
+        try:
+            pick_app = partial(_return_app, app)
+            await self._make_connection(
+                stream, pick_app, self._refused_config, ending=True
+            ).run()
+        finally:
+            self._refused -= 1
+
+    def _make_connection(
+        self,
+        stream: trio.SocketStream,
+        pick_app: Callable[[], ASGIFramework],
+        config: Config,
+        *,
+        ending: bool = False,
+    ) -> HttpConnection:
+        leaving = self._leaving
+        if ending:
+            leaving = trio.Event()
+            leaving.set()
+        return HttpConnection(
+            pick_app,
+            stream,
+            config=config,
+            leaving=leaving,
+            note_malformed=self._policy.note_malformed,
+        )
+
+    def _is_full(self) -> bool:
+        limit = self._policy.max_connections
+        return limit is not None and len(self._connections) >= limit
+
+    def _pick_app(self) -> ASGIFramework:
+        # A caller that keeps one connection busy for ever must not hold back the
+        # replacement of the VM, nor lose an answer to its time limit.
+        late = trio.current_time() >= self._late_at
+        return (
+            self._policy.app_when_late
+            if late and self._policy.app_when_late
+            else (self._app)
+        )
+
+    async def _drain_before_closing(self) -> None:
+        await self._leaving.wait()
+        while True:
+            await self._end_free_connections(closing=False)
+            await trio.sleep(_DRAIN_INTERVAL_S)
+
+    async def _drain(self) -> None:
+        # Answers that began now carry the news to their callers.
+        self._leaving.set()
+        # A connection accepted a moment ago counts only once its task has started.
+        await trio.sleep(0)
+        while self._connections or self._refused:
+            await self._end_free_connections(closing=True)
+            await trio.sleep(_DRAIN_INTERVAL_S)
+
+    async def _end_free_connections(self, *, closing: bool) -> None:
+        for connection in tuple(self._connections):
+            await connection.end_if_free(closing=closing)
+
+
+def _return_app(app: ASGIFramework) -> ASGIFramework:
+    return app
--- a/src/hyssopvane/_internal/transport/peer_connection.py
+++ b/src/hyssopvane/_internal/transport/peer_connection.py
@@ -183,6 +183,9 @@
         self._serving: dict[int, trio.CancelScope] = {}
         self._outbox: deque[Frame] = deque()
         self._outbox_filled = trio.Event()
+        self._finishing = False
+        self._health_changed = trio.Event()
+        self._ended = trio.Event()
         self._scope = trio.CancelScope()
         self._lost: PeerLost | None = None
         self._last_received = 0.0
@@ -222,6 +225,7 @@
             error = PeerLost(problem.message, context=problem.context)
         finally:
             self._lose(error)
+            self._ended.set()
             with trio.CancelScope(shield=True):
                 await self._framed.close()
 
@@ -229,6 +233,22 @@
         """End the connection at once."""
         self._scope.cancel()
 
+    async def finish(self) -> None:
+        """Send all that is queued, then end the connection once the peer has it.
+
+        Closing at once loses the last frames: those in the queue, and, when the peer
+        has sent something that was not read here, those that the kernel still holds.
+        """
+        self._finishing = True
+        self._outbox_filled.set()
+        with trio.move_on_after(self._times.silence_s):
+            await self._ended.wait()
+        self.close()
+
+    def announce_health(self) -> None:
+        """Send a heartbeat now."""
+        self._health_changed.set()
+
     def open_stream(self, opening: Open | Question) -> PeerStream:
         """Open a stream with its first message."""
         if self._lost is not None:
@@ -364,6 +384,9 @@
     async def _write_batches(self) -> None:
         while True:
             while not self._outbox:
+                if self._finishing:
+                    await self._framed.send_end()
+                    return
                 self._outbox_filled = trio.Event()
                 await self._outbox_filled.wait()
             await self._framed.send_frame(encode_frames(self._take_batch()))
@@ -396,7 +419,9 @@
                     ),
                 )
             )
-            await trio.sleep(self._times.heartbeat_s)
+            with trio.move_on_after(self._times.heartbeat_s):
+                await self._health_changed.wait()
+            self._health_changed = trio.Event()
 
     async def _watch_silence(self) -> None:
         # A device between the two ends may forget an open connection: nothing arrives
--- /dev/null
+++ b/tests/functional/test_graceful_shutdown.py
@@ -0,0 +1,305 @@
+"""Test that a graceful shutdown cuts off nothing, over separate processes."""
+
+import json
+import signal
+import socket
+
+import httpcore
+import pytest
+import trio
+
+from tests.lib.http import open_request, request
+from tests.lib.installation import KEY, commit_table, wait_for_targets
+from tests.lib.processes import open_cluster, wait_until
+
+CALLER = {"Authorization": f"Bearer {KEY}"}
+TOKENS = 40
+STREAM = {"prompt": "Ali", "max_tokens": TOKENS, "stream": True}
+UPLOAD = b"x" * 300_000
+ROUNDS = 3
+WARM = 20
+
+
+class Site:
+    """Hold one entry before a model engine and two agents of a plain service."""
+
+    def __init__(self, cluster, *, rounds=1, **entry_settings):
+        self.cluster = cluster
+        commit_table(cluster.platform)
+        engine, _ = cluster.start_standin("engine_server")
+        self.plain, _ = cluster.start_standin("plain_service")
+        self.draft = cluster.start_agent("draft-1", service="draft", target=engine)
+        self.start_check = lambda vm: cluster.start_agent(
+            vm, service="check", target=self.plain
+        )
+        self.agents = [self.start_check(f"check-{n}") for n in range(2)]
+        self.settings = entry_settings
+        self.start_entry("entry-1")
+
+    def start_entry(self, vm):
+        self.entry, self.callers = self.cluster.start_entry(vm, **self.settings)
+        wait_for_targets(self.cluster, vm, 3)
+
+
+class Load:
+    """Send streams, plain calls and uploads until told to stop."""
+
+    def __init__(self, callers, *, http2):
+        self.callers = callers
+        self.http2 = http2
+        self.broken = []
+        self.whole = 0
+        self.stopped = False
+        self.may_not_connect = False
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        async with (
+            httpcore.AsyncConnectionPool(
+                http1=not self.http2, http2=self.http2
+            ) as pool,
+            trio.open_nursery() as nursery,
+        ):
+            for send in (send_stream, send_plain, send_upload, send_slow) * 2:
+                nursery.start_soon(self._repeat, pool, send)
+            task_status.started()
+
+    async def _repeat(self, pool, send):
+        while not self.stopped:
+            try:
+                error = await send(pool, self.callers)
+            except httpcore.ConnectError:
+                # The listener is closed: the platform's balancer sends this caller to
+                # another VM. Nothing was lost.
+                if not self.may_not_connect:
+                    self.broken.append("refused before the delay had passed")
+                return
+            except httpcore.ConnectionNotAvailable:
+                continue
+            except Exception as failure:
+                error = f"{send.__name__}: {failure!r}"
+            if error:
+                self.broken.append(error)
+                return
+            self.whole += 1
+
+
+async def call(pool, callers, method, path, *, body=b"", headers=()):
+    return await pool.request(
+        method,
+        f"http://{callers}{path}",
+        headers=[("Host", callers), *CALLER.items(), *headers],
+        content=body,
+        extensions={"timeout": {"read": 60}},
+    )
+
+
+async def send_stream(pool, callers):
+    body = json.dumps(STREAM).encode()
+    answer = await call(pool, callers, "POST", "/draft/v1/completions", body=body)
+    if answer.status != 200 or answer.content.count(b"data: {") != TOKENS:
+        return f"stream {answer.status} {answer.content[-80:]!r}"
+    return "" if answer.content.endswith(b"data: [DONE]\n\n") else "stream has no end"
+
+
+async def send_plain(pool, callers):
+    answer = await call(pool, callers, "GET", "/check/lots/7")
+    return "" if answer.status == 200 else f"plain {answer.status} {answer.content!r}"
+
+
+async def send_slow(pool, callers):
+    answer = await call(pool, callers, "GET", "/check/lots/7?delay_ms=300")
+    return "" if answer.status == 200 else f"slow {answer.status} {answer.content!r}"
+
+
+async def send_upload(pool, callers):
+    async def send_parts():
+        for start in range(0, len(UPLOAD), 30_000):
+            await trio.sleep(0.02)
+            yield UPLOAD[start : start + 30_000]
+
+    answer = await call(
+        pool,
+        callers,
+        "POST",
+        "/check/keep",
+        body=send_parts(),
+        headers=[("Content-Length", str(len(UPLOAD)))],
+    )
+    whole = answer.status == 200 and answer.content == UPLOAD
+    return "" if whole else f"upload {answer.status} {len(answer.content)}"
+
+
+async def end_under_load(load, process):
+    async with trio.open_nursery() as nursery:
+        await nursery.start(load.run)
+        while load.whole < WARM:
+            assert not load.broken, load.broken
+            await trio.sleep(0.02)
+        load.may_not_connect = True
+        process.send_signal(signal.SIGTERM)
+        code = await trio.to_thread.run_sync(process.read_to_end)
+        load.stopped = True
+    return code
+
+
+@pytest.mark.parametrize("http2", [False, True], ids=["http1", "http2"])
+def test_entry_under_load_cuts_off_nothing(tmp_path, http2):
+    """The VM of an entry is replaced while clerks' drafts stream through it.
+
+    Without care the server cuts what still runs after its own three seconds, closes
+    connections on which the next request is already on its way, and resets requests
+    that come on a busy HTTP/2 connection. A clerk sees a draft end in the middle.
+    """
+    with open_cluster(tmp_path) as cluster:
+        site = Site(cluster, shutdown_delay_s=0.5)
+        for number in range(ROUNDS):
+            load = Load(site.callers, http2=http2)
+            assert trio.run(end_under_load, load, site.entry) == 0
+            assert load.broken == []
+            if number < ROUNDS - 1:
+                site.start_entry(f"entry-again-{number}")
+
+
+def test_agents_replaced_under_load_cut_off_nothing(tmp_path):
+    """The VMs of a target's agents are replaced one by one.
+
+    Without the drain every call that an agent still runs is lost with it, and its
+    caller gets an error for work that was done.
+    """
+    with open_cluster(tmp_path) as cluster:
+        site = Site(cluster)
+
+        async def replace():
+            load = Load(site.callers, http2=False)
+            async with trio.open_nursery() as nursery:
+                await nursery.start(load.run)
+                for number in range(ROUNDS):
+                    whole = load.whole
+                    while load.whole < whole + WARM and not load.broken:
+                        await trio.sleep(0.02)
+                    fresh = await trio.to_thread.run_sync(
+                        site.start_check, f"check-again-{number}"
+                    )
+                    await trio.to_thread.run_sync(
+                        wait_for_targets, site.cluster, "entry-1", 4
+                    )
+                    leaving = site.agents.pop(0)
+                    leaving.send_signal(signal.SIGTERM)
+                    assert await trio.to_thread.run_sync(leaving.read_to_end) == 0
+                    await trio.to_thread.run_sync(
+                        wait_for_targets, site.cluster, "entry-1", 3
+                    )
+                    site.agents.append(fresh)
+                load.stopped = True
+            return load
+
+        load = trio.run(replace)
+        assert load.broken == []
+
+
+def test_stream_longer_than_servers_own_timeout_ends_whole(tmp_path):
+    """A draft still needs several seconds when the VM is told to stop.
+
+    The server's default cuts it after three seconds; the clerk would get half of it.
+    A second signal, as impatient supervisors send, must not cut it either.
+    """
+    with open_cluster(tmp_path) as cluster:
+        site = Site(cluster)
+        body = json.dumps(STREAM | {"max_tokens": 250}).encode()
+        stream = open_request(
+            "POST", site.callers, "/draft/v1/completions", headers=CALLER, body=body
+        )
+        assert stream.read(20)
+        site.entry.send_signal(signal.SIGTERM)
+        site.entry.wait_for("event=draining")
+        site.entry.send_signal(signal.SIGTERM)
+        site.entry.wait_for("event=signal-ignored")
+        site.entry.send_signal(signal.SIGINT)
+        rest = stream.read_to_end()
+        assert rest.count(b"data: {") >= 249
+        assert b"data: [DONE]" in rest
+        assert site.entry.read_to_end() == 0
+        assert "drained=True" in site.entry.lines[-1]
+
+
+def test_readiness_goes_before_the_listener(tmp_path):
+    """The platform's balancer needs some seconds to notice that a VM leaves.
+
+    A listener that closes at once refuses the callers it still sends.
+    """
+    with open_cluster(tmp_path) as cluster:
+        site = Site(cluster, shutdown_delay_s=2)
+        operators = cluster.operators["entry-1"]
+        assert request("GET", operators, "/ready").status == 200
+        site.entry.send_signal(signal.SIGTERM)
+        site.entry.wait_for("event=draining")
+        assert request("GET", operators, "/ready").status == 503
+        answer = request("GET", site.callers, "/check/lots/7", headers=CALLER)
+        assert answer.status == 200
+        assert answer.headers["connection"] == "close"
+        assert site.entry.read_to_end() == 0
+
+
+def test_requests_over_the_time_limit_are_cut_and_told(tmp_path):
+    with open_cluster(tmp_path) as cluster:
+        site = Site(cluster, longest_request_s=0.5)
+        stream = open_request(
+            "GET", site.callers, "/check/lots/7?delay_ms=20000", headers=CALLER
+        )
+        wait_until(lambda: b'"started"' in request("GET", site.plain, "/journal").body)
+        site.entry.send_signal(signal.SIGTERM)
+        assert stream.read_to_end() == b""
+        assert site.entry.read_to_end() == 6
+        assert "drained=False" in site.entry.lines[-1]
+
+
+def test_agent_with_a_running_stream_ends_it_whole(tmp_path):
+    """The agent's VM is replaced while its engine writes a draft.
+
+    Closing the connection to the entry with the last frames still queued cuts the end.
+    """
+    with open_cluster(tmp_path) as cluster:
+        site = Site(cluster)
+        body = json.dumps(STREAM).encode()
+        stream = open_request(
+            "POST", site.callers, "/draft/v1/completions", headers=CALLER, body=body
+        )
+        assert stream.read(20)
+        site.draft.send_signal(signal.SIGTERM)
+        site.draft.wait_for("event=draining")
+        refused = request(
+            "POST",
+            site.callers,
+            "/draft/v1/completions",
+            headers=CALLER | {"Hyssopvane-Deadline-Ms": "200"},
+            body=body,
+        )
+        assert refused.headers["hyssopvane-outcome"] == "not-run"
+        assert site.draft.read_to_end() == 0
+        stream.close()
+
+
+def is_http2_goaway(data):
+    """Tell whether whole HTTP/2 frames hold a GOAWAY."""
+    position = 0
+    while position + 9 <= len(data):
+        if data[position + 3] == 7:
+            return True
+        position += 9 + int.from_bytes(data[position : position + 3], "big")
+    return False
+
+
+def test_idle_http2_connection_gets_goaway(tmp_path):
+    with open_cluster(tmp_path) as cluster:
+        entry, callers = cluster.start_entry("entry-1")
+        host, _, port = callers.rpartition(":")
+        with socket.create_connection((host, int(port)), timeout=30) as connection:
+            connection.sendall(
+                b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + bytes([0, 0, 0, 4, 0, 0, 0, 0, 0])
+            )
+            received = connection.recv(65_536)
+            entry.send_signal(signal.SIGTERM)
+            while data := connection.recv(65_536):
+                received += data
+        assert is_http2_goaway(received)
+        assert entry.read_to_end() == 0
