--- a/src/hyssopvane/_internal/roles/refusing_app.py
+++ b/src/hyssopvane/_internal/roles/refusing_app.py
@@ -7,6 +7,7 @@
 from hyssopvane._internal.models.refusals import Outcome, Refusal, RefusalReason
 from hyssopvane._internal.protocol import headers
 from hyssopvane._internal.roles.call import ReplyWriter
+from hyssopvane._internal.transport.asgi_messages import discard_body
 from hyssopvane._internal.utils.metrics import Metrics
 
 _RETRY_AFTER_S = 1.0
@@ -24,6 +25,9 @@
         if scope["type"] != "http":
             return
         self._metrics.count_refusal(self._reason.value)
+        # The connection ends after this answer. A caller that still sends its body then
+        # would meet a closed connection and never read why.
+        await discard_body(receive)
         keyed = any(name == headers.IDEMPOTENCY_KEY for name, _ in scope["headers"])
         # Another attempt of the same key may have run through another entry.
         outcome = Outcome.UNKNOWN if keyed else Outcome.NOT_RUN
--- a/src/hyssopvane/_internal/transport/asgi_messages.py
+++ b/src/hyssopvane/_internal/transport/asgi_messages.py
@@ -46,6 +46,14 @@
             return b"".join(parts)
 
 
+async def discard_body(receive: Any) -> None:
+    """Read a body to its end or until the caller has gone, and keep nothing."""
+    more = True
+    while more:
+        message = await receive()
+        more = message["type"] == "http.request" and message.get("more_body", False)
+
+
 async def wait_for_disconnect(receive: Any) -> None:
     """Wait until the caller has gone; its body must have been read."""
     while (await receive())["type"] != "http.disconnect":
--- a/src/hyssopvane/_internal/transport/http_connection.py
+++ b/src/hyssopvane/_internal/transport/http_connection.py
@@ -7,8 +7,11 @@
 import h2.exceptions
 import trio
 from hypercorn.config import Config
-from hypercorn.events import Event, RawData
+from hypercorn.events import Event, RawData, Updated
+from hypercorn.protocol.events import Event as StreamEvent
 from hypercorn.protocol.h2 import H2Protocol
+from hypercorn.protocol.http_stream import HTTPStream
+from hypercorn.protocol.ws_stream import WSStream
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ASGIFramework, ConnectionState
@@ -24,7 +27,8 @@
 _OWN_ERROR = b"HTTP/1.1 4"
 _LINE_END = b"\r\n"
 
-PickApp = Callable[[], ASGIFramework]
+PickApp = Callable[[bool], ASGIFramework]
+"""Return the application for a request; tell it whether it came by HTTP/2."""
 
 
 class HttpConnection(TCPServer):
@@ -39,11 +43,10 @@
         leaving: trio.Event,
         note_malformed: Callable[[], bytes],
     ) -> None:
-        self._stopping = WorkerContext(None)
         super().__init__(
             self._serve,  # type: ignore[arg-type]
             config,
-            self._stopping,
+            WorkerContext(None),
             ConnectionState({}),
             stream,  # type: ignore[arg-type]
         )
@@ -54,6 +57,7 @@
         self._open_answers = 0
         self._free_since = trio.current_time()
         self._told = False
+        self._prepared_http2 = False
 
     async def protocol_send(self, event: Event) -> None:
         if (
@@ -66,6 +70,19 @@
             line, _, rest = event.data.partition(_LINE_END)
             event = RawData(line + _LINE_END + self._note_malformed() + rest)
         await super().protocol_send(event)
+        protocol = self._get_http2()
+        if protocol is not None and not self._prepared_http2:
+            self._prepared_http2 = True
+            protocol.streams = _Streams()
+            # Hypercorn takes the first line of HTTP/2 for a request: without this a
+            # connection that never sends one stays open for ever.
+            await super().protocol_send(Updated(idle=True))
+
+    async def _read_data(self) -> None:
+        await super()._read_data()
+        # Hypercorn's timer of idle connections goes on after the caller has closed its
+        # end, and the connection would count as open for as long.
+        await self.context.terminated.set()
 
     async def end_if_free(self, *, closing: bool) -> None:
         """Tell the caller that a connection without requests ends, or end it."""
@@ -73,7 +90,8 @@
             return
         lingered = trio.current_time() - self._free_since >= LINGER_S
         if lingered and (self._told or (closing and self._get_http2() is None)):
-            await self._stopping.terminated.set()
+            await self.context.terminated.set()
+            await self._initiate_server_close()
         elif not self._told:
             await self._tell_http2()
 
@@ -84,8 +102,9 @@
         stream: int = send.__self__.stream_id
         answer = _Answer(send, scope, self._leaving)
         self._open_requests += 1
+        await self.idle_task.stop()
         try:
-            await self._pick_app()(scope, receive, self._follow(answer))
+            await self._pick_app(answer.http2)(scope, receive, self._follow(answer))
         finally:
             self._open_requests -= 1
             self._free_since = trio.current_time()
@@ -137,17 +156,37 @@
         return protocol if isinstance(protocol, H2Protocol) else None
 
 
+class _AnsweredStream(HTTPStream):
+    def __init__(self) -> None:
+        """Hold nothing: the caller already has its answer."""
+
+    async def handle(self, event: StreamEvent) -> None:
+        """Drop what still comes."""
+
+
+class _Streams(dict[int, HTTPStream | WSStream]):
+    """Give a stream for a body whose request is answered already.
+
+    A caller that is refused by its head alone goes on with its body. Hypercorn looks up
+    the stream without a check, and the error would end the process with all requests of
+    all callers.
+    """
+
+    def __missing__(self, number: int) -> HTTPStream:
+        return _AnsweredStream()
+
+
 class _Answer:
     def __init__(self, send: Any, scope: Any, leaving: trio.Event) -> None:
         self._send = send
-        self._http2 = scope["http_version"] == _HTTP2
+        self.http2 = scope["http_version"] == _HTTP2
         self._leaving = leaving
         self.open = False
 
     async def send(self, message: Any) -> None:
         if message["type"] == "http.response.start":
             self.open = True
-            if self._leaving.is_set() and not self._http2:
+            if self._leaving.is_set() and not self.http2:
                 headers = [*message.get("headers", ()), (b"connection", b"close")]
                 message = message | {"headers": headers}
         await self._send(message)
--- a/src/hyssopvane/_internal/transport/http_server.py
+++ b/src/hyssopvane/_internal/transport/http_server.py
@@ -10,7 +10,8 @@
 from hypercorn.config import Config
 from hypercorn.typing import ASGIFramework
 
-from hyssopvane._internal.transport.http_connection import HttpConnection
+from hyssopvane._internal.transport.http_connection import HttpConnection, PickApp
+from hyssopvane._internal.utils.logs import log_event
 
 REFUSED_CONNECTIONS = 100
 """Connections above the limit that get an answer; more are closed without one."""
@@ -27,7 +28,7 @@
     app_when_full: ASGIFramework | None = None
     """Answers the requests on connections above the limit."""
     app_when_late: ASGIFramework | None = None
-    """Answers the requests that come on kept connections late in a shutdown."""
+    """Answers new requests on busy HTTP/2 connections once the listener is closed."""
     note_malformed: Callable[[], bytes] = bytes
     """Counts bytes that are no HTTP and returns header lines for the answer."""
 
@@ -51,7 +52,6 @@
         self._leaving = leaving
         self._shutdown = shutdown
         self._graceful_timeout_s = graceful_timeout_s
-        self._late_at = float("inf")
         self._connections: set[HttpConnection] = set()
         self._refused = 0
         self._refused_config = copy(config)
@@ -75,7 +75,6 @@
                 self._accept_pending(listener, handlers)
                 listener.close()
                 now = trio.current_time()
-                self._late_at = now + self._graceful_timeout_s / 2
                 handlers.cancel_scope.deadline = now + self._graceful_timeout_s
                 await self._drain()
 
@@ -102,7 +101,7 @@
         connection = self._make_connection(stream, self._pick_app, self._config)
         self._connections.add(connection)
         try:
-            await connection.run()
+            await _run_apart(connection)
         finally:
             self._connections.discard(connection)
 
@@ -114,16 +113,18 @@
         self._refused += 1
         try:
             pick_app = partial(_return_app, app)
-            await self._make_connection(
-                stream, pick_app, self._refused_config, ending=True
-            ).run()
+            await _run_apart(
+                self._make_connection(
+                    stream, pick_app, self._refused_config, ending=True
+                )
+            )
         finally:
             self._refused -= 1
 
     def _make_connection(
         self,
         stream: trio.SocketStream,
-        pick_app: Callable[[], ASGIFramework],
+        pick_app: PickApp,
         config: Config,
         *,
         ending: bool = False,
@@ -144,15 +145,15 @@
         limit = self._policy.max_connections
         return limit is not None and len(self._connections) >= limit
 
-    def _pick_app(self) -> ASGIFramework:
-        # A caller that keeps one connection busy for ever must not hold back the
-        # replacement of the VM, nor lose an answer to its time limit.
-        late = trio.current_time() >= self._late_at
-        return (
-            self._policy.app_when_late
-            if late and self._policy.app_when_late
-            else (self._app)
-        )
+    def _pick_app(self, http2: bool) -> ASGIFramework:
+        # A caller that sends its requests over one busy HTTP/2 connection never lets it
+        # become free, and the VM could not be replaced before the time limit, which
+        # cuts answers. Told that its new request did not run, the caller goes on
+        # elsewhere. On HTTP/1.1 the answer itself ends the connection.
+        late = http2 and self._shutdown.is_set()
+        if late and self._policy.app_when_late is not None:
+            return self._policy.app_when_late
+        return self._app
 
     async def _drain_before_closing(self) -> None:
         await self._leaving.wait()
@@ -174,5 +175,13 @@
             await connection.end_if_free(closing=closing)
 
 
-def _return_app(app: ASGIFramework) -> ASGIFramework:
+async def _run_apart(connection: HttpConnection) -> None:
+    # What one caller sends must not end the process with everybody's requests.
+    try:
+        await connection.run()
+    except Exception as error:
+        log_event("error", "connection-failed", why=repr(error))
+
+
+def _return_app(app: ASGIFramework, http2: bool) -> ASGIFramework:
     return app
