--- a/src/hyssopvane/_internal/policy/scheduler.py
+++ b/src/hyssopvane/_internal/policy/scheduler.py
@@ -1,7 +1,7 @@
 """Decide when and where each request of an entry runs."""
 
+import math
 from dataclasses import dataclass
-from math import ceil
 from random import Random
 
 from hyssopvane._internal.models.refusals import Outcome, Refusal, RefusalReason
@@ -245,7 +245,9 @@
         ahead = service.queue.count_ahead(
             item.customer, priority=item.priority, tokens=item.tokens
         )
-        late_s = self._predict_lateness(service, item, ahead * _ARRIVAL_MARGIN, now=now)
+        drain = self._measure_drain(service, item, now=now) if ahead else None
+        wait_s = ahead * _ARRIVAL_MARGIN / drain if drain else 0.0
+        late_s = self._predict_lateness(service, item, wait_s, now=now)
         if late_s > 0:
             return self._refuse_late(late_s)
         return self._make_room(service, item, weight, now=now)
@@ -260,7 +262,7 @@
             (False, len(queue) + 1, row.queue_limit),
             (True, queue.tokens + item.tokens, row.queue_token_limit),
         ):
-            open_limit = ceil(limit * _OPEN_QUEUE_SHARE)
+            open_limit = math.ceil(limit * _OPEN_QUEUE_SHARE)
             if used > open_limit and queue.is_above_share(
                 item, weight=weight, limit=open_limit, in_tokens=in_tokens
             ):
@@ -282,7 +284,7 @@
         return Waiting()
 
     def _predict_lateness(
-        self, service: _Service, item: QueuedItem, ahead: float, *, now: float
+        self, service: _Service, item: QueuedItem, wait_s: float, *, now: float
     ) -> float:
         """Return the seconds by which a waiting request would miss its deadline.
 
@@ -290,22 +292,23 @@
         take a place from one that can, and its caller would learn of it only at the
         deadline. While nothing is measured yet, only the queue's limits hold.
         """
-        wait_s = 0.0
-        if ahead:
-            drain = service.meter.measure_flow_drain(
-                item.priority,
-                item.customer,
-                weight=self._get_weight(item.customer),
-                floor=PASSED_OVER_SHARE,
-                now=now,
-            )
-            wait_s = ahead / drain if drain else 0.0
         run_s = min(
             service.meter.predict_run_s(item.tokens),
             _MAX_RUN_SHARE * (item.deadline - item.arrived_at),
         )
         return now + wait_s + run_s - item.deadline
 
+    def _measure_drain(
+        self, service: _Service, item: QueuedItem, *, now: float
+    ) -> float | None:
+        return service.meter.measure_flow_drain(
+            item.priority,
+            item.customer,
+            weight=self._get_weight(item.customer),
+            floor=PASSED_OVER_SHARE,
+            now=now,
+        )
+
     def _refuse_late(self, late_s: float) -> Refusal:
         return Refusal(
             RefusalReason.DEADLINE_UNREACHABLE, Outcome.NOT_RUN, self._spread(late_s)
@@ -371,8 +374,13 @@
             return
         service.reviewed_at = now
         service.meter.review(now=now)
+        drains: dict[tuple[int, str], float | None] = {}
         for item, ahead in service.queue.predict_waits():
-            late_s = self._predict_lateness(service, item, ahead, now=now)
+            flow = (item.priority, item.customer)
+            if flow not in drains:
+                drains[flow] = self._measure_drain(service, item, now=now)
+            wait_s = ahead / (drains[flow] or math.inf)
+            late_s = self._predict_lateness(service, item, wait_s, now=now)
             if late_s > 0:
                 self._drop(service, item, self._refuse_late(late_s))
 
