Usable: one entry tries a target's suspects, and word of crashes comes first

Three entries tried the same body again at once: 5 targets crashed where 3 tell enough, and two innocent bodies were quarantined because suspects of two entries met at one target.

--- a/bench/poison.py
+++ b/bench/poison.py
@@ -114,6 +114,9 @@
         scheduler = Scheduler(random=Random(number))
         row = ServiceRow("draft", repeatable=True)
         scheduler.update_table(Table(services={"draft": row}), now=0.0)
+        led = frozenset(f"t{n}" for n in range(number, _TARGETS, self.case.entries))
+        if self.case.shared:
+            scheduler.planner.set_suspect_targets(led)
         if not self.case.protected:
             scheduler.planner.suspects = NoSuspects()
         return scheduler
--- a/src/hyssopvane/_internal/policy/attempts.py
+++ b/src/hyssopvane/_internal/policy/attempts.py
@@ -40,6 +40,7 @@
         self.retrier = Retrier(random=random)
         self.suspects = SuspectBook()
         self._table = Table()
+        self._suspect_targets: frozenset[str] = frozenset()
         self._plans: dict[str, _Plan] = {}
 
     def update_table(self, table: Table) -> None:
@@ -79,7 +80,7 @@
         body = _get_body(request)
         if request.body_digest and self.suspects.is_quarantined(body, now=now):
             return Refusal(RefusalReason.QUARANTINED, self.forget(request, now=now))
-        excluded = self.suspects.find_excluded(body, now=now)
+        excluded = self._find_excluded(request, now)
         if excluded is None:
             return None
         tried = plan.tried if plan is not None else ()
@@ -151,11 +152,30 @@
             self._leave_target(plan, None, now)
         return outcome
 
+    def set_suspect_targets(self, names: frozenset[str]) -> None:
+        """Set the targets that run this entry's suspects.
+
+        Each target runs the suspects of one entry only. Two entries would else try
+        a suspect each at one target, and its crash would be held against both.
+        """
+        self._suspect_targets = names
+
     def get_quarantine_s(self, service: str) -> float:
         """Return how long a body that crashes targets of a service is refused."""
         row = self._table.services.get(service) or ServiceRow(service)
         return float(row.quarantine_s)
 
+    def _find_excluded(self, request: WorkRequest, now: float) -> frozenset[str] | None:
+        body = _get_body(request)
+        excluded = self.suspects.find_excluded(body, now=now)
+        if excluded is None or not self.suspects.is_suspect(body, now=now):
+            return excluded
+        names = self.placer.list_targets(request.service)
+        own = names & self._suspect_targets
+        # An entry without such a target uses any: a suspect is mostly innocent, and
+        # must not wait for its deadline.
+        return excluded | (names - own) if own else excluded
+
     def _end_attempt(self, plan: _Plan, report: AttemptReport, now: float) -> None:
         target = plan.target
         if target is None:
--- a/src/hyssopvane/_internal/policy/placement.py
+++ b/src/hyssopvane/_internal/policy/placement.py
@@ -161,6 +161,11 @@
         pool = self._pools.get(service)
         return pool is not None and any(map(_is_open, pool.by_name.values()))
 
+    def list_targets(self, service: str) -> frozenset[str]:
+        """Return the targets of a service that are connected."""
+        pool = self._pools.get(service)
+        return frozenset(pool.by_name) if pool is not None else frozenset()
+
     def place(
         self,
         request: WorkRequest,
--- a/src/hyssopvane/_internal/policy/subsets.py
+++ b/src/hyssopvane/_internal/policy/subsets.py
@@ -127,6 +127,7 @@
         self._picks: dict[Member, bool] = {}
         """Whether a target that picks in this entry's zone picks this entry."""
         self._chosen: frozenset[str] = frozenset()
+        self._led: frozenset[str] | None = None
 
     def update(
         self, *, entries: Iterable[Member], targets: Iterable[Member]
@@ -141,8 +142,26 @@
             self._take_entries(new_entries)
         self._targets = new_targets
         self._chosen = frozenset(self._choose())
+        self._led = None
         return self._chosen
 
+    def find_led(self) -> frozenset[str]:
+        """Return the targets that rank this entry first among all that they pick."""
+        if self._led is None:
+            self._led = frozenset(
+                one.name
+                for one in self._targets
+                if one.name in self._chosen and self._is_first(one)
+            )
+        return self._led
+
+    def _is_first(self, target: Member) -> bool:
+        # All its entries work this out alike, as long as their lists agree.
+        names = self._zones.pick_all(target)
+        key = target.name.encode()
+        seeds = {name: rendezvous.hash_name(name) for name in names}
+        return rendezvous.rank(key, seeds, count=1) == [self._own.name]
+
     def _take_entries(self, entries: frozenset[Member]) -> None:
         zones = ZoneMap(entries, self._region_of)
         own_zone = self._own.availability_zone
--- a/src/hyssopvane/_internal/policy/suspects.py
+++ b/src/hyssopvane/_internal/policy/suspects.py
@@ -10,6 +10,10 @@
 # Time for which a body that was running in a crash is a suspect. Callers that repeat
 # do so within minutes; an unrelated second crash that late must not be held against it.
 SUSPECT_S = 600.0
+# A suspect rests for this long after a crash. Word of crashes at other entries comes
+# within a tenth of a second; three entries that tried again at once would crash three
+# more targets to learn what the first three had told.
+REST_S = 0.25
 # Two entries see one crash within milliseconds of each other, and a target that crashed
 # is not back within this time; closer reports are of the same crash.
 SAME_CRASH_S = 2.0
@@ -59,10 +63,10 @@
     """Hold the cases against bodies, as one entry knows them.
 
     Targets that a body can crash, fleet-wide, while its caller keeps sending it: the
-    copies that run when word of the first crash arrives, and one more for each entry
-    that gets the body before word of the second crash arrives. One caller that sends
-    through one entry, one at a time, crashes two; through three entries at once, at
-    most six and in general three. Without the book it crashes all of them.
+    copies that run when word of the first crash arrives, and at most one more for
+    each entry that gets the body before word of the second crash arrives. A copy
+    through one entry crashes two, copies through three entries at once crash three,
+    and six at most when the key-value service is out.
     """
 
     def __init__(self, *, max_cases: int = MAX_CASES) -> None:
@@ -86,7 +90,7 @@
         return case is not None and not case.quarantined
 
     def find_excluded(self, body: BodyId, *, now: float) -> frozenset[str] | None:
-        """Return the targets that must not run a body now, None when none may.
+        """Return the targets that must not run a body now, None when all must not.
 
         A target runs at most one suspect at a time, so that the next crash tells
         which one it was. A suspect runs at one target at a time: two copies would
@@ -94,7 +98,8 @@
         """
         if not self.is_suspect(body, now=now):
             return frozenset()
-        if any(body in bodies for bodies in self._running.values()):
+        rested_at = max(crash.at for crash in self._cases[body].crashes) + REST_S
+        if now < rested_at or any(body in one for one in self._running.values()):
             return None
         return frozenset(
             target
--- /dev/null
+++ b/tests/unit/test_attempts.py
@@ -0,0 +1,173 @@
+"""Test the plan of attempts: what may run again, and what is told of it."""
+
+from random import Random
+
+import pytest
+
+from bench.poison import Case, PoisonRun
+from hyssopvane._internal.models.refusals import Outcome, Refusal, RefusalReason
+from hyssopvane._internal.policy.attempts import AttemptPlanner
+from hyssopvane._internal.policy.retries import MAX_ATTEMPTS, RetryAt
+from hyssopvane._internal.policy.suspects import REST_S
+from hyssopvane._internal.state.table import ServiceRow, Table
+from hyssopvane._internal.state.work import (
+    AttemptReport,
+    AttemptResult,
+    TargetInfo,
+    WorkRequest,
+)
+
+NOT_STARTED = AttemptReport(AttemptResult.NOT_STARTED, "leaving")
+LOST = AttemptReport(AttemptResult.LOST, "connection-lost")
+BROKEN = AttemptReport(AttemptResult.BROKEN, "target-broken")
+ANSWERED = AttemptReport(AttemptResult.ANSWERED, latency_s=0.1)
+
+
+def make_planner(names=("t0", "t1", "t2", "t3"), **cells):
+    planner = AttemptPlanner(random=Random(1))
+    planner.update_table(Table(services={"draft": ServiceRow("draft", **cells)}))
+    for name in names:
+        planner.connect(TargetInfo(name, "draft", "a", 1), now=0.0)
+    return planner
+
+
+def make_request(name="r", *, repeatable=True, body=b""):
+    return WorkRequest(
+        name, "registry", "draft", 100, 5, 1e9, repeatable, body_digest=body
+    )
+
+
+def run_reports(planner, request, reports, *, now=100.0):
+    """Run attempts that end so; return the last decision."""
+    decision = None
+    for report in reports:
+        now += 10.0
+        placed = planner.place(request, now=now)
+        assert not isinstance(placed, Refusal)
+        assert placed is not None
+        decision = planner.finish(request.request_id, report, now=now)
+    return decision
+
+
+@pytest.mark.parametrize(
+    ("reports", "outcome"),
+    [
+        ([NOT_STARTED] * MAX_ATTEMPTS, Outcome.NOT_RUN),
+        ([LOST] * MAX_ATTEMPTS, Outcome.UNKNOWN),
+        ([LOST, NOT_STARTED, NOT_STARTED], Outcome.UNKNOWN),
+        ([NOT_STARTED, NOT_STARTED, LOST], Outcome.UNKNOWN),
+    ],
+)
+def test_not_run_is_told_only_when_proved(reports, outcome):
+    """A request is lost with its target, and the next targets refuse it.
+
+    The first target may have run it. A caller that hears "not run" would send it anew
+    under another key, and it would run twice.
+    """
+    decision = run_reports(make_planner(), make_request(), reports)
+    assert isinstance(decision, Refusal)
+    assert decision.reason is RefusalReason.RETRIES_SPENT
+    assert decision.outcome is outcome
+
+
+def test_retry_prefers_targets_not_tried():
+    planner = make_planner()
+    request = make_request()
+    placed = []
+    for step in range(MAX_ATTEMPTS):
+        placed.append(planner.place(request, now=100.0 + step).target)
+        planner.finish("r", NOT_STARTED, now=100.0 + step)
+    assert len(set(placed)) == MAX_ATTEMPTS
+
+
+def test_retry_waits_for_its_time():
+    planner = make_planner()
+    request = make_request()
+    planner.place(request, now=100.0)
+    retry = planner.finish("r", LOST, now=100.0)
+    assert isinstance(retry, RetryAt)
+    assert planner.is_held(request, now=100.0)
+    assert planner.place(request, now=100.0) is None
+    assert planner.place(request, now=retry.at) is not None
+
+
+def test_forgotten_request_frees_its_place():
+    planner = make_planner(["t0"], target_concurrency=1)
+    request = make_request()
+    assert planner.place(request, now=100.0)
+    assert planner.place(make_request("other"), now=100.0) is None
+    planner.forget(request, now=100.0)
+    assert planner.place(make_request("other"), now=100.0)
+
+
+@pytest.mark.parametrize(
+    ("reports", "quarantined"),
+    [
+        ([BROKEN, BROKEN], True),
+        ([BROKEN, ANSWERED], False),
+        ([LOST, LOST], False),
+        ([NOT_STARTED, BROKEN], False),
+    ],
+)
+def test_second_crash_quarantines(reports, quarantined):
+    planner = make_planner()
+    run_reports(planner, make_request(body=b"b"), reports)
+    refusal = planner.refuse(make_request("next", body=b"b"), now=200.0)
+    assert (refusal is not None) is quarantined
+    if refusal is not None:
+        assert refusal.reason is RefusalReason.QUARANTINED
+
+
+def test_quarantine_of_no_time_is_none():
+    planner = make_planner(quarantine_s=0)
+    run_reports(planner, make_request(body=b"b"), [BROKEN, BROKEN])
+    assert planner.refuse(make_request("next", body=b"b"), now=200.0) is None
+
+
+def test_suspects_of_two_entries_do_not_meet():
+    """Two bodies run when a target crashes, each sent by another entry.
+
+    Were both tried at the same target, the next crash would be held against both,
+    and an innocent caller would be refused for an hour.
+    """
+    led = [frozenset({"t0", "t2"}), frozenset({"t1", "t3"})]
+    for own in led:
+        planner = make_planner()
+        planner.set_suspect_targets(own)
+        for number in range(8):
+            request = make_request(f"r{number}", body=bytes([number]))
+            run_reports(planner, request, [BROKEN], now=100.0 + number * 20)
+        now = 100.0 + 8 * 20 + REST_S
+        placed = [
+            planner.place(make_request(f"s{number}", body=bytes([number])), now=now)
+            for number in range(8)
+        ]
+        targets = [one.target for one in placed if one is not None]
+        assert set(targets) == own
+        assert len(targets) == len(own)
+
+
+@pytest.mark.parametrize(
+    ("case", "least", "most"),
+    [
+        (Case(entries=1, copies=1, protected=False), 12, 1000),
+        (Case(entries=1, copies=1), 2, 2),
+        (Case(entries=1, copies=3), 2, 4),
+        (Case(entries=3, copies=1, protected=False), 12, 1000),
+        (Case(entries=3, copies=1, shared=False), 2, 6),
+        (Case(entries=3, copies=1), 2, 3),
+    ],
+    ids=["none-1", "one", "one-3-copies", "none-3", "three-apart", "three-shared"],
+)
+def test_crashes_by_one_body(case, least, most):
+    """One body crashes each target that runs it, and its caller sends it again.
+
+    Without protection all targets go down again and again, and hardly any caller gets
+    an answer. With it the body is refused after the second crash.
+    """
+    row = PoisonRun(case, seed=1).run()
+    assert least <= row.targets_crashed <= row.crashes <= most
+    if case.protected:
+        assert row.others_answered > 0.97 * row.others_sent
+    if case.protected and case.shared:
+        assert row.others_quarantined == 0
--- a/tests/unit/test_subsets.py
+++ b/tests/unit/test_subsets.py
@@ -64,6 +64,18 @@
     assert min(own_zone[one.name] for one in targets) >= OWN_ZONE_ENTRIES
 
 
+@pytest.mark.parametrize("target_count", [12, 150])
+def test_each_target_is_led_by_one_entry(target_count):
+    entries, targets = make_entries(24), make_targets(target_count)
+    led = Counter()
+    for one in entries:
+        subset = SubsetMap(one)
+        chosen = subset.update(entries=entries, targets=targets)
+        assert subset.find_led() <= chosen
+        led.update(subset.find_led())
+    assert led == {one.name: 1 for one in targets}
+
+
 def test_zone_that_lost_its_entries_keeps_its_targets():
     """All entries of a zone are gone, its targets live.
 
--- a/tests/unit/test_suspects.py
+++ b/tests/unit/test_suspects.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from hyssopvane._internal.policy.suspects import (
+    REST_S,
     SUSPECT_S,
     BodyId,
     Crash,
@@ -66,6 +67,13 @@
     assert book.find_excluded(BodyId("draft", b"clean"), now=1.0) == frozenset()
 
 
+def test_suspect_rests_until_word_has_spread():
+    book = SuspectBook()
+    run_until_crash(book, "t0", now=0.0, bodies=[POISON])
+    assert book.find_excluded(POISON, now=REST_S / 2) is None
+    assert book.find_excluded(POISON, now=REST_S) == frozenset()
+
+
 def test_suspect_runs_at_one_target_at_a_time():
     book = SuspectBook()
     run_until_crash(book, "t0", now=0.0, bodies=[POISON])
