--- a/src/hyssopvane/_internal/policy/retries.py
+++ b/src/hyssopvane/_internal/policy/retries.py
@@ -26,7 +26,7 @@
         AgentRefusal.LEAVING.value,
         AgentRefusal.WRONG_INCARNATION.value,
         AgentRefusal.TARGET_UNREACHABLE.value,
-        "not-connected",
+        AgentRefusal.NOT_CONNECTED.value,
     }
 )
 
@@ -144,6 +144,8 @@
     A timeout or a lost connection proves nothing. Only a refusal by the agent, which
     keeps a tombstone for the attempt, proves that it did not run and never will.
     """
+    if report.final:
+        return False
     if report.result is AttemptResult.NOT_STARTED:
         return True
     failed = report.result in (AttemptResult.LOST, AttemptResult.BROKEN)
--- a/src/hyssopvane/_internal/roles/dispatcher.py
+++ b/src/hyssopvane/_internal/roles/dispatcher.py
@@ -2,6 +2,7 @@
 
 import secrets
 import time
+from dataclasses import replace
 
 import trio
 
@@ -142,6 +143,9 @@
             if reply.started and not isinstance(end, Answered):
                 # A short answer that looks whole would reach a family as the final
                 # history. Cutting the connection lets the caller's client see it.
+                # A body may crash its target after the first token, too.
+                report = replace(_judge(end)[0], final=True)
+                await self.finish(work, report)
                 raise AnswerCut(_explain(end))
             report, refusal = _judge(end)
             decision = await self.finish(work, report)
--- a/src/hyssopvane/_internal/roles/keyed_dispatch.py
+++ b/src/hyssopvane/_internal/roles/keyed_dispatch.py
@@ -132,10 +132,18 @@
                 if isinstance(end, Answered):
                     await self._end_answered(end)
                     return None
+                if isinstance(end, Failed) and self._placed:
+                    await self._report_failure()
                 step = self._go_on(step, end)
             else:
                 step = await self._prepare(step)
 
+    async def _report_failure(self) -> None:
+        # The body may be what broke the target; the scheduler keeps count of it.
+        report = AttemptReport(AttemptResult.BROKEN, "target-broken", final=True)
+        await self._places.finish(self._work, report)
+        self._placed = False
+
     async def _prepare(self, step: Look | Place | Write) -> Step:
         if isinstance(step, Look):
             return await self._look()
--- a/src/hyssopvane/_internal/state/work.py
+++ b/src/hyssopvane/_internal/state/work.py
@@ -95,3 +95,5 @@
     latency_s: float = 0.0
     """Time to the first byte of the answer; 0 when there was none."""
     retry_after_s: float = 0.0
+    final: bool = False
+    """Whether no other attempt can follow, as when the answer has begun."""
--- a/tests/unit/test_attempts.py
+++ b/tests/unit/test_attempts.py
@@ -20,6 +20,7 @@
 NOT_STARTED = AttemptReport(AttemptResult.NOT_STARTED, "leaving")
 LOST = AttemptReport(AttemptResult.LOST, "connection-lost")
 BROKEN = AttemptReport(AttemptResult.BROKEN, "target-broken")
+CUT = AttemptReport(AttemptResult.BROKEN, "target-broken", final=True)
 ANSWERED = AttemptReport(AttemptResult.ANSWERED, latency_s=0.1)
 
 
@@ -107,6 +108,7 @@
         ([BROKEN, ANSWERED], False),
         ([LOST, LOST], False),
         ([NOT_STARTED, BROKEN], False),
+        ([BROKEN, CUT], True),
     ],
 )
 def test_second_crash_quarantines(reports, quarantined):
--- a/tests/unit/test_retries.py
+++ b/tests/unit/test_retries.py
@@ -47,6 +47,14 @@
     assert isinstance(decision, RetryAt) is retried
 
 
+def test_begun_answer_is_never_followed_by_another():
+    report = AttemptReport(AttemptResult.BROKEN, "target-broken", final=True)
+    decision = Retrier(random=Random(1)).decide(
+        make_request(repeatable=True), report, attempts=1, now=0.0
+    )
+    assert decision is RetryDenial.NOT_REPEATABLE
+
+
 @pytest.mark.parametrize(
     ("reason", "waits"),
     [
