--- /dev/null
+++ b/src/hyssopvane/_internal/policy/failure_detector.py
@@ -0,0 +1,128 @@
+"""Judge from the times of its messages whether a peer has gone silent."""
+
+import math
+from abc import ABC, abstractmethod
+from collections import deque
+
+# Intervals that the accrual detectors remember: a minute of heartbeats of 0.5 s.
+WINDOW = 120
+# Before this many intervals the estimate means little.
+_MIN_INTERVALS = 5
+# A spread of no more than this is taken for the clock's own noise.
+_MIN_DEVIATION_S = 0.02
+_SQRT_2 = math.sqrt(2)
+_LN_10 = math.log(10)
+# From here on the tail of the normal distribution is too small for erfc.
+_FAR_TAIL = 30.0
+_BISECTIONS = 50
+
+
+class FailureDetector(ABC):
+    """Turn the silence of a peer into a level that grows with suspicion."""
+
+    def __init__(self) -> None:
+        self._last_at: float | None = None
+
+    def observe(self, now: float) -> None:
+        """Take note of a message."""
+        if self._last_at is not None:
+            self.add_interval(now - self._last_at)
+        self._last_at = now
+
+    def is_suspect(self, now: float, *, threshold: float) -> bool:
+        """Tell whether the peer is to be taken for lost."""
+        return self._last_at is not None and self.get_level(now) > threshold
+
+    def get_level(self, now: float) -> float:
+        """Return the level of suspicion."""
+        return 0.0 if self._last_at is None else self.judge(now - self._last_at)
+
+    @abstractmethod
+    def add_interval(self, seconds: float) -> None:
+        """Learn from the time between two messages."""
+
+    @abstractmethod
+    def judge(self, silent_s: float) -> float:
+        """Return the level after a silence; it never falls as the silence grows."""
+
+    def find_silence(self, threshold: float, *, longest_s: float) -> float:
+        """Return the silence at which the level reaches a threshold."""
+        low, high = 0.0, longest_s
+        if self.judge(high) <= threshold:
+            return longest_s
+        for _ in range(_BISECTIONS):
+            middle = (low + high) / 2
+            if self.judge(middle) > threshold:
+                high = middle
+            else:
+                low = middle
+        return high
+
+
+class FixedTimeout(FailureDetector):
+    """Suspect a peer by its silence alone; the level is in seconds."""
+
+    def add_interval(self, seconds: float) -> None:
+        """Learn nothing."""
+
+    def judge(self, silent_s: float) -> float:
+        """Return the silence itself."""
+        return silent_s
+
+
+class AccrualDetector(FailureDetector):
+    r"""Suspect a peer by how unlikely its silence is, as -log10 of the chance.
+
+    After "\varphi-Accrual Failure Detection", which keeps rolling sums of the
+    intervals and leaves the distribution open.
+    """
+
+    def __init__(self, *, window: int = WINDOW) -> None:
+        super().__init__()
+        self._window = window
+        self._intervals: deque[float] = deque()
+        self._sum = 0.0
+        self._squares = 0.0
+
+    def add_interval(self, seconds: float) -> None:
+        """Add an interval to the window."""
+        self._intervals.append(seconds)
+        self._sum += seconds
+        self._squares += seconds * seconds
+        if len(self._intervals) > self._window:
+            oldest = self._intervals.popleft()
+            self._sum -= oldest
+            self._squares -= oldest * oldest
+
+    def judge(self, silent_s: float) -> float:
+        """Return -log10 of the chance that a message still comes."""
+        count = len(self._intervals)
+        if count < _MIN_INTERVALS:
+            return 0.0
+        mean = max(self._sum / count, 1e-6)
+        variance = max(0.0, self._squares / count - mean * mean)
+        return self.judge_by(silent_s, mean, math.sqrt(variance))
+
+    @abstractmethod
+    def judge_by(self, silent_s: float, mean: float, deviation: float) -> float:
+        """Return the level for intervals of this mean and deviation."""
+
+
+class AccrualNormal(AccrualDetector):
+    """Take the intervals for normally distributed."""
+
+    def judge_by(self, silent_s: float, mean: float, deviation: float) -> float:
+        """Return -log10 of the upper tail of the normal distribution."""
+        distance = (silent_s - mean) / max(deviation, _MIN_DEVIATION_S)
+        if distance < _FAR_TAIL:
+            return -math.log10(0.5 * math.erfc(distance / _SQRT_2))
+        tail = distance * distance / 2 + math.log(distance * math.sqrt(2 * math.pi))
+        return tail / _LN_10
+
+
+class AccrualExponential(AccrualDetector):
+    """Take the intervals for exponentially distributed."""
+
+    def judge_by(self, silent_s: float, mean: float, deviation: float) -> float:
+        """Return -log10 of the upper tail of the exponential distribution."""
+        return silent_s / mean / _LN_10
--- a/src/hyssopvane/_internal/policy/placement.py
+++ b/src/hyssopvane/_internal/policy/placement.py
@@ -36,6 +36,8 @@
 # would make its first callers wait while warm targets idle.
 SLOW_START_S = 20.0
 _SLOW_START_SHARE = 0.1
+# Share of a target whose reports stay away.
+_SILENT_SHARE = 0.1
 # Draws for two targets with room before all are looked at.
 _MAX_DRAWS = 6
 # Incarnations seen lately, to tell a new process from a new connection to a warm one.
@@ -328,6 +330,9 @@
             # never win by its score, and never return.
             return -1.0
         weight = target.weight * share * _get_start_share(target, now)
+        if target.load.is_silent(now):
+            # When all are silent, as behind a partition, all weigh less alike.
+            weight *= _SILENT_SHARE
         return (target.load.estimate_tokens(now) + request.tokens) / weight
 
     def _get_utilisation(self, target: _Target, now: float) -> float:
@@ -352,6 +357,8 @@
     ) -> bool:
         if pool.ejector.get_share(target.info.name) < 1.0:
             return False
+        if target.load.is_silent(now):
+            return False
         if self._get_utilisation(target, now) <= AFFINITY_FREE_UTILISATION:
             return True
         tokens = target.load.own_tokens + request.tokens
--- a/src/hyssopvane/_internal/policy/target_load.py
+++ b/src/hyssopvane/_internal/policy/target_load.py
@@ -9,12 +9,17 @@
 # Without the correction an entry counts what it sent in that time twice or not at
 # all, and 87,000 requests a second swing between the targets together.
 REPORT_LAG_S = 0.5
-# Up to this age a report is believed whole: six heartbeats of 0.5 s, or two of 3 s.
+# Up to this age a report is believed whole: twelve heartbeats of 0.5 s, or one of 4 s.
 FRESH_REPORT_S = 6.0
 # An older one fades. Kept for ever, a target that was busy when its reports stopped
 # would get no work for minutes, and one that was idle would get too much.
 FORGOTTEN_REPORT_S = 30.0
 
+# A target whose reports stay away for this many of their intervals may be behind a
+# connection that went silent. Long before it is closed, which cuts the answers on it,
+# new work goes elsewhere where it can.
+SILENT_INTERVALS = 4.0
+_FIRST_INTERVAL_S = 0.5
 # Counted for each request of others where the report tells requests but no tokens, as
 # that of a plain service does.
 USUAL_TOKENS = 500
@@ -28,7 +33,8 @@
     own_running: int = 0
     _others_tokens: int = 0
     _others_running: int = 0
-    _reported_at: float = 0.0
+    _reported_at: float | None = None
+    _interval_s: float = _FIRST_INTERVAL_S
     _changes: deque[tuple[float, int, int]] = field(default_factory=deque)
 
     def add(self, tokens: int, *, now: float) -> None:
@@ -49,8 +55,16 @@
             self._others_tokens = max(0, report.tokens_in_flight - seen_tokens)
         else:
             self._others_tokens = self._others_running * USUAL_TOKENS
+        if self._reported_at is not None:
+            self._interval_s = max(_FIRST_INTERVAL_S, now - self._reported_at)
         self._reported_at = now
 
+    def is_silent(self, now: float) -> bool:
+        """Tell whether reports have stayed away for longer than usual."""
+        if self._reported_at is None:
+            return False
+        return now - self._reported_at > SILENT_INTERVALS * self._interval_s
+
     def estimate_tokens(self, now: float) -> float:
         """Return the tokens in flight at the target."""
         return self.own_tokens + self._others_tokens * self._trust(now)
@@ -70,6 +84,8 @@
             self._changes.popleft()
 
     def _trust(self, now: float) -> float:
+        if self._reported_at is None:
+            return 0.0
         age = now - self._reported_at
         if age <= FRESH_REPORT_S:
             return 1.0
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -178,6 +178,30 @@
     assert place_many(placer, 40, now=later)["busy"] > 15
 
 
+def test_silent_target_gets_little_new_work():
+    """A device on the way forgets a connection: nothing fails, nothing arrives.
+
+    Until the silence is long enough to close it, each request that is placed there
+    keeps its caller waiting for nothing.
+    """
+    names = [f"t{number}" for number in range(4)]
+    placer = make_placer(names)
+    for step in range(10):
+        for name in names if step < 4 else names[1:]:
+            placer.observe_load(name, LoadReport(0, 0), now=WARM + step / 2)
+    chosen = place_many(placer, 40, now=WARM + 4.6)
+    assert chosen["t0"] <= 2
+
+
+def test_all_silent_targets_share_the_work():
+    names = [f"t{number}" for number in range(4)]
+    placer = make_placer(names)
+    for name in names:
+        placer.observe_load(name, LoadReport(0, 0), now=WARM)
+    chosen = place_many(placer, 40, now=WARM + 120)
+    assert min(chosen[name] for name in names) >= 8
+
+
 def test_half_of_the_targets_gone_at_once():
     """A rack fails, and half of the targets go in one moment.
 
