--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,13 +1,35 @@
 """Run one measurement by name."""
 
 import sys
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from importlib import import_module
 
 
-def main() -> int:
-    """List the measurements."""
-    print("no measurement yet")
-    return 0
+@dataclass(frozen=True, slots=True)
+class Measurement:
+    """Name a measurement and the module that is imported when it runs."""
+
+    module: str
+    summary: str
+
+
+# Each module has `main(arguments) -> int`.
+MEASUREMENTS = {
+    "maps": Measurement("bench.maps", "skew and bytes of expert maps as loads drift"),
+}
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Run the measurement that the first argument names, or list them."""
+    measurement = MEASUREMENTS.get(arguments[0]) if arguments else None
+    if measurement is None:
+        for name, one in MEASUREMENTS.items():
+            print(f"{name:12} {one.summary}")
+        return 2 if arguments else 0
+    run: Callable[[Sequence[str]], int] = import_module(measurement.module).main
+    return run(arguments[1:])
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/src/hyssopvane/_internal/coordination/map_switch.py
@@ -0,0 +1,193 @@
+"""Read and change the record of one group in the key-value service."""
+
+from collections.abc import Callable, Sequence
+
+import trio
+
+from hyssopvane._internal.coordination.key_value import (
+    ABSENT,
+    NO_LEASE,
+    KeyValue,
+    KeyValueStore,
+    Swap,
+    SwapLost,
+    Swapped,
+)
+from hyssopvane._internal.coordination.map_records import (
+    format_map,
+    format_record,
+    get_duty_key,
+    get_map_key,
+    get_record_key,
+    parse_map,
+    parse_record,
+)
+from hyssopvane._internal.exceptions import KeyValueUnknown
+from hyssopvane._internal.policy.expert_maps import ExpertMap
+from hyssopvane._internal.state.map_switch import (
+    GroupRecord,
+    VersionedRecord,
+    abort,
+    confirm_for_restart,
+    decide,
+    fix_step,
+    propose,
+)
+
+MAX_TRIES = 20
+"""Attempts at one change.
+
+Each lost attempt means that another process has changed the record, which happens a few
+times in a switch; more means that the service answers wrongly.
+"""
+
+Change = Callable[[GroupRecord], GroupRecord | None]
+
+
+class MapSwitchStore:
+    """Change one group's record by compare-and-swap."""
+
+    def __init__(self, store: KeyValueStore, *, service: str, group: str) -> None:
+        self._store = store
+        self._service = service
+        self._group = group
+        self._key = get_record_key(service, group)
+        self.known = VersionedRecord()
+        """Newest record that was read or written."""
+
+    async def read(self) -> VersionedRecord:
+        """Read the record; an older state than the known one is ignored."""
+        self._learn(parse_record(await self._store.get(self._key)))
+        return self.known
+
+    async def read_map(self, name: str) -> ExpertMap | None:
+        """Return a map by its engine name."""
+        key = get_map_key(self._service, self._group, name)
+        item = await self._store.get(key)
+        return parse_map(item) if item else None
+
+    async def propose(
+        self, name: str, expert_map: ExpertMap, *, weights_bytes: int = 0
+    ) -> VersionedRecord | None:
+        """Open a proposal, or return None while another one is open."""
+
+        def change(record: GroupRecord) -> GroupRecord | None:
+            return propose(record, name, weights_bytes=weights_bytes)
+
+        def list_swaps(record: GroupRecord) -> list[Swap]:
+            assert record.proposal is not None
+            key = get_map_key(self._service, self._group, record.proposal.name)
+            return [Swap(key, format_map(expert_map), ABSENT)]
+
+        return await self._change(change, list_swaps)
+
+    async def fix_step(self, fence: int, step: int) -> VersionedRecord | None:
+        """Fix the step of a staged proposal, or return None when it can't be."""
+        return await self._change(lambda record: fix_step(record, fence, step))
+
+    async def decide(self, fence: int) -> VersionedRecord | None:
+        """Decide an armed proposal, or return None when it has ended."""
+        return await self._change(lambda record: decide(record, fence))
+
+    async def abort(self, fence: int, why: str) -> VersionedRecord | None:
+        """Abort an open proposal, or return None when it has ended."""
+        return await self._change(lambda record: abort(record, fence, why))
+
+    async def confirm_for_restart(self) -> VersionedRecord:
+        """Write the record for a rank that has restarted, before it takes a step.
+
+        An answer that is lost leaves open whether the record was written, and a plain
+        read can't tell, so it is written again.
+        """
+        while True:
+            try:
+                written = await self._change(confirm_for_restart)
+            except KeyValueUnknown:
+                continue
+            if written is not None:
+                return written
+
+    async def take_duty(self, holder: str, lease: int) -> bool:
+        """Put the holder's name under its lease; return false when it is taken.
+
+        The lease only keeps two coordinators from doing the same work. A holder that
+        was paused past its lease may still act; the record's compare-and-swap makes
+        that harmless.
+        """
+        key = get_duty_key(self._service, self._group)
+        swap = Swap(key, holder.encode(), ABSENT, lease)
+        try:
+            result = await self._store.compare_and_swap([swap])
+        except KeyValueUnknown:
+            item = await self._store.get(key)
+            return item is not None and item.value == holder.encode()
+        return isinstance(result, Swapped)
+
+    async def release_duty(self, lease: int) -> None:
+        """Give the duty back."""
+        if lease != NO_LEASE:
+            await self._store.revoke_lease(lease)
+
+    async def watch(self, changed: trio.MemorySendChannel[VersionedRecord]) -> None:
+        """Send each new record until the watch ends."""
+        await self.read()
+        await changed.send(self.known)
+        start = self.known.revision + 1
+        async with self._store.watch(self._key, start) as events:
+            async for event in events:
+                if event.value is None:
+                    continue
+                item = KeyValue(event.key, event.value, event.revision)
+                if self._learn(parse_record(item)):
+                    await changed.send(self.known)
+
+    async def _change(
+        self,
+        change: Change,
+        list_swaps: Callable[[GroupRecord], Sequence[Swap]] = lambda record: (),
+    ) -> VersionedRecord | None:
+        """Try a change until it is written, or until it is no longer allowed.
+
+        When an answer is lost the record is read back: a change that was written is
+        found there, and one that was not is tried again on the record as it is.
+        Trying again can't harm: each change is tied to a fence and a phase.
+        """
+        for _ in range(MAX_TRIES):
+            changed = change(self.known.record)
+            if changed is None:
+                before = self.known.revision
+                if (await self.read()).revision == before:
+                    return None
+                continue
+            swap = Swap(self._key, format_record(changed), self.known.revision)
+            try:
+                result = await self._store.compare_and_swap(
+                    [swap, *list_swaps(changed)]
+                )
+            except KeyValueUnknown:
+                if await self._find_written(changed):
+                    return self.known
+                raise
+            if isinstance(result, Swapped):
+                self.known = VersionedRecord(changed, result.revision)
+                return self.known
+            await self._learn_current(result)
+        return None
+
+    async def _find_written(self, changed: GroupRecord) -> bool:
+        before = self.known.revision
+        read = await self.read()
+        return read.revision > before and read.record == changed
+
+    async def _learn_current(self, lost: SwapLost) -> None:
+        for item in lost.current:
+            if item.key == self._key:
+                self._learn(parse_record(item))
+                return
+        await self.read()
+
+    def _learn(self, read: VersionedRecord) -> bool:
+        if read.revision <= self.known.revision:
+            return False
+        self.known = read
+        return True
--- a/src/hyssopvane/_internal/exceptions.py
+++ b/src/hyssopvane/_internal/exceptions.py
@@ -58,3 +58,7 @@
 
 class OperatorRequestError(HyssopvaneError):
     """Report an operators' call that a process did not answer as asked."""
+
+
+class MapSwitchError(HyssopvaneError):
+    """Report a record, an order or an engine of an expert map that can't be used."""
--- a/src/hyssopvane/_internal/standins/expert_rank.py
+++ b/src/hyssopvane/_internal/standins/expert_rank.py
@@ -55,7 +55,11 @@
 
 
 class ExpertRank:
-    """Count steps and switch the expert map at the step that was decided."""
+    """Count steps and switch the expert map at the step that was decided.
+
+    A rank that starts without a map, as after a restart, takes no step until it is
+    told one by a decision.
+    """
 
     def __init__(self, expert_map: str, *, checks_fence: bool) -> None:
         self.step = 0
@@ -87,6 +91,8 @@
 
     def skip_steps(self, steps: int) -> None:
         """Begin several steps, up to one that waits for a decision."""
+        if not self.map:
+            return
         target = self.step + steps
         if self._must_wait(target) and self.armed is not None:
             target = self.armed.step - 1
@@ -94,6 +100,9 @@
         self._switch_map()
 
     def _must_wait(self, step: int) -> bool:
+        if not self.map:
+            # A rank that was restarted takes no step before it is told its map.
+            return True
         # Without the wait this rank would use the old map in a step in which ranks
         # that know the decision use the new one.
         armed = self.armed
@@ -139,6 +148,8 @@
         return None
 
     def _decide(self, order: Order) -> OrderRefusal | None:
+        if not self.map and (self.armed is None or self.armed.map != order.value):
+            return self._start_with(order.value)
         if self.armed is None:
             # A repeat of a decision that was carried out is no error.
             return None if self.map == order.value else OrderRefusal.NOT_ARMED
@@ -147,6 +158,13 @@
         self.armed = Arming(self.armed.map, self.armed.step, decided=True)
         return None
 
+    def _start_with(self, expert_map: str) -> OrderRefusal | None:
+        if expert_map not in self.staged:
+            return OrderRefusal.NOT_STAGED
+        self.map = expert_map
+        del self.staged[expert_map]
+        return None
+
     def _abort(self, order: Order) -> OrderRefusal | None:
         if self.armed is not None and self.armed.map == order.value:
             if self.armed.decided:
--- a/src/hyssopvane/_internal/standins/plain_service.py
+++ b/src/hyssopvane/_internal/standins/plain_service.py
@@ -122,7 +122,10 @@
 ) -> None:
     """Serve until the shutdown."""
     await serve_app(
-        PlainService(config, journal).app, bind=bind, shutdown=shutdown, task_status=task_status
+        PlainService(config, journal).app,
+        bind=bind,
+        shutdown=shutdown,
+        task_status=task_status,
     )
 
 
--- a/tests/unit/test_engine.py
+++ b/tests/unit/test_engine.py
@@ -71,7 +71,9 @@
     now, cancelled, wanted, tokens = 0.0, set(), {}, []
     for action, first, second in actions:
         if action == "submit":
-            completion = Completion("x" * BLOCK_CHARACTERS * first, first, priority=second)
+            completion = Completion(
+                "x" * BLOCK_CHARACTERS * first, first, priority=second
+            )
             wanted[engine.submit(completion, CALLER, now)] = first
         elif action == "cancel":
             cancelled |= {first} if engine.cancel(first, now) else set()
@@ -117,7 +119,11 @@
     engine = make_engine(prefill_blocks_per_step=1)
     steps = []
     for tail in ("cold", "warm"):
-        engine.submit(Completion("x" * BLOCK_CHARACTERS * 10 + tail, 1), CALLER, engine.next_step_at)
+        engine.submit(
+            Completion("x" * BLOCK_CHARACTERS * 10 + tail, 1),
+            CALLER,
+            engine.next_step_at,
+        )
         begun = engine.rank.step
         run_until_idle(engine)
         steps.append(engine.rank.step - begun)
