--- a/src/hyssopvane/_internal/coordination/map_switch.py
+++ b/src/hyssopvane/_internal/coordination/map_switch.py
@@ -52,6 +52,7 @@
         self._service = service
         self._group = group
         self._key = get_record_key(service, group)
+        self._map_prefix = get_map_key(service, group, "")
         self.known = VersionedRecord()
         """Newest record that was read or written."""
 
@@ -70,14 +71,22 @@
         self, name: str, expert_map: ExpertMap, *, weights_bytes: int = 0
     ) -> VersionedRecord | None:
         """Open a proposal, or return None while another one is open."""
+        maps = (await self._store.get_prefix(self._map_prefix)).items
 
         def change(record: GroupRecord) -> GroupRecord | None:
             return propose(record, name, weights_bytes=weights_bytes)
 
         def list_swaps(record: GroupRecord) -> list[Swap]:
             assert record.proposal is not None
-            key = get_map_key(self._service, self._group, record.proposal.name)
-            return [Swap(key, format_map(expert_map), ABSENT)]
+            key = f"{self._map_prefix}{record.proposal.name}"
+            # Maps that no rank can use any more are deleted here, else the service
+            # would fill up with one for each proposal.
+            used = {f"{self._map_prefix}{one.name}" for one in record.switches[-2:]}
+            return [Swap(key, format_map(expert_map), ABSENT)] + [
+                Swap(item.key, None, item.revision)
+                for item in maps
+                if item.key not in used
+            ]
 
         return await self._change(change, list_swaps)
 
@@ -96,14 +105,12 @@
     async def confirm_for_restart(self) -> VersionedRecord:
         """Write the record for a rank that has restarted, before it takes a step.
 
-        An answer that is lost leaves open whether the record was written, and a plain
-        read can't tell, so it is written again.
+        An answer that is lost leaves open whether the record was written. A record
+        that is written unchanged can't be told from another process's by reading it
+        back, so it is written again.
         """
         while True:
-            try:
-                written = await self._change(confirm_for_restart)
-            except KeyValueUnknown:
-                continue
+            written = await self._change(confirm_for_restart, reads_back=False)
             if written is not None:
                 return written
 
@@ -145,17 +152,20 @@
         self,
         change: Change,
         list_swaps: Callable[[GroupRecord], Sequence[Swap]] = lambda record: (),
+        *,
+        reads_back: bool = True,
     ) -> VersionedRecord | None:
         """Try a change until it is written, or until it is no longer allowed.
 
         When an answer is lost the record is read back: a change that was written is
         found there, and one that was not is tried again on the record as it is.
-        Trying again can't harm: each change is tied to a fence and a phase.
+        Trying again can't harm: a late write meets a newer revision, and each change
+        is tied to a fence and a phase.
         """
         for _ in range(MAX_TRIES):
+            before = self.known.revision
             changed = change(self.known.record)
             if changed is None:
-                before = self.known.revision
                 if (await self.read()).revision == before:
                     return None
                 continue
@@ -165,9 +175,9 @@
                     [swap, *list_swaps(changed)]
                 )
             except KeyValueUnknown:
-                if await self._find_written(changed):
+                if await self._find_written(changed) and reads_back:
                     return self.known
-                raise
+                continue
             if isinstance(result, Swapped):
                 self.known = VersionedRecord(changed, result.revision)
                 return self.known
--- a/src/hyssopvane/_internal/coordination/table_store.py
+++ b/src/hyssopvane/_internal/coordination/table_store.py
@@ -1,6 +1,6 @@
 """Edit and follow the table in the platform's key-value service."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -8,6 +8,7 @@
 
 from hyssopvane._internal.coordination.key_value import (
     ABSENT,
+    Check,
     KeyValue,
     KeyValueStore,
     Swap,
@@ -54,6 +55,9 @@
 12 s, one such question and its timeout must fit in.
 """
 
+MAX_TRANSACTION_BYTES = 1_400_000
+"""Largest sum of pages in a transaction; etcd takes 1.5 MiB with all around them."""
+
 ErrorReport = Callable[[HyssopvaneError], None]
 
 
@@ -149,17 +153,32 @@
     async def _swap(
         self, read: _PagesRead, changed: Mapping[str, Page]
     ) -> EditAccepted | None:
+        swaps = [
+            Swap(key, format_page(page), read.revisions[key])
+            for key, page in sorted(changed.items())
+        ]
+        _check_size(swaps)
         result = await self._store.compare_and_swap(
-            [
-                Swap(key, format_page(page), read.revisions[key])
-                for key, page in sorted(changed.items())
-            ]
+            swaps, checks=self._make_checks(read, changed)
         )
         if isinstance(result, Swapped):
             return EditAccepted(result.revision)
         self._remember(result.current)
         return None
 
+    def _make_checks(
+        self, read: _PagesRead, changed: Mapping[str, Page]
+    ) -> list[Check]:
+        # Two edits of different pages can each be right and be wrong together: one
+        # removes a service while the other gives it a target. One would notice a
+        # target that gets no work. The one that comes second finds a page changed.
+        # So does a write with a lost reply that arrives after the table has come to
+        # refuse its edit: the refusal is final.
+        if not self._edit.needs_whole_table():
+            return []
+        others = sorted(read.revisions.keys() - changed.keys())
+        return [Check(key, read.revisions[key]) for key in others]
+
     async def _read_pages(self) -> _PagesRead:
         if self._edit.needs_whole_table():
             self._remember((await self._store.get_prefix(PAGE_PREFIX)).items)
@@ -174,7 +193,7 @@
             {key: seen[key].revision if key in seen else ABSENT for key in keys},
         )
 
-    def _remember(self, items: tuple[KeyValue, ...] | list[KeyValue]) -> None:
+    def _remember(self, items: Sequence[KeyValue]) -> None:
         # A stale read must not hide what a lost swap has already shown.
         for item in items:
             known = self._seen.get(item.key)
@@ -194,15 +213,37 @@
             "the reply to the edit was lost, and it can't be read back whether "
             "the table has it",
             context=f"edit id {self._edit.edit_id}",
-            hint="run the same command again with --edit-id and this id: "
-            "it is carried out at most once",
+            hint=f"run the same command again with {self._describe_repeat()}: "
+            "it is not carried out twice",
         )
 
+    def _describe_repeat(self) -> str:
+        """Return the options that make it safe to run the command again.
+
+        A page forgets an edit's id after some further edits; the revision that the
+        edit builds on still keeps it from overwriting a colleague's value then.
+        """
+        options = f"--edit-id {self._edit.edit_id}"
+        if self._base is not None and len(self._base.cells) == 1:
+            (revision,) = self._base.cells.values()
+            options += f" --expect {revision}"
+        return options
+
 
 def _get_page_keys() -> list[str]:
     return [f"{PAGE_PREFIX}{number:02d}" for number in range(PAGE_COUNT)]
 
 
+def _check_size(swaps: list[Swap]) -> None:
+    size = sum(len(swap.value or b"") for swap in swaps)
+    if size > MAX_TRANSACTION_BYTES:
+        raise TableError(
+            f"the edit is too large for one transaction: {size} bytes",
+            context=f"the key-value service takes {MAX_TRANSACTION_BYTES}",
+            hint="import fewer rows at a time; nothing was changed",
+        )
+
+
 def _check_whole_table(read: _PagesRead, changed: Mapping[str, Page]) -> None:
     pages = {**read.pages, **changed}
     parsed = [build_parsed_page(page, ABSENT) for page in pages.values()]
@@ -229,6 +270,7 @@
         self._report = report
         self._refresh_s = refresh_s
         self._pages: dict[str, ParsedPage] = {}
+        self._items: dict[str, KeyValue] = {}
         self._loaded_revision = 0
         self.table = Table()
         """Table that was last accepted; it stays while the service is down."""
@@ -252,35 +294,43 @@
             await send.send(self.table)
         start_revision = self._loaded_revision + 1
         async with self._store.watch(PAGE_PREFIX, start_revision) as events:
-            self._backoff.reset()
             while True:
                 items: list[KeyValue] | None = None
                 with trio.move_on_after(self._refresh_s):
                     items = await _receive_items(events)
                 if items is None:
                     if not await self._refresh():
+                        self._backoff.reset()
                         continue
                     # The watch missed a change, so it is no longer heard.
                     await send.send(self.table)
                     return
                 if not items:
+                    # The delays keep growing where watches end at once while reads
+                    # work, or every reader would load the table many times a second.
                     return
-                if self._accept(items):
+                self._backoff.reset()
+                if self.accept(items):
                     await send.send(self.table)
 
     async def _load(self) -> bool:
         snapshot = await self._store.get_prefix(PAGE_PREFIX)
         self._loaded_revision = snapshot.revision
-        return self._accept(snapshot.items)
+        return self.accept(snapshot.items)
 
     async def _refresh(self) -> bool:
         snapshot = await self._store.get_prefix(
             PAGE_PREFIX, min_revision=self.table.revision + 1
         )
-        return self._accept(snapshot.items)
+        return self.accept(snapshot.items)
+
+    def get_pages(self, *, min_revision: int = 0) -> tuple[KeyValue, ...]:
+        """Return the pages in force that are at least as new, to pass on to peers."""
+        items = self._items.values()
+        return tuple(item for item in items if item.revision >= min_revision)
 
-    def _accept(self, items: tuple[KeyValue, ...] | list[KeyValue]) -> bool:
-        """Take newer pages over; return whether there were any."""
+    def accept(self, items: Sequence[KeyValue]) -> bool:
+        """Take newer pages over, also from a peer; return whether there were any."""
         changed = False
         for item in items:
             known = self._pages.get(item.key)
@@ -295,6 +345,7 @@
                 self._report(error)
                 continue
             self._pages[item.key] = page
+            self._items[item.key] = item
             changed = True
         if changed:
             self.table = build_table(self._pages.values())
--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -6,12 +6,15 @@
 
 import trio
 
+from hyssopvane._internal.coordination.claims import ClaimWriter
 from hyssopvane._internal.coordination.etcd_key_value import EtcdKeyValueStore
+from hyssopvane._internal.coordination.quarantine import QuarantineShare
 from hyssopvane._internal.coordination.table_store import TableReader
-from hyssopvane._internal.coordination.vm_list import VmRecord, fetch_vms
+from hyssopvane._internal.coordination.vm_list import VmRecord, VmRole, fetch_vms
 from hyssopvane._internal.exceptions import HyssopvaneError
 from hyssopvane._internal.models.settings import EntrySettings
 from hyssopvane._internal.policy.scheduler import Scheduler
+from hyssopvane._internal.policy.subsets import Member, SubsetMap
 from hyssopvane._internal.protocol.messages import (
     PROTOCOL_VERSION,
     Heartbeat,
@@ -23,6 +26,7 @@
     CallerLimits,
     DirectorySource,
 )
+from hyssopvane._internal.roles.claim_router import ClaimRouter
 from hyssopvane._internal.roles.dispatcher import Dispatcher
 from hyssopvane._internal.roles.entry_links import EntryLinks
 from hyssopvane._internal.roles.operators import (
@@ -33,6 +37,7 @@
 from hyssopvane._internal.roles.peer_listener import serve_peers
 from hyssopvane._internal.roles.peer_pool import PeerAddress, PeerObserver, PeerPool
 from hyssopvane._internal.roles.topics import TopicRouter
+from hyssopvane._internal.state.claims import MAX_WINDOW_S
 from hyssopvane._internal.state.directory import Directory
 from hyssopvane._internal.state.table import Table
 from hyssopvane._internal.state.work import LoadReport, TargetInfo
@@ -75,7 +80,17 @@
         self._table = TableReader(
             self._store, random=self._random, report=_log_table_error
         )
-        self.scheduler = Scheduler(random=self._random)
+        self.scheduler = Scheduler(
+            random=self._random, availability_zone=settings.availability_zone
+        )
+        self._subset = SubsetMap(Member(settings.vm, settings.availability_zone))
+        self._quarantine = QuarantineShare(
+            self._store,
+            self.scheduler.planner.suspects,
+            random=self._random,
+            get_quarantine_s=self.scheduler.planner.get_quarantine_s,
+            report=_log_quarantine_error,
+        )
         self._pool = PeerPool(
             hello=self._make_hello(),
             handler=self,
@@ -90,11 +105,21 @@
             idle_s=_IDLE_LINK_S,
         )
         self.topics = TopicRouter()
+        self.claims = ClaimRouter(
+            own_vm=settings.vm,
+            links=self.links,
+            topics=self.topics,
+            writer=ClaimWriter(
+                self._store, random=self._random, window_s=self._get_longest_window
+            ),
+            metrics=self.metrics,
+        )
         self.dispatcher = Dispatcher(
             scheduler=self.scheduler,
             pool=self._pool,
             metrics=self.metrics,
             memory=self.decisions,
+            claims=self.claims,
         )
 
     async def run(
@@ -104,8 +129,10 @@
         async with trio.open_nursery() as nursery:
             await self._store.start(nursery)
             self.links.start(nursery)
+            self.claims.start(nursery)
             self.peers_address = await nursery.start(self._serve_peers)
             nursery.start_soon(self._follow_table)
+            nursery.start_soon(self._quarantine.run)
             nursery.start_soon(self._follow_vms, nursery)
             nursery.start_soon(
                 partial(self.dispatcher.watch_deadlines, interval_s=_SETTLE_INTERVAL_S)
@@ -209,6 +236,12 @@
             token=self.settings.token,
         )
 
+    def _get_longest_window(self) -> float:
+        directory = self._source.directory
+        services = directory.table.services.values() if directory else ()
+        windows = (row.idempotency_window_s for row in services)
+        return float(max(windows, default=MAX_WINDOW_S))
+
     async def _serve_callers(
         self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -244,6 +277,7 @@
             nursery.start_soon(self._table.follow, sender)
             async for table in receiver:
                 self._source.directory = Directory(table)
+                self.scheduler.update_table(table, now=trio.current_time())
                 log_event("info", "table-in-force", revision=table.revision)
 
     async def _follow_vms(self, nursery: trio.Nursery) -> None:
@@ -254,21 +288,37 @@
                 # The platform's list may be out for long; the last one stays in use.
                 log_event("warning", "vm-list-unavailable", why=error)
             else:
-                self._pool.update(_select_agents(records), nursery)
+                self._pool.update(self._select_agents(records), nursery)
                 self.links.update(_select_entries(records, own_vm=self.settings.vm))
             await trio.sleep(_VM_LIST_INTERVAL_S)
 
+    def _select_agents(self, records: tuple[VmRecord, ...]) -> frozenset[PeerAddress]:
+        """Return the agents that this entry connects to."""
+        chosen = self._subset.update(
+            entries=_list_members(records, VmRole.ENTRY),
+            targets=_list_members(records, VmRole.AGENT),
+        )
+        return frozenset(
+            PeerAddress(record.name, record.address)
+            for record in records
+            if record.role is VmRole.AGENT and record.name in chosen
+        )
+
+
+def _list_members(records: tuple[VmRecord, ...], role: VmRole) -> list[Member]:
+    return [
+        Member(record.name, record.availability_zone, record.service)
+        for record in records
+        if record.role is role
+    ]
+
 
 def _log_table_error(error: HyssopvaneError) -> None:
     log_event("warning", "table-unavailable", why=error)
 
 
-def _select_agents(records: tuple[VmRecord, ...]) -> frozenset[PeerAddress]:
-    return frozenset(
-        PeerAddress(record.name, record.address)
-        for record in records
-        if record.role == _AGENT_ROLE
-    )
+def _log_quarantine_error(error: HyssopvaneError) -> None:
+    log_event("warning", "quarantine-unavailable", why=error)
 
 
 def _select_entries(records: tuple[VmRecord, ...], *, own_vm: str) -> dict[str, str]:
--- a/src/hyssopvane/_internal/state/map_switch.py
+++ b/src/hyssopvane/_internal/state/map_switch.py
@@ -232,6 +232,7 @@
     OLD_FENCE = "old-fence"
     UNKNOWN_FENCE = "unknown-fence"
     NO_SERVICE = "no-service"
+    NO_ENGINE = "no-engine"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -6,7 +6,9 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Iterator
+import tempfile
+import time
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
 
@@ -14,30 +16,43 @@
 
 TOKEN = "test-token-of-one-installation"
 START_TIMEOUT_S = 20.0
+POLL_S = 0.02
 _STANDINS = "hyssopvane._internal.standins"
 
 
 class Process:
-    """Hold one started process and the lines it has written."""
+    """Hold one started process and the lines it has written.
+
+    The lines go to a file: a pipe that nobody reads would fill up and stop the process.
+    """
 
     def __init__(self, arguments: list[str]) -> None:
+        self._log = tempfile.TemporaryFile()
+        self._offset = 0
         self._popen = subprocess.Popen(
             arguments,
-            stdout=subprocess.PIPE,
+            stdout=self._log,
             stderr=subprocess.STDOUT,
-            text=True,
             env={**os.environ, "PYTHONUNBUFFERED": "1"},
         )
         self.lines: list[str] = []
 
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._popen.pid
+
     def wait_for(self, pattern: str) -> re.Match[str]:
         """Read lines until one matches; fail when the process ends before that."""
-        assert self._popen.stdout is not None
-        for line in self._popen.stdout:
-            self.lines.append(line.rstrip("\n"))
-            if match := re.search(pattern, line):
-                return match
-        raise AssertionError(f"no line matches {pattern}: {self.lines}")
+        while True:
+            ended = self._popen.poll() is not None
+            for line in self._read_lines():
+                self.lines.append(line)
+                if match := re.search(pattern, line):
+                    return match
+            if ended:
+                raise AssertionError(f"no line matches {pattern}: {self.lines}")
+            time.sleep(POLL_S)
 
     def send_signal(self, number: int) -> None:
         """Send a signal."""
@@ -45,18 +60,25 @@
 
     def read_to_end(self) -> int:
         """Wait for the end and return the exit code."""
-        assert self._popen.stdout is not None
-        self.lines.extend(line.rstrip("\n") for line in self._popen.stdout)
-        return self._popen.wait()
+        code = self._popen.wait()
+        self.lines.extend(self._read_lines())
+        return code
 
     def kill(self) -> None:
         """End the process at once, when it still runs."""
         if self._popen.poll() is None:
             self._popen.send_signal(signal.SIGCONT)
             self._popen.kill()
-        if self._popen.stdout is not None:
-            self._popen.stdout.close()
         self._popen.wait()
+        self._log.close()
+
+    def _read_lines(self) -> Iterator[str]:
+        descriptor = self._log.fileno()
+        data = os.pread(descriptor, os.fstat(descriptor).st_size, self._offset)
+        while (end := data.find(b"\n")) >= 0:
+            line, data = data[:end], data[end + 1 :]
+            self._offset += end + 1
+            yield line.decode(errors="replace")
 
 
 class Cluster:
@@ -105,8 +127,7 @@
             {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0"} | changes,
         )
         self.list_vm(vm, role="entry", service="", address=peers)
-        callers = re.search(r"callers=(\S+)", process.lines[-1])
-        return process, callers[1]
+        return process, _find(r"callers=(\S+)", process.lines[-1])
 
     def list_vm(
         self, vm: str, *, role: str, service: str, address: str, state: str = "live"
@@ -157,7 +178,7 @@
             [sys.executable, "-m", "hyssopvane", "run", role, str(path)]
         )
         started = process.wait_for(rf"event=started .*{listener}=(\S+)")
-        self.operators[vm] = re.search(r"operators=(\S+)", started.string)[1]
+        self.operators[vm] = _find(r"operators=(\S+)", started.string)
         return process, started[1]
 
     def _start(self, arguments: list[str]) -> Process:
@@ -166,6 +187,12 @@
         return process
 
 
+def _find(pattern: str, line: str) -> str:
+    match = re.search(pattern, line)
+    assert match is not None, line
+    return match[1]
+
+
 @contextmanager
 def open_cluster(folder: Path) -> Iterator[Cluster]:
     """Give a cluster with its platform and end all its processes afterwards."""
@@ -177,7 +204,9 @@
         cluster.close()
 
 
-def wait_until(check, *, timeout_s: float = START_TIMEOUT_S) -> None:
+def wait_until(
+    check: Callable[[], bool], *, timeout_s: float = START_TIMEOUT_S
+) -> None:
     """Poll a check until it holds; the timeout only ends a test that hangs."""
 
     async def poll() -> None:
@@ -196,16 +225,3 @@
         yield process.wait_for(r"address=(\S+)")[1]
     finally:
         process.kill()
-
-
-def run_hyssopvane(
-    *arguments: str, platform: str = ""
-) -> subprocess.CompletedProcess[str]:
-    """Run the command line to its end."""
-    return subprocess.run(
-        [sys.executable, "-m", "hyssopvane", *arguments],
-        capture_output=True,
-        text=True,
-        timeout=60,
-        env={**os.environ, "HYSSOPVANE_PLATFORM": platform},
-    )
