--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -24,6 +24,7 @@
     "subsets": Measurement("bench.subsets", "evenness and disturbance of subsets"),
     "poison": Measurement("bench.poison", "targets that one body can crash"),
     "detectors": Measurement("bench.detectors", "failure detectors on equal traces"),
+    "maps": Measurement("bench.maps", "skew and bytes of expert maps as loads drift"),
 }
 
 
