--- a/src/hyssopvane/_internal/coordination/spread_messages.py
+++ b/src/hyssopvane/_internal/coordination/spread_messages.py
@@ -98,7 +98,9 @@
 def decode_question(data: bytes) -> dict[str, int]:
     """Decode the revision of each page that the asker has; raise `ProtocolError`."""
     return _unpack(
-        "Question", data, lambda message: {one.key: one.revision for one in message.held}
+        "Question",
+        data,
+        lambda message: {one.key: one.revision for one in message.held},
     )
 
 
--- a/src/hyssopvane/_internal/roles/agent.py
+++ b/src/hyssopvane/_internal/roles/agent.py
@@ -2,9 +2,13 @@
 
 import secrets
 import time
+from weakref import WeakSet
 
 import trio
 
+from hyssopvane._internal.coordination.own_rows import OWN_ROWS_TOPIC, HeldRows
+from hyssopvane._internal.coordination.spread_messages import decode_own_rows
+from hyssopvane._internal.exceptions import HyssopvaneError
 from hyssopvane._internal.models.refusals import AgentRefusal
 from hyssopvane._internal.models.settings import AgentSettings
 from hyssopvane._internal.protocol.messages import (
@@ -55,6 +59,9 @@
         )
         self._connections: set[PeerConnection] = set()
         self.topics = TopicRouter()
+        self.rows = HeldRows(vm=settings.vm, service=settings.service)
+        self._tellers: WeakSet[PeerConnection] = WeakSet()
+        self.topics.add_notice(OWN_ROWS_TOPIC, self._receive_rows)
 
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -95,6 +102,15 @@
         """Tell whether the agent takes new work."""
         return not self.leaving
 
+    @property
+    def refuses_work(self) -> bool:
+        """Tell whether new work is refused: at a shutdown, or by the operators' table.
+
+        The agent refuses by itself, since an entry whose table or list of VMs is old
+        still sends it work; such a request then costs one hop and no answer.
+        """
+        return self.leaving or not self.rows.takes_work
+
     def describe(self) -> dict[str, object]:
         """Return what is in force here."""
         return {
@@ -105,6 +121,9 @@
             "target": self.settings.target,
             "incarnation": self.incarnation,
             "leaving": self.leaving,
+            "table_revision": self.rows.revision,
+            "takes_work": not self.refuses_work,
+            "rows": self.rows.describe(),
             "running": self._count_running(),
             "entries": sorted(
                 one.peer.vm for one in self._connections if one.peer is not None
@@ -113,11 +132,26 @@
 
     def describe_health(self) -> Heartbeat:
         return Heartbeat(
-            sequence=0, running=self._count_running(), leaving=self.leaving
+            sequence=0,
+            table_revision=self.rows.revision,
+            running=self._count_running(),
+            leaving=self.refuses_work,
         )
 
     def receive_heartbeat(self, peer: PeerConnection, heartbeat: Heartbeat) -> None:
-        """Do nothing: an agent asks nothing of its entries' health."""
+        """Take note of the table that an entry has."""
+        # A heartbeat may overtake the rows on a connection that was just opened.
+        if peer in self._tellers:
+            self.rows.note_revision(heartbeat.table_revision)
+
+    def _receive_rows(self, peer: PeerConnection, body: bytes) -> None:
+        try:
+            self.rows.accept(decode_own_rows(body))
+        except (HyssopvaneError, ValueError) as error:
+            # The rows that are held stay in force.
+            log_event("warning", "own-rows-refused", why=error)
+        else:
+            self._tellers.add(peer)
 
     async def answer_question(
         self, peer: PeerConnection, topic: str, body: bytes
@@ -129,7 +163,7 @@
 
     async def serve_stream(self, stream: PeerStream, opening: Open) -> None:
         if opening.key:
-            await self._keyed.serve(stream, opening, leaving=self.leaving)
+            await self._keyed.serve(stream, opening, leaving=self.refuses_work)
             return
         refusal = self._accept(opening)
         if refusal is not None:
@@ -152,7 +186,7 @@
 
     def _accept(self, opening: Open) -> AgentRefusal | None:
         now = time.time()
-        if self.leaving and opening.incarnation == self.incarnation:
+        if self.refuses_work and opening.incarnation == self.incarnation:
             # The entry goes on to another target on the strength of this answer, so a
             # late copy must find the attempt buried.
             buried = self._register.bury(opening.attempt, owner=None, now=now)
--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -9,7 +9,12 @@
 from hyssopvane._internal.coordination.claims import ClaimWriter
 from hyssopvane._internal.coordination.etcd_key_value import EtcdKeyValueStore
 from hyssopvane._internal.coordination.quarantine import QuarantineShare
-from hyssopvane._internal.coordination.vm_list import VmRecord, VmRole, fetch_vms
+from hyssopvane._internal.coordination.vm_list import (
+    VmRecord,
+    VmRole,
+    VmState,
+    fetch_vms,
+)
 from hyssopvane._internal.exceptions import HyssopvaneError
 from hyssopvane._internal.models.settings import EntrySettings
 from hyssopvane._internal.policy.scheduler import Scheduler
@@ -80,6 +85,7 @@
         self.scheduler = Scheduler(
             random=self._random, availability_zone=settings.availability_zone
         )
+        self._listed_leaving: frozenset[str] = frozenset()
         self._subset = SubsetMap(Member(settings.vm, settings.availability_zone))
         self._quarantine = QuarantineShare(
             self._store,
@@ -237,10 +243,21 @@
             LoadReport(
                 running=heartbeat.running,
                 tokens_in_flight=heartbeat.tokens_in_flight,
-                leaving=heartbeat.leaving,
+                leaving=heartbeat.leaving or vm in self._listed_leaving,
             ),
         )
 
+    def _note_leaving(self, records: tuple[VmRecord, ...]) -> None:
+        # The platform may announce a leaving VM long before its agent is told to
+        # stop. The next heartbeat says the same again, or that it has come back.
+        self._listed_leaving = frozenset(
+            record.name for record in records if record.state is VmState.LEAVING
+        )
+        for vm in self._listed_leaving:
+            connection = self._pool.get_connection(vm)
+            if connection is not None and connection.last_heartbeat is not None:
+                self.observe_heartbeat(vm, connection.last_heartbeat)
+
     def _make_hello(self) -> Hello:
         return Hello(
             version=PROTOCOL_VERSION,
@@ -301,6 +318,7 @@
                 self._pool.update(self._select_agents(records), nursery)
                 self.links.update(_select_entries(records, own_vm=self.settings.vm))
                 self.sharing.update_vms(records)
+                self._note_leaving(records)
             await trio.sleep(_VM_LIST_INTERVAL_S)
 
     def _select_agents(self, records: tuple[VmRecord, ...]) -> frozenset[PeerAddress]:
