--- /dev/null
+++ b/tests/unit/test_layers.py
@@ -0,0 +1,54 @@
+"""Test that no layer imports one above it."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+import hyssopvane._internal
+
+ROOT = Path(next(iter(hyssopvane._internal.__path__)))
+PACKAGE = "hyssopvane._internal"
+# What each layer may import, as docs/architecture.md tells it.
+SHARED = {"exceptions", "models", "utils"}
+ALLOWED = {
+    "models": {"exceptions"},
+    "utils": {"exceptions"},
+    "state": SHARED | {"state"},
+    "policy": SHARED | {"state", "policy"},
+    "protocol": SHARED | {"state", "protocol"},
+    "transport": SHARED | {"state", "policy", "protocol", "transport"},
+    "coordination": SHARED | {"state", "policy", "protocol", "coordination"},
+}
+# These decide from what they are given, so that a test needs no socket and no clock.
+PURE = ("state", "policy")
+IMPURE_MODULES = {"trio", "socket", "time", "asyncio", "httpcore", "hypercorn"}
+
+
+def list_modules(layer):
+    return sorted((ROOT / layer).glob("*.py"))
+
+
+def list_imports(path):
+    """Return the modules that a file imports."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            yield node.module
+
+
+@pytest.mark.parametrize("layer", ALLOWED)
+def test_layer_imports_only_what_it_may(layer):
+    for path in list_modules(layer):
+        for module in list_imports(path):
+            if module.startswith(PACKAGE + "."):
+                imported = module.split(".")[2]
+                assert imported in ALLOWED[layer] | {layer}, f"{path.name}: {module}"
+
+
+@pytest.mark.parametrize("layer", PURE)
+def test_pure_layer_does_no_input_or_output(layer):
+    for path in list_modules(layer):
+        found = {module.split(".")[0] for module in list_imports(path)}
+        assert not found & IMPURE_MODULES, path.name
