--- /dev/null
+++ b/tests/unit/test_docs.py
@@ -0,0 +1,46 @@
+"""Test that the pages tell what the code has, and nothing else."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+from hyssopvane._internal.models.refusals import (
+    REFUSAL_RULES,
+    AgentRefusal,
+    RefusalReason,
+)
+
+DOCS = Path(__file__).parents[2] / "docs"
+ROW = re.compile(r"^\| `([a-z-]+)` \|(.*)\|$", re.MULTILINE)
+
+
+def read_rows(page, heading):
+    """Return the first cells and the rest of the rows below a heading."""
+    text = (DOCS / page).read_text()
+    section = text.split(f"## {heading}\n")[1].split("\n## ")[0]
+    return dict(ROW.findall(section))
+
+
+@pytest.mark.parametrize(
+    ("heading", "reasons"),
+    [
+        ("Told to callers", RefusalReason),
+        ("Told by an agent to an entry", AgentRefusal),
+    ],
+)
+def test_page_names_each_reason(heading, reasons):
+    assert set(read_rows("refusals.md", heading)) == {one.value for one in reasons}
+
+
+@pytest.mark.parametrize("reason", RefusalReason, ids=lambda one: one.value)
+def test_page_gives_the_status_of_a_reason(reason):
+    row = read_rows("refusals.md", "Told to callers")[reason.value]
+    assert row.split("|")[0].strip() == str(REFUSAL_RULES[reason].status)
+
+
+@pytest.mark.parametrize("reason", AgentRefusal, ids=lambda one: one.value)
+def test_page_says_what_a_refusal_proves(reason):
+    row = read_rows("refusals.md", "Told by an agent to an entry")[reason.value]
+    proves = row.split("|")[-1].strip()
+    assert proves == ("yes" if reason.proves_not_run else "no")
