--- a/src/hyssopvane/_internal/standins/asgi.py
+++ b/src/hyssopvane/_internal/standins/asgi.py
@@ -14,10 +14,14 @@
     Scope,
 )
 
+from hyssopvane._internal.transport.asgi_messages import read_body
+
 BYTES_TYPE = "application/octet-stream"
 JSON_TYPE = "application/json"
 EVENT_STREAM_TYPE = "text/event-stream"
 
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
 
 @dataclass(frozen=True, slots=True)
 class Request:
@@ -198,3 +202,15 @@
         headers={k.decode().lower(): v.decode() for k, v in scope["headers"]},
         body=body,
     )
+
+
+async def read_json(receive: ASGIReceiveCallable) -> Any:
+    """Return a body as JSON; raise `ValueError` when it is not."""
+    return json.loads(await read_body(receive, max_bytes=MAX_BODY_BYTES) or b"{}")
+
+
+def get_route(scope: Scope) -> str:
+    """Return the method and path of a request, such as "GET /calls"."""
+    if scope["type"] != "http":
+        return ""
+    return f"{scope['method']} {scope['path']}"
--- a/src/hyssopvane/_internal/standins/key_value.py
+++ b/src/hyssopvane/_internal/standins/key_value.py
@@ -10,6 +10,7 @@
 from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, Scope
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from hyssopvane._internal.standins.asgi import get_route, read_json
 from hyssopvane._internal.standins.key_value_state import (
     Compare,
     Delete,
@@ -19,14 +20,12 @@
     StoredItem,
     UnknownLease,
 )
-from hyssopvane._internal.standins.platform_asgi import (
-    answer_lifespan,
-    get_route,
-    read_json,
+from hyssopvane._internal.standins.process import parse_bind, run_process
+from hyssopvane._internal.transport.asgi_messages import (
+    JSON_TYPE,
     send_json,
-    start_answer,
+    serve_lifespan,
 )
-from hyssopvane._internal.standins.platform_process import run_standin
 from hyssopvane._internal.transport.asgi_server import serve_asgi
 
 JsonObject: TypeAlias = dict[str, Any]
@@ -92,16 +91,16 @@
         self, scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
     ) -> None:
         if scope["type"] == "lifespan":
-            await answer_lifespan(receive, send)
+            await serve_lifespan(receive, send)
             return
         route = get_route(scope)
         try:
             await self._answer(route, receive, send)
         except _Refusal as refusal:
-            await send_json(send, refusal.status, _format_refusal(refusal))
+            await send_json(send, _format_refusal(refusal), status=refusal.status)
         except (ValueError, KeyError, TypeError) as error:
             bad = _Refusal(400, _GRPC_INVALID_ARGUMENT, f"bad request: {error!r}")
-            await send_json(send, bad.status, _format_refusal(bad))
+            await send_json(send, _format_refusal(bad), status=bad.status)
 
     def set_faults(self, faults: Faults) -> None:
         """Switch faults on and off."""
@@ -117,10 +116,10 @@
     ) -> None:
         method, _, path = route.partition(" ")
         if route == "GET /calls":
-            await send_json(send, 200, dict(self.calls))
+            await send_json(send, dict(self.calls))
         elif route == "POST /faults":
             self._set_faults_from(await read_json(receive))
-            await send_json(send, 200, self.faults.model_dump())
+            await send_json(send, self.faults.model_dump())
         elif route == "POST /v3/watch":
             await self._watch(await read_json(receive), receive, send)
         elif method == "POST" and path in self._calls:
@@ -152,7 +151,7 @@
             self.faults.lose_next_write_answers -= 1
             await _cut_answer(send)
             return
-        await send_json(send, 200, answer)
+        await send_json(send, answer)
 
     async def _wait_as_slow(self) -> None:
         self._refuse_when_down()
@@ -222,7 +221,7 @@
         create = request["create_request"]
         self.calls["watch"] += 1
         await self._wait_as_slow()
-        await start_answer(send, 200)
+        await _start_answer(send)
         await _send_line(send, {**self._make_result(), "created": True})
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_changes, create, send, nursery.cancel_scope)
@@ -271,24 +270,36 @@
     bind: str,
     *,
     app: KeyValueApp | None = None,
+    shutdown: trio.Event | None = None,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve the stand-in until cancelled; report its address."""
+    """Serve the stand-in until the shutdown; report its address."""
     await serve_asgi(
         app or KeyValueApp(),
         bind=bind,
         graceful_timeout_s=0,
-        shutdown=trio.Event(),
+        shutdown=trio.Event() if shutdown is None else shutdown,
         task_status=task_status,
     )
 
 
 async def _cut_answer(send: ASGISendCallable) -> None:
     # The announced length never comes, so that the server closes the connection.
-    await start_answer(send, 200, length=1_000_000)
+    await _start_answer(send, (b"content-length", b"1000000"))
     await send({"type": "http.response.body", "body": b" ", "more_body": True})
 
 
+async def _start_answer(send: ASGISendCallable, *headers: tuple[bytes, bytes]) -> None:
+    await send(
+        {
+            "type": "http.response.start",
+            "status": 200,
+            "headers": [JSON_TYPE, *headers],
+            "trailers": False,
+        }
+    )
+
+
 async def _send_line(send: ASGISendCallable, result: JsonObject) -> None:
     line = json.dumps({"result": result}).encode() + b"\n"
     await send({"type": "http.response.body", "body": line, "more_body": True})
@@ -347,4 +358,4 @@
 
 
 if __name__ == "__main__":
-    run_standin(serve_key_value, "Run the stand-in key-value service.")
+    run_process(serve_key_value, bind=parse_bind("Run the stand-in key-value service."))
--- a/src/hyssopvane/_internal/standins/process.py
+++ b/src/hyssopvane/_internal/standins/process.py
@@ -16,6 +16,8 @@
 GRACEFUL_TIMEOUT_S = 30.0
 """Time that requests in progress get to end at the shutdown."""
 
+ANY_PORT = "127.0.0.1:0"
+
 Config = TypeVar("Config")
 
 
@@ -48,7 +50,7 @@
 ) -> tuple[ProcessOptions, Config]:
     """Read the common options and one for each field of a data class."""
     parser = argparse.ArgumentParser()
-    parser.add_argument("--bind", default="127.0.0.1:0")
+    parser.add_argument("--bind", default=ANY_PORT)
     # The printed lines outlive a crash, which the journal's own page does not.
     parser.add_argument("--print-journal", action="store_true")
     for field in dataclasses.fields(config_type):  # type: ignore[arg-type]
@@ -67,6 +69,14 @@
     print("journal", *(f"{name}={value}" for name, value in pairs), flush=True)
 
 
+def parse_bind(description: str) -> str:
+    """Read the address to serve on, for a stand-in with no other options."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--bind", default=ANY_PORT, metavar="IP:PORT")
+    bind: str = parser.parse_args().bind
+    return bind
+
+
 async def serve_app(
     app: Router, *, bind: str, shutdown: trio.Event, task_status: trio.TaskStatus[str]
 ) -> None:
--- a/src/hyssopvane/_internal/standins/vm_list.py
+++ b/src/hyssopvane/_internal/standins/vm_list.py
@@ -10,14 +10,17 @@
 
 from hyssopvane._internal.coordination.vm_list import VmRecord, format_vms, parse_vms
 from hyssopvane._internal.exceptions import VmListError
-from hyssopvane._internal.standins.platform_asgi import (
-    answer_lifespan,
+from hyssopvane._internal.standins.asgi import (
+    MAX_BODY_BYTES,
     get_route,
-    read_body,
     read_json,
+)
+from hyssopvane._internal.standins.process import parse_bind, run_process
+from hyssopvane._internal.transport.asgi_messages import (
+    read_body,
     send_json,
+    serve_lifespan,
 )
-from hyssopvane._internal.standins.platform_process import run_standin
 from hyssopvane._internal.transport.asgi_server import serve_asgi
 
 
@@ -58,44 +61,45 @@
         self, scope: Scope, receive: ASGIReceiveCallable, send: ASGISendCallable
     ) -> None:
         if scope["type"] == "lifespan":
-            await answer_lifespan(receive, send)
+            await serve_lifespan(receive, send)
             return
         try:
             await self._answer(get_route(scope), receive, send)
         except (VmListError, ValueError, KeyError, TypeError) as error:
-            await send_json(send, 400, {"error": str(error)})
+            await send_json(send, {"error": str(error)}, status=400)
 
     async def _answer(
         self, route: str, receive: ASGIReceiveCallable, send: ASGISendCallable
     ) -> None:
         if route == "GET /v1/vms":
-            await send_json(send, 200, json.loads(format_vms(self.get_vms())))
+            await send_json(send, json.loads(format_vms(self.get_vms())))
         elif route == "PUT /v1/vms":
-            content = await read_body(receive)
+            content = await read_body(receive, max_bytes=MAX_BODY_BYTES)
             self.replace_vms(parse_vms(content, source="request body"))
-            await send_json(send, 200, {})
+            await send_json(send, {})
         elif route == "POST /lag":
             self.lag_s = float((await read_json(receive))["lag_s"])
-            await send_json(send, 200, {})
+            await send_json(send, {})
         else:
-            await send_json(send, 404, {"error": "unknown path"})
+            await send_json(send, {"error": "unknown path"}, status=404)
 
 
 async def serve_vm_list(
     bind: str,
     *,
     app: VmListApp | None = None,
+    shutdown: trio.Event | None = None,
     task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve the stand-in until cancelled; report its address."""
+    """Serve the stand-in until the shutdown; report its address."""
     await serve_asgi(
         app or VmListApp(),
         bind=bind,
         graceful_timeout_s=0,
-        shutdown=trio.Event(),
+        shutdown=trio.Event() if shutdown is None else shutdown,
         task_status=task_status,
     )
 
 
 if __name__ == "__main__":
-    run_standin(serve_vm_list, "Run the stand-in list of VMs.")
+    run_process(serve_vm_list, bind=parse_bind("Run the stand-in list of VMs."))
--- a/tests/functional/test_key_value.py
+++ b/tests/functional/test_key_value.py
@@ -22,7 +22,7 @@
 )
 from hyssopvane._internal.standins.key_value import KeyValueApp, serve_key_value
 from hyssopvane._internal.standins.key_value_state import MAX_HISTORY, Put
-from hyssopvane._internal.standins.platform_asgi import answer_lifespan, read_body
+from hyssopvane._internal.transport.asgi_messages import read_body, serve_lifespan
 from hyssopvane._internal.transport.asgi_server import serve_asgi
 from tests.lib.processes import run_standin_process
 
@@ -244,9 +244,9 @@
 
     async def answer(scope, receive, send):
         if scope["type"] == "lifespan":
-            await answer_lifespan(receive, send)
+            await serve_lifespan(receive, send)
             return
-        await read_body(receive)
+        await read_body(receive, max_bytes=1_000)
         await send({"type": "http.response.start", "status": 200, "headers": []})
         await send({"type": "http.response.body", "body": body + b"\n"})
 
