--- a/src/hyssopvane/_internal/cli/registry.py
+++ b/src/hyssopvane/_internal/cli/registry.py
@@ -21,5 +21,8 @@
     "table add": CommandEntry("table_add", "TableAddCommand"),
     "table remove": CommandEntry("table_remove", "TableRemoveCommand"),
     "table import": CommandEntry("table_import", "TableImportCommand"),
+    "table status": CommandEntry("table_status", "TableStatusCommand"),
+    "status": CommandEntry("status", "StatusCommand"),
+    "explain": CommandEntry("explain", "ExplainCommand"),
     "table export": CommandEntry("table_export", "TableExportCommand"),
 }
--- /dev/null
+++ b/src/hyssopvane/_internal/commands/status.py
@@ -0,0 +1,71 @@
+"""Show what every VM of the platform's list says of itself."""
+
+from typing import Any, ClassVar
+from urllib.parse import urlencode
+
+from cleo.helpers import option
+
+from hyssopvane._internal.cli.operator_base import OPERATOR_OPTIONS, OperatorCommand
+from hyssopvane._internal.cli.status_codes import StatusCode
+
+ZONE_OPTION = option(
+    "zone", None, "Only the VMs of this availability zone.", flag=False
+)
+
+_GAP = "  "
+
+
+class StatusCommand(OperatorCommand):
+    """Show table, load and leaving of every VM, those that lag behind marked."""
+
+    name = "status"
+    description = "Show what is in force on every VM, and how it fares."
+    options = [*OPERATOR_OPTIONS, ZONE_OPTION]
+    columns: ClassVar[dict[str, str]] = {
+        "vm": "vm",
+        "role": "role",
+        "availability_zone": "zone",
+        "listed_state": "listed",
+        "revision": "revision",
+        "lag": "lag",
+        "in_force": "table",
+        "leaving": "leaving",
+        "running": "running",
+    }
+
+    def show(self) -> StatusCode:
+        zone = self.option("zone")
+        query = f"?{urlencode({'zone': zone})}" if zone else ""
+        document = self.read_page(f"/status{query}")
+        vms = document["vms"]
+        for line in _format_lines(vms, self.columns):
+            self.line(line)
+        newest = [one for one in vms if one["in_force"] == "newest"]
+        self.line("")
+        self.line(
+            f"revision {document['newest_revision']} in force on "
+            f"{len(newest)} of {len(vms)} VMs"
+        )
+        return StatusCode.OK
+
+
+def _format_lines(vms: list[dict[str, Any]], columns: dict[str, str]) -> list[str]:
+    rows = [list(columns.values())]
+    rows += [[_format_cell(vm, name) for name in columns] for vm in vms]
+    widths = [max(len(row[place]) for row in rows) for place in range(len(columns))]
+    lines = []
+    for row, vm in zip(rows, [None, *vms], strict=True):
+        cells = [text.ljust(width) for text, width in zip(row, widths, strict=True)]
+        behind = vm is not None and vm["in_force"] != "newest"
+        lines.append(("* " if behind else _GAP) + _GAP.join(cells).rstrip())
+    return lines
+
+
+def _format_cell(vm: dict[str, Any], name: str) -> str:
+    silent = vm["in_force"] == "no answer"
+    if silent and name in {"revision", "lag", "leaving", "running"}:
+        return "-"
+    value = vm[name]
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return str(value)
--- a/src/hyssopvane/_internal/roles/agent.py
+++ b/src/hyssopvane/_internal/roles/agent.py
@@ -26,6 +26,7 @@
     serve_operators,
 )
 from hyssopvane._internal.roles.peer_listener import serve_peers
+from hyssopvane._internal.roles.read_back import add_explain_topic
 from hyssopvane._internal.roles.topics import TopicRouter
 from hyssopvane._internal.state.attempts import AttemptRegister
 from hyssopvane._internal.transport.peer_connection import (
@@ -61,6 +62,7 @@
         self.topics = TopicRouter()
         self.rows = HeldRows(vm=settings.vm, service=settings.service)
         self._tellers: WeakSet[PeerConnection] = WeakSet()
+        add_explain_topic(self.topics, self)
         self.topics.add_notice(OWN_ROWS_TOPIC, self._receive_rows)
 
     async def run(
--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -40,11 +40,13 @@
 )
 from hyssopvane._internal.roles.peer_listener import serve_peers
 from hyssopvane._internal.roles.peer_pool import PeerAddress, PeerObserver, PeerPool
+from hyssopvane._internal.roles.read_back import ReadBack
 from hyssopvane._internal.roles.table_sharing import TableSharing
 from hyssopvane._internal.roles.topics import TopicRouter
 from hyssopvane._internal.state.claims import MAX_WINDOW_S
 from hyssopvane._internal.state.directory import Directory
 from hyssopvane._internal.state.table import Table
+from hyssopvane._internal.state.vm_status import VmReport
 from hyssopvane._internal.state.work import LoadReport, TargetInfo
 from hyssopvane._internal.transport.asgi_server import serve_asgi
 from hyssopvane._internal.transport.peer_connection import (
@@ -113,11 +115,19 @@
             self.links,
             self._pool,
             self.topics,
+            self.pages,
             own_vm=settings.vm,
             incarnation=self.incarnation,
             random=self._random,
             observe=self._put_in_force,
         )
+        self._read_back = ReadBack(
+            self,
+            report=self._report_status,
+            links=self.links,
+            pool=self._pool,
+            topics=self.topics,
+        )
         self.claims = ClaimRouter(
             own_vm=settings.vm,
             links=self.links,
@@ -194,6 +204,7 @@
             "incarnation": self.incarnation,
             "leaving": self.leaving,
             "table_revision": directory.table.revision if directory else 0,
+            "watches": self.sharing.spread.watches,
             "targets": self.scheduler.describe_targets(),
         }
 
@@ -204,6 +215,15 @@
             leaving=self.leaving,
         )
 
+    def _report_status(self) -> VmReport:
+        return VmReport(
+            self.settings.vm,
+            self.sharing.spread.table.revision,
+            digest=self.sharing.spread.reader.digest,
+            leaving=self.leaving,
+            running=self.scheduler.count_requests(),
+        )
+
     def receive_heartbeat(self, peer: PeerConnection, heartbeat: Heartbeat) -> None:
         if peer.peer is not None and peer.peer.role == _AGENT_ROLE:
             self.observe_heartbeat(peer.peer.vm, heartbeat)
@@ -318,6 +338,7 @@
                 self._pool.update(self._select_agents(records), nursery)
                 self.links.update(_select_entries(records, own_vm=self.settings.vm))
                 self.sharing.update_vms(records)
+                self._read_back.update_vms(records)
                 self._note_leaving(records)
             await trio.sleep(_VM_LIST_INTERVAL_S)
 
--- a/src/hyssopvane/_internal/roles/operators.py
+++ b/src/hyssopvane/_internal/roles/operators.py
@@ -2,11 +2,14 @@
 
 import hmac
 from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import asdict
 from typing import Any
+from urllib.parse import parse_qsl
 
 import trio
 
+from hyssopvane._internal.exceptions import OperatorRequestError
 from hyssopvane._internal.models.settings import AgentSettings, EntrySettings
 from hyssopvane._internal.state.decisions import DecisionMemory
 from hyssopvane._internal.transport.asgi_messages import (
@@ -21,6 +24,10 @@
 _GRACEFUL_TIMEOUT_S = 5.0
 
 
+ShowPage = Callable[[Mapping[str, str]], Awaitable[object]]
+"""Takes the query of a page's URL and returns a document of JSON."""
+
+
 class OperatedProcess(ABC):
     """Give what operators may read of a process."""
 
@@ -29,6 +36,8 @@
         self.decisions = DecisionMemory()
         self.vm = settings.vm
         self.token = settings.token
+        self.pages: dict[str, ShowPage] = {}
+        """Further pages of the operators' listener, by path."""
 
     @abstractmethod
     async def close(self) -> None:
@@ -73,8 +82,11 @@
             await send_json(send, self._process.describe())
         elif path.startswith("/explain/"):
             await self._send_decisions(send, path.removeprefix("/explain/"))
+        elif path in self._process.pages:
+            await self._send_page(send, path, scope["query_string"])
         else:
-            hint = "use /ready, /metrics, /in-force or /explain/REQUEST-ID"
+            more = "".join(f", {page}" for page in self._process.pages)
+            hint = f"use /ready, /metrics, /in-force, /explain/REQUEST-ID{more}"
             await send_json(send, {"error": "no such page", "hint": hint}, status=404)
 
     async def _send_readiness(self, send: Any) -> None:
@@ -92,6 +104,20 @@
             },
         )
 
+    async def _send_page(self, send: Any, path: str, query_string: bytes) -> None:
+        query = dict(parse_qsl(query_string.decode("ascii", errors="replace")))
+        try:
+            document = await self._process.pages[path](query)
+        except OperatorRequestError as error:
+            refusal = {
+                "error": error.message,
+                "context": error.context,
+                "hint": error.hint,
+            }
+            await send_json(send, refusal, status=400)
+        else:
+            await send_json(send, document)
+
     def _is_authorized(self, scope: Any) -> bool:
         wanted = f"Bearer {self._process.token}".encode()
         given = dict(scope["headers"]).get(b"authorization", b"")
--- a/src/hyssopvane/_internal/roles/peer_pool.py
+++ b/src/hyssopvane/_internal/roles/peer_pool.py
@@ -79,6 +79,10 @@
         """Return the connection to a peer, if there is one."""
         return self._connections.get(vm)
 
+    def list_connections(self) -> dict[str, PeerConnection]:
+        """Return the connections by the peer's VM."""
+        return dict(self._connections)
+
     def update(self, peers: frozenset[PeerAddress], nursery: trio.Nursery) -> None:
         """Connect to new peers; leave the others once their streams have ended."""
         for address in self._peers.keys() - peers:
--- a/src/hyssopvane/_internal/roles/table_sharing.py
+++ b/src/hyssopvane/_internal/roles/table_sharing.py
@@ -1,6 +1,6 @@
 """Wire the table's fan-out into the connections of an entry."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 
 import trio
@@ -18,9 +18,11 @@
 from hyssopvane._internal.exceptions import HyssopvaneError
 from hyssopvane._internal.protocol.messages import Heartbeat
 from hyssopvane._internal.roles.entry_links import EntryLinks
+from hyssopvane._internal.roles.operators import ShowPage
 from hyssopvane._internal.roles.peer_pool import PeerPool
 from hyssopvane._internal.roles.topics import TopicRouter
-from hyssopvane._internal.state.table import Table
+from hyssopvane._internal.state.columns import COLUMNS, RowKind
+from hyssopvane._internal.state.table import Table, format_cell
 from hyssopvane._internal.transport.peer_connection import PeerConnection
 from hyssopvane._internal.utils.logs import log_event
 
@@ -34,6 +36,7 @@
         links: EntryLinks,
         pool: PeerPool,
         topics: TopicRouter,
+        pages: dict[str, ShowPage],
         *,
         own_vm: str,
         incarnation: int,
@@ -53,6 +56,7 @@
             observe=self._put_in_force,
             report=_log_error,
         )
+        pages["/table"] = self._show_table
         topics.add_notice(PAGES_TOPIC, self._receive_pages)
         topics.add_notice(BEAT_TOPIC, self._receive_beat)
         topics.add_question(QUESTION_TOPIC, self._answer_question)
@@ -86,6 +90,11 @@
         if peer.peer is not None:
             self.spread.compare(peer.peer.vm, heartbeat.table_revision)
 
+    async def _show_table(self, query: Mapping[str, str]) -> object:
+        table = self.spread.table
+        rows = {f"{kind}s": _format_rows(table, kind) for kind in RowKind}
+        return {"revision": table.revision, **rows}
+
     def _put_in_force(self, table: Table) -> None:
         self._observe(table)
         for vm in self._services:
@@ -120,6 +129,13 @@
         return await self.spread.answer_question(body)
 
 
+def _format_rows(table: Table, kind: RowKind) -> dict[str, dict[str, str]]:
+    return {
+        name: {column: format_cell(row, kind, column) for column in COLUMNS[kind]}
+        for name, row in sorted(table.get_rows(kind).items())
+    }
+
+
 def _differ(told: tuple[OwnRow, ...], rows: tuple[OwnRow, ...]) -> bool:
     return [row.cells for row in told] != [row.cells for row in rows]
 
--- a/src/hyssopvane/_internal/state/decisions.py
+++ b/src/hyssopvane/_internal/state/decisions.py
@@ -19,6 +19,14 @@
     why: str
 
 
+@dataclass(frozen=True, slots=True)
+class VmDecisions:
+    """Hold what one VM decided about a request."""
+
+    vm: str
+    decisions: tuple[DecisionRecord, ...]
+
+
 class DecisionMemory:
     """Keep the decisions about the latest requests."""
 
--- /dev/null
+++ b/src/hyssopvane/_internal/state/vm_status.py
@@ -0,0 +1,113 @@
+"""Say for each VM which table is in force there."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class InForce(StrEnum):
+    """Name how a VM stands to the newest table that any VM has."""
+
+    NEWEST = "newest"
+    BEHIND = "behind"
+    INCOMPLETE = "incomplete"
+    """The newest page, but not all pages beneath it."""
+    NO_ANSWER = "no answer"
+
+
+@dataclass(frozen=True, slots=True)
+class VmReport:
+    """Hold what a process says of itself, or a heartbeat of it."""
+
+    vm: str
+    revision: int
+    digest: int = 0
+    """Hash of the revisions of all pages; 0 for an agent, which has no pages."""
+    leaving: bool = False
+    running: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ListedVm:
+    """Name a VM of the platform's list."""
+
+    vm: str
+    role: str
+    availability_zone: str
+    listed_state: str
+
+
+@dataclass(frozen=True, slots=True)
+class VmStatus:
+    """Hold one line of the status."""
+
+    vm: str
+    role: str
+    availability_zone: str
+    listed_state: str
+    revision: int
+    lag: int
+    """Revisions of the service behind the newest table; also other writes count."""
+    in_force: InForce
+    leaving: bool
+    running: int
+
+
+@dataclass(frozen=True, slots=True)
+class FleetStatus:
+    """Hold the status of all VMs of a zone, or of the whole list."""
+
+    newest_revision: int
+    vms: tuple[VmStatus, ...]
+
+
+def build_status(vms: Iterable[ListedVm], reports: Iterable[VmReport]) -> FleetStatus:
+    """Join the platform's list with what the processes said."""
+    known: dict[str, VmReport] = {}
+    for report in reports:
+        other = known.get(report.vm)
+        if other is None or report.revision > other.revision:
+            known[report.vm] = report
+    newest = max((report.revision for report in known.values()), default=0)
+    digest = _find_usual_digest(known, newest)
+    return FleetStatus(
+        newest,
+        tuple(
+            _build_line(one, known.get(one.vm), newest, digest)
+            for one in sorted(vms, key=lambda one: (one.availability_zone, one.vm))
+        ),
+    )
+
+
+def _find_usual_digest(known: Mapping[str, VmReport], newest: int) -> int:
+    digests = [
+        one.digest for one in known.values() if one.revision == newest and one.digest
+    ]
+    return max(digests, key=digests.count, default=0)
+
+
+def _build_line(
+    listed: ListedVm, report: VmReport | None, newest: int, digest: int
+) -> VmStatus:
+    revision = report.revision if report else 0
+    return VmStatus(
+        vm=listed.vm,
+        role=listed.role,
+        availability_zone=listed.availability_zone,
+        listed_state=listed.listed_state,
+        revision=revision,
+        lag=newest - revision,
+        in_force=_compare(report, newest, digest),
+        leaving=report.leaving if report else False,
+        running=report.running if report else 0,
+    )
+
+
+def _compare(report: VmReport | None, newest: int, digest: int) -> InForce:
+    if report is None:
+        return InForce.NO_ANSWER
+    if report.revision < newest:
+        return InForce.BEHIND
+    if report.digest and report.digest != digest:
+        return InForce.INCOMPLETE
+    return InForce.NEWEST
