--- a/src/hyssopvane/_internal/policy/ejection.py
+++ b/src/hyssopvane/_internal/policy/ejection.py
@@ -55,6 +55,8 @@
     ejection_s: float = FIRST_EJECTION_S
     probes_running: int = 0
     probes_passed: int = 0
+    share: float = 1.0
+    """Share of its usual work, as of the last observation."""
 
     def observe(self, log_latency: float, failed: bool) -> None:
         self.observations += 1
@@ -138,7 +140,7 @@
             return 1.0
         if health.state is not HealthState.IN_SERVICE:
             return 0.0
-        return self._get_slow_share(health)
+        return health.share
 
     def is_probe_due(self, name: str, *, now: float) -> bool:
         """Tell whether a target that was set aside should get one request.
@@ -182,6 +184,7 @@
         latency = math.log(max(latency_s, LATENCY_FLOOR_S))
         if health.state is HealthState.IN_SERVICE:
             health.observe(latency, failed)
+            health.share = self._get_slow_share(health)
             if self._is_bad(health) and self._ejected < self.get_most_ejected():
                 self._eject(health, now)
         elif probe and health.state is HealthState.PROBING:
@@ -229,6 +232,7 @@
             health.failures = 0.0
             health.observations = 0
             health.ejection_s = FIRST_EJECTION_S
+            health.share = 1.0
 
     def _eject(self, health: _Health, now: float) -> None:
         self._ejected += 1
@@ -265,6 +269,7 @@
             if health.state is not HealthState.IN_SERVICE:
                 health.state = HealthState.IN_SERVICE
                 health.observations = 0
+                health.share = 1.0
                 self._ejected -= 1
 
     def _update_medians(self, now: float) -> None:
--- a/src/hyssopvane/_internal/policy/placement.py
+++ b/src/hyssopvane/_internal/policy/placement.py
@@ -1,7 +1,7 @@
 """Choose the target that runs a request."""
 
 from collections import OrderedDict
-from collections.abc import Callable, Container
+from collections.abc import Container
 from dataclasses import dataclass, field
 from random import Random
 
@@ -20,14 +20,25 @@
 )
 
 _FULL_WEIGHT = 100
-# Own availability zone first, up to this share of a target's limits. A hop to another
-# zone costs a millisecond, a batch this full costs more than that in each step.
-SPILL_UTILISATION = 0.6
-# A target that holds a prefix is preferred up to this multiple of the mean load: a hit
-# saves the reading of the prompt, and one popular prefix must not fill one target.
-AFFINITY_LOAD_BOUND = 1.25
-# Below this share of its limits a target has room whatever the mean is: with two
-# requests on twelve targets the mean says nothing.
+# Own availability zone first, up to this share of a target's limits. Below it a batch
+# has room, and a hop to another zone costs each token a millisecond for nothing.
+SPILL_UTILISATION = 0.4
+# Above it work goes to another zone when the best target there is emptier by this
+# factor; without it two zones that are equally full would swap their work.
+SPILL_RATIO = 1.2
+# Targets that are drawn at random for a choice. Two leave a third of a second more in
+# the tail of the wait than four; all of them send every entry to the same one.
+CHOICES = 4
+# Weight of tokens beside requests in flight, each as a share of its limit. Slots run
+# out before memory does while prompts are of usual length: with tokens weighed as much
+# as requests, a mix of long and short work waited longer.
+TOKEN_SHARE = 0.1
+# A target that holds a prefix is preferred while it would be fuller than the choice by
+# load by at most this factor. A hit saves the reading of the prompt; at 1.25 the wait
+# behind popular prefixes already costs more in the tail than hits save.
+AFFINITY_LOAD_BOUND = 1.15
+# Below this share of its limits a target has room whatever the others have: with two
+# requests on twelve targets a comparison says nothing.
 AFFINITY_FREE_UTILISATION = 0.25
 # Targets in the rendezvous order that are tried for a prefix before load alone decides.
 _AFFINITY_CHOICES = 3
@@ -38,8 +49,6 @@
 _SLOW_START_SHARE = 0.1
 # Share of a target whose reports stay away.
 _SILENT_SHARE = 0.1
-# Draws for two targets with room before all are looked at.
-_MAX_DRAWS = 6
 # Incarnations seen lately, to tell a new process from a new connection to a warm one.
 _MAX_KNOWN = 1_024
 
@@ -57,7 +66,16 @@
     token_limit: int = 0
 
 
-_Check = Callable[[_Target], bool]
+@dataclass(slots=True)
+class _Query:
+    """Hold what is asked of one choice."""
+
+    request: WorkRequest
+    now: float
+    holders: tuple[str, ...]
+    """Targets believed to hold the request's prefix."""
+    tried: Container[str]
+    excluded: Container[str]
 
 
 @dataclass(slots=True)
@@ -80,19 +98,15 @@
     by_name: dict[str, _Target] = field(default_factory=dict)
     seeds: dict[str, int] = field(default_factory=dict)
     rankings: OrderedDict[int, tuple[str, ...]] = field(default_factory=OrderedDict)
-    weight: float = 0.0
-    """Sum of the targets' weights."""
-    own_tokens: int = 0
-    """Tokens that this entry has in flight at all targets of the pool."""
 
 
 class Placer:
     """Hold what one entry knows of its targets, and choose among them.
 
-    Made for an entry of the target size: some 45 targets, 90 requests a second. A
-    choice draws two targets at random and takes the one with fewer tokens in flight
-    for its weight; to take the very least loaded one would send the requests of all
-    entries between two reports to the same target.
+    Made for an entry of the target size: some 42 targets, 90 requests a second. A
+    choice draws a few targets at random and takes the one that is least full for its
+    weight; to take the least full of all would send the requests of all entries
+    between two reports to the same target.
     """
 
     def __init__(self, *, random: Random, availability_zone: str = "") -> None:
@@ -138,7 +152,6 @@
         pool = self._pools[target.info.service]
         del pool.by_name[name]
         del pool.seeds[name]
-        pool.own_tokens -= target.load.own_tokens
         pool.ejector.disconnect(name)
         self._arrange(pool)
 
@@ -184,7 +197,8 @@
         if pool is None:
             return None
         holders = self.beliefs.find(request.affinity, now=now)
-        target = self._choose(pool, request, holders, now, tried, excluded)
+        query = _Query(request, now, holders, tried, excluded)
+        target = self._choose(pool, query)
         if target is None:
             return None
         self._count(pool, target, request, target.info.name in holders, now)
@@ -203,7 +217,6 @@
         if self._targets.get(name) is not target:
             return
         pool = self._pools[target.info.service]
-        pool.own_tokens -= tokens
         if placement.probe:
             pool.ejector.finish_probe(name)
         if report is not None:
@@ -213,173 +226,100 @@
         """Return what is known of each target."""
         return [self._describe(target, now) for target in self._targets.values()]
 
-    def _choose(
-        self,
-        pool: _Pool,
-        request: WorkRequest,
-        holders: tuple[str, ...],
-        now: float,
-        tried: Container[str],
-        excluded: Container[str],
-    ) -> _Target | None:
-        def can_take(target: _Target) -> bool:
-            name = target.info.name
-            return (
-                name not in tried
-                and name not in excluded
-                and self._has_room(pool, target, request, now)
-            )
-
-        def can_take_again(target: _Target) -> bool:
-            return target.info.name not in excluded and self._has_room(
-                pool, target, request, now
-            )
-
-        if request.affinity:
-            target = self._choose_by_prefix(pool, request, holders, now, can_take)
-            if target is not None:
-                return target
-        target = self._choose_by_load(pool, request, now, can_take)
-        if target is None and tried:
-            target = self._choose_by_load(pool, request, now, can_take_again)
-        return target
+    def _choose(self, pool: _Pool, query: _Query) -> _Target | None:
+        target, score = self._choose_by_load(pool, query)
+        if target is None and query.tried:
+            query.tried = ()
+            target, score = self._choose_by_load(pool, query)
+        if target is None or not query.request.affinity:
+            return target
+        bound = max(score * AFFINITY_LOAD_BOUND, AFFINITY_FREE_UTILISATION)
+        return self._choose_by_prefix(pool, query, bound) or target
 
     def _choose_by_prefix(
-        self,
-        pool: _Pool,
-        request: WorkRequest,
-        holders: tuple[str, ...],
-        now: float,
-        can_take: _Check,
+        self, pool: _Pool, query: _Query, bound: float
     ) -> _Target | None:
         # The choice goes over all zones: a hit saves the reading of a prompt, tens of
         # milliseconds, a hop costs one, and every entry ends at the same target.
-        bound = self._get_affinity_bound(pool, request)
-        for name in holders or self._rank(pool, request.affinity[0]):
+        affinity = query.request.affinity
+        ranking = self._rank(pool, affinity[0])
+        for name in (*query.holders, *ranking):
             target = pool.by_name.get(name)
-            if target is None or not can_take(target):
+            if target is None or pool.ejector.get_share(name) < 1.0:
                 continue
-            if not holders and self.beliefs.is_barred(
-                request.affinity[-1], name, now=now
-            ):
+            if self.beliefs.is_barred(affinity[-1], name, now=query.now):
                 continue
-            if self._is_within(pool, target, request, bound, now):
+            score = self._get_score(pool, target, query)
+            if score is not None and score <= bound:
                 return target
         return None
 
     def _choose_by_load(
-        self, pool: _Pool, request: WorkRequest, now: float, can_take: _Check
-    ) -> _Target | None:
-        near = self._choose_of_two(pool, pool.near, request, now, can_take)
-        if near is not None and (
-            not pool.far or self._get_utilisation(near, now) < SPILL_UTILISATION
-        ):
-            return near
-        far = self._choose_of_two(pool, pool.far, request, now, can_take)
-        if near is None or far is None:
-            return near or far
-        return self._take_better(pool, near, far, request, now)
-
-    def _choose_of_two(
-        self,
-        pool: _Pool,
-        targets: list[_Target],
-        request: WorkRequest,
-        now: float,
-        can_take: _Check,
-    ) -> _Target | None:
-        first: _Target | None = None
+        self, pool: _Pool, query: _Query
+    ) -> tuple[_Target | None, float]:
+        near, nears_score = self._choose_among(pool, pool.near, query)
+        if near is not None and (not pool.far or nears_score < SPILL_UTILISATION):
+            return near, nears_score
+        far, fars_score = self._choose_among(pool, pool.far, query)
+        if near is None or (far is not None and fars_score * SPILL_RATIO < nears_score):
+            return far, fars_score
+        return near, nears_score
+
+    def _choose_among(
+        self, pool: _Pool, targets: list[_Target], query: _Query
+    ) -> tuple[_Target | None, float]:
         count = len(targets)
-        for _ in range(_MAX_DRAWS if count else 0):
-            drawn = targets[int(self._random.random() * count)]
-            if drawn is first or not can_take(drawn):
-                continue
-            if first is None:
-                first = drawn
-            else:
-                return self._take_better(pool, first, drawn, request, now)
-        if first is not None:
-            return first
-        # Nearly all are full or closed. A look at each finds the last free place, so
-        # no request waits beside an idle target.
-        rest = [target for target in targets if can_take(target)]
-        if not rest:
+        if count > CHOICES:
+            random = self._random.random
+            drawn = [targets[int(random() * count)] for _ in range(CHOICES)]
+            best, score = self._take_best(pool, drawn, query)
+            if best is not None:
+                return best, score
+        # A look at each finds the last free place, so that no request waits beside an
+        # idle target.
+        return self._take_best(pool, targets, query)
+
+    def _take_best(
+        self, pool: _Pool, targets: list[_Target], query: _Query
+    ) -> tuple[_Target | None, float]:
+        best: _Target | None = None
+        bests_score = 0.0
+        for target in targets:
+            score = self._get_score(pool, target, query)
+            if score is not None and (best is None or score < bests_score):
+                best, bests_score = target, score
+        return best, bests_score
+
+    def _get_score(self, pool: _Pool, target: _Target, query: _Query) -> float | None:
+        """Return how full a target would be for its share, None when it can't take it.
+
+        The least full is best.
+        """
+        name, now = target.info.name, query.now
+        if not _is_open(target) or name in query.tried or name in query.excluded:
             return None
-        return min(rest, key=lambda one: self._get_score(pool, one, request, now))
-
-    def _take_better(
-        self,
-        pool: _Pool,
-        one: _Target,
-        other: _Target,
-        request: WorkRequest,
-        now: float,
-    ) -> _Target:
-        ones_score = self._get_score(pool, one, request, now)
-        return (
-            one if ones_score <= self._get_score(pool, other, request, now) else other
-        )
-
-    def _get_score(
-        self, pool: _Pool, target: _Target, request: WorkRequest, now: float
-    ) -> float:
-        """Return the tokens in flight for the target's share; the lowest is best."""
-        share = pool.ejector.get_share(target.info.name)
+        tokens, running = target.load.estimate(now)
+        if running + 1 > target.concurrency:
+            return None
+        request_tokens = query.request.tokens
+        # A request above the limit runs alone: refused for ever it could never run.
+        if tokens + request_tokens > target.token_limit and running >= 1:
+            return None
+        share = pool.ejector.get_share(name)
         if share == 0.0:
-            # Only a target whose probe is due comes here. Under light load it would
-            # never win by its score, and never return.
-            return -1.0
-        weight = target.weight * share * _get_start_share(target, now)
+            # Under light load a target on trial would never win by its score, and
+            # never return.
+            return -1.0 if pool.ejector.is_probe_due(name, now=now) else None
+        weight = target.weight * share
+        if not target.warm:
+            weight *= _get_start_share(target, now)
         if target.load.is_silent(now):
             # When all are silent, as behind a partition, all weigh less alike.
             weight *= _SILENT_SHARE
-        return (target.load.estimate_tokens(now) + request.tokens) / weight
-
-    def _get_utilisation(self, target: _Target, now: float) -> float:
-        return max(
-            target.load.estimate_tokens(now) / target.token_limit,
-            target.load.estimate_running(now) / target.concurrency,
-        )
-
-    def _get_affinity_bound(self, pool: _Pool, request: WorkRequest) -> float:
-        # The mean is of this entry's own tokens alone: reports of the others come at
-        # different times, and their sum would jump.
-        tokens = pool.own_tokens + request.tokens
-        return AFFINITY_LOAD_BOUND * tokens / (pool.weight or 1)
-
-    def _is_within(
-        self,
-        pool: _Pool,
-        target: _Target,
-        request: WorkRequest,
-        bound: float,
-        now: float,
-    ) -> bool:
-        if pool.ejector.get_share(target.info.name) < 1.0:
-            return False
-        if target.load.is_silent(now):
-            return False
-        if self._get_utilisation(target, now) <= AFFINITY_FREE_UTILISATION:
-            return True
-        tokens = target.load.own_tokens + request.tokens
-        return tokens <= bound * target.weight * _get_start_share(target, now)
-
-    def _has_room(
-        self, pool: _Pool, target: _Target, request: WorkRequest, now: float
-    ) -> bool:
-        if not _is_open(target):
-            return False
-        name = target.info.name
-        if pool.ejector.get_share(name) == 0.0 and not pool.ejector.is_probe_due(
-            name, now=now
-        ):
-            return False
-        running = target.load.estimate_running(now)
-        if running + 1 > target.concurrency:
-            return False
-        # A request above the limit runs alone: refused for ever it could never run.
-        tokens = target.load.estimate_tokens(now) + request.tokens
-        return tokens <= target.token_limit or running < 1
+        # Engines run out of slots or of memory for tokens.
+        fullness = (running + 1) / target.concurrency
+        memory = (tokens + request_tokens) / target.token_limit
+        return (fullness + TOKEN_SHARE * memory) / weight
 
     def _count(
         self,
@@ -395,7 +335,6 @@
             target, request, believed, probe, now
         )
         target.load.add(request.tokens, now=now)
-        pool.own_tokens += request.tokens
 
     def _learn(
         self, pool: _Pool, placement: _Placement, report: AttemptReport, now: float
@@ -452,7 +391,6 @@
         targets = pool.by_name.values()
         pool.near = [one for one in targets if self._is_near(one)]
         pool.far = [one for one in targets if not self._is_near(one)]
-        pool.weight = sum(target.weight for target in targets)
         pool.rankings.clear()
 
     def _is_near(self, target: _Target) -> bool:
@@ -480,7 +418,7 @@
             "name": target.info.name,
             "service": target.info.service,
             "in_flight": target.load.own_running,
-            "tokens": round(target.load.estimate_tokens(now)),
+            "tokens": round(target.load.estimate(now)[0]),
             "leaving": target.leaving,
             "health": ejector.get_state(target.info.name).value,
             "share": round(ejector.get_share(target.info.name), 2),
@@ -496,8 +434,6 @@
 
 
 def _get_start_share(target: _Target, now: float) -> float:
-    if target.warm:
-        return 1.0
     age = now - target.connected_at
     if age >= SLOW_START_S:
         target.warm = True
--- a/src/hyssopvane/_internal/policy/target_load.py
+++ b/src/hyssopvane/_internal/policy/target_load.py
@@ -1,5 +1,6 @@
 """Estimate a target's load from late reports and the entry's own work."""
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -9,6 +10,9 @@
 # Without the correction an entry counts what it sent in that time twice or not at
 # all, and 87,000 requests a second swing between the targets together.
 REPORT_LAG_S = 0.5
+# The others' share is taken as a mean over this time. Taken as it is, the target that
+# looks idle in one report is the choice of every entry until the next.
+SMOOTHING_S = 10.0
 # Up to this age a report is believed whole: twelve heartbeats of 0.5 s, or one of 4 s.
 FRESH_REPORT_S = 6.0
 # An older one fades. Kept for ever, a target that was busy when its reports stopped
@@ -31,8 +35,8 @@
 
     own_tokens: int = 0
     own_running: int = 0
-    _others_tokens: int = 0
-    _others_running: int = 0
+    _others_tokens: float = 0.0
+    _others_running: float = 0.0
     _reported_at: float | None = None
     _interval_s: float = _FIRST_INTERVAL_S
     _changes: deque[tuple[float, int, int]] = field(default_factory=deque)
@@ -50,13 +54,17 @@
         self._forget_changes(now)
         seen_tokens = self.own_tokens - sum(change[1] for change in self._changes)
         seen_running = self.own_running - sum(change[2] for change in self._changes)
-        self._others_running = max(0, report.running - seen_running)
+        others_running = max(0, report.running - seen_running)
         if report.tokens_in_flight:
-            self._others_tokens = max(0, report.tokens_in_flight - seen_tokens)
+            others_tokens = max(0, report.tokens_in_flight - seen_tokens)
         else:
-            self._others_tokens = self._others_running * USUAL_TOKENS
+            others_tokens = others_running * USUAL_TOKENS
+        share = 1.0
         if self._reported_at is not None:
             self._interval_s = max(_FIRST_INTERVAL_S, now - self._reported_at)
+            share = 1.0 - math.exp(-self._interval_s / SMOOTHING_S)
+        self._others_tokens += share * (others_tokens - self._others_tokens)
+        self._others_running += share * (others_running - self._others_running)
         self._reported_at = now
 
     def is_silent(self, now: float) -> bool:
@@ -65,13 +73,13 @@
             return False
         return now - self._reported_at > SILENT_INTERVALS * self._interval_s
 
-    def estimate_tokens(self, now: float) -> float:
-        """Return the tokens in flight at the target."""
-        return self.own_tokens + self._others_tokens * self._trust(now)
-
-    def estimate_running(self, now: float) -> float:
-        """Return the requests in flight at the target."""
-        return self.own_running + self._others_running * self._trust(now)
+    def estimate(self, now: float) -> tuple[float, float]:
+        """Return the tokens and the requests in flight at the target."""
+        trust = self._trust(now)
+        return (
+            self.own_tokens + self._others_tokens * trust,
+            self.own_running + self._others_running * trust,
+        )
 
     def _change(self, tokens: int, running: int, now: float) -> None:
         self.own_tokens += tokens
