--- a/src/hyssopvane/_internal/policy/keyed_request.py
+++ b/src/hyssopvane/_internal/policy/keyed_request.py
@@ -2,7 +2,12 @@
 
 from dataclasses import dataclass, replace
 
-from hyssopvane._internal.models.refusals import Outcome, Refusal, RefusalReason
+from hyssopvane._internal.models.refusals import (
+    AgentRefusal,
+    Outcome,
+    Refusal,
+    RefusalReason,
+)
 from hyssopvane._internal.state.claims import (
     NO_ATTEMPT,
     Claim,
@@ -18,6 +23,10 @@
 """
 
 _RETRY_AFTER_S = 1.0
+_TOLD_REASONS = {
+    AgentRefusal.KEY_EXPIRED: RefusalReason.KEY_EXPIRED,
+    AgentRefusal.KEY_OTHER: RefusalReason.KEY_BODY_MISMATCH,
+}
 _SAME_KEY = "this attempt did not start; the same key may be sent again"
 
 
@@ -130,9 +139,18 @@
             return Tell(make_unproved(refusal))
         return self._tell_unavailable(why)
 
-    def take_not_started(self) -> Step:
-        """Go on after the agent proved that the attempt never runs."""
+    def take_agent_refusal(self, reason: AgentRefusal, *, joined: bool) -> Step:
+        """Go on after the agent said that it did not start the attempt."""
         assert self._claim is not None
+        if joined and reason is AgentRefusal.NOT_CONNECTED:
+            return self._join(self._claim)
+        if joined and reason is AgentRefusal.WRONG_INCARNATION:
+            # What the agent knew is gone; the attempt may have run before.
+            detail = "the agent that held the key has been restarted"
+            return _tell_unknown(RefusalReason.TARGET_LOST, detail)
+        if not reason.proves_not_run:
+            told = _TOLD_REASONS.get(reason, RefusalReason.CLAIM_UNAVAILABLE)
+            return _tell_unknown(told, reason.value)
         self._expected = self._claim.attempt
         self._claim = None
         return Place()
@@ -173,6 +191,10 @@
         )
 
 
+def _tell_unknown(reason: RefusalReason, detail: str) -> Tell:
+    return Tell(Refusal(reason, Outcome.UNKNOWN, detail=detail))
+
+
 def make_unproved(refusal: Refusal) -> Refusal:
     """Return a refusal of this attempt that says nothing about the key's others.
 
--- a/src/hyssopvane/_internal/roles/keyed_dispatch.py
+++ b/src/hyssopvane/_internal/roles/keyed_dispatch.py
@@ -219,7 +219,9 @@
 
     def _go_on(self, step: Send | Join, end: ExchangeEnd) -> Step:
         if isinstance(end, NotStarted):
-            return self._go_on_not_started(step, end.reason)
+            return self._flow.take_agent_refusal(
+                end.reason, joined=isinstance(step, Join)
+            )
         if isinstance(end, Lost):
             if isinstance(step, Send) or self._pool.get_connection(step.claim.target):
                 return self._flow.take_lost()
@@ -242,19 +244,6 @@
             Refusal(RefusalReason.DEADLINE_PASSED, Outcome.UNKNOWN, detail=detail)
         )
 
-    def _go_on_not_started(self, step: Send | Join, reason: AgentRefusal) -> Step:
-        if isinstance(step, Join) and reason is AgentRefusal.WRONG_INCARNATION:
-            detail = "the agent that held the key has been restarted"
-            return Tell(
-                Refusal(RefusalReason.TARGET_LOST, Outcome.UNKNOWN, detail=detail)
-            )
-        if isinstance(step, Join) and reason is AgentRefusal.NOT_CONNECTED:
-            return self._flow.take_lost()
-        if reason.proves_not_run:
-            return self._flow.take_not_started()
-        told = _TOLD.get(reason, RefusalReason.CLAIM_UNAVAILABLE)
-        return Tell(Refusal(told, Outcome.UNKNOWN, detail=reason.value))
-
     async def _wait_for_connection(self, claim: Claim) -> PeerConnection | None:
         """Wait a little: a connection that went silent is opened anew."""
         with trio.move_on_at(min(self._work.deadline, trio.current_time() + REJOIN_S)):
@@ -286,11 +275,5 @@
         return refusal
 
 
-_TOLD = {
-    AgentRefusal.KEY_EXPIRED: RefusalReason.KEY_EXPIRED,
-    AgentRefusal.KEY_OTHER: RefusalReason.KEY_BODY_MISMATCH,
-}
-
-
 def _make_attempt() -> int:
     return secrets.randbits(8 * ATTEMPT_BYTES - 1) + 1
