--- a/src/hyssopvane/_internal/coordination/table_store.py
+++ b/src/hyssopvane/_internal/coordination/table_store.py
@@ -1,13 +1,16 @@
 """Edit and follow the table in the platform's key-value service."""
 
-from collections.abc import Callable, Mapping
+import math
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from random import Random
 
 import trio
+import xxhash
 
 from hyssopvane._internal.coordination.key_value import (
     ABSENT,
+    Check,
     KeyValue,
     KeyValueStore,
     Swap,
@@ -54,6 +57,9 @@
 12 s, one such question and its timeout must fit in.
 """
 
+MAX_TRANSACTION_BYTES = 1_400_000
+"""Largest sum of pages in a transaction; etcd takes 1.5 MiB with all around them."""
+
 ErrorReport = Callable[[HyssopvaneError], None]
 
 
@@ -149,17 +155,32 @@
     async def _swap(
         self, read: _PagesRead, changed: Mapping[str, Page]
     ) -> EditAccepted | None:
+        swaps = [
+            Swap(key, format_page(page), read.revisions[key])
+            for key, page in sorted(changed.items())
+        ]
+        _check_size(swaps)
         result = await self._store.compare_and_swap(
-            [
-                Swap(key, format_page(page), read.revisions[key])
-                for key, page in sorted(changed.items())
-            ]
+            swaps, checks=self._make_checks(read, changed)
         )
         if isinstance(result, Swapped):
             return EditAccepted(result.revision)
         self._remember(result.current)
         return None
 
+    def _make_checks(
+        self, read: _PagesRead, changed: Mapping[str, Page]
+    ) -> list[Check]:
+        # Two edits of different pages can each be right and be wrong together: one
+        # removes a service while the other gives it a target. One would notice a
+        # target that gets no work. The one that comes second finds a page changed.
+        # So does a write with a lost reply that arrives after the table has come to
+        # refuse its edit: the refusal is final.
+        if not self._edit.needs_whole_table():
+            return []
+        others = sorted(read.revisions.keys() - changed.keys())
+        return [Check(key, read.revisions[key]) for key in others]
+
     async def _read_pages(self) -> _PagesRead:
         if self._edit.needs_whole_table():
             self._remember((await self._store.get_prefix(PAGE_PREFIX)).items)
@@ -174,7 +195,7 @@
             {key: seen[key].revision if key in seen else ABSENT for key in keys},
         )
 
-    def _remember(self, items: tuple[KeyValue, ...] | list[KeyValue]) -> None:
+    def _remember(self, items: Sequence[KeyValue]) -> None:
         # A stale read must not hide what a lost swap has already shown.
         for item in items:
             known = self._seen.get(item.key)
@@ -194,15 +215,37 @@
             "the reply to the edit was lost, and it can't be read back whether "
             "the table has it",
             context=f"edit id {self._edit.edit_id}",
-            hint="run the same command again with --edit-id and this id: "
-            "it is carried out at most once",
+            hint=f"run the same command again with {self._describe_repeat()}: "
+            "it is not carried out twice",
         )
 
+    def _describe_repeat(self) -> str:
+        """Return the options that make it safe to run the command again.
+
+        A page forgets an edit's id after some further edits; the revision that the
+        edit builds on still keeps it from overwriting a colleague's value then.
+        """
+        options = f"--edit-id {self._edit.edit_id}"
+        if self._base is not None and len(self._base.cells) == 1:
+            (revision,) = self._base.cells.values()
+            options += f" --expect {revision}"
+        return options
+
 
 def _get_page_keys() -> list[str]:
     return [f"{PAGE_PREFIX}{number:02d}" for number in range(PAGE_COUNT)]
 
 
+def _check_size(swaps: list[Swap]) -> None:
+    size = sum(len(swap.value or b"") for swap in swaps)
+    if size > MAX_TRANSACTION_BYTES:
+        raise TableError(
+            f"the edit is too large for one transaction: {size} bytes",
+            context=f"the key-value service takes {MAX_TRANSACTION_BYTES}",
+            hint="import fewer rows at a time; nothing was changed",
+        )
+
+
 def _check_whole_table(read: _PagesRead, changed: Mapping[str, Page]) -> None:
     pages = {**read.pages, **changed}
     parsed = [build_parsed_page(page, ABSENT) for page in pages.values()]
@@ -213,6 +256,21 @@
     """Do nothing with an error."""
 
 
+@dataclass(frozen=True, slots=True)
+class PageStep:
+    """Tell that a page came into force."""
+
+    before: KeyValue | None
+    after: KeyValue
+
+
+PagesObserver = Callable[[Sequence[PageStep]], None]
+
+
+def ignore_pages(steps: Sequence[PageStep]) -> None:
+    """Do nothing with pages that came into force."""
+
+
 class TableReader:
     """Read the table and follow its changes; never go back to an older page."""
 
@@ -223,13 +281,20 @@
         random: Random,
         report: ErrorReport = ignore_error,
         refresh_s: float = REFRESH_S,
+        observe: PagesObserver = ignore_pages,
     ) -> None:
         self._store = store
         self._backoff = Backoff(random)
         self._report = report
-        self._refresh_s = refresh_s
+        self.refresh_s = refresh_s
+        self._observe = observe
         self._pages: dict[str, ParsedPage] = {}
-        self._loaded_revision = 0
+        self._items: dict[str, KeyValue] = {}
+        self._read_revision = 0
+        self.heard_at = -math.inf
+        """Clock value at which the service was last heard."""
+        self.digest = 0
+        """Hash of the revisions of all pages in force."""
         self.table = Table()
         """Table that was last accepted; it stays while the service is down."""
 
@@ -250,38 +315,70 @@
     async def _load_and_watch(self, send: trio.MemorySendChannel[Table]) -> None:
         if await self._load():
             await send.send(self.table)
-        start_revision = self._loaded_revision + 1
+        start_revision = self._read_revision + 1
         async with self._store.watch(PAGE_PREFIX, start_revision) as events:
-            self._backoff.reset()
             while True:
                 items: list[KeyValue] | None = None
-                with trio.move_on_after(self._refresh_s):
+                with trio.move_on_after(self.refresh_s):
                     items = await _receive_items(events)
                 if items is None:
-                    if not await self._refresh():
+                    if not await self.refresh():
+                        self._backoff.reset()
                         continue
                     # The watch missed a change, so it is no longer heard.
                     await send.send(self.table)
                     return
                 if not items:
+                    # The delays keep growing where watches end at once while reads
+                    # work, or every reader would load the table many times a second.
                     return
-                if self._accept(items):
+                self._backoff.reset()
+                self._note_read(max(item.revision for item in items))
+                if self.accept(items):
                     await send.send(self.table)
 
     async def _load(self) -> bool:
         snapshot = await self._store.get_prefix(PAGE_PREFIX)
-        self._loaded_revision = snapshot.revision
-        return self._accept(snapshot.items)
+        self._note_read(snapshot.revision)
+        return self.accept(snapshot.items)
 
-    async def _refresh(self) -> bool:
+    async def refresh(self) -> bool:
+        """Read what the service has since it was last read; raise `KeyValueError`.
+
+        Return whether there was anything.
+        """
+        # Not from the table's own revision: a peer may have passed on the newest page
+        # while an older change of another page is still missing here. That one would
+        # never be asked for, and an operator would see one cell in force without the
+        # one that was set before it.
         snapshot = await self._store.get_prefix(
-            PAGE_PREFIX, min_revision=self.table.revision + 1
+            PAGE_PREFIX, min_revision=self._read_revision + 1
         )
-        return self._accept(snapshot.items)
-
-    def _accept(self, items: tuple[KeyValue, ...] | list[KeyValue]) -> bool:
-        """Take newer pages over; return whether there were any."""
-        changed = False
+        self._note_read(snapshot.revision)
+        self.accept(snapshot.items)
+        return bool(snapshot.items)
+
+    def _note_read(self, revision: int) -> None:
+        # A stale read is of an earlier revision than was already read.
+        self._read_revision = max(self._read_revision, revision)
+        self.heard_at = trio.current_time()
+
+    def get_page(self, key: str) -> KeyValue | None:
+        """Return a page in force."""
+        return self._items.get(key)
+
+    def get_revisions(self) -> dict[str, int]:
+        """Return the revision of each page in force."""
+        return {key: item.revision for key, item in self._items.items()}
+
+    def get_pages(self, *, min_revision: int = 0) -> tuple[KeyValue, ...]:
+        """Return the pages in force that are at least as new, to pass on to peers."""
+        items = self._items.values()
+        return tuple(item for item in items if item.revision >= min_revision)
+
+    def accept(self, items: Sequence[KeyValue]) -> bool:
+        """Take newer pages over, also from a peer; return whether there were any."""
+        steps: list[PageStep] = []
         for item in items:
             known = self._pages.get(item.key)
             # A stale read or a watch that starts in the past shows older pages. To
@@ -294,11 +391,19 @@
                 # The other pages still come into force.
                 self._report(error)
                 continue
+            steps.append(PageStep(self._items.get(item.key), item))
             self._pages[item.key] = page
-            changed = True
-        if changed:
+            self._items[item.key] = item
+        if steps:
             self.table = build_table(self._pages.values())
-        return changed
+            self.digest = _hash_revisions(self.get_revisions())
+            self._observe(steps)
+        return bool(steps)
+
+
+def _hash_revisions(revisions: Mapping[str, int]) -> int:
+    text = ",".join(f"{key}={revisions[key]}" for key in sorted(revisions))
+    return xxhash.xxh3_64_intdigest(text.encode())
 
 
 async def _receive_items(
--- a/src/hyssopvane/_internal/models/settings.py
+++ b/src/hyssopvane/_internal/models/settings.py
@@ -60,6 +60,8 @@
     """Service that the target belongs to."""
     entries: Address
     """Address on which the agent listens for entries."""
+    group: Annotated[str, Field(pattern=r"^([a-z0-9][a-z0-9-]{0,62})?$")] = ""
+    """Group whose expert map the target's rank uses; empty when it is in none."""
 
 
 Settings = Annotated[EntrySettings | AgentSettings, Field(discriminator="role")]
--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -8,11 +8,17 @@
 
 from hyssopvane._internal.coordination.claims import ClaimWriter
 from hyssopvane._internal.coordination.etcd_key_value import EtcdKeyValueStore
-from hyssopvane._internal.coordination.table_store import TableReader
-from hyssopvane._internal.coordination.vm_list import VmRecord, fetch_vms
+from hyssopvane._internal.coordination.quarantine import QuarantineShare
+from hyssopvane._internal.coordination.vm_list import (
+    VmRecord,
+    VmRole,
+    VmState,
+    fetch_vms,
+)
 from hyssopvane._internal.exceptions import HyssopvaneError
 from hyssopvane._internal.models.settings import EntrySettings
 from hyssopvane._internal.policy.scheduler import Scheduler
+from hyssopvane._internal.policy.subsets import Member, SubsetMap
 from hyssopvane._internal.protocol.messages import (
     PROTOCOL_VERSION,
     Heartbeat,
@@ -34,10 +40,13 @@
 )
 from hyssopvane._internal.roles.peer_listener import serve_peers
 from hyssopvane._internal.roles.peer_pool import PeerAddress, PeerObserver, PeerPool
+from hyssopvane._internal.roles.read_back import ReadBack
+from hyssopvane._internal.roles.table_sharing import TableSharing
 from hyssopvane._internal.roles.topics import TopicRouter
 from hyssopvane._internal.state.claims import MAX_WINDOW_S
 from hyssopvane._internal.state.directory import Directory
 from hyssopvane._internal.state.table import Table
+from hyssopvane._internal.state.vm_status import VmReport
 from hyssopvane._internal.state.work import LoadReport, TargetInfo
 from hyssopvane._internal.transport.asgi_server import serve_asgi
 from hyssopvane._internal.transport.peer_connection import (
@@ -75,10 +84,18 @@
         )
         self._store = EtcdKeyValueStore(address=settings.platform)
         self._random = Random(self.incarnation)
-        self._table = TableReader(
-            self._store, random=self._random, report=_log_table_error
+        self.scheduler = Scheduler(
+            random=self._random, availability_zone=settings.availability_zone
+        )
+        self._listed_leaving: frozenset[str] = frozenset()
+        self._subset = SubsetMap(Member(settings.vm, settings.availability_zone))
+        self._quarantine = QuarantineShare(
+            self._store,
+            self.scheduler.planner.suspects,
+            random=self._random,
+            get_quarantine_s=self.scheduler.planner.get_quarantine_s,
+            report=_log_quarantine_error,
         )
-        self.scheduler = Scheduler(random=self._random)
         self._pool = PeerPool(
             hello=self._make_hello(),
             handler=self,
@@ -93,6 +110,24 @@
             idle_s=_IDLE_LINK_S,
         )
         self.topics = TopicRouter()
+        self.sharing = TableSharing(
+            self._store,
+            self.links,
+            self._pool,
+            self.topics,
+            self.pages,
+            own_vm=settings.vm,
+            incarnation=self.incarnation,
+            random=self._random,
+            observe=self._put_in_force,
+        )
+        self._read_back = ReadBack(
+            self,
+            report=self._report_status,
+            links=self.links,
+            pool=self._pool,
+            topics=self.topics,
+        )
         self.claims = ClaimRouter(
             own_vm=settings.vm,
             links=self.links,
@@ -119,7 +154,8 @@
             self.links.start(nursery)
             self.claims.start(nursery)
             self.peers_address = await nursery.start(self._serve_peers)
-            nursery.start_soon(self._follow_table)
+            self.sharing.start(nursery)
+            nursery.start_soon(self._quarantine.run)
             nursery.start_soon(self._follow_vms, nursery)
             nursery.start_soon(
                 partial(self.dispatcher.watch_deadlines, interval_s=_SETTLE_INTERVAL_S)
@@ -168,15 +204,31 @@
             "incarnation": self.incarnation,
             "leaving": self.leaving,
             "table_revision": directory.table.revision if directory else 0,
+            "watches": self.sharing.spread.watches,
             "targets": self.scheduler.describe_targets(),
         }
 
     def describe_health(self) -> Heartbeat:
-        return Heartbeat(sequence=0, leaving=self.leaving)
+        return Heartbeat(
+            sequence=0,
+            table_revision=self.sharing.spread.table.revision,
+            leaving=self.leaving,
+        )
+
+    def _report_status(self) -> VmReport:
+        return VmReport(
+            self.settings.vm,
+            self.sharing.spread.table.revision,
+            digest=self.sharing.spread.reader.digest,
+            leaving=self.leaving,
+            running=self.scheduler.count_requests(),
+        )
 
     def receive_heartbeat(self, peer: PeerConnection, heartbeat: Heartbeat) -> None:
         if peer.peer is not None and peer.peer.role == _AGENT_ROLE:
             self.observe_heartbeat(peer.peer.vm, heartbeat)
+        else:
+            self.sharing.receive_heartbeat(peer, heartbeat)
 
     async def answer_question(
         self, peer: PeerConnection, topic: str, body: bytes
@@ -198,10 +250,12 @@
                 incarnation=hello.incarnation,
             )
         )
+        self.sharing.connect_agent(hello.vm, hello.service)
         self.dispatcher.settle()
 
     def disconnect_peer(self, vm: str) -> None:
         self.scheduler.disconnect_target(vm)
+        self.sharing.disconnect_agent(vm)
 
     def observe_heartbeat(self, vm: str, heartbeat: Heartbeat) -> None:
         self.scheduler.observe_load(
@@ -209,10 +263,21 @@
             LoadReport(
                 running=heartbeat.running,
                 tokens_in_flight=heartbeat.tokens_in_flight,
-                leaving=heartbeat.leaving,
+                leaving=heartbeat.leaving or vm in self._listed_leaving,
             ),
         )
 
+    def _note_leaving(self, records: tuple[VmRecord, ...]) -> None:
+        # The platform may announce a leaving VM long before its agent is told to
+        # stop. The next heartbeat says the same again, or that it has come back.
+        self._listed_leaving = frozenset(
+            record.name for record in records if record.state is VmState.LEAVING
+        )
+        for vm in self._listed_leaving:
+            connection = self._pool.get_connection(vm)
+            if connection is not None and connection.last_heartbeat is not None:
+                self.observe_heartbeat(vm, connection.last_heartbeat)
+
     def _make_hello(self) -> Hello:
         return Hello(
             version=PROTOCOL_VERSION,
@@ -258,13 +323,9 @@
             task_status=task_status,
         )
 
-    async def _follow_table(self) -> None:
-        sender, receiver = trio.open_memory_channel[Table](1)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._table.follow, sender)
-            async for table in receiver:
-                self._source.directory = Directory(table)
-                log_event("info", "table-in-force", revision=table.revision)
+    def _put_in_force(self, table: Table) -> None:
+        self._source.directory = Directory(table)
+        self.scheduler.update_table(table, now=trio.current_time())
 
     async def _follow_vms(self, nursery: trio.Nursery) -> None:
         while True:
@@ -274,21 +335,37 @@
                 # The platform's list may be out for long; the last one stays in use.
                 log_event("warning", "vm-list-unavailable", why=error)
             else:
-                self._pool.update(_select_agents(records), nursery)
+                self._pool.update(self._select_agents(records), nursery)
                 self.links.update(_select_entries(records, own_vm=self.settings.vm))
+                self.sharing.update_vms(records)
+                self._read_back.update_vms(records)
+                self._note_leaving(records)
             await trio.sleep(_VM_LIST_INTERVAL_S)
 
-
-def _log_table_error(error: HyssopvaneError) -> None:
-    log_event("warning", "table-unavailable", why=error)
+    def _select_agents(self, records: tuple[VmRecord, ...]) -> frozenset[PeerAddress]:
+        """Return the agents that this entry connects to."""
+        chosen = self._subset.update(
+            entries=_list_members(records, VmRole.ENTRY),
+            targets=_list_members(records, VmRole.AGENT),
+        )
+        self.scheduler.planner.set_suspect_targets(self._subset.find_led())
+        return frozenset(
+            PeerAddress(record.name, record.address)
+            for record in records
+            if record.role is VmRole.AGENT and record.name in chosen
+        )
 
 
-def _select_agents(records: tuple[VmRecord, ...]) -> frozenset[PeerAddress]:
-    return frozenset(
-        PeerAddress(record.name, record.address)
+def _list_members(records: tuple[VmRecord, ...], role: VmRole) -> list[Member]:
+    return [
+        Member(record.name, record.availability_zone, record.service)
         for record in records
-        if record.role == _AGENT_ROLE
-    )
+        if record.role is role
+    ]
+
+
+def _log_quarantine_error(error: HyssopvaneError) -> None:
+    log_event("warning", "quarantine-unavailable", why=error)
 
 
 def _select_entries(records: tuple[VmRecord, ...], *, own_vm: str) -> dict[str, str]:
--- a/src/hyssopvane/_internal/standins/asgi.py
+++ b/src/hyssopvane/_internal/standins/asgi.py
@@ -14,10 +14,14 @@
     Scope,
 )
 
+from hyssopvane._internal.transport.asgi_messages import read_body
+
 BYTES_TYPE = "application/octet-stream"
 JSON_TYPE = "application/json"
 EVENT_STREAM_TYPE = "text/event-stream"
 
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
 
 @dataclass(frozen=True, slots=True)
 class Request:
@@ -100,8 +104,6 @@
 
     async def send_chunk(self, chunk: bytes, *, more: bool = True) -> None:
         """Send a part of the body."""
-        # Set before the last part, because the server reports a disconnect at once
-        # after it, which would make a whole answer look like a caller who has gone.
         self.ended = not more
         await self._send(
             {"type": "http.response.body", "body": chunk, "more_body": more}
@@ -118,7 +120,11 @@
     async def _cancel_when_gone(self, scope: trio.CancelScope) -> None:
         while (await self._receive())["type"] != "http.disconnect":
             pass
-        scope.cancel()
+        # The server reports a disconnect also from within the sending of the last
+        # part. A cancel there would interrupt it between two requests: the kept
+        # connection would never count as idle and hold up the shutdown.
+        if not self.ended:
+            scope.cancel()
 
 
 Handler: TypeAlias = Callable[[Request, Responder], Awaitable[None]]
@@ -196,3 +202,15 @@
         headers={k.decode().lower(): v.decode() for k, v in scope["headers"]},
         body=body,
     )
+
+
+async def read_json(receive: ASGIReceiveCallable) -> Any:
+    """Return a body as JSON; raise `ValueError` when it is not."""
+    return json.loads(await read_body(receive, max_bytes=MAX_BODY_BYTES) or b"{}")
+
+
+def get_route(scope: Scope) -> str:
+    """Return the method and path of a request, such as "GET /calls"."""
+    if scope["type"] != "http":
+        return ""
+    return f"{scope['method']} {scope['path']}"
--- a/src/hyssopvane/_internal/state/work.py
+++ b/src/hyssopvane/_internal/state/work.py
@@ -45,6 +45,16 @@
     leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class CacheReport:
+    """Tell changes of a target's prefix cache; they come late and with gaps."""
+
+    stored: tuple[int, ...] = ()
+    evicted: tuple[int, ...] = ()
+    gap: bool = False
+    """Whether changes before these were lost."""
+
+
 @dataclass(frozen=True, slots=True)
 class Placed:
     """Send the request to this target now."""
@@ -85,3 +95,5 @@
     latency_s: float = 0.0
     """Time to the first byte of the answer; 0 when there was none."""
     retry_after_s: float = 0.0
+    final: bool = False
+    """Whether no other attempt can follow, as when the answer has begun."""
