Usable: shares of customers' limits that move between entries

Cause: each entry held a customer to the whole of its limits, so three entries let it have them three times.

Not proved: lists that differ for longer than the stated lag; the bound is worked out only. Not wired into the entry yet.

--- a/src/hyssopvane/_internal/policy/admission.py
+++ b/src/hyssopvane/_internal/policy/admission.py
@@ -17,12 +17,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Share:
-    """Give the part of a customer's limits that this entry may use."""
+    """Give a part of a customer's limits to this entry for a time."""
 
-    fraction: float = 1.0
-
-
-WHOLE = Share()
+    granted: float
+    expires_at: float
 
 
 class TokenBucket:
@@ -63,6 +61,14 @@
     most_requests: int = 0
     most_tokens: int = 0
 
+    def start_over(self) -> None:
+        """Forget what was asked for before."""
+        self.asked = 0
+        self.refused = 0
+        self.refused_tokens = 0
+        self.most_requests = self.requests
+        self.most_tokens = self.tokens
+
 
 class Admission:
     """Check each new request against its customer's share of the limits.
@@ -76,6 +82,7 @@
 
     def __init__(self) -> None:
         self._rows: Mapping[str, CustomerRow] = {}
+        self._safe_share = 1.0
         self._shares: dict[str, Share] = {}
         self._uses: dict[str, CustomerUse] = {}
 
@@ -87,8 +94,12 @@
             if not self._uses[name].requests:
                 del self._uses[name]
 
+    def set_safe_share(self, fraction: float) -> None:
+        """Apply the part of all limits that this entry may always use."""
+        self._safe_share = fraction
+
     def set_share(self, customer: str, share: Share) -> None:
-        """Apply the part of a customer's limits that this entry may use."""
+        """Apply the part of a customer's limits that this entry may use besides."""
         self._shares[customer] = share
 
     def get_row(self, customer: str) -> CustomerRow:
@@ -148,7 +159,7 @@
         hold_s: float,
         now: float,
     ) -> Refusal | None:
-        fraction = self._shares.get(row.name, WHOLE).fraction
+        fraction = self._get_fraction(row.name, now=now)
         # One request at a time is let in whatever the share: a limit lower than the
         # number of entries can't be split into whole requests, and a request larger
         # than a share of tokens would else never run.
@@ -165,6 +176,16 @@
                 return _refuse(RefusalReason.TOKEN_LIMIT, wait_s, row.name)
         return self._check_rate(row, use, fraction=fraction, now=now)
 
+    def _get_fraction(self, customer: str, *, now: float) -> float:
+        share = self._shares.get(customer)
+        if share is None:
+            return self._safe_share
+        if now >= share.expires_at:
+            # Its giver counts it as returned from here on.
+            del self._shares[customer]
+            return self._safe_share
+        return min(1.0, self._safe_share + share.granted)
+
     def _check_rate(
         self, row: CustomerRow, use: CustomerUse, *, fraction: float, now: float
     ) -> Refusal | None:
--- /dev/null
+++ b/src/hyssopvane/_internal/policy/entry_views.py
@@ -0,0 +1,44 @@
+"""Hold which entries one entry knows, and who aggregates a customer's demand."""
+
+from collections.abc import Iterable
+
+from hyssopvane._internal.policy import rendezvous
+from hyssopvane._internal.policy.share_limits import KNOWN_S
+
+
+class EntryView:
+    """Hold the live entries and those that left of late."""
+
+    def __init__(self, *, own_vm: str) -> None:
+        self._own_vm = own_vm
+        self._seen_at: dict[str, float] = {}
+        self._seeds: dict[str, int] = {}
+        self.changed_at = 0.0
+
+    @property
+    def live(self) -> int:
+        """Return the number of live entries; 0 before the first list."""
+        return len(self._seeds)
+
+    def update(self, others: Iterable[str], *, now: float) -> bool:
+        """Apply a list of the other live entries; tell whether they changed."""
+        names = {self._own_vm, *others}
+        self._seen_at.update(dict.fromkeys(names, now))
+        if names == self._seeds.keys():
+            return False
+        self._seeds = {name: rendezvous.hash_name(name) for name in names}
+        return True
+
+    def count_known(self, *, now: float) -> int:
+        """Return the number of entries that are or may still be at work."""
+        for name, seen_at in list(self._seen_at.items()):
+            if name not in self._seeds and now - seen_at > KNOWN_S:
+                del self._seen_at[name]
+        return max(1, len(self._seen_at))
+
+    def find_aggregator(self, customer: str) -> str:
+        """Return the entry that gives out shares of a customer's limits."""
+        key = customer.encode()
+        return max(
+            self._seeds, key=lambda name: rendezvous.score(key, self._seeds[name])
+        )
--- /dev/null
+++ b/src/hyssopvane/_internal/policy/share_grants.py
@@ -0,0 +1,153 @@
+"""Give out shares of customers' limits, as the aggregating entry."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+
+from hyssopvane._internal.policy.entry_views import EntryView
+from hyssopvane._internal.policy.share_limits import (
+    LEASE_PER_HOLDER_S,
+    LIST_LAG_S,
+    MIN_LEASE_S,
+    RENEW_SHARE,
+    RESERVE,
+    get_longest_lease,
+)
+from hyssopvane._internal.state.shares import EntryId, ShareAnswer, ShareAsk
+
+
+@dataclass(frozen=True, slots=True)
+class _Grant:
+    amount: float
+    expires_at: float
+
+
+@dataclass(slots=True)
+class _Holder:
+    """Hold what one entry may have in force of one customer's limits."""
+
+    need: float = 0.0
+    last_sequence: int = 0
+    asked_until: float = 0.0
+    grants: list[_Grant] = field(default_factory=list)
+
+    def drop_expired(self, now: float) -> None:
+        self.grants = [one for one in self.grants if one.expires_at > now]
+
+    def measure_most(self) -> float:
+        return max((one.amount for one in self.grants), default=0.0)
+
+
+@dataclass(slots=True)
+class _Pool:
+    """Hold who has a part of one customer's limits."""
+
+    since: float
+    """When this entry became the one that gives."""
+    holders: dict[EntryId, _Holder] = field(default_factory=dict)
+
+
+class ShareGiver:
+    """Divide the pool of each customer that this entry aggregates.
+
+    An entry that dies or is cut off stops asking, and its grant ends by its lease. The
+    giver counts a grant until it has surely ended at its holder: the holder counts the
+    lease from when it asked, the giver from when the ask came. When a grant is renewed
+    with less, the larger one counts until its end or the holder's next ask, since the
+    answer may be lost.
+    """
+
+    def __init__(self, view: EntryView, *, own_vm: str) -> None:
+        self._view = view
+        self._own_vm = own_vm
+        self._pools: dict[str, _Pool] = {}
+
+    def review(self, customers: Mapping[str, object], *, now: float) -> None:
+        """Take up customers that this entry aggregates and drop others."""
+        for customer in list(self._pools):
+            pool = self._pools[customer]
+            self._drop_gone(pool, now=now)
+            if customer not in customers or not self._is_mine(customer):
+                # What was given stays in force for its lease, but the successor
+                # waits that long, and so does this entry should it come back.
+                del self._pools[customer]
+        for customer in customers:
+            if customer not in self._pools and self._is_mine(customer):
+                self._pools[customer] = _Pool(since=now)
+
+    def answer(
+        self, entry: EntryId, ask: ShareAsk, *, now: float
+    ) -> ShareAnswer | None:
+        """Grant a share; None when this entry does not aggregate the customer."""
+        pool = self._pools.get(ask.customer)
+        if pool is None or not self._is_mine(ask.customer):
+            return None
+        self._drop_gone(pool, now=now)
+        holder = pool.holders.setdefault(entry, _Holder())
+        if ask.sequence <= holder.last_sequence:
+            # A late copy tells what the entry held once; it may hold more by now.
+            return None
+        self._note(holder, ask, now=now)
+        lease_s = self._choose_lease(now=now)
+        holder.asked_until = now + lease_s
+        amount = self._choose_amount(pool, entry, holder, now=now)
+        holder.grants.append(_Grant(amount, now + lease_s))
+        return ShareAnswer(
+            ask.customer, ask.sequence, amount, lease_s, RENEW_SHARE * lease_s
+        )
+
+    def _note(self, holder: _Holder, ask: ShareAsk, *, now: float) -> None:
+        # What the entry names is all it has in force, and the only answer that it will
+        # still take is the one to this ask; so grants that it never heard of end here.
+        # What a predecessor gave is counted in the same way.
+        held = _Grant(ask.held, now + ask.held_s)
+        holder.grants = [held] if ask.held else []
+        holder.need = ask.need
+        holder.last_sequence = ask.sequence
+
+    def _choose_amount(
+        self, pool: _Pool, entry: EntryId, holder: _Holder, *, now: float
+    ) -> float:
+        known = self._view.count_known(now=now)
+        whole = (1 - RESERVE) * self._view.live / known
+        needs = {key: one.need for key, one in pool.holders.items()}
+        fair = fill_shares(needs, whole)[entry]
+        given = sum(
+            one.measure_most() for key, one in pool.holders.items() if key != entry
+        )
+        amount = max(0.0, min(fair, whole - given))
+        if now < pool.since + get_longest_lease(known) + LIST_LAG_S:
+            # Grants of a predecessor are in force that this entry knows nothing of. To
+            # renew one adds nothing to them; to give more might.
+            amount = min(amount, holder.measure_most())
+        return amount
+
+    def _choose_lease(self, *, now: float) -> float:
+        holders = sum(len(pool.holders) for pool in self._pools.values())
+        longest = get_longest_lease(self._view.count_known(now=now))
+        return max(MIN_LEASE_S, min(longest, LEASE_PER_HOLDER_S * holders))
+
+    def _drop_gone(self, pool: _Pool, *, now: float) -> None:
+        for key, holder in list(pool.holders.items()):
+            holder.drop_expired(now)
+            if not holder.grants and holder.asked_until <= now:
+                del pool.holders[key]
+
+    def _is_mine(self, customer: str) -> bool:
+        return (
+            self._view.live > 0 and self._view.find_aggregator(customer) == self._own_vm
+        )
+
+
+def fill_shares(needs: Mapping[EntryId, float], whole: float) -> dict[EntryId, float]:
+    """Divide a whole so that nobody gets more than it needs (max-min fairness)."""
+    return dict(_fill(needs, whole))
+
+
+def _fill(
+    needs: Mapping[EntryId, float], whole: float
+) -> Iterator[tuple[EntryId, float]]:
+    left = whole
+    for number, key in enumerate(sorted(needs, key=lambda key: needs[key])):
+        share = min(needs[key], left / (len(needs) - number))
+        left -= share
+        yield key, share
--- /dev/null
+++ b/src/hyssopvane/_internal/policy/shares.py
@@ -0,0 +1,156 @@
+"""Hold this entry's shares of customers' limits, and ask for what it needs."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from hyssopvane._internal.policy.admission import Admission, CustomerUse, Share
+from hyssopvane._internal.policy.entry_views import EntryView
+from hyssopvane._internal.policy.share_limits import (
+    GROWTH,
+    HEADROOM,
+    LIST_LAG_S,
+    MIN_ASK_INTERVAL_S,
+    RENEW_SHARE,
+    RESERVE,
+    SHRINKAGE,
+)
+from hyssopvane._internal.state.shares import ShareAnswer, ShareAsk
+from hyssopvane._internal.state.table import CustomerRow
+
+# Demand falls slowly in the eyes of the measure, so that a pause of seconds gives
+# nothing back that is asked for again.
+_FADE = 0.8
+
+
+@dataclass(slots=True)
+class _Holding:
+    demand: float = 0.0
+    """Fraction of the limits that this entry would use."""
+    granted: float = 0.0
+    expires_at: float = 0.0
+    renew_at: float = 0.0
+    asked_sequence: int = 0
+    asked_at: float = float("-inf")
+    ask_more_at: float = 0.0
+
+
+class ShareHolder:
+    """Measure demand, ask for grants, and put shares in force."""
+
+    def __init__(self, view: EntryView, admission: Admission, *, now: float) -> None:
+        self._view = view
+        self._admission = admission
+        self._holdings: dict[str, _Holding] = {}
+        self._sequence = 0
+        self._started_at = now
+        self._measured_at = now
+        self._safe = 0.0
+        # Until a list of entries is known, one request at a time: all entries may
+        # have started at once, each taking itself for the only one.
+        admission.set_safe_share(0.0)
+
+    @property
+    def safe_share(self) -> float:
+        """Return the part of every limit that this entry may always use."""
+        return self._safe
+
+    def update_view(self, *, now: float) -> None:
+        """Put the safe share in force; due every second, as known entries age."""
+        known = self._view.count_known(now=now)
+        alone = known == 1 and now >= self._started_at + LIST_LAG_S
+        # Many entries that start at once may each be first in a list that lags.
+        self._safe = 1.0 if alone else RESERVE / known
+        self._admission.set_safe_share(self._safe)
+
+    def get_fraction(self, customer: str, *, now: float) -> float:
+        """Return the part of a customer's limits that is in force here."""
+        holding = self._holdings.get(customer)
+        if holding is None or now >= holding.expires_at:
+            return self._safe
+        return min(1.0, self._safe + holding.granted)
+
+    def measure_demand(self, rows: Mapping[str, CustomerRow], *, now: float) -> None:
+        """Measure what customers asked of this entry since the last time."""
+        elapsed_s = max(1e-3, now - self._measured_at)
+        self._measured_at = now
+        for customer, use in self._admission.get_uses().items():
+            row = rows.get(customer)
+            if row is not None and (use.asked or use.requests):
+                self._note_demand(row, use, elapsed_s)
+            use.start_over()
+        for customer in list(self._holdings):
+            holding = self._holdings[customer]
+            holding.demand *= _FADE
+            idle = holding.demand < self._safe / 2 or customer not in rows
+            if idle and now >= holding.expires_at:
+                del self._holdings[customer]
+
+    def choose_asks(self, *, now: float) -> dict[str, list[ShareAsk]]:
+        """Return the asks that are due, by the entry that gives."""
+        asks: dict[str, list[ShareAsk]] = {}
+        if self._view.count_known(now=now) == 1:
+            return asks
+        for customer, holding in self._holdings.items():
+            if not self._is_due(holding, now=now):
+                continue
+            giver = self._view.find_aggregator(customer)
+            asks.setdefault(giver, []).append(self._make_ask(customer, holding, now))
+        return asks
+
+    def apply(self, answers: Iterable[ShareAnswer], *, sent_at: float) -> None:
+        """Put answers in force; the lease counts from when they were asked for."""
+        for answer in answers:
+            holding = self._holdings.get(answer.customer)
+            if holding is None or answer.sequence != holding.asked_sequence:
+                # An answer to an earlier ask: the giver no longer counts it in full.
+                continue
+            need = self._get_need(holding)
+            holding.granted = answer.amount
+            holding.expires_at = sent_at + answer.lease_s
+            holding.renew_at = sent_at + RENEW_SHARE * answer.lease_s
+            if answer.amount < need:
+                holding.ask_more_at = sent_at + answer.again_s
+            share = Share(answer.amount, holding.expires_at)
+            self._admission.set_share(answer.customer, share)
+
+    def _note_demand(
+        self, row: CustomerRow, use: CustomerUse, elapsed_s: float
+    ) -> None:
+        parts = [
+            (use.asked / elapsed_s, row.rate_limit),
+            (use.most_requests + use.refused, row.concurrency_limit),
+            (use.most_tokens + use.refused_tokens, row.token_limit),
+        ]
+        demand = max((part / limit for part, limit in parts if limit), default=0.0)
+        if demand:
+            holding = self._holdings.setdefault(row.name, _Holding())
+            # The next line of the caller fades it once.
+            demand = min(1.0, demand * HEADROOM) / _FADE
+            holding.demand = max(holding.demand, demand)
+
+    def _get_need(self, holding: _Holding) -> float:
+        return max(0.0, min(1.0, holding.demand) - self._safe)
+
+    def _is_due(self, holding: _Holding, *, now: float) -> bool:
+        if now < holding.asked_at + MIN_ASK_INTERVAL_S:
+            return False
+        need = self._get_need(holding)
+        granted = holding.granted if now < holding.expires_at else 0.0
+        if need > granted * GROWTH and now >= holding.ask_more_at:
+            return True
+        if granted and need < granted * SHRINKAGE:
+            return True
+        return need > 0 and granted > 0 and now >= holding.renew_at
+
+    def _make_ask(self, customer: str, holding: _Holding, now: float) -> ShareAsk:
+        self._sequence += 1
+        holding.asked_sequence = self._sequence
+        holding.asked_at = now
+        valid = now < holding.expires_at
+        return ShareAsk(
+            customer=customer,
+            sequence=self._sequence,
+            need=self._get_need(holding),
+            held=holding.granted if valid else 0.0,
+            held_s=holding.expires_at - now if valid else 0.0,
+        )
--- /dev/null
+++ b/tests/lib/share_network.py
@@ -0,0 +1,155 @@
+"""Let entries share a customer's limits over a network that loses and delays."""
+
+import heapq
+from collections.abc import Callable
+from itertools import count
+from random import Random
+
+from hyssopvane._internal.policy.admission import Admission
+from hyssopvane._internal.policy.entry_views import EntryView
+from hyssopvane._internal.policy.share_grants import ShareGiver
+from hyssopvane._internal.policy.shares import ShareHolder
+from hyssopvane._internal.state.shares import EntryId, ShareAsk
+from hyssopvane._internal.state.table import CustomerRow
+
+CUSTOMER = "registry"
+ROWS = {CUSTOMER: CustomerRow(CUSTOMER, rate_limit=25.0)}
+_TICK_S = 1.0
+_MAX_LIST_LAG_S = 4.0
+
+
+class ShareNode:
+    """Hold the parts of one entry, and the demand that comes to it."""
+
+    def __init__(self, vm: str, incarnation: int, *, now: float) -> None:
+        self.id = EntryId(vm, incarnation)
+        self.view = EntryView(own_vm=vm)
+        self.admission = Admission()
+        self.admission.update_rows(ROWS)
+        self.holder = ShareHolder(self.view, self.admission, now=now)
+        self.giver = ShareGiver(self.view, own_vm=vm)
+        self.rate = 0.0
+        self.cut_off = False
+        self.listed: frozenset[str] = frozenset()
+        self.listed_at = -1
+
+    def ask_for_requests(self, *, now: float) -> None:
+        """Let the demand of one tick arrive."""
+        for _ in range(int(self.rate * _TICK_S)):
+            self.admission.check(CUSTOMER, 1, hold_s=1.0, now=now)
+
+
+class ShareNetwork:
+    """Run entries on one clock."""
+
+    def __init__(self, random: Random, *, loss: float = 0.0, delay_s: float = 0.0):
+        self.now = 1_000.0
+        self.nodes: dict[str, ShareNode] = {}
+        self.asks = 0
+        self._random = random
+        self._loss = loss
+        self._delay_s = delay_s
+        self._incarnations = count(1)
+        self._sequence = count()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+
+    def start(self, vm: str) -> ShareNode:
+        """Start an entry, or start it anew."""
+        node = ShareNode(vm, next(self._incarnations), now=self.now)
+        self.nodes[vm] = node
+        self._tell_lists()
+        self._later(0.0, lambda: self._tick(node))
+        return node
+
+    def kill(self, vm: str) -> None:
+        """End an entry without a word."""
+        del self.nodes[vm]
+        self._tell_lists()
+
+    def run(self, seconds: float, check: Callable[[], None] = lambda: None) -> None:
+        """Let time pass; check after every event."""
+        until = self.now + seconds
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+            check()
+        self.now = until
+
+    def sum_granted(self) -> float:
+        """Return the grants in force at all entries."""
+        return self.sum_in_force() - self.sum_safe()
+
+    def sum_in_force(self) -> float:
+        """Return the shares in force at all entries."""
+        return sum(
+            node.holder.get_fraction(CUSTOMER, now=self.now)
+            for node in self.nodes.values()
+        )
+
+    def sum_safe(self) -> float:
+        """Return the safe shares of all entries."""
+        return sum(node.holder.safe_share for node in self.nodes.values())
+
+    def _later(self, delay_s: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (self.now + delay_s, next(self._sequence), action))
+
+    def _tell_lists(self) -> None:
+        names = frozenset(self.nodes)
+        at = next(self._sequence)
+        for node in self.nodes.values():
+            lag_s = self._random.uniform(0, _MAX_LIST_LAG_S)
+            self._later(lag_s, lambda one=node: self._tell(one, names, at))
+
+    def _tell(self, node: ShareNode, names: frozenset[str], at: int) -> None:
+        # A list that lags never replaces a later one.
+        if at > node.listed_at:
+            node.listed_at = at
+            node.listed = names
+            node.view.update(names - {node.id.vm}, now=self.now)
+
+    def _is_up(self, node: ShareNode) -> bool:
+        return self.nodes.get(node.id.vm) is node
+
+    def _tick(self, node: ShareNode) -> None:
+        if not self._is_up(node):
+            return
+        self._later(_TICK_S, lambda: self._tick(node))
+        if not node.view.live:
+            return
+        node.view.update(node.listed - {node.id.vm}, now=self.now)
+        node.holder.update_view(now=self.now)
+        node.giver.review(ROWS, now=self.now)
+        node.ask_for_requests(now=self.now)
+        node.holder.measure_demand(ROWS, now=self.now)
+        for vm, asks in node.holder.choose_asks(now=self.now).items():
+            self._send(node, vm, asks, self.now)
+
+    def _send(self, node: ShareNode, vm: str, asks: list[ShareAsk], at: float) -> None:
+        self.asks += 1
+        if vm == node.id.vm:
+            self._answer(node, vm, asks, at)
+            return
+        copies = 2 if self._random.random() < self._loss / 4 else 1
+        for _ in range(copies):
+            self._deliver(node, lambda: self._answer(node, vm, asks, at))
+
+    def _answer(
+        self, node: ShareNode, vm: str, asks: list[ShareAsk], at: float
+    ) -> None:
+        giver = self.nodes.get(vm)
+        if giver is None or giver.cut_off != node.cut_off:
+            return
+        found = [giver.giver.answer(node.id, ask, now=self.now) for ask in asks]
+        answers = [one for one in found if one is not None]
+        if giver is node:
+            node.holder.apply(answers, sent_at=at)
+        else:
+            self._deliver(node, lambda: self._apply(node, answers, at))
+
+    def _apply(self, node: ShareNode, answers: list, at: float) -> None:
+        if self._is_up(node):
+            node.holder.apply(answers, sent_at=at)
+
+    def _deliver(self, node: ShareNode, action: Callable[[], None]) -> None:
+        if not node.cut_off and self._random.random() >= self._loss:
+            self._later(self._random.uniform(0, self._delay_s), action)
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -5,14 +5,14 @@
 from hypothesis import strategies as st
 
 from hyssopvane._internal.models.refusals import RefusalReason
-from hyssopvane._internal.policy.admission import Admission, Share
+from hyssopvane._internal.policy.admission import Admission
 from hyssopvane._internal.state.table import CustomerRow
 
 
 def make_admission(fraction=1.0, **cells):
     admission = Admission()
     admission.update_rows({"a": CustomerRow("a", **cells)})
-    admission.set_share("a", Share(fraction))
+    admission.set_safe_share(fraction)
     return admission
 
 
--- /dev/null
+++ b/tests/unit/test_shares.py
@@ -0,0 +1,269 @@
+"""Test that customers' limits hold across entries."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hyssopvane._internal.policy.share_grants import fill_shares
+from hyssopvane._internal.policy.share_limits import (
+    KNOWN_S,
+    LIST_LAG_S,
+    MIN_LEASE_S,
+    RESERVE,
+)
+from hyssopvane._internal.state.shares import EntryId, ShareAnswer, ShareAsk
+from tests.lib.share_network import CUSTOMER, ROWS, ShareNetwork, ShareNode
+
+_WARM_UP_S = MIN_LEASE_S + LIST_LAG_S + 5
+
+
+def start_network(rates, *, loss=0.0, delay_s=0.01, seed=1):
+    network = ShareNetwork(Random(seed), loss=loss, delay_s=delay_s)
+    for number, rate in enumerate(rates):
+        network.start(f"entry-{number}").rate = rate
+    return network
+
+
+def list_fractions(network):
+    return [
+        node.holder.get_fraction(CUSTOMER, now=network.now)
+        for node in network.nodes.values()
+    ]
+
+
+@pytest.mark.parametrize(
+    ("rates", "fractions"),
+    [
+        pytest.param([50, 50, 50], [0.333, 0.333, 0.333], id="even"),
+        pytest.param([50, 0, 0], [0.866, 0.066, 0.066], id="all at one entry"),
+        pytest.param([50, 50, 0], [0.466, 0.466, 0.066], id="one idle"),
+        pytest.param([50, 6, 0], [0.633, 0.3, 0.066], id="small demand is met"),
+        pytest.param([1, 1, 1], [0.066, 0.066, 0.066], id="below the safe share"),
+        pytest.param([50], [1.0], id="a single entry has it all"),
+    ],
+)
+def test_shares_follow_demand(rates, fractions):
+    network = start_network(rates)
+    network.run(_WARM_UP_S + 20)
+    assert list_fractions(network) == pytest.approx(fractions, abs=0.02)
+
+
+def test_shares_move_within_seconds():
+    network = start_network([50, 0, 0])
+    network.run(60)
+    network.nodes["entry-0"].rate = 0
+    network.nodes["entry-1"].rate = 50
+    network.run(30)
+    assert list_fractions(network)[1] > 0.85
+
+
+@pytest.mark.parametrize("dead", ["entry-0", "entry-1", "entry-2", "entry-3"])
+def test_dead_entry_gives_its_share_back(dead):
+    """An entry VM that had a large share of a customer's limit dies.
+
+    If its share stayed with it, the customer's callers at the other entries would be
+    refused, though the customer is far below its limit.
+    """
+    network = start_network([50, 50, 50, 50])
+    network.run(60)
+    network.kill(dead)
+    network.run(KNOWN_S + _WARM_UP_S)
+    assert network.sum_in_force() == pytest.approx(1.0, abs=0.02)
+
+
+def test_cut_off_entry_keeps_to_its_safe_share():
+    """One entry can reach no other, and the balancer still sends it callers.
+
+    If it used the whole limit, the customer would get it twice, at the cost of its
+    neighbours. If it used nothing, its callers would all be refused.
+    """
+    network = start_network([50, 50, 50])
+    network.run(60)
+    cut_off = network.nodes["entry-1"]
+    cut_off.cut_off = True
+    network.run(MIN_LEASE_S)
+    fraction = cut_off.holder.get_fraction(CUSTOMER, now=network.now)
+    assert fraction == pytest.approx(RESERVE / 3)
+
+
+def test_lone_first_list_does_not_give_the_whole():
+    """All entries start at once, and the platform's list lags.
+
+    An entry that finds only itself in the list would use the whole limit, as would
+    each of the others.
+    """
+    network = start_network([50])
+    network.run(LIST_LAG_S - 1.5)
+    assert network.sum_in_force() <= RESERVE
+
+
+def list_steps(*kinds):
+    step = st.tuples(st.sampled_from(kinds), st.integers(0, 3), st.floats(0.5, 30))
+    return st.lists(step, min_size=5, max_size=25)
+
+
+def take_step(network, step, number, value):
+    vm = f"entry-{number}"
+    node = network.nodes.get(vm)
+    if step == "start" and node is None:
+        network.start(vm).rate = 50
+    elif step == "kill" and node is not None and len(network.nodes) > 1:
+        network.kill(vm)
+    elif step == "restart" and node is not None:
+        network.start(vm).rate = node.rate
+    elif step in ("cut", "heal") and node is not None:
+        node.cut_off = step == "cut"
+    elif step == "demand" and node is not None:
+        node.rate = value * 2
+
+
+@settings(derandomize=True, max_examples=80, deadline=None)
+@given(
+    list_steps("start", "kill", "restart", "cut", "heal", "demand", "pass"),
+    st.integers(0, 2**32),
+    st.sampled_from([0.0, 0.2, 0.5]),
+    st.sampled_from([0.01, 1.0, 12.0]),
+)
+def test_grants_never_exceed_the_pool(steps, seed, loss, delay_s):
+    """Entries join, die, restart and are cut off; messages come late, twice or never.
+
+    If grants of a dead, cut-off or replaced giver added to new ones, a customer would
+    get more than its limit, and its neighbours' callers would wait for it.
+    """
+    network = start_network([50, 50, 50], loss=loss, delay_s=delay_s, seed=seed)
+    network.run(30, check_grants(network))
+    for step, number, value in steps:
+        take_step(network, step, number, value)
+        network.run(value, check_grants(network))
+
+
+@settings(derandomize=True, max_examples=80, deadline=None)
+@given(
+    list_steps("cut", "heal", "demand", "demand"),
+    st.integers(0, 2**32),
+    st.sampled_from([0.1, 0.3, 0.6]),
+    st.sampled_from([0.5, 4.0, 8.0]),
+)
+def test_moving_grants_never_exceed_the_pool(steps, seed, loss, delay_s):
+    """Demand moves between four entries, and their messages come late or never.
+
+    If an entry still used a share that another has got since, a customer would get
+    more than its limit.
+    """
+    network = start_network([50, 0, 50, 0], loss=loss, delay_s=delay_s, seed=seed)
+    network.run(30, check_grants(network))
+    for step, number, value in steps:
+        take_step(network, step, number, value)
+        network.run(value / 3, check_grants(network))
+
+
+def check_grants(network):
+    def check():
+        assert network.sum_granted() <= 1 - RESERVE + 1e-9
+
+    return check
+
+
+@settings(derandomize=True, max_examples=50, deadline=None)
+@given(st.lists(st.floats(0, 1), min_size=1, max_size=20), st.floats(0, 1))
+def test_fill_gives_all_that_is_needed(needs, whole):
+    named = {EntryId(str(number), 1): need for number, need in enumerate(needs)}
+    shares = fill_shares(named, whole)
+    assert sum(shares.values()) == pytest.approx(min(whole, sum(needs)))
+    assert all(shares[key] <= need + 1e-9 for key, need in named.items())
+    unmet = [shares[key] for key, need in named.items() if shares[key] < need - 1e-9]
+    if unmet:
+        assert max(shares.values()) <= min(unmet) + 1e-9
+
+
+def make_node(vm="entry-0", others=("entry-1",), *, now=0.0):
+    node = ShareNode(vm, 1, now=now)
+    node.view.update(others, now=now)
+    node.holder.update_view(now=now)
+    return node
+
+
+def make_giver():
+    """Return a giver that is past its warm-up, and its clock."""
+    for name in ("entry-0", "entry-1"):
+        others = {"entry-0", "entry-1"} - {name}
+        node = make_node(name, others)
+        node.giver.review(ROWS, now=0.0)
+        if node.view.find_aggregator(CUSTOMER) == name:
+            return node.giver
+    raise AssertionError("no entry aggregates the customer")
+
+
+ONE, OTHER = EntryId("entry-0", 1), EntryId("entry-1", 1)
+LATER_S = 100.0
+
+
+def ask(sequence, need, held=0.0, held_s=0.0):
+    return ShareAsk(CUSTOMER, sequence, need, held, held_s)
+
+
+def test_late_copy_of_an_ask_changes_nothing():
+    """The network delivers an ask a second time, after the entry got more.
+
+    If the giver believed that the entry holds nothing, it would give its share away
+    while the entry uses it.
+    """
+    giver = make_giver()
+    first = giver.answer(ONE, ask(1, 0.8), now=LATER_S)
+    assert first.amount == pytest.approx(0.8)
+    assert giver.answer(ONE, ask(1, 0.0), now=LATER_S + 1) is None
+    assert giver.answer(OTHER, ask(1, 0.8), now=LATER_S + 2).amount == pytest.approx(0)
+
+
+def test_larger_grant_counts_until_its_end():
+    """An entry asks for less, and the answer that takes its share back is lost.
+
+    It still uses what it had; whoever got that share meanwhile would double it.
+    """
+    giver = make_giver()
+    giver.answer(ONE, ask(1, 0.8), now=LATER_S)
+    less = ask(2, 0.1, held=0.8, held_s=9.0)
+    assert giver.answer(ONE, less, now=LATER_S + 1).amount == pytest.approx(0.1)
+    early = giver.answer(OTHER, ask(1, 0.8), now=LATER_S + 2)
+    assert early.amount == pytest.approx(0.0)
+    late = giver.answer(OTHER, ask(2, 0.8), now=LATER_S + 10.5)
+    assert late.amount == pytest.approx(0.7)
+
+
+def make_asking_node():
+    node = make_node()
+    node.rate = 50
+    node.ask_for_requests(now=1.0)
+    node.holder.measure_demand(ROWS, now=1.0)
+    ((asked,),) = node.holder.choose_asks(now=1.0).values()
+    return node, asked
+
+
+def test_lease_counts_from_the_ask():
+    """An answer is under way for half of its lease.
+
+    If the lease began as it came, the entry would use the share for longer than the
+    giver counts it.
+    """
+    node, asked = make_asking_node()
+    answer = ShareAnswer(CUSTOMER, asked.sequence, 0.5, 10.0, 7.5)
+    node.holder.apply([answer], sent_at=1.0)
+    assert node.holder.get_fraction(CUSTOMER, now=10.9) == pytest.approx(0.6)
+    assert node.holder.get_fraction(CUSTOMER, now=11.0) == pytest.approx(0.1)
+
+
+def test_answer_to_an_earlier_ask_is_ignored():
+    """An answer comes so late that the entry has asked again.
+
+    The giver has read from the second ask that the first was never answered, and may
+    have given the share to another entry.
+    """
+    node, asked = make_asking_node()
+    node.ask_for_requests(now=4.0)
+    node.holder.measure_demand(ROWS, now=4.0)
+    assert node.holder.choose_asks(now=4.0)
+    answer = ShareAnswer(CUSTOMER, asked.sequence, 0.5, 10.0, 7.5)
+    node.holder.apply([answer], sent_at=1.0)
+    assert node.holder.get_fraction(CUSTOMER, now=5.0) == pytest.approx(0.1)
