--- a/src/hyssopvane/_internal/exceptions.py
+++ b/src/hyssopvane/_internal/exceptions.py
@@ -44,6 +44,10 @@
     """Report a call that the service refuses and that must not be sent again as is."""
 
 
+class ClaimExpired(HyssopvaneError):
+    """Report a key so old that its claim may have been deleted."""
+
+
 class VmListError(HyssopvaneError):
     """Report the platform's list of VMs that can't be read."""
 
@@ -58,3 +62,7 @@
 
 class OperatorRequestError(HyssopvaneError):
     """Report an operators' call that a process did not answer as asked."""
+
+
+class MapSwitchError(HyssopvaneError):
+    """Report a record, an order or an engine of an expert map that can't be used."""
--- /dev/null
+++ b/src/hyssopvane/_internal/roles/map_agent.py
@@ -0,0 +1,275 @@
+"""Keep the rank beside an agent in line with its group's record."""
+
+import json
+from abc import ABC, abstractmethod
+from contextlib import suppress
+from random import Random
+from typing import Any
+
+import trio
+
+from hyssopvane._internal.coordination.map_records import (
+    format_answer,
+    parse_order,
+)
+from hyssopvane._internal.coordination.map_switch import MapSwitchStore
+from hyssopvane._internal.exceptions import (
+    HyssopvaneError,
+    KeyValueError,
+    MapSwitchError,
+)
+from hyssopvane._internal.protocol.messages import Headers
+from hyssopvane._internal.state.map_switch import (
+    EngineOrder,
+    OrderKind,
+    OrderRefusal,
+    RankAgent,
+    RankAnswer,
+    RankView,
+    make_answer,
+)
+from hyssopvane._internal.transport.peer_connection import PeerConnection
+from hyssopvane._internal.transport.target_client import (
+    TargetClient,
+    TargetFailed,
+    TargetUnreachable,
+)
+from hyssopvane._internal.utils.logs import log_event
+from hyssopvane._internal.utils.metrics import Metrics
+
+MAP_ORDER_TOPIC = "map-order"
+
+POLL_S = 0.5
+"""Time between two looks at the engine beside the agent; it costs the service nothing.
+
+The service is read only while the rank is held or armed, or holds staged weights: at
+64 ranks a group that is 128 reads a second for the seconds between arming and decision.
+"""
+
+STAGED_POLLS = 10
+"""Polls for one read of the service while weights are staged and nothing is armed."""
+
+ABORT_AFTER_S = 3.0
+"""Time a rank waits at the armed step before its agent writes the abort.
+
+The coordinator may be dead, and the whole group stands still with this rank. It is
+longer than a slow answer of the service, so that a living coordinator decides first.
+"""
+
+_ORDER_TIMEOUT_S = 5.0
+_STAGE_TIMEOUT_S = 900.0
+"""Fetching weights waits for its share of the weight store's rate."""
+
+_MAX_ORDERS = 8
+"""Orders in one pass; a restarted rank needs five."""
+
+_JSON_HEADERS: Headers = ((b"content-type", b"application/json"),)
+
+
+class EngineRank(ABC):
+    """Reach the rank of an engine."""
+
+    @abstractmethod
+    async def get_view(self) -> RankView:
+        """Return what the engine says; raise `MapSwitchError` when it doesn't."""
+
+    @abstractmethod
+    async def send(self, order: EngineOrder) -> str:
+        """Send an order and return the engine's refusal, or nothing."""
+
+
+class TargetRank(EngineRank):
+    """Reach the rank through the agent's connections to its target."""
+
+    def __init__(self, target: TargetClient) -> None:
+        self._target = target
+
+    async def get_view(self) -> RankView:
+        _, document = await self._call("GET", b"/rank", b"", _ORDER_TIMEOUT_S)
+        armed = document["armed"] or {"map": "", "step": 0, "decided": False}
+        return RankView(
+            step=int(document["step"]),
+            map=str(document["map"]),
+            staged=frozenset(document["staged"]),
+            armed=str(armed["map"]),
+            armed_step=int(armed["step"]),
+            armed_decided=bool(armed["decided"]),
+        )
+
+    async def send(self, order: EngineOrder) -> str:
+        payload = {
+            "value": order.name,
+            "step": order.step,
+            "weights_bytes": order.weights_bytes,
+        }
+        document = {"kind": order.kind, "fence": order.fence, "payload": payload}
+        stages = order.kind is OrderKind.STAGE
+        status, answer = await self._call(
+            "POST",
+            b"/orders",
+            json.dumps(document).encode(),
+            _STAGE_TIMEOUT_S if stages else _ORDER_TIMEOUT_S,
+        )
+        return "" if status < 300 else str(answer.get("error", status))
+
+    async def _call(
+        self, method: str, path: bytes, body: bytes, timeout_s: float
+    ) -> tuple[int, dict[str, Any]]:
+        headers = (*_JSON_HEADERS, (b"content-length", str(len(body)).encode()))
+        try:
+            with trio.fail_after(timeout_s):
+                async with self._target.call(
+                    method=method, path=path, headers=headers, body=body
+                ) as response:
+                    content = await response.aread()
+            return response.status, json.loads(content)
+        except (
+            TargetUnreachable,
+            TargetFailed,
+            trio.TooSlowError,
+            ValueError,
+        ) as error:
+            raise MapSwitchError(
+                "the engine did not answer about its expert map",
+                context=f"{type(error).__name__}: {error}",
+                hint="check the engine; its agent asks again",
+            ) from error
+
+
+class MapAgent:
+    """Answer coordinators, and bring the rank in line also without one."""
+
+    def __init__(
+        self,
+        *,
+        rank: str,
+        group: str,
+        engine: EngineRank,
+        store: MapSwitchStore,
+        metrics: Metrics,
+        random: Random,
+    ) -> None:
+        self._rank = rank
+        self._group = group
+        self._engine = engine
+        self._store = store
+        self._metrics = metrics
+        self._random = random
+        self._agent = RankAgent()
+        # Two passes at once would order the engine by two different records.
+        self._lock = trio.Lock()
+        self._waits_since: float | None = None
+
+    async def run(self) -> None:
+        """Look after the rank until cancelled."""
+        polls = 0
+        while True:
+            await trio.sleep(POLL_S * self._random.uniform(0.8, 1.2))
+            polls += 1
+            try:
+                async with self._lock:
+                    await self._look(reads_staged=polls % STAGED_POLLS == 0)
+            except HyssopvaneError as error:
+                log_event("debug", "map-not-checked", why=error)
+
+    async def answer_order(self, peer: PeerConnection, body: bytes) -> bytes:
+        """Follow a coordinator's order, when the service confirms it, and answer."""
+        group, fence = parse_order(body)
+        if group != self._group:
+            return format_answer(self._refuse(fence, OrderRefusal.UNKNOWN_FENCE))
+        async with self._lock:
+            return format_answer(await self._follow(fence))
+
+    async def _follow(self, fence: int) -> RankAnswer:
+        if fence < self._agent.highest_fence:
+            return self._refuse(fence, OrderRefusal.OLD_FENCE)
+        if not await self._read():
+            return self._refuse(fence, OrderRefusal.NO_SERVICE)
+        refusal = self._agent.find_refusal(fence)
+        if refusal is not None:
+            return self._refuse(fence, refusal)
+        try:
+            engine_refusal = await self._bring_in_line(is_fresh=True)
+            view = await self._engine.get_view()
+        except MapSwitchError:
+            return self._refuse(fence, OrderRefusal.NO_ENGINE)
+        if engine_refusal:
+            return RankAnswer(self._rank, fence, engine_refusal=engine_refusal)
+        return make_answer(self._agent.known.record, self._rank, view)
+
+    def _refuse(self, fence: int, refusal: OrderRefusal) -> RankAnswer:
+        self._metrics.count_event(f"map-order-refused-{refusal}")
+        return RankAnswer(self._rank, fence, refusal=refusal)
+
+    async def _look(self, *, reads_staged: bool) -> None:
+        view = await self._engine.get_view()
+        undecided = bool(view.armed) and not view.armed_decided
+        if not (view.is_held or undecided or (view.staged and reads_staged)):
+            self._waits_since = None
+            return
+        is_fresh = await self._read()
+        await self._bring_in_line(is_fresh=is_fresh)
+        await self._end_waiting(await self._engine.get_view())
+
+    async def _bring_in_line(self, *, is_fresh: bool) -> str:
+        """Send the engine what it lacks; return its refusal of the open proposal."""
+        for _ in range(_MAX_ORDERS):
+            view = await self._engine.get_view()
+            if self._agent.needs_confirmation(view):
+                await self._confirm()
+            order = self._agent.plan(view, is_fresh=is_fresh)
+            if order is None:
+                return ""
+            refusal = await self._engine.send(order)
+            self._agent.note_order(order, view)
+            log_event(
+                "info",
+                "map-order",
+                order=order.kind,
+                map=order.name,
+                step=order.step,
+                fence=order.fence,
+                refused=refusal or "no",
+            )
+            if refusal:
+                self._metrics.count_event(f"map-engine-refused-{order.kind}")
+                proposal = self._agent.known.record.open_proposal
+                is_proposed = proposal is not None and proposal.name == order.name
+                return refusal if is_proposed else ""
+        return ""
+
+    async def _confirm(self) -> None:
+        # With the service out the rank stays held: the group waits, which is allowed;
+        # two maps in one step are not.
+        with suppress(KeyValueError):
+            self._agent.confirm(await self._store.confirm_for_restart())
+            self._metrics.count_event("map-restart-confirmed")
+
+    async def _end_waiting(self, view: RankView) -> None:
+        if not view.waits:
+            self._waits_since = None
+            return
+        now = trio.current_time()
+        if self._waits_since is None:
+            self._waits_since = now
+            self._metrics.count_event("map-waiting")
+            log_event("warning", "map-waiting", map=view.armed, step=view.armed_step)
+            return
+        proposal = self._agent.known.record.open_proposal
+        if now - self._waits_since < ABORT_AFTER_S or proposal is None:
+            return
+        why = f"{self._rank} waited too long for a decision"
+        try:
+            aborted = await self._store.abort(proposal.fence, why)
+        except KeyValueError:
+            return
+        if aborted is not None:
+            self._metrics.count_event("map-aborted-by-agent")
+        self._agent.learn(self._store.known)
+
+    async def _read(self) -> bool:
+        try:
+            self._agent.learn(await self._store.read())
+        except KeyValueError:
+            return False
+        return True
