--- a/src/hyssopvane/_internal/policy/subsets.py
+++ b/src/hyssopvane/_internal/policy/subsets.py
@@ -48,6 +48,7 @@
         for one in entries:
             seeds = self.seeds.setdefault(one.availability_zone, {})
             seeds[one.name] = rendezvous.hash_name(one.name)
+        self._zone_seeds = {zone: rendezvous.hash_name(zone) for zone in self.seeds}
         self.sizes = {
             zone: 1 << len(seeds).bit_length() for zone, seeds in self.seeds.items()
         }
@@ -84,6 +85,19 @@
         """Return the entries of a zone that a target picks."""
         return rendezvous.rank(target.name.encode(), self.seeds[zone], count=count)
 
+    def is_picked(self, target: Member, entry: Member, count: int) -> bool:
+        """Tell whether an entry is among those of its zone that a target picks."""
+        key = target.name.encode()
+        seeds = self.seeds[entry.availability_zone]
+        own = (rendezvous.score(key, seeds[entry.name]), entry.name)
+        # Most entries are not picked, and the first few that rank higher show it.
+        for name, seed in seeds.items():
+            if (rendezvous.score(key, seed), name) > own:
+                count -= 1
+                if count <= 0:
+                    return False
+        return True
+
     def pick_all(self, target: Member) -> list[str]:
         """Return all entries that a target picks."""
         shares = self.share_picks(target)
@@ -101,7 +115,7 @@
         if zone == own:
             return -1.0
         # A zone with twice the entries wins twice as often.
-        rank = rendezvous.score(key, rendezvous.hash_name(zone))
+        rank = rendezvous.score(key, self._zone_seeds[zone])
         return -math.log((rank + 1) / _HASH_RANGE) / self.sizes[zone]
 
 
@@ -193,8 +207,8 @@
     def _is_picked(self, target: Member, share: int) -> bool:
         picked = self._picks.get(target)
         if picked is None:
-            names = self._zones.pick(target, self._own.availability_zone, share)
-            picked = self._picks[target] = self._own.name in names
+            picked = self._zones.is_picked(target, self._own, share)
+            self._picks[target] = picked
         return picked
 
 
