Usable: carry out a switch of expert maps by agents and coordinators

An agent takes part when its settings name a group. No entry runs the duty yet: engines do not report tokens by expert, so there is nothing to weigh.

--- a/src/hyssopvane/_internal/roles/agent.py
+++ b/src/hyssopvane/_internal/roles/agent.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from hyssopvane._internal.coordination.etcd_key_value import EtcdKeyValueStore
 from hyssopvane._internal.models.refusals import AgentRefusal
 from hyssopvane._internal.models.settings import AgentSettings
 from hyssopvane._internal.protocol.messages import (
@@ -16,6 +17,7 @@
 )
 from hyssopvane._internal.roles.attempt import Attempt
 from hyssopvane._internal.roles.keyed_runs import KeyedRuns
+from hyssopvane._internal.roles.map_agent import MAP_ORDER_TOPIC, make_map_agent
 from hyssopvane._internal.roles.operators import (
     OperatedProcess,
     OperatorsApp,
@@ -47,6 +49,7 @@
         self.entries_address = ""
         self.operators_address = ""
         self._target = TargetClient(settings.target)
+        self._store = EtcdKeyValueStore(address=settings.platform)
         self._running: dict[bytes, Attempt] = {}
         self._idle = trio.Event()
         self._register = AttemptRegister(self.incarnation)
@@ -62,6 +65,8 @@
         """Listen for entries until cancelled."""
         async with trio.open_nursery() as nursery:
             self._keyed.start(nursery)
+            if self.settings.group:
+                await self._start_map_agent(nursery)
             self.operators_address = await nursery.start(
                 serve_operators, OperatorsApp(self), self.settings.operators
             )
@@ -77,6 +82,14 @@
             task_status.started()
             await trio.sleep_forever()
 
+    async def _start_map_agent(self, nursery: trio.Nursery) -> None:
+        await self._store.start(nursery)
+        map_agent = make_map_agent(
+            self.settings, target=self._target, store=self._store, metrics=self.metrics
+        )
+        self.topics.add_question(MAP_ORDER_TOPIC, map_agent.answer_order)
+        nursery.start_soon(map_agent.run)
+
     async def drain(self) -> None:
         """Refuse new work and wait until all work in progress has ended."""
         self.leaving = True
@@ -89,6 +102,7 @@
     async def close(self) -> None:
         """Release the connections to the target and the instruments."""
         await self._target.close()
+        await self._store.close()
         self.metrics.close()
 
     def is_ready(self) -> bool:
--- a/src/hyssopvane/_internal/roles/map_agent.py
+++ b/src/hyssopvane/_internal/roles/map_agent.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from hyssopvane._internal.coordination.key_value import KeyValueStore
 from hyssopvane._internal.coordination.map_records import (
     format_answer,
     parse_order,
@@ -18,6 +19,7 @@
     KeyValueError,
     MapSwitchError,
 )
+from hyssopvane._internal.models.settings import AgentSettings
 from hyssopvane._internal.protocol.messages import Headers
 from hyssopvane._internal.state.map_switch import (
     EngineOrder,
@@ -66,6 +68,24 @@
 _JSON_HEADERS: Headers = ((b"content-type", b"application/json"),)
 
 
+def make_map_agent(
+    settings: AgentSettings,
+    *,
+    target: TargetClient,
+    store: KeyValueStore,
+    metrics: Metrics,
+) -> "MapAgent":
+    """Return the map agent of the rank beside an agent."""
+    return MapAgent(
+        rank=settings.vm,
+        group=settings.group,
+        engine=TargetRank(target),
+        store=MapSwitchStore(store, service=settings.service, group=settings.group),
+        metrics=metrics,
+        random=Random(settings.vm),
+    )
+
+
 class EngineRank(ABC):
     """Reach the rank of an engine."""
 
--- /dev/null
+++ b/src/hyssopvane/_internal/roles/map_duty.py
@@ -0,0 +1,291 @@
+"""Move the experts of a group: propose, stage, arm and decide a switch."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+import trio
+
+from hyssopvane._internal.coordination.key_value import NO_LEASE, KeyValueStore
+from hyssopvane._internal.coordination.map_records import format_order, parse_answer
+from hyssopvane._internal.coordination.map_switch import MapSwitchStore
+from hyssopvane._internal.exceptions import (
+    HyssopvaneError,
+    KeyValueError,
+    MapSwitchError,
+    PeerLost,
+)
+from hyssopvane._internal.policy.expert_maps import ExpertMap
+from hyssopvane._internal.policy.rebalancing import MoveRules, Rebalancer
+from hyssopvane._internal.roles.map_agent import MAP_ORDER_TOPIC
+from hyssopvane._internal.state.map_switch import (
+    GroupRecord,
+    Move,
+    NextMove,
+    Phase,
+    SwitchProgress,
+)
+from hyssopvane._internal.utils.logs import log_event
+from hyssopvane._internal.utils.metrics import Metrics
+
+
+@dataclass(frozen=True, slots=True)
+class SwitchTimes:
+    """Hold the times of a switch."""
+
+    margin_steps: int = 400
+    """Steps from the furthest rank to the switch: 1.8 s at 4.5 ms a step.
+
+    Arming takes a read of the service and two calls on each rank. With too few steps a
+    rank is past the step before it is armed, and the proposal is aborted; with many,
+    the gain comes a little later.
+    """
+    ask_again_s: float = 0.1
+    stage_again_s: float = 1.0
+    """Pause while weights are fetched, which takes seconds to minutes."""
+    arm_limit_s: float = 10.0
+    """Time for arming, after which the proposal is aborted."""
+    stage_limit_s: float = 1800.0
+    """Time for staging, after which the proposal is aborted."""
+    max_staging: int = 8
+    """Ranks that fetch weights at one time.
+
+    More would share the store's limited rate all the same, and would slow the steps of
+    the whole group on as many ranks at once.
+    """
+    lease_s: int = 30
+
+
+class RankCaller(ABC):
+    """Ask the agents of a group's ranks."""
+
+    @abstractmethod
+    async def ask(self, vm: str, topic: str, body: bytes) -> bytes:
+        """Return an agent's answer; raise `PeerLost` when there is none."""
+
+
+class MapSwitcher:
+    """Drive the proposals of one group to their end.
+
+    Any number of these may run for one group, also one that was paused for long: each
+    write is a compare-and-swap on the group's record, tied to fence and phase.
+    """
+
+    def __init__(
+        self,
+        *,
+        group: str,
+        ranks: frozenset[str],
+        store: MapSwitchStore,
+        caller: RankCaller,
+        metrics: Metrics,
+        times: SwitchTimes | None = None,
+    ) -> None:
+        self._group = group
+        self._ranks = ranks
+        self._store = store
+        self._caller = caller
+        self._metrics = metrics
+        self._times = times or SwitchTimes()
+
+    async def move(
+        self, name: str, expert_map: ExpertMap, *, weights_bytes: int = 0
+    ) -> Phase | None:
+        """Propose a map and return how it ended; None when another is under way.
+
+        Raise `KeyValueError` when the service is out; the proposal may then be open,
+        and whoever comes next drives it to its end.
+        """
+        proposed = await self._store.propose(
+            name, expert_map, weights_bytes=weights_bytes
+        )
+        if proposed is None:
+            return None
+        self._count("started", proposed.record)
+        return await self.finish()
+
+    async def finish(self) -> Phase | None:
+        """Drive an open proposal to its end, also one of another coordinator."""
+        progress = SwitchProgress(self._ranks, self._times.margin_steps)
+        progress.learn((await self._store.read()).record)
+        fence = progress.record.fence
+        began, phase = trio.current_time(), None
+        while (move := progress.plan()).move is not Move.END:
+            proposal = progress.record.open_proposal
+            assert proposal is not None
+            if proposal.phase is not phase:
+                phase, began = proposal.phase, trio.current_time()
+            move = self._limit_time(move, proposal.phase, began)
+            await self._carry_out(move, progress)
+            progress.learn(self._store.known.record)
+            if progress.record.fence != fence:
+                # The proposal has ended, and another coordinator has opened the next.
+                return self._find_end(progress.record, fence)
+        await self._ask(progress, self._ranks)
+        return self._find_end(progress.record, fence)
+
+    def _limit_time(self, move: NextMove, phase: Phase, began: float) -> NextMove:
+        staging = phase is Phase.STAGING
+        limit_s = self._times.stage_limit_s if staging else self._times.arm_limit_s
+        if move.move is not Move.ASK or trio.current_time() - began < limit_s:
+            return move
+        missing = ",".join(sorted(move.ranks)[:3])
+        return NextMove(Move.ABORT, why=f"{phase} took too long, missing {missing}")
+
+    async def _carry_out(self, move: NextMove, progress: SwitchProgress) -> None:
+        fence = progress.record.fence
+        match move.move:
+            case Move.ASK:
+                if await self._ask(progress, move.ranks):
+                    return
+                await trio.sleep(self._get_pause(progress.record))
+                # Someone else may have ended the proposal meanwhile.
+                await self._store.read()
+            case Move.FIX_STEP:
+                await self._store.fix_step(fence, move.step)
+            case Move.DECIDE:
+                if await self._store.decide(fence) is not None:
+                    self._count("decided", self._store.known.record)
+            case Move.ABORT:
+                if await self._store.abort(fence, move.why) is not None:
+                    self._count("aborted", self._store.known.record)
+            case Move.END:
+                pass
+
+    async def _ask(self, progress: SwitchProgress, ranks: frozenset[str]) -> bool:
+        """Ask ranks and return whether this changed what is to be done."""
+        before = progress.plan()
+        limiter = trio.CapacityLimiter(self._get_parallel(progress.record))
+        async with trio.open_nursery() as nursery:
+            for rank in sorted(ranks):
+                nursery.start_soon(self._ask_rank, rank, progress, limiter)
+        return progress.plan() != before
+
+    def _get_pause(self, record: GroupRecord) -> float:
+        proposal = record.open_proposal
+        staging = proposal is not None and proposal.phase is Phase.STAGING
+        return self._times.stage_again_s if staging else self._times.ask_again_s
+
+    def _get_parallel(self, record: GroupRecord) -> int:
+        proposal = record.open_proposal
+        if proposal is not None and proposal.phase is Phase.STAGING:
+            return self._times.max_staging
+        return max(1, len(self._ranks))
+
+    async def _ask_rank(
+        self, rank: str, progress: SwitchProgress, limiter: trio.CapacityLimiter
+    ) -> None:
+        fence = progress.record.fence
+        body = format_order(self._group, fence)
+        proposal = progress.record.open_proposal
+        staging = proposal is not None and proposal.phase is Phase.STAGING
+        limit_s = self._times.stage_limit_s if staging else self._times.arm_limit_s
+        async with limiter:
+            try:
+                # An agent whose connection fell silent must not hold up the others.
+                with trio.move_on_after(limit_s):
+                    answer = await self._caller.ask(rank, MAP_ORDER_TOPIC, body)
+                    progress.receive(parse_answer(answer, rank=rank))
+            except (PeerLost, MapSwitchError) as error:
+                log_event("debug", "map-rank-silent", rank=rank, why=error)
+
+    def _find_end(self, record: GroupRecord, fence: int) -> Phase | None:
+        if any(one.fence == fence for one in record.switches):
+            return Phase.DECIDED
+        return Phase.ABORTED if fence else None
+
+    def _count(self, event: str, record: GroupRecord) -> None:
+        proposal = record.proposal
+        assert proposal is not None
+        self._metrics.count_event(f"map-move-{event}")
+        log_event(
+            "info",
+            f"map-move-{event}",
+            group=self._group,
+            map=proposal.name,
+            step=proposal.step,
+            why=proposal.why or "-",
+        )
+
+
+class MapDuty:
+    """Weigh and carry out the moves of one group.
+
+    The lease keeps others from weighing the same move; it is taken for a move only, so
+    that a quiet group costs the service nothing. Nothing is unsafe without it.
+    """
+
+    def __init__(
+        self,
+        *,
+        holder: str,
+        store: KeyValueStore,
+        switch_store: MapSwitchStore,
+        switcher: MapSwitcher,
+        rebalancer: Rebalancer,
+        times: SwitchTimes | None = None,
+    ) -> None:
+        self._holder = holder
+        self._store = store
+        self._switch_store = switch_store
+        self._switcher = switcher
+        self._rebalancer = rebalancer
+        self._times = times or SwitchTimes()
+
+    async def consider(
+        self, loads: tuple[float, ...], rules: MoveRules, *, now: float, hour: int
+    ) -> Phase | None:
+        """Move the experts if that is worth its cost; return how the move ended."""
+        weighed = self._rebalancer.choose_move(loads, rules, now=now, hour=hour)
+        if weighed is None:
+            return None
+        self._rebalancer.begin()
+        used = self._rebalancer.current
+        try:
+            ended = await self._move_under_lease(weighed.map, weighed.bytes_moved)
+            used = weighed.map if ended is Phase.DECIDED else used
+        except KeyValueError as error:
+            log_event("warning", "map-move-put-off", why=error)
+            ended = None
+        finally:
+            self._rebalancer.end(used, now=now)
+        return ended
+
+    async def _move_under_lease(
+        self, expert_map: ExpertMap, weights_bytes: int
+    ) -> Phase | None:
+        lease = NO_LEASE
+        try:
+            lease = await self._store.grant_lease(self._times.lease_s)
+            if not await self._switch_store.take_duty(self._holder, lease):
+                return None
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._keep_lease, lease)
+                ended = await self._move(expert_map, weights_bytes)
+                nursery.cancel_scope.cancel()
+            return ended
+        finally:
+            await self._release(lease)
+
+    async def _move(self, expert_map: ExpertMap, weights_bytes: int) -> Phase | None:
+        record = (await self._switch_store.read()).record
+        if record.open_proposal is not None:
+            # A coordinator that died has left it; the ranks may be waiting for its end.
+            await self._switcher.finish()
+            return None
+        name = f"map-{record.fence + 1}"
+        return await self._switcher.move(name, expert_map, weights_bytes=weights_bytes)
+
+    async def _keep_lease(self, lease: int) -> None:
+        while True:
+            await trio.sleep(self._times.lease_s / 3)
+            try:
+                await self._store.keep_lease(lease)
+            except KeyValueError as error:
+                log_event("debug", "map-lease-not-kept", why=error)
+
+    async def _release(self, lease: int) -> None:
+        try:
+            await self._switch_store.release_duty(lease)
+        except HyssopvaneError as error:
+            # It lapses by itself.
+            log_event("debug", "map-lease-not-released", why=error)
