--- /dev/null
+++ b/tests/unit/test_map_switch_store.py
@@ -0,0 +1,316 @@
+"""Test a group's record in the key-value service, with the service's faults."""
+
+from random import Random
+
+import pytest
+import trio
+import trio.testing
+
+from hyssopvane._internal.coordination.map_switch import MapSwitchStore
+from hyssopvane._internal.exceptions import KeyValueUnavailable
+from hyssopvane._internal.policy.expert_maps import spread_evenly
+from hyssopvane._internal.roles.map_agent import ABORT_AFTER_S, EngineRank, MapAgent
+from hyssopvane._internal.roles.map_duty import MapSwitcher, RankCaller
+from hyssopvane._internal.standins.expert_rank import ExpertRank
+from hyssopvane._internal.standins.key_value_state import KeyValueState
+from hyssopvane._internal.state.map_switch import Phase
+from hyssopvane._internal.utils.metrics import Metrics
+from tests.lib.fake_key_value import FakeKeyValueStore, Fault
+from tests.lib.map_model import RANKS, EnginePort
+
+MAP = spread_evenly(ranks=3, experts=12)
+
+
+class World:
+    """Hold a service, three engines with their agents, and coordinators."""
+
+    def __init__(self, nursery, names=RANKS):
+        self.nursery = nursery
+        self.names = names
+        self.fakes = {}
+        self.state = KeyValueState(trio.current_time)
+        self.faults = {}
+        self.metrics = Metrics(role="test", vm="test")
+        self.caller = AgentCaller(self)
+        self.ranks = {name: ModelRank() for name in names}
+        self.agents = {
+            name: MapAgent(
+                rank=name,
+                group="group-1",
+                engine=self.ranks[name],
+                store=self.open_store(name),
+                metrics=self.metrics,
+                random=Random(name),
+            )
+            for name in names
+        }
+
+    def open_store(self, user):
+        """Return a store whose next faults are listed under the user's name."""
+        faults = self.faults.setdefault(user, [])
+        fake = self.fakes[user] = FakeKeyValueStore(
+            self.state,
+            self.nursery,
+            choose_fault=lambda: faults.pop(0) if faults else Fault.NONE,
+        )
+        return MapSwitchStore(fake, service="draft", group="group-1")
+
+    def make_switcher(self, user):
+        return MapSwitcher(
+            group="group-1",
+            ranks=frozenset(self.names),
+            store=self.open_store(user),
+            caller=self.caller,
+            metrics=self.metrics,
+        )
+
+    def start_engines(self):
+        for rank in self.ranks.values():
+            self.nursery.start_soon(rank.run)
+
+    def start_agents(self):
+        for agent in self.agents.values():
+            self.nursery.start_soon(agent.run)
+
+    async def wait_for_map(self, name):
+        with trio.fail_after(600):
+            while {rank.get_map() for rank in self.ranks.values()} != {name}:
+                await trio.sleep(0.1)
+
+
+class ModelRank(EngineRank):
+    """Carry orders to an engine in the same process."""
+
+    def __init__(self):
+        self.port = EnginePort(ExpertRank("initial", checks_fence=False))
+
+    async def run(self):
+        while True:
+            await trio.sleep(0.0045)
+            self.port.rank.advance_step()
+
+    def get_map(self):
+        return "" if self.port.rank.armed else self.port.rank.map
+
+    async def get_view(self):
+        await trio.lowlevel.checkpoint()
+        return self.port.get_view()
+
+    async def send(self, order):
+        await trio.lowlevel.checkpoint()
+        return self.port.carry_out(order) or ""
+
+
+class AgentCaller(RankCaller):
+    """Ask agents in the same process."""
+
+    def __init__(self, world):
+        self._world = world
+        self.messages = 0
+        self.bytes = 0
+
+    async def ask(self, vm, topic, body):
+        answer = await self._world.agents[vm].answer_order(None, body)
+        self.messages += 2
+        self.bytes += len(body) + len(answer)
+        return answer
+
+
+def run_world(run):
+    """Run a scenario on a clock that skips the waiting."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            await run(World(nursery))
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize(
+    "fault", [Fault.NONE, Fault.LOST_REPLY, Fault.LOST_WRITE, Fault.LATE_WRITE]
+)
+@pytest.mark.parametrize("write", range(3))
+def test_lost_answer_is_read_back(fault, write):
+    """Lose the answer to each write of a switch, carried out or not.
+
+    A coordinator that took the loss for a failure would leave the group armed, and all
+    its ranks would wait.
+    """
+
+    async def run(world):
+        store = world.open_store("coordinator")
+        faults = world.faults["coordinator"]
+        for index, change in enumerate(
+            (
+                lambda: store.propose("a", MAP),
+                lambda: store.fix_step(1, 50),
+                lambda: store.decide(1),
+            )
+        ):
+            if index == write:
+                # A proposal reads the maps first.
+                faults += [Fault.NONE, fault] if index == 0 else [fault]
+            assert await change() is not None
+        read = (await world.open_store("other").read()).record
+        assert [one.name for one in read.switches] == ["initial", "a.1"]
+
+    run_world(run)
+
+
+@pytest.mark.parametrize("first", ["decide", "abort"])
+def test_first_of_two_writers_wins(first):
+    """Let a coordinator that was paused decide what another has aborted, and reverse.
+
+    If both counted, some ranks would switch and others would not.
+    """
+
+    async def run(world):
+        one, two = world.open_store("one"), world.open_store("two")
+        await one.propose("a", MAP)
+        await one.fix_step(1, 50)
+        await two.read()
+        if first == "decide":
+            assert await one.decide(1) is not None
+            assert await two.abort(1, "late") is None
+        else:
+            assert await one.abort(1, "first") is not None
+            assert await two.decide(1) is None
+        phase = Phase.DECIDED if first == "decide" else Phase.ABORTED
+        assert (await one.read()).record.proposal.phase is phase
+        assert two.known.record.proposal.phase is phase
+
+    run_world(run)
+
+
+def test_restarted_rank_sees_through_an_old_read():
+    """Show a restarted rank an old record that hides the open proposal.
+
+    It would start on the old map and run past the armed step, while the others switch.
+    """
+
+    async def run(world):
+        one, restarted = world.open_store("one"), world.open_store("restarted")
+        await restarted.read()
+        await one.propose("a", MAP)
+        await one.fix_step(1, 50)
+        confirmed = await restarted.confirm_for_restart()
+        assert confirmed.record.proposal.phase is Phase.ABORTED
+        assert await one.decide(1) is None
+
+    run_world(run)
+
+
+def test_maps_that_nobody_uses_are_deleted():
+    async def run(world):
+        store = world.open_store("one")
+        for fence in range(1, 6):
+            await store.propose(f"map-{fence}", MAP)
+            await store.fix_step(fence, fence * 10)
+            await store.decide(fence)
+        assert await store.read_map("map-5.5") == MAP
+        assert await store.read_map("map-4.4") == MAP
+        assert await store.read_map("map-1.1") is None
+
+    run_world(run)
+
+
+def test_switch_of_a_large_group_needs_few_messages():
+    """Switch 64 ranks without a fault and count what it takes.
+
+    Calls that grew with the square of the ranks would use up the service's rate when
+    several groups switch at one time.
+    """
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            world = World(nursery, tuple(f"rank-{index:02d}" for index in range(64)))
+            world.start_engines()
+            ended = await world.make_switcher("coordinator").move("a", MAP)
+            assert ended is Phase.DECIDED
+            await world.wait_for_map("a.1")
+            calls = sum(fake.calls for fake in world.fakes.values())
+            record = world.state.get_range(b"maps/draft/group-1/switch")[0]
+            print(calls, world.caller.messages, world.caller.bytes, len(record.value))
+            # Staging, arming and the decision: one question to each rank for each, and
+            # one read of the service by each agent that is asked.
+            assert world.caller.messages <= 3 * 2 * 64
+            assert calls <= 3 * 64 + 10
+            assert world.caller.bytes <= 64 * 1024
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_group_switches_and_counts_it():
+    async def run(world):
+        world.start_engines()
+        ended = await world.make_switcher("coordinator").move("a", MAP)
+        assert ended is Phase.DECIDED
+        await world.wait_for_map("a.1")
+        rendered = world.metrics.render().decode()
+        assert 'event="map-move-started"' in rendered
+        assert 'event="map-move-decided"' in rendered
+
+    run_world(run)
+
+
+def test_waiting_ranks_abort_without_a_coordinator():
+    """Lose the coordinator for good after it has armed all ranks.
+
+    The group stands still at the armed step until one agent writes the abort.
+    """
+
+    async def run(world):
+        world.start_engines()
+        with trio.move_on_after(5):
+            switcher = world.make_switcher("coordinator")
+            store = switcher._store
+
+            async def decide(fence):
+                await trio.sleep_forever()
+
+            store.decide = decide
+            await switcher.move("a", MAP)
+        assert all(one.port.rank.armed for one in world.ranks.values())
+        world.start_agents()
+        await trio.sleep(ABORT_AFTER_S + 5)
+        record = (await world.open_store("other").read()).record
+        assert record.proposal.phase is Phase.ABORTED
+        assert "waited too long" in record.proposal.why
+        await world.wait_for_map("initial")
+        assert 'event="map-waiting"' in world.metrics.render().decode()
+
+    run_world(run)
+
+
+def test_nothing_is_armed_while_the_service_is_out():
+    """Take the service away from the agents after the step was fixed.
+
+    A rank armed now would wait for a decision that nobody can write or read.
+    """
+
+    async def run(world):
+        store = world.open_store("coordinator")
+        switcher = world.make_switcher("coordinator")
+        await store.propose("a", MAP)
+        await store.fix_step(1, 50)
+        for name in RANKS:
+            world.faults[name] += [Fault.DOWN] * 1000
+        with trio.move_on_after(2):
+            await switcher.finish()
+        assert not any(one.port.rank.armed for one in world.ranks.values())
+        refused = 'event="map-order-refused-no-service"'
+        assert refused in world.metrics.render().decode()
+
+    run_world(run)
+
+
+def test_outage_of_the_service_is_told_to_the_coordinator():
+    async def run(world):
+        store = world.open_store("coordinator")
+        world.faults["coordinator"] += [Fault.DOWN] * 10
+        with pytest.raises(KeyValueUnavailable):
+            await store.propose("a", MAP)
+
+    run_world(run)
