--- a/tests/unit/test_map_switch_store.py
+++ b/tests/unit/test_map_switch_store.py
@@ -9,8 +9,13 @@
 from hyssopvane._internal.coordination.map_switch import MapSwitchStore
 from hyssopvane._internal.exceptions import KeyValueUnavailable
 from hyssopvane._internal.policy.expert_maps import spread_evenly
+from hyssopvane._internal.policy.rebalancing import (
+    GroupCosts,
+    MoveRules,
+    Rebalancer,
+)
 from hyssopvane._internal.roles.map_agent import ABORT_AFTER_S, EngineRank, MapAgent
-from hyssopvane._internal.roles.map_duty import MapSwitcher, RankCaller
+from hyssopvane._internal.roles.map_duty import MapDuty, MapSwitcher, RankCaller
 from hyssopvane._internal.standins.expert_rank import ExpertRank
 from hyssopvane._internal.standins.key_value_state import KeyValueState
 from hyssopvane._internal.state.map_switch import Phase
@@ -19,6 +24,17 @@
 from tests.lib.map_model import RANKS, EnginePort
 
 MAP = spread_evenly(ranks=3, experts=12)
+COSTS = GroupCosts(
+    slots=6,
+    bytes_per_expert=300_000_000,
+    store_bytes_per_s=1e9,
+    base_step_s=0.0045,
+    s_per_token=0.00001,
+)
+HOT = (900.0, *([50.0] * 11))
+EVEN = (100.0,) * 12
+RULES = MoveRules(skew_worth=10.0, move_cost=1.0)
+DUTY_KEY = b"maps/draft/group-1/duty"
 
 
 class World:
@@ -55,15 +71,32 @@
         )
         return MapSwitchStore(fake, service="draft", group="group-1")
 
-    def make_switcher(self, user):
+    def make_switcher(self, user, store=None):
         return MapSwitcher(
             group="group-1",
             ranks=frozenset(self.names),
-            store=self.open_store(user),
+            store=store or self.open_store(user),
             caller=self.caller,
             metrics=self.metrics,
         )
 
+    async def make_lease(self, holder):
+        """Take the duty and return its lease."""
+        store = self.open_store(holder)
+        lease = await self.fakes[holder].grant_lease(30)
+        assert await store.take_duty(holder, lease)
+        return lease
+
+    def make_duty(self, holder):
+        store = self.open_store(holder)
+        return MapDuty(
+            holder=holder,
+            store=self.fakes[holder],
+            switch_store=store,
+            switcher=self.make_switcher(holder, store),
+            rebalancer=Rebalancer(COSTS, MAP),
+        )
+
     def start_engines(self):
         for rank in self.ranks.values():
             self.nursery.start_soon(rank.run)
@@ -215,6 +248,53 @@
     run_world(run)
 
 
+@pytest.mark.parametrize(
+    ("loads", "used"), [(HOT, "map-1.1"), (EVEN, "initial")], ids=["hot", "even"]
+)
+def test_duty_moves_experts_when_that_is_worth_it(loads, used):
+    async def run(world):
+        world.start_engines()
+        duty = world.make_duty("entry-1")
+        ended = await duty.consider(loads, RULES, now=0.0, hour=0)
+        assert ended is (None if used == "initial" else Phase.DECIDED)
+        await world.wait_for_map(used)
+        # The lease and its key are given back with the end of the move.
+        assert world.state.get_range(DUTY_KEY) == []
+
+    run_world(run)
+
+
+def test_second_duty_leaves_the_move_to_the_first():
+    async def run(world):
+        world.start_engines()
+        lease = await world.make_lease("entry-1")
+        duty = world.make_duty("entry-2")
+        assert await duty.consider(HOT, RULES, now=0.0, hour=0) is None
+        assert world.state.get_range(DUTY_KEY)[0].lease == lease
+        record = (await world.open_store("other").read()).record
+        assert record.proposal is None
+
+    run_world(run)
+
+
+def test_duty_finishes_what_a_dead_coordinator_left():
+    """Let a coordinator die after its proposal, and its lease lapse.
+
+    The proposal would stay open, hold the ranks' memory and keep every later move out.
+    """
+
+    async def run(world):
+        world.start_engines()
+        await world.make_lease("entry-1")
+        await world.open_store("entry-1").propose("a", MAP)
+        duty = world.make_duty("entry-2")
+        await trio.sleep(31)
+        assert await duty.consider(HOT, RULES, now=0.0, hour=0) is None
+        await world.wait_for_map("a.1")
+
+    run_world(run)
+
+
 def test_switch_of_a_large_group_needs_few_messages():
     """Switch 64 ranks without a fault and count what it takes.
 
