--- a/src/hyssopvane/_internal/coordination/spread.py
+++ b/src/hyssopvane/_internal/coordination/spread.py
@@ -103,7 +103,11 @@
         random: Random,
         observe: Callable[[Table], None],
         report: ErrorReport = ignore_error,
+        get_vms_digest: Callable[[], int] = lambda: 0,
+        compare_vms: Callable[[int], None] = lambda digest: None,
     ) -> None:
+        self._get_vms_digest = get_vms_digest
+        self._compare_vms = compare_vms
         self._neighbours = neighbours
         self._own_vm = own_vm
         self._incarnation = incarnation
@@ -219,10 +223,11 @@
             self.table.revision,
             self.reader.digest,
             in_touch=heard_s <= self.reader.refresh_s + BEAT_S,
+            vms_digest=self._get_vms_digest(),
         )
 
     def _tell_all(self, beat: Beat) -> None:
-        self._notify_receivers(BEAT_TOPIC, encode_beat(beat))
+        self.tell_receivers(BEAT_TOPIC, encode_beat(beat))
 
     def receive_beat(self, vm: str, body: bytes) -> None:
         """Take note that a watcher lives; pass it on in its own zone."""
@@ -239,9 +244,15 @@
         self._last_beats[beat.origin] = (beat.incarnation, beat.sequence)
         if beat.origin not in self._duties.members:
             return
+        self._compare_vms(beat.vms_digest)
         if beat.in_touch:
             self._heard_watcher_at = trio.current_time()
-        own = replace(beat, revision=self.table.revision, digest=self.reader.digest)
+        own = replace(
+            beat,
+            revision=self.table.revision,
+            digest=self.reader.digest,
+            vms_digest=self._get_vms_digest(),
+        )
         self._tell_all(own)
 
     def receive_pages(self, vm: str, body: bytes) -> None:
@@ -335,11 +346,12 @@
     def _pass_on(self, steps: Sequence[PageStep]) -> None:
         changes = tuple(make_change(step.before, step.after) for step in steps)
         for message in _split(changes):
-            self._notify_receivers(PAGES_TOPIC, encode_pages(Pages(message)))
+            self.tell_receivers(PAGES_TOPIC, encode_pages(Pages(message)))
         if self._started:
             self._observe(self.table)
 
-    def _notify_receivers(self, topic: str, body: bytes) -> None:
+    def tell_receivers(self, topic: str, body: bytes) -> None:
+        """Send a notice to the entries that this one passes news on to."""
         if self._nursery is not None:
             for vm in self._duties.receivers:
                 self._nursery.start_soon(self._notify, vm, topic, body)
--- a/src/hyssopvane/_internal/coordination/spread_messages.py
+++ b/src/hyssopvane/_internal/coordination/spread_messages.py
@@ -7,6 +7,7 @@
 
 from hyssopvane._internal import protocol
 from hyssopvane._internal.coordination.page_delta import PageChange
+from hyssopvane._internal.coordination.vm_list import VmRecord, VmRole, VmState
 from hyssopvane._internal.exceptions import ProtocolError
 from hyssopvane._internal.protocol.codec import load_schema
 
@@ -33,6 +34,16 @@
     digest: int
     in_touch: bool
     """Whether the watcher is in touch with the service."""
+    vms_digest: int = 0
+    """Hash of the sender's list of VMs."""
+
+
+@dataclass(frozen=True, slots=True)
+class VmChanges:
+    """Hold what is new in the list of VMs."""
+
+    changed: tuple[VmRecord, ...]
+    gone: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +124,7 @@
         revision=beat.revision,
         digest=beat.digest,
         inTouch=beat.in_touch,
+        vmsDigest=beat.vms_digest,
     )
     return _pack(message)
 
@@ -129,10 +141,48 @@
             one.revision,
             one.digest,
             one.inTouch,
+            one.vmsDigest,
+        ),
+    )
+
+
+def encode_vm_changes(changes: VmChanges) -> bytes:
+    """Encode what is new in the list of VMs."""
+    message = load_schema(_SCHEMA_FILE).VmChanges.new_message()
+    message.gone = list(changes.gone)
+    builders = message.init("changed", len(changes.changed))
+    for builder, record in zip(builders, changes.changed, strict=True):
+        builder.name = record.name
+        builder.address = record.address
+        builder.availabilityZone = record.availability_zone
+        builder.role = str(record.role)
+        builder.service = record.service
+        builder.state = str(record.state)
+    return _pack(message)
+
+
+def decode_vm_changes(data: bytes) -> VmChanges:
+    """Decode what is new in the list of VMs; raise `ProtocolError`."""
+    return _unpack(
+        "VmChanges",
+        data,
+        lambda message: VmChanges(
+            tuple(_read_vm(one) for one in message.changed), tuple(message.gone)
         ),
     )
 
 
+def _read_vm(one: Any) -> VmRecord:
+    return VmRecord(
+        one.name,
+        one.address,
+        one.availabilityZone,
+        VmRole(one.role),
+        one.service,
+        VmState(one.state),
+    )
+
+
 def encode_own_rows(rows: OwnRows) -> bytes:
     """Encode the rows that concern one agent."""
     message = load_schema(_SCHEMA_FILE).OwnRows.new_message()
--- a/src/hyssopvane/_internal/protocol/spread.capnp
+++ b/src/hyssopvane/_internal/protocol/spread.capnp
@@ -34,6 +34,7 @@
   digest @4 :UInt64;
   # Revision and digest are the sender's own.
   inTouch @5 :Bool;
+  vmsDigest @6 :UInt64;
 }
 
 struct Cell {
@@ -52,3 +53,17 @@
   tableRevision @0 :UInt64;
   rows @1 :List(OwnRow);
 }
+
+struct ListedVm {
+  name @0 :Text;
+  address @1 :Text;
+  availabilityZone @2 :Text;
+  role @3 :Text;
+  service @4 :Text;
+  state @5 :Text;
+}
+
+struct VmChanges {
+  changed @0 :List(ListedVm);
+  gone @1 :List(Text);
+}
--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -13,7 +13,6 @@
     VmRecord,
     VmRole,
     VmState,
-    fetch_vms,
 )
 from hyssopvane._internal.exceptions import HyssopvaneError
 from hyssopvane._internal.models.settings import EntrySettings
@@ -57,7 +56,6 @@
 )
 from hyssopvane._internal.utils.logs import log_event
 
-_VM_LIST_INTERVAL_S = 1.0
 # A connection to another entry costs heartbeats both ways, and most are used seldom.
 _IDLE_LINK_S = 30.0
 _SETTLE_INTERVAL_S = 0.05
@@ -87,6 +85,7 @@
         self.scheduler = Scheduler(
             random=self._random, availability_zone=settings.availability_zone
         )
+        self._nursery: trio.Nursery | None = None
         self._listed_leaving: frozenset[str] = frozenset()
         self._subset = SubsetMap(Member(settings.vm, settings.availability_zone))
         self._quarantine = QuarantineShare(
@@ -120,6 +119,8 @@
             incarnation=self.incarnation,
             random=self._random,
             observe=self._put_in_force,
+            vm_list=settings.vm_list,
+            observe_vms=self._use_vms,
         )
         self._read_back = ReadBack(
             self,
@@ -154,9 +155,9 @@
             self.links.start(nursery)
             self.claims.start(nursery)
             self.peers_address = await nursery.start(self._serve_peers)
+            self._nursery = nursery
             self.sharing.start(nursery)
             nursery.start_soon(self._quarantine.run)
-            nursery.start_soon(self._follow_vms, nursery)
             nursery.start_soon(
                 partial(self.dispatcher.watch_deadlines, interval_s=_SETTLE_INTERVAL_S)
             )
@@ -327,20 +328,12 @@
         self._source.directory = Directory(table)
         self.scheduler.update_table(table, now=trio.current_time())
 
-    async def _follow_vms(self, nursery: trio.Nursery) -> None:
-        while True:
-            try:
-                records = await fetch_vms(self.settings.vm_list)
-            except HyssopvaneError as error:
-                # The platform's list may be out for long; the last one stays in use.
-                log_event("warning", "vm-list-unavailable", why=error)
-            else:
-                self._pool.update(self._select_agents(records), nursery)
-                self.links.update(_select_entries(records, own_vm=self.settings.vm))
-                self.sharing.update_vms(records)
-                self._read_back.update_vms(records)
-                self._note_leaving(records)
-            await trio.sleep(_VM_LIST_INTERVAL_S)
+    def _use_vms(self, records: tuple[VmRecord, ...]) -> None:
+        assert self._nursery is not None
+        self._pool.update(self._select_agents(records), self._nursery)
+        self.links.update(_select_entries(records, own_vm=self.settings.vm))
+        self._read_back.update_vms(records)
+        self._note_leaving(records)
 
     def _select_agents(self, records: tuple[VmRecord, ...]) -> frozenset[PeerAddress]:
         """Return the agents that this entry connects to."""
--- a/src/hyssopvane/_internal/roles/table_sharing.py
+++ b/src/hyssopvane/_internal/roles/table_sharing.py
@@ -1,6 +1,7 @@
 """Wire the table's fan-out into the connections of an entry."""
 
 from collections.abc import Callable, Mapping
+from functools import partial
 from random import Random
 
 import trio
@@ -14,7 +15,8 @@
     TableSpread,
 )
 from hyssopvane._internal.coordination.spread_messages import OwnRow, encode_own_rows
-from hyssopvane._internal.coordination.vm_list import VmRecord, VmRole
+from hyssopvane._internal.coordination.vm_list import VmRecord, VmRole, fetch_vms
+from hyssopvane._internal.coordination.vm_spread import VM_CHANGES_TOPIC, VmSpread
 from hyssopvane._internal.exceptions import HyssopvaneError
 from hyssopvane._internal.protocol.messages import Heartbeat
 from hyssopvane._internal.roles.entry_links import EntryLinks
@@ -42,7 +44,10 @@
         incarnation: int,
         random: Random,
         observe: Callable[[Table], None],
+        vm_list: str,
+        observe_vms: Callable[[tuple[VmRecord, ...]], None],
     ) -> None:
+        self._observe_vms = observe_vms
         self._pool = pool
         self._observe = observe
         self._services: dict[str, str] = {}
@@ -55,7 +60,18 @@
             random=random,
             observe=self._put_in_force,
             report=_log_error,
+            get_vms_digest=lambda: self._vms.digest,
+            compare_vms=lambda digest: self._vms.compare(digest),
         )
+        self._vms = VmSpread(
+            partial(fetch_vms, vm_list),
+            random=random,
+            watches=lambda: self.spread.watches,
+            send=self.spread.tell_receivers,
+            observe=self._update_vms,
+            report=_log_vms_error,
+        )
+        topics.add_notice(VM_CHANGES_TOPIC, self._receive_vm_changes)
         pages["/table"] = self._show_table
         topics.add_notice(PAGES_TOPIC, self._receive_pages)
         topics.add_notice(BEAT_TOPIC, self._receive_beat)
@@ -64,9 +80,11 @@
     def start(self, nursery: trio.Nursery) -> None:
         """Follow the table in a nursery."""
         nursery.start_soon(self.spread.run)
+        nursery.start_soon(self._vms.run)
 
-    def update_vms(self, records: tuple[VmRecord, ...]) -> None:
-        """Learn the live entries."""
+    def _update_vms(self, records: tuple[VmRecord, ...]) -> None:
+        # The addresses come first: the duties may have something to tell at once.
+        self._observe_vms(records)
         self.spread.update_entries(
             {
                 record.name: record.availability_zone
@@ -125,6 +143,9 @@
         if peer.peer is not None:
             self.spread.receive_beat(peer.peer.vm, body)
 
+    def _receive_vm_changes(self, peer: PeerConnection, body: bytes) -> None:
+        self._vms.receive_changes(body)
+
     async def _answer_question(self, peer: PeerConnection, body: bytes) -> bytes:
         return await self.spread.answer_question(body)
 
@@ -140,5 +161,9 @@
     return [row.cells for row in told] != [row.cells for row in rows]
 
 
+def _log_vms_error(error: HyssopvaneError) -> None:
+    log_event("warning", "vm-list-unavailable", why=error)
+
+
 def _log_error(error: HyssopvaneError) -> None:
     log_event("warning", "table-not-followed", why=error)
