--- a/src/hyssopvane/_internal/roles/agent.py
+++ b/src/hyssopvane/_internal/roles/agent.py
@@ -38,6 +38,11 @@
 from hyssopvane._internal.transport.target_client import TargetClient
 from hyssopvane._internal.utils.logs import log_event
 
+LISTED_TOPIC = "vms/listed"
+"""Tells an agent whether the platform's list shows its VM as leaving."""
+LEAVING = b"leaving"
+STAYING = b"staying"
+
 
 class Agent(OperatedProcess, PeerHandler):
     """Serve the entries that send work to one target."""
@@ -62,6 +67,10 @@
         self.topics = TopicRouter()
         self.rows = HeldRows(vm=settings.vm, service=settings.service)
         self._tellers: WeakSet[PeerConnection] = WeakSet()
+        # What an entry said counts as long as its connection: one that died with an
+        # old list must not keep the target out for ever.
+        self._listed_leaving: set[PeerConnection] = set()
+        self.topics.add_notice(LISTED_TOPIC, self._receive_listed)
         add_explain_topic(self.topics, self)
         self.topics.add_notice(OWN_ROWS_TOPIC, self._receive_rows)
 
@@ -106,12 +115,20 @@
 
     @property
     def refuses_work(self) -> bool:
-        """Tell whether new work is refused: at a shutdown, or by the operators' table.
+        """Tell whether new work is refused: at a shutdown, by the table or the list.
 
         The agent refuses by itself, since an entry whose table or list of VMs is old
         still sends it work; such a request then costs one hop and no answer.
         """
-        return self.leaving or not self.rows.takes_work
+        self._listed_leaving &= self._connections
+        listed = bool(self._listed_leaving)
+        return self.leaving or listed or not self.rows.takes_work
+
+    def _receive_listed(self, peer: PeerConnection, body: bytes) -> None:
+        if body == LEAVING:
+            self._listed_leaving.add(peer)
+        else:
+            self._listed_leaving.discard(peer)
 
     def describe(self) -> dict[str, object]:
         """Return what is in force here."""
--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -24,6 +24,7 @@
     Hello,
     Open,
 )
+from hyssopvane._internal.roles.agent import LEAVING, LISTED_TOPIC, STAYING
 from hyssopvane._internal.roles.caller_app import (
     CallerApp,
     CallerLimits,
@@ -252,6 +253,8 @@
             )
         )
         self.sharing.connect_agent(hello.vm, hello.service)
+        if hello.vm in self._listed_leaving:
+            self._tell_leaving(hello.vm)
         self.dispatcher.settle()
 
     def disconnect_peer(self, vm: str) -> None:
@@ -271,13 +274,22 @@
     def _note_leaving(self, records: tuple[VmRecord, ...]) -> None:
         # The platform may announce a leaving VM long before its agent is told to
         # stop. The next heartbeat says the same again, or that it has come back.
+        before = self._listed_leaving
         self._listed_leaving = frozenset(
             record.name for record in records if record.state is VmState.LEAVING
         )
-        for vm in self._listed_leaving:
-            connection = self._pool.get_connection(vm)
-            if connection is not None and connection.last_heartbeat is not None:
-                self.observe_heartbeat(vm, connection.last_heartbeat)
+        for vm in before ^ self._listed_leaving:
+            self._tell_leaving(vm)
+
+    def _tell_leaving(self, vm: str) -> None:
+        # Entries with an older list go on to send work there; the agent refuses it.
+        connection = self._pool.get_connection(vm)
+        if connection is None:
+            return
+        word = LEAVING if vm in self._listed_leaving else STAYING
+        connection.notify(LISTED_TOPIC, word)
+        if connection.last_heartbeat is not None:
+            self.observe_heartbeat(vm, connection.last_heartbeat)
 
     def _make_hello(self) -> Hello:
         return Hello(
