--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,7 @@
     "load": Measurement("bench.load", "outcomes for callers at 1x, 2x, 5x of capacity"),
     "decisions": Measurement("bench.decisions", "cost of one decision by size"),
     "placement": Measurement("bench.placement", "placement against plain baselines"),
+    "spread": Measurement("bench.spread", "an accepted edit until it is in force"),
     "subsets": Measurement("bench.subsets", "evenness and disturbance of subsets"),
     "poison": Measurement("bench.poison", "targets that one body can crash"),
     "detectors": Measurement("bench.detectors", "failure detectors on equal traces"),
--- a/tests/lib/fake_fleet.py
+++ b/tests/lib/fake_fleet.py
@@ -35,7 +35,7 @@
     stale: bool = False
     notices_lost: bool = False
     in_force: dict[str, int] = field(default_factory=dict)
-    tables_seen: int = 0
+    first_in_force: dict[str, int] | None = None
 
 
 class FakeLinks(Neighbours):
@@ -75,11 +75,19 @@
         self._nursery = nursery
         self._seed = seed
         self._started = 0
+        self._stale_state: KeyValueState | None = None
+
+    def keep_stale(self) -> None:
+        """Keep the state of now for the stale reads of entries started later."""
+        self._stale_state = self.state.copy_items()
 
     def make_store(self, member: Member | None = None) -> FakeKeyValueStore:
         """Return a store that has the faults of the service and of one member."""
         return FakeKeyValueStore(
-            self.state, self._nursery, choose_fault=partial(self._choose_fault, member)
+            self.state,
+            self._nursery,
+            choose_fault=partial(self._choose_fault, member),
+            older=self._stale_state,
         )
 
     def start(self, zone: str = ZONES[0], *, stale: bool = False) -> Member:
@@ -132,7 +140,8 @@
         for key, revision in member.in_force.items():
             assert revisions[key] >= revision, f"{member.name} went back at {key}"
         member.in_force = revisions
-        member.tables_seen += 1
+        if member.first_in_force is None:
+            member.first_in_force = revisions
 
     def _choose_fault(self, member: Member | None) -> Fault:
         if self.down or (member is not None and member.cut):
--- a/tests/lib/fake_key_value.py
+++ b/tests/lib/fake_key_value.py
@@ -54,13 +54,14 @@
         *,
         choose_fault: Callable[[], Fault] = choose_no_fault,
         choose_delay: Callable[[], float] = lambda: 0.0,
+        older: KeyValueState | None = None,
     ) -> None:
         self.state = state
         self.calls = 0
         self._nursery = nursery
         self._choose_fault = choose_fault
         self._choose_delay = choose_delay
-        self._older = state.copy_items()
+        self._older = older or state.copy_items()
 
     async def start(self, nursery: trio.Nursery) -> None:
         pass
--- a/tests/unit/test_spread.py
+++ b/tests/unit/test_spread.py
@@ -111,6 +111,7 @@
         elif kind == "start":
             self.fleet.start(ZONES[number % 2], stale=number % 3 == 0)
         elif kind in {"cut", "stale", "notices_lost"}:
+            self.fleet.keep_stale()
             setattr(member, kind, not getattr(member, kind))
         elif kind == "list":
             self.fleet.list_vms()
@@ -240,15 +241,14 @@
     """
 
     async def scenario(fleet, scene):
-        fleet.start()
-        await trio.sleep(5)
-        lagging = fleet.start()
+        for _ in range(3):
+            fleet.start()
+        fleet.keep_stale()
+        await scene.edit()
         await trio.sleep(5)
-        fleet.kill(lagging)
         new = fleet.start(stale=True)
-        await scene.edit()
-        await trio.sleep(2)
-        assert new.in_force == fleet.get_committed()
+        await trio.sleep(5)
+        assert new.first_in_force == fleet.get_committed()
 
     run_fleet(scenario)
 
