--- a/src/hyssopvane/_internal/coordination/spread.py
+++ b/src/hyssopvane/_internal/coordination/spread.py
@@ -38,15 +38,18 @@
 from hyssopvane._internal.policy.watchers import Duties, plan_duties
 from hyssopvane._internal.state.table import Table
 
-# Control traffic at the target, for 25,000 changes a day (0.29 a second), 69 entries a
-# zone, a change of 260 bytes and a beat of 60, each with 110 bytes of frame, TCP and IP
-# and an acknowledgement of 52:
-#   watcher or inner entry  8 receivers * (0.29 * 422 + 0.5 * 2 * 222)   = 2.8 KB/s sent
-#   any entry               2 senders, the same each                     = 0.7 KB/s got
-#   agent                   its own rows only, a few a day; the revision
-#                           rides on heartbeats that are sent anyway     = 0
-# and its two pages' worth of whole pages after a gap, which is rare. A watcher gets the
-# changed page itself (9 KB, in base64 12 KB) from the service: 3.5 KB/s more.
+# Control traffic at the target: 25,000 changes a day are 0.29 a second, a zone has 69
+# entries. In bytes, as encoded: the changed row 312, a beat 144, a link's heartbeat 88;
+# each with 56 of frame, TCP and IP, the first two with an acknowledgement of 52.
+#   for each receiver    0.29 * 420 changes + 2 * 0.5 * 252 beats      = 0.37 KB/s
+#   for each link        2 * 144 heartbeats                            = 0.29 KB/s
+#   watcher              6 receivers, 8 links: 2.2 + 2.3               = 4.5 KB/s sent
+#   inner entry          4 receivers, 6 links: 1.5 + 1.7               = 3.2 KB/s sent
+#   other entry          2 senders, 2 links                            = 0.6 KB/s sent
+#   agent                own rows of 680 on the few days that they change; the revision
+#                        rides on heartbeats that are sent anyway      = 0
+# A watcher also gets each changed page from the service: 11 KB, in base64 15 KB, which
+# is 4.3 KB/s received. A page passed on whole would be 4.3 KB/s for each receiver.
 PAGES_TOPIC = "table/pages"
 QUESTION_TOPIC = "table/ask"
 BEAT_TOPIC = "table/beat"
@@ -103,7 +106,11 @@
         random: Random,
         observe: Callable[[Table], None],
         report: ErrorReport = ignore_error,
+        get_vms_digest: Callable[[], int] = lambda: 0,
+        compare_vms: Callable[[int], None] = lambda digest: None,
     ) -> None:
+        self._get_vms_digest = get_vms_digest
+        self._compare_vms = compare_vms
         self._neighbours = neighbours
         self._own_vm = own_vm
         self._incarnation = incarnation
@@ -219,10 +226,11 @@
             self.table.revision,
             self.reader.digest,
             in_touch=heard_s <= self.reader.refresh_s + BEAT_S,
+            vms_digest=self._get_vms_digest(),
         )
 
     def _tell_all(self, beat: Beat) -> None:
-        self._notify_receivers(BEAT_TOPIC, encode_beat(beat))
+        self.tell_receivers(BEAT_TOPIC, encode_beat(beat))
 
     def receive_beat(self, vm: str, body: bytes) -> None:
         """Take note that a watcher lives; pass it on in its own zone."""
@@ -239,9 +247,15 @@
         self._last_beats[beat.origin] = (beat.incarnation, beat.sequence)
         if beat.origin not in self._duties.members:
             return
+        self._compare_vms(beat.vms_digest)
         if beat.in_touch:
             self._heard_watcher_at = trio.current_time()
-        own = replace(beat, revision=self.table.revision, digest=self.reader.digest)
+        own = replace(
+            beat,
+            revision=self.table.revision,
+            digest=self.reader.digest,
+            vms_digest=self._get_vms_digest(),
+        )
         self._tell_all(own)
 
     def receive_pages(self, vm: str, body: bytes) -> None:
@@ -335,11 +349,12 @@
     def _pass_on(self, steps: Sequence[PageStep]) -> None:
         changes = tuple(make_change(step.before, step.after) for step in steps)
         for message in _split(changes):
-            self._notify_receivers(PAGES_TOPIC, encode_pages(Pages(message)))
+            self.tell_receivers(PAGES_TOPIC, encode_pages(Pages(message)))
         if self._started:
             self._observe(self.table)
 
-    def _notify_receivers(self, topic: str, body: bytes) -> None:
+    def tell_receivers(self, topic: str, body: bytes) -> None:
+        """Send a notice to the entries that this one passes news on to."""
         if self._nursery is not None:
             for vm in self._duties.receivers:
                 self._nursery.start_soon(self._notify, vm, topic, body)
