--- a/tests/functional/test_at_most_once.py
+++ b/tests/functional/test_at_most_once.py
@@ -132,6 +132,7 @@
         (make_key(age_s=700), 409, "unknown", "key-expired"),
         (make_key(age_s=-600), 400, "unknown", "key-from-future"),
     ],
+    ids=("missing", "no-uuid", "uuid4", "expired", "from-future"),
 )
 def test_bad_key_is_refused_and_never_runs(site, key, status, outcome, reason):
     answer = site.bid(key)
