--- a/tests/unit/test_docs.py
+++ b/tests/unit/test_docs.py
@@ -1,5 +1,6 @@
 """Test that the pages tell what the code has, and nothing else."""
 
+import ast
 import re
 from pathlib import Path
 
@@ -10,9 +11,11 @@
     AgentRefusal,
     RefusalReason,
 )
+from hyssopvane._internal.models.settings import AgentSettings, EntrySettings
 
+SOURCES = Path(__file__).parents[2] / "src"
 DOCS = Path(__file__).parents[2] / "docs"
-ROW = re.compile(r"^\| `([a-z-]+)` \|(.*)\|$", re.MULTILINE)
+ROW = re.compile(r"^\| `([a-z_-]+)` \|(.*)\|$", re.MULTILINE)
 
 
 def read_rows(page, heading):
@@ -44,3 +47,30 @@
     row = read_rows("refusals.md", "Told by an agent to an entry")[reason.value]
     proves = row.split("|")[-1].strip()
     assert proves == ("yes" if reason.proves_not_run else "no")
+
+
+def test_page_names_each_setting():
+    entry, agent = EntrySettings.model_fields.keys(), AgentSettings.model_fields.keys()
+    assert set(read_rows("settings.md", "Both roles")) == entry & agent
+    assert set(read_rows("settings.md", "Entry")) == entry - agent
+    assert set(read_rows("settings.md", "Agent")) == agent - entry
+
+
+def list_counted_events():
+    """Return the first words of each event that the sources count."""
+    for path in SOURCES.rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call) or not node.args:
+                continue
+            if getattr(node.func, "attr", "") != "count_event":
+                continue
+            event = node.args[0]
+            if isinstance(event, ast.JoinedStr):
+                event = event.values[0]
+            yield event.value
+
+
+@pytest.mark.parametrize("event", sorted(set(list_counted_events())))
+def test_page_names_each_event(event):
+    pages = (DOCS / "metrics.md").read_text() + (DOCS / "expert-maps.md").read_text()
+    assert f"`{event}" in pages
