--- a/src/hyssopvane/_internal/roles/agent.py
+++ b/src/hyssopvane/_internal/roles/agent.py
@@ -2,9 +2,14 @@
 
 import secrets
 import time
+from weakref import WeakSet
 
 import trio
 
+from hyssopvane._internal.coordination.etcd_key_value import EtcdKeyValueStore
+from hyssopvane._internal.coordination.own_rows import OWN_ROWS_TOPIC, HeldRows
+from hyssopvane._internal.coordination.spread_messages import decode_own_rows
+from hyssopvane._internal.exceptions import HyssopvaneError
 from hyssopvane._internal.models.refusals import AgentRefusal
 from hyssopvane._internal.models.settings import AgentSettings
 from hyssopvane._internal.protocol.messages import (
@@ -16,12 +21,14 @@
 )
 from hyssopvane._internal.roles.attempt import Attempt
 from hyssopvane._internal.roles.keyed_runs import KeyedRuns
+from hyssopvane._internal.roles.map_agent import MAP_ORDER_TOPIC, make_map_agent
 from hyssopvane._internal.roles.operators import (
     OperatedProcess,
     OperatorsApp,
     serve_operators,
 )
 from hyssopvane._internal.roles.peer_listener import serve_peers
+from hyssopvane._internal.roles.read_back import add_explain_topic
 from hyssopvane._internal.roles.topics import TopicRouter
 from hyssopvane._internal.state.attempts import AttemptRegister
 from hyssopvane._internal.transport.peer_connection import (
@@ -33,6 +40,11 @@
 from hyssopvane._internal.transport.target_client import TargetClient
 from hyssopvane._internal.utils.logs import log_event
 
+LISTED_TOPIC = "vms/listed"
+"""Tells an agent whether the platform's list shows its VM as leaving."""
+LEAVING = b"leaving"
+STAYING = b"staying"
+
 
 class Agent(OperatedProcess, PeerHandler):
     """Serve the entries that send work to one target."""
@@ -47,6 +59,7 @@
         self.entries_address = ""
         self.operators_address = ""
         self._target = TargetClient(settings.target)
+        self._store = EtcdKeyValueStore(address=settings.platform)
         self._running: dict[bytes, Attempt] = {}
         self._idle = trio.Event()
         self._register = AttemptRegister(self.incarnation)
@@ -56,6 +69,14 @@
         self._connections: set[PeerConnection] = set()
         self._stop_accepting = trio.Event()
         self.topics = TopicRouter()
+        self.rows = HeldRows(vm=settings.vm, service=settings.service)
+        self._tellers: WeakSet[PeerConnection] = WeakSet()
+        # What an entry said counts as long as its connection: one that died with an
+        # old list must not keep the target out for ever.
+        self._listed_leaving: set[PeerConnection] = set()
+        self.topics.add_notice(LISTED_TOPIC, self._receive_listed)
+        add_explain_topic(self.topics, self)
+        self.topics.add_notice(OWN_ROWS_TOPIC, self._receive_rows)
 
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -63,6 +84,8 @@
         """Listen for entries until cancelled."""
         async with trio.open_nursery() as nursery:
             self._keyed.start(nursery)
+            if self.settings.group:
+                await self._start_map_agent(nursery)
             self.operators_address = await nursery.start(
                 serve_operators, OperatorsApp(self), self.settings.operators
             )
@@ -78,6 +101,14 @@
             task_status.started()
             await trio.sleep_forever()
 
+    async def _start_map_agent(self, nursery: trio.Nursery) -> None:
+        await self._store.start(nursery)
+        map_agent = make_map_agent(
+            self.settings, target=self._target, store=self._store, metrics=self.metrics
+        )
+        self.topics.add_question(MAP_ORDER_TOPIC, map_agent.answer_order)
+        nursery.start_soon(map_agent.run)
+
     async def drain(self) -> None:
         """Refuse new work and wait until all work in progress has ended."""
         self.leaving = True
@@ -93,12 +124,30 @@
     async def close(self) -> None:
         """Release the connections to the target and the instruments."""
         await self._target.close()
+        await self._store.close()
         self.metrics.close()
 
     def is_ready(self) -> bool:
         """Tell whether the agent takes new work."""
         return not self.leaving
 
+    @property
+    def refuses_work(self) -> bool:
+        """Tell whether new work is refused: at a shutdown, by the table or the list.
+
+        The agent refuses by itself, since an entry whose table or list of VMs is old
+        still sends it work; such a request then costs one hop and no answer.
+        """
+        self._listed_leaving &= self._connections
+        listed = bool(self._listed_leaving)
+        return self.leaving or listed or not self.rows.takes_work
+
+    def _receive_listed(self, peer: PeerConnection, body: bytes) -> None:
+        if body == LEAVING:
+            self._listed_leaving.add(peer)
+        else:
+            self._listed_leaving.discard(peer)
+
     def describe(self) -> dict[str, object]:
         """Return what is in force here."""
         return {
@@ -109,6 +158,9 @@
             "target": self.settings.target,
             "incarnation": self.incarnation,
             "leaving": self.leaving,
+            "table_revision": self.rows.revision,
+            "takes_work": not self.refuses_work,
+            "rows": self.rows.describe(),
             "running": self._count_running(),
             "entries": sorted(
                 one.peer.vm for one in self._connections if one.peer is not None
@@ -117,11 +169,26 @@
 
     def describe_health(self) -> Heartbeat:
         return Heartbeat(
-            sequence=0, running=self._count_running(), leaving=self.leaving
+            sequence=0,
+            table_revision=self.rows.revision,
+            running=self._count_running(),
+            leaving=self.refuses_work,
         )
 
     def receive_heartbeat(self, peer: PeerConnection, heartbeat: Heartbeat) -> None:
-        """Do nothing: an agent asks nothing of its entries' health."""
+        """Take note of the table that an entry has."""
+        # A heartbeat may overtake the rows on a connection that was just opened.
+        if peer in self._tellers:
+            self.rows.note_revision(heartbeat.table_revision)
+
+    def _receive_rows(self, peer: PeerConnection, body: bytes) -> None:
+        try:
+            self.rows.accept(decode_own_rows(body))
+        except (HyssopvaneError, ValueError) as error:
+            # The rows that are held stay in force.
+            log_event("warning", "own-rows-refused", why=error)
+        else:
+            self._tellers.add(peer)
 
     async def answer_question(
         self, peer: PeerConnection, topic: str, body: bytes
@@ -133,7 +200,7 @@
 
     async def serve_stream(self, stream: PeerStream, opening: Open) -> None:
         if opening.key:
-            await self._keyed.serve(stream, opening, leaving=self.leaving)
+            await self._keyed.serve(stream, opening, leaving=self.refuses_work)
             return
         refusal = self._accept(opening)
         if refusal is not None:
@@ -168,7 +235,7 @@
 
     def _accept(self, opening: Open) -> AgentRefusal | None:
         now = time.time()
-        if self.leaving and opening.incarnation == self.incarnation:
+        if self.refuses_work and opening.incarnation == self.incarnation:
             # The entry goes on to another target on the strength of this answer, so a
             # late copy must find the attempt buried.
             buried = self._register.bury(opening.attempt, owner=None, now=now)
--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -9,8 +9,11 @@
 from hyssopvane._internal.coordination.claims import ClaimWriter
 from hyssopvane._internal.coordination.etcd_key_value import EtcdKeyValueStore
 from hyssopvane._internal.coordination.quarantine import QuarantineShare
-from hyssopvane._internal.coordination.table_store import TableReader
-from hyssopvane._internal.coordination.vm_list import VmRecord, VmRole, fetch_vms
+from hyssopvane._internal.coordination.vm_list import (
+    VmRecord,
+    VmRole,
+    VmState,
+)
 from hyssopvane._internal.exceptions import HyssopvaneError
 from hyssopvane._internal.models.refusals import RefusalReason
 from hyssopvane._internal.models.settings import EntrySettings
@@ -22,6 +25,7 @@
     Hello,
     Open,
 )
+from hyssopvane._internal.roles.agent import LEAVING, LISTED_TOPIC, STAYING
 from hyssopvane._internal.roles.caller_app import (
     CallerApp,
     CallerLimits,
@@ -37,11 +41,14 @@
 )
 from hyssopvane._internal.roles.peer_listener import serve_peers
 from hyssopvane._internal.roles.peer_pool import PeerAddress, PeerObserver, PeerPool
+from hyssopvane._internal.roles.read_back import ReadBack
 from hyssopvane._internal.roles.refusing_app import MalformedNotes, RefusingApp
+from hyssopvane._internal.roles.table_sharing import TableSharing
 from hyssopvane._internal.roles.topics import TopicRouter
 from hyssopvane._internal.state.claims import MAX_WINDOW_S
 from hyssopvane._internal.state.directory import Directory
 from hyssopvane._internal.state.table import Table
+from hyssopvane._internal.state.vm_status import VmReport
 from hyssopvane._internal.state.work import LoadReport, TargetInfo
 from hyssopvane._internal.transport.asgi_server import serve_asgi
 from hyssopvane._internal.transport.http_server import ConnectionPolicy
@@ -53,7 +60,6 @@
 )
 from hyssopvane._internal.utils.logs import log_event
 
-_VM_LIST_INTERVAL_S = 1.0
 # A connection to another entry costs heartbeats both ways, and most are used seldom.
 _IDLE_LINK_S = 30.0
 _SETTLE_INTERVAL_S = 0.05
@@ -81,12 +87,11 @@
         )
         self._store = EtcdKeyValueStore(address=settings.platform)
         self._random = Random(self.incarnation)
-        self._table = TableReader(
-            self._store, random=self._random, report=_log_table_error
-        )
         self.scheduler = Scheduler(
             random=self._random, availability_zone=settings.availability_zone
         )
+        self._nursery: trio.Nursery | None = None
+        self._listed_leaving: frozenset[str] = frozenset()
         self._subset = SubsetMap(Member(settings.vm, settings.availability_zone))
         self._quarantine = QuarantineShare(
             self._store,
@@ -109,6 +114,26 @@
             idle_s=_IDLE_LINK_S,
         )
         self.topics = TopicRouter()
+        self.sharing = TableSharing(
+            self._store,
+            self.links,
+            self._pool,
+            self.topics,
+            self.pages,
+            own_vm=settings.vm,
+            incarnation=self.incarnation,
+            random=self._random,
+            observe=self._put_in_force,
+            vm_list=settings.vm_list,
+            observe_vms=self._use_vms,
+        )
+        self._read_back = ReadBack(
+            self,
+            report=self._report_status,
+            links=self.links,
+            pool=self._pool,
+            topics=self.topics,
+        )
         self.claims = ClaimRouter(
             own_vm=settings.vm,
             links=self.links,
@@ -135,9 +160,9 @@
             self.links.start(nursery)
             self.claims.start(nursery)
             self.peers_address = await nursery.start(self._serve_peers)
-            nursery.start_soon(self._follow_table)
+            self._nursery = nursery
+            self.sharing.start(nursery)
             nursery.start_soon(self._quarantine.run)
-            nursery.start_soon(self._follow_vms, nursery)
             nursery.start_soon(
                 partial(self.dispatcher.watch_deadlines, interval_s=_SETTLE_INTERVAL_S)
             )
@@ -186,15 +211,31 @@
             "incarnation": self.incarnation,
             "leaving": self.leaving,
             "table_revision": directory.table.revision if directory else 0,
+            "watches": self.sharing.spread.watches,
             "targets": self.scheduler.describe_targets(),
         }
 
     def describe_health(self) -> Heartbeat:
-        return Heartbeat(sequence=0, leaving=self.leaving)
+        return Heartbeat(
+            sequence=0,
+            table_revision=self.sharing.spread.table.revision,
+            leaving=self.leaving,
+        )
+
+    def _report_status(self) -> VmReport:
+        return VmReport(
+            self.settings.vm,
+            self.sharing.spread.table.revision,
+            digest=self.sharing.spread.reader.digest,
+            leaving=self.leaving,
+            running=self.scheduler.count_requests(),
+        )
 
     def receive_heartbeat(self, peer: PeerConnection, heartbeat: Heartbeat) -> None:
         if peer.peer is not None and peer.peer.role == _AGENT_ROLE:
             self.observe_heartbeat(peer.peer.vm, heartbeat)
+        else:
+            self.sharing.receive_heartbeat(peer, heartbeat)
 
     async def answer_question(
         self, peer: PeerConnection, topic: str, body: bytes
@@ -216,10 +257,14 @@
                 incarnation=hello.incarnation,
             )
         )
+        self.sharing.connect_agent(hello.vm, hello.service)
+        if hello.vm in self._listed_leaving:
+            self._tell_leaving(hello.vm)
         self.dispatcher.settle()
 
     def disconnect_peer(self, vm: str) -> None:
         self.scheduler.disconnect_target(vm)
+        self.sharing.disconnect_agent(vm)
 
     def observe_heartbeat(self, vm: str, heartbeat: Heartbeat) -> None:
         self.scheduler.observe_load(
@@ -227,10 +272,30 @@
             LoadReport(
                 running=heartbeat.running,
                 tokens_in_flight=heartbeat.tokens_in_flight,
-                leaving=heartbeat.leaving,
+                leaving=heartbeat.leaving or vm in self._listed_leaving,
             ),
         )
 
+    def _note_leaving(self, records: tuple[VmRecord, ...]) -> None:
+        # The platform may announce a leaving VM long before its agent is told to
+        # stop. The next heartbeat says the same again, or that it has come back.
+        before = self._listed_leaving
+        self._listed_leaving = frozenset(
+            record.name for record in records if record.state is VmState.LEAVING
+        )
+        for vm in before ^ self._listed_leaving:
+            self._tell_leaving(vm)
+
+    def _tell_leaving(self, vm: str) -> None:
+        # Entries with an older list go on to send work there; the agent refuses it.
+        connection = self._pool.get_connection(vm)
+        if connection is None:
+            return
+        word = LEAVING if vm in self._listed_leaving else STAYING
+        connection.notify(LISTED_TOPIC, word)
+        if connection.last_heartbeat is not None:
+            self.observe_heartbeat(vm, connection.last_heartbeat)
+
     def _make_hello(self) -> Hello:
         return Hello(
             version=PROTOCOL_VERSION,
@@ -290,26 +355,16 @@
             task_status=task_status,
         )
 
-    async def _follow_table(self) -> None:
-        sender, receiver = trio.open_memory_channel[Table](1)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._table.follow, sender)
-            async for table in receiver:
-                self._source.directory = Directory(table)
-                self.scheduler.update_table(table, now=trio.current_time())
-                log_event("info", "table-in-force", revision=table.revision)
-
-    async def _follow_vms(self, nursery: trio.Nursery) -> None:
-        while True:
-            try:
-                records = await fetch_vms(self.settings.vm_list)
-            except HyssopvaneError as error:
-                # The platform's list may be out for long; the last one stays in use.
-                log_event("warning", "vm-list-unavailable", why=error)
-            else:
-                self._pool.update(self._select_agents(records), nursery)
-                self.links.update(_select_entries(records, own_vm=self.settings.vm))
-            await trio.sleep(_VM_LIST_INTERVAL_S)
+    def _put_in_force(self, table: Table) -> None:
+        self._source.directory = Directory(table)
+        self.scheduler.update_table(table, now=trio.current_time())
+
+    def _use_vms(self, records: tuple[VmRecord, ...]) -> None:
+        assert self._nursery is not None
+        self._pool.update(self._select_agents(records), self._nursery)
+        self.links.update(_select_entries(records, own_vm=self.settings.vm))
+        self._read_back.update_vms(records)
+        self._note_leaving(records)
 
     def _select_agents(self, records: tuple[VmRecord, ...]) -> frozenset[PeerAddress]:
         """Return the agents that this entry connects to."""
@@ -317,6 +372,7 @@
             entries=_list_members(records, VmRole.ENTRY),
             targets=_list_members(records, VmRole.AGENT),
         )
+        self.scheduler.planner.set_suspect_targets(self._subset.find_led())
         return frozenset(
             PeerAddress(record.name, record.address)
             for record in records
@@ -332,10 +388,6 @@
     ]
 
 
-def _log_table_error(error: HyssopvaneError) -> None:
-    log_event("warning", "table-unavailable", why=error)
-
-
 def _log_quarantine_error(error: HyssopvaneError) -> None:
     log_event("warning", "quarantine-unavailable", why=error)
 
