--- /dev/null
+++ b/tests/lib/golden.py
@@ -0,0 +1,75 @@
+"""Compare a recorded session with its golden file.
+
+Set UPDATE_GOLDEN=1 to record the files anew; read the difference before committing it.
+"""
+
+import os
+import re
+from pathlib import Path
+
+FOLDER = Path(__file__).parent.parent / "golden"
+# In this order: an id holds digits that the later patterns would touch.
+_PATTERNS = (
+    (r"[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}", "id"),
+    (r"127\.0\.0\.1:\d+", "address"),
+)
+_DROPPED = (
+    (r"time=\S+ ", ""),
+    (r"seconds=\S+", "seconds=<seconds>"),
+    (r"incarnation=\d+", "incarnation=<number>"),
+    (r'"at": [\d.]+', '"at": <time>'),
+)
+
+
+class Session:
+    """Collect what each side saw, one section for each."""
+
+    def __init__(self) -> None:
+        self._sections: list[str] = []
+
+    def add(self, title: str, text: str) -> None:
+        """Append a section."""
+        self._sections.append(f"== {title}\n{text.rstrip()}\n")
+
+    def add_answer(self, title, answer) -> None:
+        """Append what a caller got; the date and lengths of ids vary."""
+        kept = sorted(
+            f"{name}: {value}"
+            for name, value in answer.headers.items()
+            if name not in {"date", "content-length"}
+        )
+        body = answer.body.decode()
+        self.add(title, "\n".join([str(answer.status), *kept, "", body]))
+
+    def add_log(self, vm: str, lines, events) -> None:
+        """Append a process's log lines of some events."""
+        wanted = re.compile(rf" event=({'|'.join(events)})\b")
+        self.add(f"log of {vm}", "\n".join(one for one in lines if wanted.search(one)))
+
+    def render(self) -> str:
+        """Return the session with ids, addresses and times normalised."""
+        text = "\n".join(self._sections)
+        for pattern, replacement in _DROPPED:
+            text = re.sub(pattern, replacement, text)
+        for pattern, kind in _PATTERNS:
+            text = _number(text, pattern, kind)
+        return text
+
+
+def compare(name: str, session: Session) -> None:
+    """Compare a session with its file, or record the file."""
+    path = FOLDER / f"{name}.txt"
+    if os.environ.get("UPDATE_GOLDEN"):
+        path.parent.mkdir(exist_ok=True)
+        path.write_text(session.render())
+    assert session.render() == path.read_text()
+
+
+def _number(text: str, pattern: str, kind: str) -> str:
+    """Replace each value by its number, so that the same one is seen as the same."""
+    seen: dict[str, str] = {}
+    return re.sub(
+        pattern,
+        lambda match: seen.setdefault(match[0], f"<{kind}-{len(seen) + 1}>"),
+        text,
+    )
