--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,6 +18,7 @@
 MEASUREMENTS = {
     "capacity": Measurement("bench.capacity", "growth of each role's cost by size"),
     "path": Measurement("bench.path", "what the path adds to a request and a token"),
+    "faults": Measurement("bench.faults", "what must hold, under random faults"),
     "load": Measurement("bench.load", "outcomes for callers at 1x, 2x, 5x of capacity"),
     "decisions": Measurement("bench.decisions", "cost of one decision by size"),
     "placement": Measurement("bench.placement", "placement against plain baselines"),
--- a/tests/lib/installation.py
+++ b/tests/lib/installation.py
@@ -10,12 +10,14 @@
 from hyssopvane._internal.coordination.etcd_key_value import EtcdKeyValueStore
 from hyssopvane._internal.coordination.table_edit import CellWrite, TableEdit
 from hyssopvane._internal.coordination.table_store import TableEditor
+from hyssopvane._internal.exceptions import KeyValueError
 from hyssopvane._internal.state.columns import RowId, RowKind
 from hyssopvane._internal.state.table import CellId
 from tests.lib.http import request
 from tests.lib.processes import TOKEN, Cluster, wait_until
 
 KEY = "key-of-the-clerks"
+EDIT_PAUSE_S = 0.1
 OPERATOR = {"Authorization": f"Bearer {TOKEN}"}
 CLERKS = RowId(RowKind.CUSTOMER, "clerks")
 DRAFT = RowId(RowKind.SERVICE, "draft")
@@ -44,6 +46,25 @@
     trio.run(commit)
 
 
+async def commit_cell(
+    platform: str, row: RowId, column: str, text: str, *, number: int
+) -> int:
+    """Set a cell, however long the service is out, and return its revision."""
+    edit = TableEdit(f"cell-{number}", writes=(CellWrite(CellId(row, column), text),))
+    store = EtcdKeyValueStore(platform)
+    editor = TableEditor(store, random=Random(number))
+    async with trio.open_nursery() as nursery:
+        await store.start(nursery)
+        while True:
+            try:
+                accepted = await editor.commit(edit)
+                break
+            except KeyValueError:
+                await trio.sleep(EDIT_PAUSE_S)
+        await store.close()
+    return accepted.table_revision
+
+
 def read_in_force(cluster: Cluster, vm: str) -> dict[str, object]:
     """Return what a process says is in force."""
     answer = request("GET", cluster.operators[vm], "/in-force", headers=OPERATOR)
