--- a/tests/lib/fault_run.py
+++ b/tests/lib/fault_run.py
@@ -35,12 +35,14 @@
 SILENCE_S = 1.0
 FROZEN_S = 1.6
 OUTAGE_S = 1.5
-CALLERS = 4
+CALLERS = 8
 TRIES = 6
 CALL_TIMEOUT_S = 8.0
 HEAL_TIMEOUT_S = 30.0
 _RETRY_PAUSE_S = 0.2
 _TOKENS = 40
+# Some bids take long enough that a kill falls into their run.
+_DELAYS_MS = (10, 400)
 
 
 @dataclass(slots=True)
@@ -193,7 +195,7 @@
                 async with httpcore.AsyncConnectionPool() as pool:
                     response = await pool.request(
                         "POST",
-                        f"http://{address}/check/bids?delay_ms=20",
+                        f"http://{address}/check/bids?delay_ms={random.choice(_DELAYS_MS)}",
                         headers=[
                             ("Host", address),
                             ("Authorization", f"Bearer {KEY}"),
