--- a/src/hyssopvane/_internal/policy/attempts.py
+++ b/src/hyssopvane/_internal/policy/attempts.py
@@ -1,5 +1,6 @@
 """Plan the attempts of each request: where, when, and whether another follows."""
 
+from collections.abc import Set
 from dataclasses import dataclass, field
 from random import Random
 
@@ -80,10 +81,10 @@
         body = _get_body(request)
         if request.body_digest and self.suspects.is_quarantined(body, now=now):
             return Refusal(RefusalReason.QUARANTINED, self.forget(request, now=now))
-        excluded = self._find_excluded(request, now)
+        tried = plan.tried if plan is not None else frozenset()
+        excluded = self._find_excluded(request, tried, now)
         if excluded is None:
             return None
-        tried = plan.tried if plan is not None else ()
         info = self.placer.place(request, now=now, tried=tried, excluded=excluded)
         if info is None:
             return None
@@ -165,13 +166,15 @@
         row = self._table.services.get(service) or ServiceRow(service)
         return float(row.quarantine_s)
 
-    def _find_excluded(self, request: WorkRequest, now: float) -> frozenset[str] | None:
+    def _find_excluded(
+        self, request: WorkRequest, tried: Set[str], now: float
+    ) -> frozenset[str] | None:
         body = _get_body(request)
         excluded = self.suspects.find_excluded(body, now=now)
         if excluded is None or not self.suspects.is_suspect(body, now=now):
             return excluded
         names = self.placer.list_targets(request.service)
-        own = names & self._suspect_targets
+        own = names & self._suspect_targets - tried
         # An entry without such a target uses any: a suspect is mostly innocent, and
         # must not wait for its deadline.
         return excluded | (names - own) if own else excluded
--- a/src/hyssopvane/_internal/policy/placement.py
+++ b/src/hyssopvane/_internal/policy/placement.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from hyssopvane._internal.models.refusals import AgentRefusal
 from hyssopvane._internal.policy import rendezvous
 from hyssopvane._internal.policy.ejection import Ejector
 from hyssopvane._internal.policy.prefix_beliefs import PrefixBeliefs
@@ -47,6 +48,11 @@
 # would make its first callers wait while warm targets idle.
 SLOW_START_S = 20.0
 _SLOW_START_SHARE = 0.1
+# Time for which a target that its agent can't reach gets no work, doubled each time. It
+# fails at once and so always looks least loaded: without a pause it would draw every
+# request and use up the budget of retries.
+UNREACHABLE_S = 0.5
+LONGEST_UNREACHABLE_S = 8.0
 # Share of a target whose reports stay away.
 _SILENT_SHARE = 0.1
 # Incarnations seen lately, to tell a new process from a new connection to a warm one.
@@ -64,6 +70,8 @@
     weight: float = 1.0
     concurrency: int = 0
     token_limit: int = 0
+    closed_until: float = 0.0
+    pause_s: float = UNREACHABLE_S
 
 
 @dataclass(slots=True)
@@ -296,6 +304,8 @@
         The least full is best.
         """
         name, now = target.info.name, query.now
+        if now < target.closed_until:
+            return None
         if not _is_open(target) or name in query.tried or name in query.excluded:
             return None
         tokens, running = target.load.estimate(now)
@@ -342,6 +352,10 @@
         name = placement.target.info.name
         request = placement.request
         answered = report.result is AttemptResult.ANSWERED
+        if report.result is AttemptResult.NOT_STARTED:
+            _take_refusal(placement.target, report, now)
+        elif answered:
+            placement.target.pause_s = UNREACHABLE_S
         if answered and request.affinity:
             self.beliefs.observe_latency(
                 request.affinity,
@@ -425,6 +439,15 @@
         }
 
 
+def _take_refusal(target: _Target, report: AttemptReport, now: float) -> None:
+    if report.reason == AgentRefusal.LEAVING:
+        # Its next report says so too; until then each request would bounce.
+        target.leaving = True
+    elif report.reason == AgentRefusal.TARGET_UNREACHABLE:
+        target.closed_until = now + target.pause_s
+        target.pause_s = min(target.pause_s * 2, LONGEST_UNREACHABLE_S)
+
+
 def _find_service(table: Table, service: str) -> ServiceRow:
     return table.services.get(service) or ServiceRow(service)
 
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -42,6 +42,11 @@
         """Return the process id."""
         return self._popen.pid
 
+    @property
+    def has_ended(self) -> bool:
+        """Tell whether the process has ended."""
+        return self._popen.poll() is not None
+
     def wait_for(self, pattern: str) -> re.Match[str]:
         """Read lines until one matches; fail when the process ends before that."""
         while True:
--- a/tests/unit/test_attempts.py
+++ b/tests/unit/test_attempts.py
@@ -149,6 +149,16 @@
         assert len(targets) == len(own)
 
 
+def test_suspect_leaves_a_led_target_that_refuses_it():
+    planner = make_planner()
+    planner.set_suspect_targets(frozenset({"t0"}))
+    run_reports(planner, make_request(body=b"b"), [BROKEN])
+    request = make_request("next", body=b"b")
+    assert planner.place(request, now=200.0).target == "t0"
+    planner.finish("next", NOT_STARTED, now=200.0)
+    assert planner.place(request, now=201.0).target != "t0"
+
+
 @pytest.mark.parametrize(
     ("case", "least", "most"),
     [
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -10,6 +10,7 @@
 from hyssopvane._internal.policy.placement import (
     SLOW_START_S,
     SPILL_UTILISATION,
+    UNREACHABLE_S,
     Placer,
 )
 from hyssopvane._internal.policy.target_load import FORGOTTEN_REPORT_S, TargetLoad
@@ -205,6 +206,33 @@
     assert min(chosen[name] for name in names) >= 8
 
 
+@pytest.mark.parametrize("reason", ["target-unreachable", "leaving"])
+def test_target_that_refuses_at_once_does_not_draw_the_work(reason):
+    """An engine dies while its agent lives on, and the agent refuses at once.
+
+    A target that never keeps a request always looks least loaded. Most requests would
+    go there first, and the retries of a busy service would be spent on it.
+    """
+    placer = make_placer(["t0", "t1", "t2"])
+    refused = AttemptReport(AttemptResult.NOT_STARTED, reason)
+    bounced = 0
+    for number in range(60):
+        info = placer.place(make_request(number), now=WARM + number / 60)
+        if info.name == "t0":
+            bounced += 1
+            placer.release(f"r{number}", refused, now=WARM + number / 60)
+    assert 1 <= bounced <= 2
+
+
+def test_unreachable_target_returns():
+    placer = make_placer(["t0"])
+    refused = AttemptReport(AttemptResult.NOT_STARTED, "target-unreachable")
+    placer.place(make_request(0), now=WARM)
+    placer.release("r0", refused, now=WARM)
+    assert placer.place(make_request(1), now=WARM) is None
+    assert placer.place(make_request(1), now=WARM + UNREACHABLE_S) is not None
+
+
 def test_half_of_the_targets_gone_at_once():
     """A rack fails, and half of the targets go in one moment.
 
