--- a/tests/functional/test_random_faults.py
+++ b/tests/functional/test_random_faults.py
@@ -11,9 +11,9 @@
 def test_random_faults_break_no_promise(tmp_path, seed):
     """Processes are killed and frozen, and the key-value service fails, under load.
 
-    A caller might see its bid confirmed twice, be told that it did not run when it did,
-    get another caller's answer or a short one that looks whole; an operator might see an
-    accepted cell go back. `./dev bench faults` runs more seeds for longer.
+    A caller might see its bid confirmed twice, be told that it did not run when it
+    did, get another caller's answer or a short one that looks whole; an operator might
+    see an accepted cell go back. `./dev bench faults` runs more seeds for longer.
     """
     report = run_faults(tmp_path, seed=seed, seconds=SECONDS)
     assert report.violations == []
