--- a/src/hyssopvane/_internal/policy/entry_views.py
+++ b/src/hyssopvane/_internal/policy/entry_views.py
@@ -13,7 +13,6 @@
         self._own_vm = own_vm
         self._seen_at: dict[str, float] = {}
         self._seeds: dict[str, int] = {}
-        self.changed_at = 0.0
 
     @property
     def live(self) -> int:
@@ -23,7 +22,8 @@
     def update(self, others: Iterable[str], *, now: float) -> bool:
         """Apply a list of the other live entries; tell whether they changed."""
         names = {self._own_vm, *others}
-        self._seen_at.update(dict.fromkeys(names, now))
+        # Those that left were at work until now, however long ago they were listed.
+        self._seen_at.update(dict.fromkeys(names | self._seeds.keys(), now))
         if names == self._seeds.keys():
             return False
         self._seeds = {name: rendezvous.hash_name(name) for name in names}
