--- a/src/hyssopvane/_internal/coordination/own_rows.py
+++ b/src/hyssopvane/_internal/coordination/own_rows.py
@@ -15,6 +15,10 @@
 )
 
 OWN_ROWS_TOPIC = "table/own-rows"
+LISTED_TOPIC = "vms/listed"
+"""Tells an agent whether the platform's list shows its VM as leaving."""
+LEAVING = b"leaving"
+STAYING = b"staying"
 
 
 def select_own_rows(
--- a/src/hyssopvane/_internal/roles/agent.py
+++ b/src/hyssopvane/_internal/roles/agent.py
@@ -6,7 +6,12 @@
 
 import trio
 
-from hyssopvane._internal.coordination.own_rows import OWN_ROWS_TOPIC, HeldRows
+from hyssopvane._internal.coordination.own_rows import (
+    LEAVING,
+    LISTED_TOPIC,
+    OWN_ROWS_TOPIC,
+    HeldRows,
+)
 from hyssopvane._internal.coordination.spread_messages import decode_own_rows
 from hyssopvane._internal.exceptions import HyssopvaneError
 from hyssopvane._internal.models.refusals import AgentRefusal
@@ -38,12 +43,6 @@
 from hyssopvane._internal.transport.target_client import TargetClient
 from hyssopvane._internal.utils.logs import log_event
 
-LISTED_TOPIC = "vms/listed"
-"""Tells an agent whether the platform's list shows its VM as leaving."""
-LEAVING = b"leaving"
-STAYING = b"staying"
-
-
 class Agent(OperatedProcess, PeerHandler):
     """Serve the entries that send work to one target."""
 
--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -24,7 +24,11 @@
     Hello,
     Open,
 )
-from hyssopvane._internal.roles.agent import LEAVING, LISTED_TOPIC, STAYING
+from hyssopvane._internal.coordination.own_rows import (
+    LEAVING,
+    LISTED_TOPIC,
+    STAYING,
+)
 from hyssopvane._internal.roles.caller_app import (
     CallerApp,
     CallerLimits,
