--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -10,6 +10,11 @@
 from hyssopvane._internal.coordination.claims import ClaimWriter
 from hyssopvane._internal.coordination.demand import DemandExchange
 from hyssopvane._internal.coordination.etcd_key_value import EtcdKeyValueStore
+from hyssopvane._internal.coordination.own_rows import (
+    LEAVING,
+    LISTED_TOPIC,
+    STAYING,
+)
 from hyssopvane._internal.coordination.quarantine import QuarantineShare
 from hyssopvane._internal.coordination.vm_list import (
     VmRecord,
@@ -27,7 +32,6 @@
     Hello,
     Open,
 )
-from hyssopvane._internal.roles.agent import LEAVING, LISTED_TOPIC, STAYING
 from hyssopvane._internal.roles.caller_app import (
     CallerApp,
     CallerLimits,
