--- a/src/hyssopvane/_internal/coordination/claims.py
+++ b/src/hyssopvane/_internal/coordination/claims.py
@@ -59,6 +59,9 @@
 FLOOR_KEY = "claims/floor"
 """Holds the oldest slice whose pages have not been deleted."""
 
+CONFLICT_DELAY_S = 0.01
+"""Longest wait after a write that was lost to another entry's."""
+
 FAILING_S = 0.5
 """Time after a failed write in which the service is not tried again."""
 
@@ -249,9 +252,14 @@
                 if not uncertain:
                     return self._give_up(batch, ChangeStatus.UNAVAILABLE)
             else:
+                self._failing_until = None
                 if done:
-                    self._failing_until = None
                     return
+                if trio.current_time() < give_up_at:
+                    # Another entry wrote first, and its page came with the answer. To
+                    # wait longer would lose the next race as well.
+                    await trio.sleep(self._random.uniform(0, CONFLICT_DELAY_S))
+                    continue
             if trio.current_time() >= give_up_at:
                 status = ChangeStatus.UNKNOWN if uncertain else ChangeStatus.UNAVAILABLE
                 return self._give_up(batch, status)
--- a/tests/functional/test_at_most_once.py
+++ b/tests/functional/test_at_most_once.py
@@ -6,6 +6,7 @@
 import threading
 from random import Random
 
+import httpcore
 import pytest
 import trio
 
@@ -55,7 +56,9 @@
         commit_table(cluster.platform)
         self.engine, _ = cluster.start_standin("engine_server")
         self.lots, _ = cluster.start_standin("plain_service")
-        cluster.start_agent("draft-1", service="draft", target=self.engine)
+        self.draft_agent = cluster.start_agent(
+            "draft-1", service="draft", target=self.engine
+        )
         self.agent = cluster.start_agent("lots-1", service="lots", target=self.lots)
         self.processes, self.entries = [], []
         for number in range(3):
@@ -305,3 +308,49 @@
         wait_until(lambda: site.bid(key, entry=1).status == 201)
         assert site.bid(key, entry=2).status == 201
         assert site.count_runs(key) == 1
+
+
+def start_draft(site, *, http2):
+    """Start a long draft without a key; return a function that reads its rest."""
+    body = json.dumps({"prompt": "Ali", "max_tokens": 400, "stream": True}).encode()
+    arguments = ("POST", site.entries[0], "/draft/v1/completions")
+    headers = make_headers(None)
+    if not http2:
+        opened = open_request(*arguments, headers=headers, body=body)
+        assert b"data: " in opened.read(65536) + opened.read(65536)
+        return lambda: check_chunks(opened.read_to_end())
+    pool = httpcore.ConnectionPool(http1=False, http2=True)
+    stream = pool.stream(
+        "POST",
+        f"http://{site.entries[0]}/draft/v1/completions",
+        headers={"Host": site.entries[0], **headers},
+        content=body,
+    )
+    parts = iter(stream.__enter__().stream)
+    assert next(parts)
+
+    def read_rest():
+        for _ in parts:
+            pass
+
+    return read_rest
+
+
+def check_chunks(data):
+    if not data.endswith(b"0\r\n\r\n"):
+        raise httpcore.RemoteProtocolError("the last chunk is missing")
+
+
+@pytest.mark.parametrize("http2", [False, True])
+def test_agent_killed_mid_answer_cuts_the_answer(tmp_path, http2):
+    """The target's VM dies while a draft streams, and the answer can't be completed.
+
+    A short answer that looks whole would reach a family as the final history; the
+    caller's client must see that it broke off.
+    """
+    with open_cluster(tmp_path) as cluster:
+        site = Site(cluster)
+        read_rest = start_draft(site, http2=http2)
+        site.draft_agent.send_signal(signal.SIGKILL)
+        with pytest.raises(httpcore.RemoteProtocolError):
+            read_rest()
