--- a/src/hyssopvane/_internal/roles/agent.py
+++ b/src/hyssopvane/_internal/roles/agent.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from hyssopvane._internal.coordination.etcd_key_value import EtcdKeyValueStore
 from hyssopvane._internal.coordination.own_rows import OWN_ROWS_TOPIC, HeldRows
 from hyssopvane._internal.coordination.spread_messages import decode_own_rows
 from hyssopvane._internal.exceptions import HyssopvaneError
@@ -20,6 +21,7 @@
 )
 from hyssopvane._internal.roles.attempt import Attempt
 from hyssopvane._internal.roles.keyed_runs import KeyedRuns
+from hyssopvane._internal.roles.map_agent import MAP_ORDER_TOPIC, make_map_agent
 from hyssopvane._internal.roles.operators import (
     OperatedProcess,
     OperatorsApp,
@@ -38,6 +40,11 @@
 from hyssopvane._internal.transport.target_client import TargetClient
 from hyssopvane._internal.utils.logs import log_event
 
+LISTED_TOPIC = "vms/listed"
+"""Tells an agent whether the platform's list shows its VM as leaving."""
+LEAVING = b"leaving"
+STAYING = b"staying"
+
 
 class Agent(OperatedProcess, PeerHandler):
     """Serve the entries that send work to one target."""
@@ -52,6 +59,7 @@
         self.entries_address = ""
         self.operators_address = ""
         self._target = TargetClient(settings.target)
+        self._store = EtcdKeyValueStore(address=settings.platform)
         self._running: dict[bytes, Attempt] = {}
         self._idle = trio.Event()
         self._register = AttemptRegister(self.incarnation)
@@ -62,6 +70,10 @@
         self.topics = TopicRouter()
         self.rows = HeldRows(vm=settings.vm, service=settings.service)
         self._tellers: WeakSet[PeerConnection] = WeakSet()
+        # What an entry said counts as long as its connection: one that died with an
+        # old list must not keep the target out for ever.
+        self._listed_leaving: set[PeerConnection] = set()
+        self.topics.add_notice(LISTED_TOPIC, self._receive_listed)
         add_explain_topic(self.topics, self)
         self.topics.add_notice(OWN_ROWS_TOPIC, self._receive_rows)
 
@@ -71,6 +83,8 @@
         """Listen for entries until cancelled."""
         async with trio.open_nursery() as nursery:
             self._keyed.start(nursery)
+            if self.settings.group:
+                await self._start_map_agent(nursery)
             self.operators_address = await nursery.start(
                 serve_operators, OperatorsApp(self), self.settings.operators
             )
@@ -86,6 +100,14 @@
             task_status.started()
             await trio.sleep_forever()
 
+    async def _start_map_agent(self, nursery: trio.Nursery) -> None:
+        await self._store.start(nursery)
+        map_agent = make_map_agent(
+            self.settings, target=self._target, store=self._store, metrics=self.metrics
+        )
+        self.topics.add_question(MAP_ORDER_TOPIC, map_agent.answer_order)
+        nursery.start_soon(map_agent.run)
+
     async def drain(self) -> None:
         """Refuse new work and wait until all work in progress has ended."""
         self.leaving = True
@@ -98,6 +120,7 @@
     async def close(self) -> None:
         """Release the connections to the target and the instruments."""
         await self._target.close()
+        await self._store.close()
         self.metrics.close()
 
     def is_ready(self) -> bool:
@@ -106,12 +129,20 @@
 
     @property
     def refuses_work(self) -> bool:
-        """Tell whether new work is refused: at a shutdown, or by the operators' table.
+        """Tell whether new work is refused: at a shutdown, by the table or the list.
 
         The agent refuses by itself, since an entry whose table or list of VMs is old
         still sends it work; such a request then costs one hop and no answer.
         """
-        return self.leaving or not self.rows.takes_work
+        self._listed_leaving &= self._connections
+        listed = bool(self._listed_leaving)
+        return self.leaving or listed or not self.rows.takes_work
+
+    def _receive_listed(self, peer: PeerConnection, body: bytes) -> None:
+        if body == LEAVING:
+            self._listed_leaving.add(peer)
+        else:
+            self._listed_leaving.discard(peer)
 
     def describe(self) -> dict[str, object]:
         """Return what is in force here."""
