Usable: reset the HTTP/2 stream of an answer that can't be completed

Cause: when an application fails after the head, hypercorn leaves the HTTP/2 stream open. Seen with the agent killed mid-answer: HTTP/1.1 ended at once without its last chunk, HTTP/2 after 60 s with 'Server disconnected'. The test that was there before passed after its minute; it now refuses that end.

--- a/src/hyssopvane/_internal/roles/caller_app.py
+++ b/src/hyssopvane/_internal/roles/caller_app.py
@@ -32,6 +32,7 @@
     BodyTooLarge,
     CallerGone,
     read_body,
+    reset_answer,
     serve_lifespan,
     wait_for_disconnect,
 )
@@ -111,6 +112,7 @@
             seconds=seconds,
         )
         if outcome == "cut":
+            await reset_answer(scope, send)
             raise AnswerCut(request_id)
 
     async def _run(
--- a/tests/functional/test_at_most_once.py
+++ b/tests/functional/test_at_most_once.py
@@ -331,6 +331,8 @@
     assert next(parts)
 
     def read_rest():
+        # The pool and the stream stay open as long as this function.
+        assert pool.connections and stream is not None
         for _ in parts:
             pass
 
@@ -347,11 +349,14 @@
     """The target's VM dies while a draft streams, and the answer can't be completed.
 
     A short answer that looks whole would reach a family as the final history; the
-    caller's client must see that it broke off.
+    caller's client must see at once that it broke off, and not wait for an idle
+    connection to be closed.
     """
     with open_cluster(tmp_path) as cluster:
         site = Site(cluster)
         read_rest = start_draft(site, http2=http2)
         site.draft_agent.send_signal(signal.SIGKILL)
-        with pytest.raises(httpcore.RemoteProtocolError):
+        with pytest.raises(httpcore.RemoteProtocolError) as cut:
             read_rest()
+        # The whole connection would end only when it has been idle for a minute.
+        assert "disconnected" not in str(cut.value)
