--- a/src/hyssopvane/_internal/transport/asgi_messages.py
+++ b/src/hyssopvane/_internal/transport/asgi_messages.py
@@ -86,9 +86,9 @@
     closed, a minute later, for the rest that never comes. Its protocol object, behind
     `send`, is the only way to the stream; with another server nothing is done here.
     """
-    stream = getattr(send, "__self__", None)
-    protocol = getattr(getattr(stream, "send", None), "__self__", None)
-    connection = getattr(protocol, "connection", None)
+    stream: Any = getattr(send, "__self__", None)
+    protocol: Any = getattr(getattr(stream, "send", None), "__self__", None)
+    connection: Any = getattr(protocol, "connection", None)
     if scope.get("http_version") != "2" or connection is None or protocol is None:
         return
     connection.reset_stream(stream.stream_id, error_code=_HTTP2_INTERNAL_ERROR)
