--- a/tests/unit/test_asgi_server.py
+++ b/tests/unit/test_asgi_server.py
@@ -66,3 +66,44 @@
 def test_parse_address_refuses(address):
     with pytest.raises(SettingsError):
         parse_address(address)
+
+
+async def answer_half(scope, receive, send):
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    await send({"type": "http.response.body", "body": b"half", "more_body": True})
+    raise RuntimeError("the rest is lost")
+
+
+@pytest.mark.parametrize("http2", [False, True])
+def test_answer_without_end_is_seen_as_broken(http2):
+    """The target dies in the middle of an answer.
+
+    Over HTTP/2 the server only forgot the stream, so the caller waited for ever.
+    """
+
+    async def run():
+        shutdown = trio.Event()
+        async with trio.open_nursery() as nursery:
+
+            async def start(task_status):
+                await serve_asgi(
+                    answer_half,
+                    bind="127.0.0.1:0",
+                    graceful_timeout_s=5,
+                    shutdown=shutdown,
+                    task_status=task_status,
+                )
+
+            address = await nursery.start(start)
+            async with httpcore.AsyncConnectionPool(
+                http1=not http2, http2=http2
+            ) as pool:
+                with pytest.raises(httpcore.RemoteProtocolError):
+                    await pool.request(
+                        "GET",
+                        f"http://{address}/",
+                        extensions={"timeout": {"read": 20}},
+                    )
+            shutdown.set()
+
+    trio.run(run)
