Send GOAWAY whole even when the listener closes meanwhile

Cause: the task that tells free HTTP/2 connections before the listener closes was cancelled between taking GOAWAY from the protocol's buffer and sending it; the caller met a closed connection a second later without having been told. Seen as a flaky test_idle_http2_connection_gets_goaway: 7 of 42 runs failed, 14 at a time on 12 cores. Ruled out: the client's own frames (its SETTINGS were acknowledged) and a crash of the entry (it stopped cleanly).

--- a/src/hyssopvane/_internal/transport/http_connection.py
+++ b/src/hyssopvane/_internal/transport/http_connection.py
@@ -157,7 +157,11 @@
         # A request that crossed GOAWAY on the way must not meet a closed connection
         # before its caller has read why.
         protocol.connection.receive_data = self._drop_data  # type: ignore[method-assign]
-        await protocol._flush()
+        # Whoever tells may be cancelled when the listener closes. GOAWAY would then be
+        # taken from the protocol's buffer and lost, and the caller would meet a closed
+        # connection a second later without having been told.
+        with trio.CancelScope(shield=True), trio.move_on_after(LINGER_S):
+            await protocol._flush()
 
     def _drop_data(self, data: object) -> list[h2.events.Event]:
         self._free_since = trio.current_time()
