Lose no work that crosses an agent's shutdown

Cause: an agent with nothing running closed its connections right after announcing that it leaves; work that an entry had sent before reading that was lost, and its caller got 502 unknown. Ruled out: the entry's closing of retired connections, since the agent itself sent the end. Now the agent waits until each entry has read the news and its earlier frames are here, and an entry does not open work at a peer that leaves. Both tests fail with their protection taken out (PeerLost; work started).

--- a/src/hyssopvane/_internal/roles/agent.py
+++ b/src/hyssopvane/_internal/roles/agent.py
@@ -2,6 +2,7 @@
 
 import secrets
 import time
+from collections.abc import Awaitable, Callable
 from weakref import WeakSet
 
 import trio
@@ -117,9 +118,13 @@
         # refused and has to go elsewhere.
         for connection in self._connections:
             connection.announce_health()
+        # An entry may have sent work before it read that. Closed on at once, the
+        # connection would take that work with it, and its caller would be told that
+        # nobody knows whether it ran, in a shutdown that cuts off nothing.
+        await self._for_each_connection(PeerConnection.settle)
         await self._wait_idle()
         self._stop_accepting.set()
-        await self._finish_connections()
+        await self._for_each_connection(PeerConnection.finish)
 
     async def close(self) -> None:
         """Release the connections to the target and the instruments."""
@@ -228,10 +233,12 @@
                 await self._idle.wait()
             await self._keyed.wait_idle()
 
-    async def _finish_connections(self) -> None:
+    async def _for_each_connection(
+        self, act: Callable[[PeerConnection], Awaitable[None]]
+    ) -> None:
         async with trio.open_nursery() as nursery:
             for connection in tuple(self._connections):
-                nursery.start_soon(connection.finish)
+                nursery.start_soon(act, connection)
 
     def _accept(self, opening: Open) -> AgentRefusal | None:
         now = time.time()
--- a/src/hyssopvane/_internal/roles/exchange.py
+++ b/src/hyssopvane/_internal/roles/exchange.py
@@ -77,6 +77,10 @@
     A caller who already has part of the answer gets it from there on.
     """
     started_at = trio.current_time()
+    if connection.peer_leaving and not opening.join:
+        # Chosen before the agent said so, and sent now the attempt could meet the end
+        # of the connection. An answer that the agent holds may still be fetched.
+        return NotStarted(AgentRefusal.LEAVING)
     try:
         stream = connection.open_stream(opening)
     except PeerLost:
--- a/src/hyssopvane/_internal/transport/peer_connection.py
+++ b/src/hyssopvane/_internal/transport/peer_connection.py
@@ -26,6 +26,9 @@
 from hyssopvane._internal.transport.framing import FramedStream
 
 CONNECTION_STREAM = 0
+SETTLE_TOPIC = "settle"
+"""Topic that nobody handles: every peer answers an unknown one with nothing."""
+
 # A caller that reads slowly holds back at most this many bytes in this process. It is
 # several hundred tokens, so a stream at full speed never waits for credit.
 STREAM_WINDOW_BYTES = 64 * 1024
@@ -199,6 +202,11 @@
         """Tell whether the connection has ended."""
         return self._lost is not None
 
+    @property
+    def peer_leaving(self) -> bool:
+        """Tell whether the peer has said that it takes no new work."""
+        return self.last_heartbeat is not None and self.last_heartbeat.leaving
+
     @property
     def why_lost(self) -> str:
         """Return why the connection has ended, empty while it has not."""
@@ -246,6 +254,19 @@
             await self._ended.wait()
         self.close()
 
+    async def settle(self) -> None:
+        """Wait until the peer has read all that was sent, and its own answer is here.
+
+        Frames keep their order, so all that the peer sent before it read the last frame
+        from here has arrived by then.
+        """
+        with trio.move_on_after(self._times.silence_s):
+            try:
+                await self.ask(SETTLE_TOPIC, b"")
+            except PeerLost:
+                # Nothing more comes from a peer that is gone.
+                return
+
     def announce_health(self) -> None:
         """Send a heartbeat now."""
         self.queue_frame(self._make_heartbeat())
--- a/tests/lib/peers.py
+++ b/tests/lib/peers.py
@@ -54,10 +54,11 @@
     def __init__(self, serve: ServeStream | None = None) -> None:
         self.serve = serve
         self.heartbeats: list[Heartbeat] = []
+        self.health = Heartbeat(sequence=0)
         self.notices: list[tuple[str, bytes]] = []
 
     def describe_health(self) -> Heartbeat:
-        return Heartbeat(sequence=0)
+        return self.health
 
     def receive_heartbeat(self, peer: PeerConnection, heartbeat: Heartbeat) -> None:
         self.heartbeats.append(heartbeat)
--- a/tests/unit/test_peer_connection.py
+++ b/tests/unit/test_peer_connection.py
@@ -5,6 +5,7 @@
 import trio.testing
 
 from hyssopvane._internal.exceptions import PeerLost
+from hyssopvane._internal.models.refusals import AgentRefusal
 from hyssopvane._internal.protocol.codec import decode_frames, encode_frames
 from hyssopvane._internal.protocol.messages import (
     Cancel,
@@ -13,7 +14,10 @@
     Frame,
     Head,
     Heartbeat,
+    Refused,
 )
+from hyssopvane._internal.roles.call import ReplyWriter
+from hyssopvane._internal.roles.exchange import NotStarted, exchange
 from hyssopvane._internal.transport.peer_connection import (
     STREAM_WINDOW_BYTES,
     PeerConnection,
@@ -288,3 +292,53 @@
 def is_heartbeat(message):
     """Tell whether a message is a heartbeat."""
     return isinstance(message, Heartbeat)
+
+
+def test_work_that_crosses_the_news_of_a_shutdown_is_refused():
+    """An agent is told to stop just as an entry sends it work.
+
+    The connection ended under that work, and the caller was told that nobody knows
+    whether it ran, though its VM was replaced as the operators' page says.
+    """
+
+    async def main():
+        async def refuse(stream, opening):
+            stream.send(Refused("leaving"))
+
+        async with connect_pair(refuse) as pair:
+            stream = pair.opener.open_stream(make_opening())
+            pair.accepter.announce_health()
+            await pair.accepter.settle()
+            await pair.accepter.finish()
+            assert await stream.receive() == Refused("leaving")
+
+    run(main)
+
+
+def test_work_chosen_before_the_news_of_a_shutdown_is_not_sent():
+    """An entry chose a target, then read that the target's agent is shutting down.
+
+    Sent all the same, the work would meet the end of the connection.
+    """
+
+    async def main():
+        started = []
+
+        async def serve(stream, opening):
+            started.append(opening.request_id)
+
+        async with connect_pair(serve) as pair:
+            pair.accepter_handler.health = Heartbeat(sequence=0, leaving=True)
+            pair.accepter.announce_health()
+            await trio.sleep(0.1)
+            end = await exchange(
+                pair.opener,
+                make_opening(),
+                body=b"",
+                reply=ReplyWriter(None, request_id="r"),
+                deadline=trio.current_time() + 1,
+            )
+            assert end == NotStarted(AgentRefusal.LEAVING)
+            assert started == []
+
+    run(main)
