Usable: tell HTTP/2 callers only when no received stream is open

Cause: hypercorn starts an application some steps after h2 has received its stream. An answer that waits to be sent on a closed HTTP/2 connection is given up, too; it held the shutdown until its time limit.

--- a/src/hyssopvane/_internal/transport/http_connection.py
+++ b/src/hyssopvane/_internal/transport/http_connection.py
@@ -84,13 +84,19 @@
 
     async def _read_data(self) -> None:
         await super()._read_data()
+        protocol = self._get_http2()
+        if protocol is not None:
+            # Nothing is sent any more; an application that waits for it would do so
+            # for ever.
+            for buffer in protocol.stream_buffers.values():
+                await buffer.close()
         # Hypercorn's timer of idle connections goes on after the caller has closed its
         # end, and the connection would count as open for as long.
         await self.context.terminated.set()
 
     async def end_if_free(self, *, closing: bool) -> None:
         """Tell the caller that a connection without requests ends, or end it."""
-        if self._open_requests:
+        if not hasattr(self, "protocol") or not self._is_free():
             return
         lingered = trio.current_time() - self._free_since >= LINGER_S
         if lingered and (self._told or (closing and self._get_http2() is None)):
@@ -149,7 +155,7 @@
         # they read GOAWAY. It names the last stream that was served, so a request that
         # crosses it on the way is sent again by the client on another connection.
         protocol = self._get_http2()
-        if protocol is None or self._told:
+        if protocol is None or self._told or not self._is_free():
             return
         self._told = True
         self._free_since = trio.current_time()
@@ -159,6 +165,17 @@
         protocol.connection.receive_data = self._drop_data  # type: ignore[method-assign]
         await protocol._flush()
 
+    def _is_free(self) -> bool:
+        # A stream was received before its application starts. Telling the caller in
+        # between names it as served, and the rest of its body is dropped.
+        protocol = self.protocol.protocol
+        streams = (
+            protocol.connection.open_inbound_streams
+            if isinstance(protocol, H2Protocol)
+            else protocol.stream is not None
+        )
+        return not self._open_requests and not streams
+
     def _drop_data(self, data: object) -> list[h2.events.Event]:
         self._free_since = trio.current_time()
         return []
