End HTTP/2 connections without taking answers from under their callers

Callers are now told once the connection was quiet for half a second; in haste, without that, five seconds after the listener has closed. - Bytes taken from the protocol's buffer were lost when a request was cancelled while it waited for its turn to send. Found by reading; the sending is shielded now. - Uploads that wait 60 s: the client's own. Its task that waits for room reads the next frame even when another task has just read the one that gave room; on a shared connection that falls silent it waits for ever. The test gives each uploading task a connection of its own; what it asserts is unchanged. Hypercorn's GOAWAY after a thousand requests of a connection is off as well: it would cut the answers in progress for such clients.

--- a/src/hyssopvane/_internal/transport/asgi_server.py
+++ b/src/hyssopvane/_internal/transport/asgi_server.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import socket
+import sys
 
 import trio
 from hypercorn.config import Config
@@ -115,4 +116,7 @@
     config.h2_max_concurrent_streams = MAX_HTTP2_STREAMS
     config.h2_max_header_list_size = MAX_HTTP2_HEADER_BYTES
     config.include_server_header = False
+    # Hypercorn would end an HTTP/2 connection by GOAWAY after a thousand requests, with
+    # the answers in progress on it, which common clients drop.
+    config.keep_alive_max_requests = sys.maxsize
     return config
--- a/src/hyssopvane/_internal/transport/http_connection.py
+++ b/src/hyssopvane/_internal/transport/http_connection.py
@@ -27,6 +27,13 @@
 DISCARD_S = 30.0
 """Time that a caller gets to end the body of a request that is answered already."""
 
+QUIET_S = 0.5
+"""Time that an HTTP/2 connection has no request before its caller is told to leave.
+
+Common clients drop an answer that they have received and not yet read when GOAWAY comes
+right behind it; half a second is time to read it.
+"""
+
 _HTTP2 = "2"
 _OWN_ERROR = b"HTTP/1.1 4"
 _LINE_END = b"\r\n"
@@ -73,7 +80,12 @@
             # request. The caller still learns that nothing ran.
             line, _, rest = event.data.partition(_LINE_END)
             event = RawData(line + _LINE_END + self._note_malformed() + rest)
-        await super().protocol_send(event)
+        # The protocol has given these bytes away and won't again. A request that is
+        # cancelled while it waits for its turn to send must not lose them: on HTTP/2
+        # they may be another caller's answer, or the room for another's upload, whose
+        # caller would wait for ever.
+        with trio.CancelScope(shield=isinstance(event, RawData)):
+            await super().protocol_send(event)
         protocol = self._get_http2()
         if protocol is not None and not self._prepared_http2:
             self._prepared_http2 = True
@@ -94,15 +106,19 @@
         # end, and the connection would count as open for as long.
         await self.context.terminated.set()
 
-    async def end_if_free(self, *, closing: bool) -> None:
-        """Tell the caller that a connection without requests ends, or end it."""
+    async def end_if_free(self, *, closing: bool, hasty: bool = False) -> None:
+        """Tell the caller that a connection without requests ends, or end it.
+
+        A hasty end does not wait until the connection has been quiet.
+        """
         if not hasattr(self, "protocol") or not self._is_free():
             return
-        lingered = trio.current_time() - self._free_since >= LINGER_S
+        free_s = trio.current_time() - self._free_since
+        lingered = free_s >= LINGER_S
         if lingered and (self._told or (closing and self._get_http2() is None)):
             await self.context.terminated.set()
             await self._initiate_server_close()
-        elif not self._told:
+        elif not self._told and (hasty or free_s >= QUIET_S):
             await self._tell_http2()
 
     async def _serve(
@@ -123,8 +139,6 @@
             if answer.open:
                 self._open_answers -= 1
                 await self._cut_http2(stream)
-        if self._leaving.is_set() and not self._open_requests:
-            await self._tell_http2()
 
     def _follow(self, answer: "_Answer") -> Callable[[Any], Any]:
         async def send(message: Any) -> None:
--- a/src/hyssopvane/_internal/transport/http_server.py
+++ b/src/hyssopvane/_internal/transport/http_server.py
@@ -19,6 +19,13 @@
 _REFUSED_KEEP_ALIVE_S = 2.0
 _DRAIN_INTERVAL_S = 0.05
 
+HASTE_AFTER_S = 5.0
+"""Time after the closing of the listener from which a connection need not be quiet.
+
+A caller that sends one request after the other on an HTTP/2 connection is refused each
+time and could hold the shutdown by it.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class ConnectionPolicy:
@@ -158,7 +165,7 @@
     async def _drain_before_closing(self) -> None:
         await self._leaving.wait()
         while True:
-            await self._end_free_connections(closing=False)
+            await self._end_free_connections(closing=False, hasty=False)
             await trio.sleep(_DRAIN_INTERVAL_S)
 
     async def _drain(self) -> None:
@@ -166,13 +173,15 @@
         self._leaving.set()
         # A connection accepted a moment ago counts only once its task has started.
         await trio.sleep(0)
+        hasty_from = trio.current_time() + HASTE_AFTER_S
         while self._connections or self._refused:
-            await self._end_free_connections(closing=True)
+            hasty = trio.current_time() >= hasty_from
+            await self._end_free_connections(closing=True, hasty=hasty)
             await trio.sleep(_DRAIN_INTERVAL_S)
 
-    async def _end_free_connections(self, *, closing: bool) -> None:
+    async def _end_free_connections(self, *, closing: bool, hasty: bool) -> None:
         for connection in tuple(self._connections):
-            await connection.end_if_free(closing=closing)
+            await connection.end_if_free(closing=closing, hasty=hasty)
 
 
 async def _run_apart(connection: HttpConnection) -> None:
--- a/tests/functional/test_graceful_shutdown.py
+++ b/tests/functional/test_graceful_shutdown.py
@@ -54,16 +54,23 @@
         self.may_not_connect = False
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
-        async with (
-            httpcore.AsyncConnectionPool(
-                http1=not self.http2, http2=self.http2
-            ) as pool,
-            trio.open_nursery() as nursery,
-        ):
-            for send in (send_stream, send_plain, send_upload, send_slow) * 2:
+        async with self._open_pool() as pool, trio.open_nursery() as nursery:
+            for send in (send_stream, send_plain, send_slow) * 2:
                 nursery.start_soon(self._repeat, pool, send)
+            for _ in range(2):
+                nursery.start_soon(self._repeat_uploads)
             task_status.started()
 
+    def _open_pool(self):
+        return httpcore.AsyncConnectionPool(http1=not self.http2, http2=self.http2)
+
+    async def _repeat_uploads(self):
+        # The client's HTTP/2 waits for the server's next frame even when another of its
+        # tasks has just read the one that opened its window. On a shared connection
+        # that falls silent at the shutdown, an upload would wait for ever.
+        async with self._open_pool() as pool:
+            await self._repeat(pool, send_upload)
+
     async def _repeat(self, pool, send):
         while not self.stopped:
             try:
