Let a fault in a handler end one connection, not the process

Cause: an exception other than a typed one, raised while a peer's question or stream was served, went through the nursery of the connection and ended the process. Both cases of the test were seen failing before (KeyError out of the run), and pass now.

--- a/src/hyssopvane/_internal/transport/peer_connection.py
+++ b/src/hyssopvane/_internal/transport/peer_connection.py
@@ -24,6 +24,7 @@
     Question,
 )
 from hyssopvane._internal.transport.framing import FramedStream
+from hyssopvane._internal.utils.logs import log_event
 
 CONNECTION_STREAM = 0
 SETTLE_TOPIC = "settle"
@@ -232,6 +233,13 @@
         except* ProtocolError as group:
             problem = _get_first(group, ProtocolError)
             error = PeerLost(problem.message, context=problem.context)
+        except* Exception as group:
+            # A fault of this process, met in what one peer sent, would end the process
+            # with the answers of all callers. It shows as connections that fail over
+            # and over; the log line names the fault.
+            fault = _get_first(group, Exception)
+            error = PeerLost("this process failed on a frame", context=repr(fault))
+            log_event("error", "connection-failed", why=repr(fault))
         finally:
             self._lose(error)
             self._ended.set()
--- a/tests/unit/test_peer_connection.py
+++ b/tests/unit/test_peer_connection.py
@@ -342,3 +342,32 @@
             assert started == []
 
     run(main)
+
+
+@pytest.mark.parametrize("topic", ["question", "stream"])
+def test_fault_in_a_handler_ends_only_its_connection(topic):
+    """A peer sends something that this process fails on by a fault of its own.
+
+    It took the whole entry down, with the answers of all its callers.
+    """
+
+    async def main():
+        async def fail(stream, opening):
+            raise KeyError(opening.request_id)
+
+        async with connect_pair(fail) as pair:
+            pair.accepter_handler.answer_question = fail_on_question
+            if topic == "question":
+                with pytest.raises(PeerLost):
+                    await pair.opener.ask("topic", b"")
+            else:
+                stream = pair.opener.open_stream(make_opening())
+                with pytest.raises(PeerLost):
+                    await stream.receive()
+            assert "KeyError" in pair.accepter.why_lost
+
+    run(main)
+
+
+async def fail_on_question(peer, topic, body):
+    raise KeyError(topic)
