--- a/src/hyssopvane/_internal/policy/keyed_request.py
+++ b/src/hyssopvane/_internal/policy/keyed_request.py
@@ -18,7 +18,7 @@
 MAX_JOINS = 4
 """Attempts of other entries that one request follows before it gives up.
 
-Each is told as buried by its agent before the next is looked at; more of them come
+Each has its tombstone at its agent before the next is looked at; more of them come
 only from callers who send one key over and over while targets refuse it.
 """
 
--- a/src/hyssopvane/_internal/roles/agent.py
+++ b/src/hyssopvane/_internal/roles/agent.py
@@ -244,9 +244,9 @@
         now = time.time()
         if self.refuses_work and opening.incarnation == self.incarnation:
             # The entry goes on to another target on the strength of this answer, so a
-            # late copy must find the attempt buried.
-            buried = self._register.bury(opening.attempt, owner=None, now=now)
-            return AgentRefusal.LEAVING if buried.proves_not_run else buried
+            # late copy must find a tombstone.
+            refusal = self._register.lay_tombstone(opening.attempt, owner=None, now=now)
+            return AgentRefusal.LEAVING if refusal.proves_not_run else refusal
         refusal = self._register.accept(
             opening.attempt, incarnation=opening.incarnation, owner=None, now=now
         )
--- a/src/hyssopvane/_internal/roles/keyed_runs.py
+++ b/src/hyssopvane/_internal/roles/keyed_runs.py
@@ -96,8 +96,10 @@
     ) -> AgentRefusal | None:
         now = time.time()
         if leaving and opening.incarnation == self._register.incarnation:
-            buried = self._register.bury(opening.attempt, owner=owner, now=now)
-            return AgentRefusal.LEAVING if buried.proves_not_run else buried
+            refusal = self._register.lay_tombstone(
+                opening.attempt, owner=owner, now=now
+            )
+            return AgentRefusal.LEAVING if refusal.proves_not_run else refusal
         return self._register.accept(
             opening.attempt, incarnation=opening.incarnation, owner=owner, now=now
         )
@@ -109,7 +111,9 @@
             return AgentRefusal.WRONG_INCARNATION
         run = self._runs.get(opening.attempt)
         if run is None:
-            return self._register.bury(opening.attempt, owner=owner, now=time.time())
+            return self._register.lay_tombstone(
+                opening.attempt, owner=owner, now=time.time()
+            )
         if run.owner.name != owner.name or run.body_digest != opening.body_digest:
             # Two keys whose hashes meet in the claims: neither may get the other's
             # answer.
@@ -128,7 +132,7 @@
         except BaseException:
             # The entry died or gave up before the body was whole; nothing has reached
             # the target, and now nothing will.
-            self._register.bury(opening.attempt, owner=owner, now=time.time())
+            self._register.lay_tombstone(opening.attempt, owner=owner, now=time.time())
             answer.finish(Refused(AgentRefusal.CANCELLED.value))
             raise
         if not self._register.start(opening.attempt):
--- a/src/hyssopvane/_internal/state/attempts.py
+++ b/src/hyssopvane/_internal/state/attempts.py
@@ -45,7 +45,7 @@
     ACCEPTED = "accepted"
     """Its body still arrives; nothing has reached the target."""
     STARTED = "started"
-    BURIED = "buried"
+    TOMBSTONE = "tombstone"
     """It never started and never will."""
 
 
@@ -81,7 +81,7 @@
             return AgentRefusal.WRONG_INCARNATION
         known = self._attempts.get(attempt)
         if known is not None:
-            if known.phase is AttemptPhase.BURIED:
+            if known.phase is AttemptPhase.TOMBSTONE:
                 return AgentRefusal.TOMBSTONE
             return AgentRefusal.DUPLICATE_ATTEMPT
         if owner is not None and self._is_too_old(owner, now):
@@ -91,7 +91,7 @@
         if owner is not None and owner.name in self._held:
             # The claim in the key-value service lets no second attempt come this far;
             # this holds even when a fault lets one through.
-            self._remember(attempt, AttemptPhase.BURIED, owner, now)
+            self._remember(attempt, AttemptPhase.TOMBSTONE, owner, now)
             return AgentRefusal.KEY_HELD
         self._remember(attempt, AttemptPhase.ACCEPTED, owner, now)
         if owner is not None:
@@ -99,14 +99,14 @@
         return None
 
     def start(self, attempt: bytes) -> bool:
-        """Mark an accepted attempt as started; return False when it was buried."""
+        """Mark an accepted attempt as started; return False when it has a tombstone."""
         known = self._attempts.get(attempt)
         if known is None or known.phase is not AttemptPhase.ACCEPTED:
             return False
         known.phase = AttemptPhase.STARTED
         return True
 
-    def bury(
+    def lay_tombstone(
         self, attempt: bytes, *, owner: KeyOwner | None, now: float
     ) -> AgentRefusal:
         """Make sure that an attempt never starts, or say that this is too late."""
@@ -116,18 +116,18 @@
                 return AgentRefusal.KEY_EXPIRED
             # Its copy may still be on its way, through a connection that was silent
             # or from an entry that was paused.
-            self._remember(attempt, AttemptPhase.BURIED, owner, now)
+            self._remember(attempt, AttemptPhase.TOMBSTONE, owner, now)
         elif known.phase is AttemptPhase.STARTED:
             return AgentRefusal.DUPLICATE_ATTEMPT
         else:
-            self._bury_known(attempt, known)
+            self._lay_known_tombstone(attempt, known)
         return AgentRefusal.TOMBSTONE
 
     def undo_start(self, attempt: bytes) -> None:
         """Bury a started attempt of which provably nothing reached the target."""
         known = self._attempts.get(attempt)
         if known is not None:
-            self._bury_known(attempt, known)
+            self._lay_known_tombstone(attempt, known)
 
     def expire(self, *, now: float) -> list[bytes]:
         """Forget attempts whose copies are refused by their age; return them."""
@@ -150,8 +150,8 @@
         if len(self._unkeyed) > MAX_UNKEYED:
             self._forget(next(iter(self._unkeyed)))
 
-    def _bury_known(self, attempt: bytes, known: _Attempt) -> None:
-        known.phase = AttemptPhase.BURIED
+    def _lay_known_tombstone(self, attempt: bytes, known: _Attempt) -> None:
+        known.phase = AttemptPhase.TOMBSTONE
         self._release(attempt, known)
 
     def _forget(self, attempt: bytes) -> None:
--- a/tests/unit/test_keyed_machine.py
+++ b/tests/unit/test_keyed_machine.py
@@ -260,7 +260,7 @@
             return None
         if claim.attempt in agent.accepted:
             return None
-        return agent.register.bury(
+        return agent.register.lay_tombstone(
             to_bytes(claim.attempt), owner=OWNER, now=self.get_time(claim.target)
         )
 
@@ -272,7 +272,9 @@
             return
         attempt, request = agent.accepted.popitem()
         if how == "body cut":
-            agent.register.bury(to_bytes(attempt), owner=OWNER, now=self.get_time(name))
+            agent.register.lay_tombstone(
+                to_bytes(attempt), owner=OWNER, now=self.get_time(name)
+            )
         elif agent.register.start(to_bytes(attempt)):
             if how == "unreachable":
                 agent.register.undo_start(to_bytes(attempt))
