--- a/src/hyssopvane/_internal/roles/agent.py
+++ b/src/hyssopvane/_internal/roles/agent.py
@@ -245,8 +245,8 @@
         if self.refuses_work and opening.incarnation == self.incarnation:
             # The entry goes on to another target on the strength of this answer, so a
             # late copy must find a tombstone.
-            refusal = self._register.lay_tombstone(opening.attempt, owner=None, now=now)
-            return AgentRefusal.LEAVING if refusal.proves_not_run else refusal
+            told = self._register.lay_tombstone(opening.attempt, owner=None, now=now)
+            return AgentRefusal.LEAVING if told.proves_not_run else told
         refusal = self._register.accept(
             opening.attempt, incarnation=opening.incarnation, owner=None, now=now
         )
--- a/src/hyssopvane/_internal/roles/keyed_runs.py
+++ b/src/hyssopvane/_internal/roles/keyed_runs.py
@@ -96,10 +96,8 @@
     ) -> AgentRefusal | None:
         now = time.time()
         if leaving and opening.incarnation == self._register.incarnation:
-            refusal = self._register.lay_tombstone(
-                opening.attempt, owner=owner, now=now
-            )
-            return AgentRefusal.LEAVING if refusal.proves_not_run else refusal
+            told = self._register.lay_tombstone(opening.attempt, owner=owner, now=now)
+            return AgentRefusal.LEAVING if told.proves_not_run else told
         return self._register.accept(
             opening.attempt, incarnation=opening.incarnation, owner=owner, now=now
         )
