--- a/src/hyssopvane/_internal/transport/http_connection.py
+++ b/src/hyssopvane/_internal/transport/http_connection.py
@@ -83,8 +83,10 @@
         # The protocol has given these bytes away and won't again. A request that is
         # cancelled while it waits for its turn to send must not lose them: on HTTP/2
         # they may be another caller's answer, or the room for another's upload, whose
-        # caller would wait for ever.
-        with trio.CancelScope(shield=isinstance(event, RawData)):
+        # caller would wait for ever. On HTTP/1.1 they are the cancelled request's own,
+        # and a late 500 of hypercorn's would look like the target's answer.
+        shared = isinstance(event, RawData) and self._get_http2() is not None
+        with trio.CancelScope(shield=shared):
             await super().protocol_send(event)
         protocol = self._get_http2()
         if protocol is not None and not self._prepared_http2:
