Reset the stream of a cut HTTP/2 answer in one place

The connection does it for every answer that its application leaves open. The caller's application still had its own reset, which no longer reached the protocol: what it is given to send with is the connection's wrapper, so it did nothing.

--- a/src/hyssopvane/_internal/roles/caller_app.py
+++ b/src/hyssopvane/_internal/roles/caller_app.py
@@ -32,7 +32,6 @@
     BodyTooLarge,
     CallerGone,
     read_body,
-    reset_answer,
     serve_lifespan,
     wait_for_disconnect,
 )
@@ -112,7 +111,6 @@
             seconds=seconds,
         )
         if outcome == "cut":
-            await reset_answer(scope, send)
             raise AnswerCut(request_id)
 
     async def _run(
--- a/src/hyssopvane/_internal/transport/asgi_messages.py
+++ b/src/hyssopvane/_internal/transport/asgi_messages.py
@@ -10,8 +10,6 @@
 JSON_TYPE = (b"content-type", b"application/json")
 TEXT_TYPE = (b"content-type", b"text/plain; charset=utf-8")
 
-_HTTP2_INTERNAL_ERROR = 2
-
 
 class BodyTooLarge(Exception):
     """Tell that a body is over its limit."""
@@ -84,20 +82,3 @@
     """Send a response in JSON."""
     body = json.dumps(document, separators=(", ", ": ")).encode() + b"\n"
     await send_response(send, status=status, headers=(*headers, JSON_TYPE), body=body)
-
-
-async def reset_answer(scope: Any, send: Any) -> None:
-    """Reset the HTTP/2 stream of an answer that can't be completed.
-
-    When an application fails after the head, hypercorn closes an HTTP/1.1 connection
-    but leaves an HTTP/2 stream open: the caller waits until the idle connection is
-    closed, a minute later, for the rest that never comes. Its protocol object, behind
-    `send`, is the only way to the stream; with another server nothing is done here.
-    """
-    stream: Any = getattr(send, "__self__", None)
-    protocol: Any = getattr(getattr(stream, "send", None), "__self__", None)
-    connection: Any = getattr(protocol, "connection", None)
-    if scope.get("http_version") != "2" or connection is None or protocol is None:
-        return
-    connection.reset_stream(stream.stream_id, error_code=_HTTP2_INTERNAL_ERROR)
-    await protocol._flush()
