Take no standstill of the process itself for a peer's silence

Cause: the watch for silence compared the clock with the last frame read. A process that gets no time for longer than the limit wakes with frames unread, finds 'silence' and closes a sound connection; its peer reports 'the peer closed the connection' and every caller on it gets 502. Change: time by which the watch itself came late does not count as silence. Ruled out: a longer limit, which finds forgotten connections later and only moves the load at which this happens.

--- a/src/hyssopvane/_internal/transport/peer_connection.py
+++ b/src/hyssopvane/_internal/transport/peer_connection.py
@@ -460,9 +460,18 @@
         # A device between the two ends may forget an open connection: nothing arrives
         # and nothing fails. Heartbeats come often, so silence shows it; closing here
         # makes the owner open a new connection instead of taking the target for dead.
+        looked_at = trio.current_time()
         while True:
             await trio.sleep(self._times.heartbeat_s)
-            silent_s = trio.current_time() - self._last_received
+            now = trio.current_time()
+            late_s = now - looked_at - self._times.heartbeat_s
+            looked_at = now
+            if late_s > self._times.heartbeat_s:
+                # This process itself stood still, and has not yet read what the peer
+                # sent meanwhile. Taken for the peer's silence, that would cut every
+                # answer on a sound connection.
+                self._last_received = min(now, self._last_received + late_s)
+            silent_s = now - self._last_received
             if silent_s > self._times.silence_s:
                 raise PeerLost(f"the connection was silent for {silent_s:.1f} s")
 
--- a/tests/unit/test_peer_connection.py
+++ b/tests/unit/test_peer_connection.py
@@ -152,6 +152,36 @@
     run(main)
 
 
+def test_standstill_of_the_process_itself_closes_no_connection():
+    """A busy machine gives a process no time for seconds, and its peer goes on well.
+
+    The process has not read what came meanwhile. Taking that for silence it would
+    close all of its connections, and each caller beside would get an error.
+    """
+
+    async def main():
+        near, far = trio.testing.memory_stream_pair()
+        connection = PeerConnection(
+            near,
+            hello=make_hello("a"),
+            handler=RecordingHandler(),
+            times=TIMES,
+            opener=True,
+        )
+        greeting = encode_frames([Frame(0, make_hello("b"))])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection.run)
+            await far.send_all(len(greeting).to_bytes(4, "big") + greeting)
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            clock.jump(10 * TIMES.silence_s)
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            assert not connection.lost
+            nursery.cancel_scope.cancel()
+
+    clock = trio.testing.MockClock()
+    trio.run(main, clock=clock)
+
+
 def test_stream_keeps_what_arrived_before_the_loss():
     async def main():
         async def answer_and_close(stream, opening):
