Run the real programs under random faults, as a soak with checks from outside

Change: tests/soak starts entries and agents, with links that are delayed, silenced, cut one way, reset or forgotten, a store that is down or loses answers, replicas that fail, crash and leave, orders lost and late, and processes that are stopped, killed, paused and told to reload. Callers keep their connections. Checked: whole answers of one's own, at most once, refused means not run, customer and body unchanged, no configuration goes back, planned stops cut nothing, replicas that leave get nothing new, all is served again at the end, and no pass begins with two maps (raised by the ranks' stand-in). Not covered: clocks, since nothing on this path decides by the time of day.

--- /dev/null
+++ b/tests/functional/test_soak.py
@@ -0,0 +1,25 @@
+"""Run a short part of the fault soak: real programs, random faults from outside."""
+
+import pytest
+
+from tests.soak.run import Size, run_seed
+
+SMALL = Size(entries=2, groups=1, plain=2, callers=6, seconds=6.0, patience=6.0)
+
+SEEDS = (1, 2)
+"""Seeds that every run of the tests plays."""
+
+FAILED_SEEDS: dict[int, str] = {}
+"""Seeds that broke a promise once, each with its cause."""
+
+
+@pytest.mark.parametrize("seed", [*SEEDS, *FAILED_SEEDS])
+def test_promises_hold_under_random_faults(seed, tmp_path):
+    """Processes are stopped, paused, killed and restarted, links fail, replicas crash.
+
+    A caller would get half an answer or another caller's, a bid would be placed twice,
+    or what was said not to have run has run.
+    """
+    report = run_seed(tmp_path, seed=seed, size=SMALL)
+    assert report.violations == [], report.faults
+    assert report.served > 50
--- a/tests/lib/direct_replica.py
+++ b/tests/lib/direct_replica.py
@@ -1,6 +1,7 @@
 """Stand in for a replica of the direct path: raw HTTP, with the faults of real ones."""
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import h11
@@ -44,19 +45,25 @@
         await trio.serve_listeners(self._serve, listeners)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
-        connection = h11.Connection(h11.SERVER)
         try:
-            while True:
-                request = await _read_request(connection, stream)
-                if request is None:
-                    return
-                self.received.append(request)
-                if not await self._run(stream, request):
-                    await stream.aclose()
-                    return
-                connection = h11.Connection(h11.SERVER)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
+            await self._serve_requests(stream)
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except* h11.RemoteProtocolError:
+            # The peer left within a request.
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_requests(self, stream: trio.SocketStream) -> None:
+        connection = h11.Connection(h11.SERVER)
+        while True:
+            request = await _read_request(connection, stream)
+            if request is None:
+                return
+            self.received.append(request)
+            if not await self._run(stream, request):
+                await stream.aclose()
+                return
+            connection = h11.Connection(h11.SERVER)
 
     async def _run(self, stream: trio.SocketStream, request: Received) -> bool:
         kept = True
@@ -67,7 +74,8 @@
             nursery.cancel_scope.cancel()
 
         async def watch() -> None:
-            await stream.socket.recv(1, trio.socket.MSG_PEEK)
+            with suppress(ConnectionError):
+                await stream.socket.recv(1, trio.socket.MSG_PEEK)
             self.cancelled += 1
             nursery.cancel_scope.cancel()
 
--- a/tests/lib/rank_model.py
+++ b/tests/lib/rank_model.py
@@ -134,7 +134,7 @@
 
     def __post_init__(self) -> None:
         self.ranks = [ModelRank(number) for number in range(RANKS)]
-        self._begin_epoch()
+        self.begin_epoch()
         self.agents = [self._make_agent() for _ in range(RANKS)]
         self.counts = [[0] * EXPERTS for _ in range(RANKS)]
         self.hot = 0
@@ -145,7 +145,7 @@
         while self.now < end:
             self.now += TICK_S
             self._deliver_late()
-            self._begin_passes()
+            self.begin_passes()
             self._break_things()
             for number in range(RANKS):
                 self._run_agent(number)
@@ -159,13 +159,15 @@
         nonce = self.random.getrandbits(20)
         return ModelAgent(MapCoordinator(nonce=nonce, layout=LAYOUT))
 
-    def _begin_epoch(self) -> None:
+    def begin_epoch(self) -> None:
+        """Form the group anew, with the first map."""
         for rank in self.ranks:
             rank.map_version = rank.prepared = rank.held = 0
             rank.pending = rank.armed = None
             rank.experts = tuple(range(rank.number, EXPERTS, RANKS))
 
-    def _begin_passes(self) -> None:
+    def begin_passes(self) -> None:
+        """Begin the next pass when it is due."""
         for rank in self.ranks:
             if rank.pending is not None and self.now >= rank.copied_at:
                 rank.prepared, rank.prepared_experts = rank.pending
@@ -214,7 +216,7 @@
             self.agents[number].down_until = self.now + 0.8
         if self.random.random() < self.faults.broken * TICK_S:
             self.epoch += 1
-            self._begin_epoch()
+            self.begin_epoch()
 
     def _run_agent(self, number: int) -> None:
         agent = self.agents[number]
--- a/tests/lib/rank_standin.py
+++ b/tests/lib/rank_standin.py
@@ -18,8 +18,11 @@
 class GroupStandIn:
     """Let a group of ranks make passes, and answer for each of them."""
 
-    def __init__(self) -> None:
+    def __init__(self, name: str = "g") -> None:
+        self.name = name
         self.model = GroupModel(Random(1), Faults())
+        self.broken = False
+        """Whether the group serves nobody until it is formed anew."""
 
     async def make_passes(self) -> None:
         """Begin a pass from time to time; raise `MapsDiffer` when the maps differ."""
@@ -27,7 +30,14 @@
             await trio.sleep(PASS_S)
             self.model.now = trio.current_time()
             self.model.next_pass_at = 0.0
-            self.model._begin_passes()
+            if not self.broken:
+                self.model.begin_passes()
+
+    def form(self) -> None:
+        """Begin a new epoch, with the first map."""
+        self.model.epoch += 1
+        self.model.begin_epoch()
+        self.broken = False
 
     def make_app(self, number: int) -> Any:
         """Return the application of one rank."""
@@ -37,12 +47,13 @@
                 await serve_lifespan(receive, send)
                 return
             body = await read_body(receive, max_bytes=2**20)
-            status, answer = self._answer(number, scope, body)
+            status, answer = self.answer(number, scope, body)
             await send_json(send, answer, status=status)
 
         return app
 
-    def _answer(self, number: int, scope: Any, body: bytes) -> tuple[int, object]:
+    def answer(self, number: int, scope: Any, body: bytes) -> tuple[int, object]:
+        """Answer one call of a rank."""
         rank = self.model.ranks[number]
         if scope["path"] == "/api/report":
             return 200, self._report(number)
@@ -50,15 +61,24 @@
             return self._take(number, json.loads(body))
         if scope["query_string"]:
             experts = {"version": rank.map_version, "experts": [list(rank.experts)]}
-            return 200, {"epoch": 1, "expert-map": experts}
+            return 200, {"epoch": self.model.epoch, "expert-map": experts}
         counts = self.model.counts[number]
-        return 200, {"step": self.model.step, "epoch": 1, "counts": counts}
+        return 200, {
+            "step": self.model.step,
+            "epoch": self.model.epoch,
+            "counts": counts,
+        }
 
     def _report(self, number: int) -> object:
         rank = self.model.ranks[number]
         armed = rank.armed and {"version": rank.armed[0], "step": rank.armed[1]}
         return {
-            "group": {"name": "g", "epoch": 1, "rank": number, "state": "open"},
+            "group": {
+                "name": self.name,
+                "epoch": self.model.epoch,
+                "rank": number,
+                "state": "broken" if self.broken else "open",
+            },
             "size": RANKS,
             "active": 3,
             "queued": 0,
@@ -73,7 +93,7 @@
         taken = self.model.ranks[number].take(
             _read_order(document),
             step=self.model.step,
-            epoch=1,
+            epoch=self.model.epoch,
             now=trio.current_time(),
         )
         return (202, {}) if taken else (409, {})
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,48 @@
+"""Run seeds by hand: python -m tests.soak --first 1 --seeds 50."""
+
+import argparse
+import os
+import sys
+import tempfile
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+from tests.soak.run import Report, Size, run_seed
+
+
+def _run_one(folder: str, seed: int, size: Size) -> Report:
+    return run_seed(Path(folder) / str(seed), seed=seed, size=size)
+
+
+def main() -> int:
+    """Run the seeds; return 1 when a promise was broken."""
+    parser = argparse.ArgumentParser(prog="soak", description=__doc__)
+    parser.add_argument("--first", type=int, default=int.from_bytes(os.urandom(3)))
+    parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--groups", type=int, default=2)
+    parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("--folder", default=tempfile.mkdtemp(prefix="soak-"))
+    found = parser.parse_args()
+    size = Size(entries=found.entries, groups=found.groups, seconds=found.seconds)
+    broken = 0
+    print(f"logs in {found.folder}", flush=True)
+    with ProcessPoolExecutor(found.jobs) as pool:
+        seeds = range(found.first, found.first + found.seeds)
+        runs = [pool.submit(_run_one, found.folder, seed, size) for seed in seeds]
+        for run in runs:
+            report = run.result()
+            print(report.describe(), flush=True)
+            for one in report.violations:
+                print(f"  {one}", flush=True)
+            if report.violations:
+                broken += 1
+                for one in report.faults:
+                    print(f"    {one}", flush=True)
+    print(f"{found.seeds} seeds, {broken} with a broken promise", flush=True)
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/backends.py
@@ -0,0 +1,226 @@
+"""Stand in for the platform's store and its replicas, and remember what ran."""
+
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+
+import trio
+
+from tests.lib.direct_replica import (
+    STREAM_HEAD,
+    DirectReplica,
+    Received,
+    chunk,
+    make_answer,
+)
+from tests.lib.rank_standin import GroupStandIn
+from tests.soak.link import Link
+
+EVENTS = 6
+"""Events of a stream."""
+
+EVENT_PAUSE_S = 0.03
+FULL = "full"
+TROUBLES = ("error", "lost", "half", "extra", "slow", FULL)
+"""What a troubled replica does instead of answering."""
+
+
+@dataclass
+class Journal:
+    """Remember what replicas ran, and what must not have happened."""
+
+    runs: Counter[str] = field(default_factory=Counter)
+    violations: list[str] = field(default_factory=list)
+
+    def violate(self, what: str) -> None:
+        """Note a broken promise."""
+        self.violations.append(what)
+
+
+class Backend:
+    """Hold one address at which one replica after the other serves."""
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        service: str,
+        random: Random,
+        journal: Journal,
+        host: str,
+        group: GroupStandIn | None = None,
+        rank: int = 0,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.host = host
+        self.link = Link("", listen=f"{host}:0")
+        self.trouble_share = 0.0
+        self.orders_lost = 0.0
+        self.orders_late = 0.0
+        self.draining_since = float("inf")
+        """Time at which the store accepted that the replica leaves."""
+        self._random = random
+        self._journal = journal
+        self.group = group
+        self._rank = rank
+        self._starts = 0
+        self._life: trio.CancelScope | None = None
+        self._nursery: trio.Nursery | None = None
+        self.running = 0
+        self.started = 0
+        """Requests that were begun, over all replicas at this address."""
+
+    @property
+    def id(self) -> str:
+        """Return the id of the present replica."""
+        return f"{self.name}-{self._starts}"
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start the first replica, and the link before it."""
+        self._nursery = nursery
+        await self.begin()
+        await nursery.start(self.link.serve)
+
+    async def begin(self) -> None:
+        """Start a replica with an id of its own."""
+        assert self._nursery is not None
+        self._starts += 1
+        self.draining_since = float("inf")
+        replica = DirectReplica(self.id, self._behave)
+        await self._nursery.start(self._serve, replica)
+        self.link.target = replica.address
+
+    async def end(self) -> None:
+        """Let the replica crash with all its connections."""
+        if self._life is not None:
+            self._life.cancel()
+        await self.link.reset_open()
+        self.link.target = "127.0.0.1:9"
+
+    def describe(self) -> dict[str, object]:
+        """Return its registration."""
+        draining = self.draining_since < float("inf")
+        return {
+            "service": self.service,
+            "address": self.link.address,
+            "zone": "zone-a",
+            "slots": 6,
+            "state": "draining" if draining else "ready",
+        }
+
+    async def _serve(
+        self, replica: DirectReplica, *, task_status: trio.TaskStatus[None]
+    ) -> None:
+        with trio.CancelScope() as self._life:
+            await replica.serve(task_status=task_status)
+
+    async def _behave(
+        self, replica: DirectReplica, stream: trio.SocketStream, request: Received
+    ) -> bool:
+        if request.target.startswith("/api/"):
+            return await self._answer_agent(stream, request)
+        if request.headers.get("x-expect-instance") != replica.id:
+            await stream.send_all(make_answer(request, status=421, signed=False))
+            return True
+        trouble = "whole"
+        if self._random.random() < self.trouble_share:
+            trouble = self._random.choice(TROUBLES)
+        if trouble == FULL or (self.group is not None and self.group.broken):
+            headers = (("X-Not-Executed", "1"),)
+            answer = make_answer(request, status=503, signed=False, headers=headers)
+            await stream.send_all(answer)
+            return True
+        self._note_run(request)
+        self.running += 1
+        try:
+            return await self._answer(trouble, stream, request)
+        finally:
+            self.running -= 1
+
+    def _note_run(self, request: Received) -> None:
+        headers, told = request.headers, self._journal.violate
+        self.started += 1
+        request_id = headers.get("x-request-id", "")
+        self._journal.runs[request_id] += 1
+        if "authorization" in headers:
+            told(f"{request_id}: the caller's key reached a replica")
+        if headers.get("x-tenant") != "registry" and "/gen" not in request.target:
+            told(f"{request_id}: customer {headers.get('x-tenant')!r}")
+        if request.body != f"body of {request_id}".encode():
+            told(f"{request_id}: body {request.body!r}")
+
+    async def _answer(
+        self, trouble: str, stream: trio.SocketStream, request: Received
+    ) -> bool:
+        if self.group is not None:
+            return await self._stream(trouble, stream, request)
+        whole = make_answer(request, body=make_body(request.headers["x-request-id"]))
+        match trouble:
+            case "error":
+                await stream.send_all(make_answer(request, status=500, body=b"sorry"))
+            case "lost":
+                return False
+            case "half":
+                await stream.send_all(whole[:-3])
+                return False
+            case "extra":
+                await stream.send_all(whole + whole)
+            case "slow":
+                await trio.sleep(1.0)
+                await stream.send_all(whole)
+            case _:
+                await trio.sleep(0.01)
+                await stream.send_all(whole)
+        return True
+
+    async def _stream(
+        self, trouble: str, stream: trio.SocketStream, request: Received
+    ) -> bool:
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        ends_at = self._random.randint(first, EVENTS) if trouble != "whole" else 0
+        await stream.send_all(make_answer(request, body=b"", headers=STREAM_HEAD))
+        for number in range(first, EVENTS + 1):
+            await trio.sleep(EVENT_PAUSE_S if trouble != "slow" else 0.3)
+            event = chunk(make_event(request.headers["x-request-id"], number))
+            if number == ends_at and trouble != "slow":
+                await stream.send_all(event[: len(event) // 2])
+                return False
+            await stream.send_all(event)
+        await stream.send_all(b"0\r\n\r\n")
+        return True
+
+    async def _answer_agent(self, stream: trio.SocketStream, request: Received) -> bool:
+        assert self.group is not None
+        path, _, query = request.target.partition("?")
+        if path == "/api/order":
+            if self._random.random() < self.orders_lost:
+                return False
+            if self._random.random() < self.orders_late:
+                assert self._nursery is not None
+                self._nursery.start_soon(self._take_late, request.body)
+                return False
+        scope = {"path": path, "query_string": query}
+        status, answer = self.group.answer(self._rank, scope, request.body)
+        if path == "/api/report":
+            assert isinstance(answer, dict)
+            answer["active"] = self.running
+        data = make_answer(request, status=status, body=json.dumps(answer).encode())
+        await stream.send_all(data)
+        return True
+
+    async def _take_late(self, body: bytes) -> None:
+        await trio.sleep(self._random.uniform(0.3, 5.0))
+        assert self.group is not None
+        self.group.answer(self._rank, {"path": "/api/order"}, body)
+
+
+def make_body(request_id: str) -> bytes:
+    """Return the whole answer to a plain request."""
+    return f"answer to {request_id}".encode()
+
+
+def make_event(request_id: str, number: int) -> bytes:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: {request_id} {number}\n\n".encode()
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,172 @@
+"""Send requests over kept connections, and check each answer."""
+
+from dataclasses import dataclass, field
+from random import Random
+
+import trio
+
+from hyssopvane._internal.transport.replica_client import (
+    ReplicaClient,
+    ReplicaFailed,
+    ReplicaUnreachable,
+)
+from tests.lib.direct_installation import HOST, KEY
+from tests.soak.backends import EVENTS, Journal, make_body, make_event
+from tests.soak.fleet import Member
+
+TIMEOUT_S = 4.0
+"""Timeout of the routes."""
+
+LATE_S = 1.5
+"""Time beyond the route's timeout in which an answer must be there: the machine that
+runs the soak may be busy."""
+
+NOT_RUN = frozenset({408, 421, 429, 503})
+"""Statuses that promise that a request has not run and never will."""
+
+OWN_ERRORS = frozenset({401, 403, 404})
+_LONG = 2**24
+
+
+@dataclass(frozen=True)
+class Kind:
+    """Describe a kind of request."""
+
+    path: str
+    streamed: bool = False
+    once: bool = False
+    """Whether it may run no more than once."""
+
+    @property
+    def name(self) -> str:
+        """Return a short name."""
+        return self.path.split("/")[1]
+
+
+KINDS = (
+    Kind("/status/1"),
+    Kind("/bids/1", once=True),
+    Kind("/drafts/1", streamed=True),
+    Kind("/once/1", streamed=True, once=True),
+)
+
+
+@dataclass
+class Call:
+    """Hold what became of one request."""
+
+    id: str
+    kind: Kind
+    entry: str
+    starts: int
+    """Starts of the entry when the request was sent."""
+    sent_at: float
+    ended_at: float = 0.0
+    status: int = 0
+    whole: bool = False
+    sent: bool = True
+    """Whether any byte may have left."""
+
+
+@dataclass
+class Callers:
+    """Send requests until cancelled."""
+
+    entries: list[Member]
+    journal: Journal
+    random: Random
+    late_s: float = LATE_S
+    calls: list[Call] = field(default_factory=list)
+    left: int = 0
+    """Requests whose caller went away."""
+
+    async def run(self) -> None:
+        """Send one request after the other."""
+        client = ReplicaClient()
+        number = 0
+        try:
+            while True:
+                number += 1
+                member = self.random.choice(self.entries)
+                kind = self.random.choice(KINDS)
+                name = f"{self.random.getrandbits(48):x}-{number}"
+                patience_s = TIMEOUT_S + self.late_s
+                if self.random.random() < 0.1:
+                    patience_s = self.random.uniform(0.0, 0.2)
+                await self.send(client, member, kind, name, patience_s=patience_s)
+                await trio.sleep(self.random.uniform(0.0, 0.05))
+        finally:
+            with trio.CancelScope(shield=True):
+                await client.close()
+
+    async def send(
+        self,
+        client: ReplicaClient,
+        member: Member,
+        kind: Kind,
+        request_id: str,
+        *,
+        patience_s: float = TIMEOUT_S + LATE_S,
+    ) -> Call:
+        """Send one request and note what became of it."""
+        call = Call(request_id, kind, member.name, member.starts, trio.current_time())
+        self.calls.append(call)
+        impatient = patience_s < TIMEOUT_S
+        with trio.move_on_after(patience_s) as scope:
+            try:
+                await self._exchange(client, member, call)
+            except ReplicaUnreachable:
+                call.sent = False
+            except (ReplicaFailed, OSError):
+                pass
+        call.ended_at = trio.current_time()
+        if scope.cancelled_caught and impatient:
+            self.left += 1
+        elif scope.cancelled_caught:
+            call.status = -1
+        return call
+
+    async def _exchange(
+        self, client: ReplicaClient, member: Member, call: Call
+    ) -> None:
+        body = f"body of {call.id}".encode()
+        fields = (
+            (b"host", HOST.encode()),
+            (b"x-request-id", call.id.encode()),
+            (b"authorization", f"Bearer {KEY}".encode()),
+            (b"x-deadline-ms", b"8000"),
+            (b"content-length", str(len(body)).encode()),
+        )
+        async with client.call(
+            member.callers,
+            method="POST",
+            target=call.kind.path.encode(),
+            headers=fields,
+            body=body,
+        ) as response:
+            status = response.status
+            content = await response.read(max_bytes=_LONG)
+            call.status, call.whole = status, True
+            self._check(call, response.fields, content)
+
+    def _check(self, call: Call, fields: dict[bytes, bytes], content: bytes) -> None:
+        told = self.journal.violate
+        if fields.get(b"x-request-id", call.id.encode()) != call.id.encode():
+            told(f"{call.id}: an answer to {fields[b'x-request-id']!r}")
+        signed = b"x-response-signature" in fields
+        if call.status in OWN_ERRORS:
+            told(f"{call.id}: {call.status} for what every configuration allows")
+        if call.status >= 300 and signed and call.status != 500:
+            told(f"{call.id}: a signed {call.status}")
+        if call.status != 200:
+            return
+        if not signed:
+            told(f"{call.id}: a success without a signature")
+        if content != _make_answer(call):
+            told(f"{call.id}: {content!r} is not the whole answer")
+
+
+def _make_answer(call: Call) -> bytes:
+    if call.kind.streamed:
+        return b"".join(make_event(call.id, one) for one in range(1, EVENTS + 1))
+    return make_body(call.id)
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,246 @@
+"""Draw faults in series that overlap, and remember when each one was there."""
+
+import signal
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING
+
+import trio
+
+from tests.soak.fleet import Member
+from tests.soak.link import Link, LinkState
+
+if TYPE_CHECKING:
+    from tests.soak.run import SoakRun
+
+SERIES = 3
+"""Faults that may be there at the same time."""
+
+PLANNED = frozenset({"stop", "configure", "reload"})
+"""What must harm nobody."""
+
+_GRACE_S = 6.0
+_ADDRESS_REST_S = 1.0
+"""Time until another replica serves at the address of one that has gone."""
+
+
+@dataclass(frozen=True)
+class Span:
+    """Say when a fault was there."""
+
+    name: str
+    where: str
+    from_s: float
+    to_s: float
+
+
+class Faults:
+    """Harm the parts of a run."""
+
+    def __init__(self, run: "SoakRun") -> None:
+        self._run = run
+        self._random = Random(run.random.random())
+        self._busy: set[str] = set()
+        self.spans: list[Span] = []
+        self.told: list[str] = []
+
+    async def run(self, seconds: float) -> None:
+        """Draw faults for a while, and wait until all are healed."""
+        end = trio.current_time() + seconds
+        async with trio.open_nursery() as nursery:
+            for _ in range(SERIES):
+                nursery.start_soon(self._draw, end)
+
+    def harmed(self, entry: str, from_s: float, to_s: float) -> bool:
+        """Tell whether a fault of an entry or of all fell into a span of time."""
+        return any(
+            span.name not in PLANNED and span.where in (entry, "all")
+            for span in self._list(from_s, to_s)
+        )
+
+    def harmed_anything(self, from_s: float, to_s: float) -> bool:
+        """Tell whether any unplanned fault fell into a span of time."""
+        return any(span.name not in PLANNED for span in self._list(from_s, to_s))
+
+    def stopped(self, entry: str, from_s: float, to_s: float) -> bool:
+        """Tell whether an entry was told to end in a span of time."""
+        return any(
+            span.name == "stop" and span.where == entry
+            for span in self._list(from_s, to_s)
+        )
+
+    def _list(self, from_s: float, to_s: float) -> list[Span]:
+        return [
+            span for span in self.spans if span.from_s <= to_s and span.to_s >= from_s
+        ]
+
+    async def _draw(self, end: float) -> None:
+        choices: list[tuple[str, Callable[[], Awaitable[str]]]] = [
+            ("stop", self._stop),
+            ("stop", self._stop),
+            ("kill", self._kill),
+            ("pause", self._pause),
+            ("reload", self._reload),
+            ("configure", self._configure),
+            ("link", self._harm_link),
+            ("link", self._harm_link),
+            ("store", self._harm_store),
+            ("trouble", self._trouble),
+            ("crash", self._crash),
+            ("orders", self._harm_orders),
+            ("drain", self._drain),
+        ]
+        while trio.current_time() < end:
+            name, fault = self._random.choice(choices)
+            at = trio.current_time()
+            # A fault that is still there has no end yet.
+            open_span = Span(name, "all", at, float("inf"))
+            self.spans.append(open_span)
+            where = await fault()
+            self.spans.remove(open_span)
+            known = where if where.startswith("entry") else "all"
+            self.spans.append(Span(name, known, at, trio.current_time()))
+            self.told.append(f"{at:.1f} {name} {where}")
+            await trio.sleep(self._random.uniform(0.0, 1.0))
+
+    def _take(self, members: list[Member]) -> Member | None:
+        free = [one for one in members if one.name not in self._busy]
+        if not free:
+            return None
+        found = self._random.choice(free)
+        self._busy.add(found.name)
+        return found
+
+    async def _stop(self) -> str:
+        member = self._take(self._run.fleet.members)
+        if member is None:
+            return "nobody"
+        member.stopping = True
+        member.send_signal(signal.SIGTERM)
+        if self._random.random() < 0.3:
+            member.send_signal(signal.SIGHUP)
+        if not await member.wait_ended((_GRACE_S + 2.0) * self._run.size.patience):
+            self._run.journal.violate(f"{member.name} does not end in its grace period")
+            member.kill()
+        await member.start()
+        self._busy.discard(member.name)
+        return member.name
+
+    async def _kill(self) -> str:
+        member = self._take(self._run.fleet.members)
+        if member is None:
+            return "nobody"
+        member.kill()
+        await trio.sleep(self._random.uniform(0.0, 1.0))
+        await member.start()
+        self._busy.discard(member.name)
+        return member.name
+
+    async def _pause(self) -> str:
+        member = self._take(self._run.fleet.members)
+        if member is None:
+            return "nobody"
+        member.send_signal(signal.SIGSTOP)
+        await trio.sleep(self._random.uniform(0.3, 4.0))
+        member.send_signal(signal.SIGCONT)
+        self._busy.discard(member.name)
+        return member.name
+
+    async def _reload(self) -> str:
+        member = self._random.choice(self._run.fleet.members)
+        if member.is_running and not member.stopping:
+            member.send_signal(signal.SIGHUP)
+        return member.name
+
+    async def _configure(self) -> str:
+        for _ in range(self._random.randint(1, 5)):
+            self._run.configure()
+            await trio.sleep(self._random.uniform(0.02, 0.3))
+        return f"generation {self._run.generation}"
+
+    async def _harm_link(self) -> str:
+        links = [*self._run.store_links.items()]
+        links += [(one.name, one.link) for one in self._run.backends]
+        where, link = self._random.choice(links)
+        how = self._random.choice([*LinkState, "reset", "forget"])
+        if how == "reset":
+            await link.reset_open()
+        elif how == "forget":
+            link.forget_open()
+        else:
+            await self._hold_state(link, LinkState(how))
+        return f"link {where} {how}"
+
+    async def _hold_state(self, link: Link, state: LinkState) -> None:
+        link.delay_s = self._random.uniform(0.02, 0.4)
+        link.state = state
+        await trio.sleep(self._random.uniform(0.3, 4.0))
+        link.state = LinkState.SOUND
+
+    async def _harm_store(self) -> str:
+        store = self._run.store
+        how = self._random.choice(["down", "lost", "forget"])
+        if how == "forget":
+            store.forget_history()
+            return "store forgets"
+        if how == "down":
+            store.answer_status = 503
+        else:
+            store.lose_answers = True
+        await trio.sleep(self._random.uniform(0.3, 4.0))
+        store.answer_status, store.lose_answers = 0, False
+        return f"store {how}"
+
+    async def _trouble(self) -> str:
+        backend = self._random.choice(self._run.backends)
+        backend.trouble_share = self._random.uniform(0.1, 0.9)
+        await trio.sleep(self._random.uniform(0.5, 4.0))
+        backend.trouble_share = 0.0
+        return f"trouble {backend.name}"
+
+    async def _crash(self) -> str:
+        backend = self._random.choice(self._run.backends)
+        if backend.name in self._busy:
+            return "nobody"
+        self._busy.add(backend.name)
+        gone = backend.id
+        if backend.group is not None:
+            backend.group.broken = True
+        await backend.end()
+        await trio.sleep(self._random.uniform(0.1, 1.0))
+        self._run.store.remove(f"servers/{gone}")
+        await trio.sleep(_ADDRESS_REST_S)
+        await backend.begin()
+        if backend.group is not None:
+            backend.group.form()
+        self._run.register(backend)
+        self._busy.discard(backend.name)
+        return f"crash {backend.name}"
+
+    async def _drain(self) -> str:
+        backend = self._random.choice(self._run.backends)
+        if backend.name in self._busy or backend.group is not None:
+            return "nobody"
+        self._busy.add(backend.name)
+        gone = backend.id
+        backend.draining_since = trio.current_time()
+        self._run.register(backend)
+        await trio.sleep(3.0)
+        await backend.end()
+        self._run.store.remove(f"servers/{gone}")
+        await trio.sleep(_ADDRESS_REST_S)
+        await backend.begin()
+        self._run.register(backend)
+        self._busy.discard(backend.name)
+        return f"drain {backend.name}"
+
+    async def _harm_orders(self) -> str:
+        ranks = [one for one in self._run.backends if one.group is not None]
+        for one in ranks:
+            one.orders_lost = self._random.uniform(0.0, 0.3)
+            one.orders_late = self._random.uniform(0.0, 0.3)
+        await trio.sleep(self._random.uniform(1.0, 4.0))
+        for one in ranks:
+            one.orders_lost = one.orders_late = 0.0
+        return "orders lost and late"
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,136 @@
+"""Start, signal and restart the system's own processes."""
+
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+import trio
+
+START_LIMIT_S = 60.0
+"""Time after which a start counts as hanging, also on a busy machine."""
+
+_POLL_S = 0.02
+
+
+@dataclass
+class Member:
+    """Hold one process of the system, over all its starts."""
+
+    name: str
+    settings: dict[str, object]
+    folder: Path
+    starts: int = 0
+    callers: str = ""
+    stopping: bool = False
+    """Whether it was told to end."""
+    _popen: subprocess.Popen[bytes] | None = None
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process lives."""
+        return self._popen is not None and self._popen.poll() is None
+
+    @property
+    def log_file(self) -> Path:
+        """Return the file with all it has written."""
+        return self.folder / f"{self.name}.log"
+
+    async def start(self) -> None:
+        """Start the process, and wait until it serves."""
+        self.starts += 1
+        self.stopping = False
+        path = self.folder / f"{self.name}.json"
+        path.write_text(json.dumps(self.settings))
+        begun = self.log_file.stat().st_size if self.log_file.exists() else 0
+        with self.log_file.open("ab") as log:
+            self._popen = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "hyssopvane",
+                    "run",
+                    str(self.settings["role"]),
+                    str(path),
+                ],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        with trio.fail_after(START_LIMIT_S):
+            while not (found := self._find_start(begun)):
+                if not self.is_running:
+                    raise AssertionError(
+                        f"{self.name} ended: {self.read_log()[-2000:]}"
+                    )
+                await trio.sleep(_POLL_S)
+        self.callers = found
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal to the process, when it still lives."""
+        if self._popen is not None and self.is_running:
+            self._popen.send_signal(number)
+
+    async def wait_ended(self, limit_s: float) -> bool:
+        """Wait for the end of the process; tell whether it came."""
+        with trio.move_on_after(limit_s):
+            while self.is_running:
+                await trio.sleep(_POLL_S)
+        return not self.is_running
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.stopping = True
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGKILL)
+        if self._popen is not None:
+            self._popen.wait()
+
+    def read_log(self) -> str:
+        """Return all it has written."""
+        return self.log_file.read_text(errors="replace")
+
+    def _find_start(self, begun: int) -> str:
+        with self.log_file.open("rb") as log:
+            log.seek(begun)
+            text = log.read().decode(errors="replace")
+        match = re.search(r"event=started (?:callers=(\S+))?(?:replica=(\S+))?", text)
+        return (match[1] or match[2]) if match else ""
+
+
+class Fleet:
+    """Hold the entries and agents of one run."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self.entries: list[Member] = []
+        self.agents: list[Member] = []
+
+    @property
+    def members(self) -> list[Member]:
+        """Return all processes."""
+        return [*self.entries, *self.agents]
+
+    def add(self, name: str, settings: dict[str, object]) -> Member:
+        """Describe a process; it is started later."""
+        member = Member(name, settings, self._folder)
+        if settings["role"] == "direct-entry":
+            self.entries.append(member)
+        else:
+            self.agents.append(member)
+        return member
+
+    async def start(self) -> None:
+        """Start all processes."""
+        async with trio.open_nursery() as nursery:
+            for member in self.members:
+                nursery.start_soon(member.start)
+
+    def close(self) -> None:
+        """End all processes."""
+        for member in self.members:
+            member.kill()
--- /dev/null
+++ b/tests/soak/link.py
@@ -0,0 +1,108 @@
+"""Stand between two processes on loopback, and harm what they send."""
+
+import struct
+from enum import StrEnum
+
+import trio
+
+_READ_BYTES = 65_536
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class LinkState(StrEnum):
+    """Say what becomes of the bytes of a link."""
+
+    SOUND = "sound"
+    DELAYED = "delayed"
+    SILENT = "silent"
+    """Nothing passes, and no connection is closed."""
+    ONE_WAY = "one-way"
+    """Requests pass and answers don't."""
+    REFUSED = "refused"
+    """New connections are reset."""
+
+
+class Link:
+    """Pass connections on to one address."""
+
+    def __init__(self, target: str, *, listen: str = "127.0.0.1:0") -> None:
+        self.target = target
+        self._listen = listen
+        self.address = ""
+        self.state = LinkState.SOUND
+        self.delay_s = 0.0
+        self._open: set[trio.SocketStream] = set()
+        self._forgotten: set[trio.SocketStream] = set()
+
+    async def serve(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled."""
+        host, _, port = self._listen.rpartition(":")
+        listeners = await trio.open_tcp_listeners(int(port), host=host)
+        found = listeners[0].socket.getsockname()
+        self.address = f"{found[0]}:{found[1]}"
+        task_status.started()
+        await trio.serve_listeners(self._serve, listeners)
+
+    def forget_open(self) -> None:
+        """Let the open connections go silent for good, while new ones work."""
+        self._forgotten |= self._open
+
+    async def reset_open(self) -> None:
+        """Reset all open connections."""
+        for stream in list(self._open):
+            await _reset(stream)
+
+    async def _serve(self, near: trio.SocketStream) -> None:
+        if self.state is LinkState.REFUSED:
+            await _reset(near)
+            return
+        host, _, port = self.target.rpartition(":")
+        try:
+            far = await trio.open_tcp_stream(host, int(port))
+        except OSError:
+            await _reset(near)
+            return
+        self._open.add(near)
+        try:
+            async with far, near, trio.open_nursery() as nursery:
+                nursery.start_soon(self._pass_on, near, far, near, False)
+                await self._pass_on(far, near, near, True)
+                nursery.cancel_scope.cancel()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            await _reset(near)
+        finally:
+            self._open.discard(near)
+            self._forgotten.discard(near)
+
+    async def _pass_on(
+        self,
+        source: trio.SocketStream,
+        sink: trio.SocketStream,
+        near: trio.SocketStream,
+        is_answer: bool,
+    ) -> None:
+        while data := await source.receive_some(_READ_BYTES):
+            if self.state is LinkState.DELAYED:
+                await trio.sleep(self.delay_s)
+            if not self._drops(near, is_answer):
+                await sink.send_all(data)
+        if self._drops(near, is_answer):
+            # Whoever forgot the connection passes no end on either.
+            await trio.sleep_forever()
+        if not is_answer:
+            await sink.send_eof()
+
+    def _drops(self, near: trio.SocketStream, is_answer: bool) -> bool:
+        if near in self._forgotten or self.state is LinkState.SILENT:
+            return True
+        return is_answer and self.state is LinkState.ONE_WAY
+
+
+async def _reset(stream: trio.SocketStream) -> None:
+    if stream.socket.fileno() >= 0:
+        stream.socket.setsockopt(
+            trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, _RESET_ON_CLOSE
+        )
+    await trio.aclose_forcefully(stream)
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,426 @@
+"""Run one seed: start everything, harm it for a while, heal it, and check the end."""
+
+import signal
+import socket
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+from random import Random
+
+import trio
+
+from hyssopvane._internal.transport.asgi_server import serve_asgi
+from hyssopvane._internal.transport.replica_client import ReplicaClient
+from tests.lib.direct_installation import (
+    CUSTOMER,
+    ENGINE,
+    KEY,
+    make_configuration,
+    make_route,
+)
+from tests.lib.direct_store import DirectStore
+from tests.lib.rank_model import RANKS
+from tests.lib.rank_standin import GroupStandIn
+from tests.soak.backends import Backend, Journal
+from tests.soak.callers import (
+    KINDS,
+    LATE_S,
+    NOT_RUN,
+    TIMEOUT_S,
+    Call,
+    Callers,
+    Kind,
+)
+from tests.soak.faults import Faults
+from tests.soak.fleet import Fleet, Member
+from tests.soak.link import Link
+
+HEAL_S = 20.0
+"""Time after the last fault in which everything is served again."""
+
+DRAIN_S = 2.0
+"""Time after which a replica that leaves gets nothing new."""
+
+CALM_S = 3.0
+"""Time without faults before a request from which a planned stop must not cut it."""
+
+ENGINE_WITH_EXPERTS = ENGINE | {
+    "expert-sets": 1,
+    "experts": 8,
+    "placement": 3,
+    "spare": 2,
+    "expert-mb": 1.0,
+    "expert-share": 0.85,
+    "link-mbps": 1000.0,
+}
+
+
+@dataclass(frozen=True)
+class Size:
+    """Say how large a run is."""
+
+    entries: int = 3
+    groups: int = 2
+    plain: int = 3
+    callers: int = 12
+    seconds: float = 12.0
+    patience: float = 1.0
+    """Factor on the times after which something counts as late. A machine that runs a
+    whole test suite besides is slow, which is no fault of the system."""
+
+
+@dataclass
+class Report:
+    """Hold what one run has seen."""
+
+    seed: int
+    calls: int = 0
+    served: int = 0
+    refused: int = 0
+    left: int = 0
+    changes: int = 0
+    """Expert maps that came into force."""
+    faults: list[str] = field(default_factory=list)
+    violations: list[str] = field(default_factory=list)
+
+    def describe(self) -> str:
+        """Return the report as one line."""
+        return (
+            f"seed={self.seed} calls={self.calls} served={self.served} "
+            f"refused={self.refused} left={self.left} maps={self.changes} "
+            f"faults={len(self.faults)} violations={len(self.violations)}"
+        )
+
+
+class SoakRun:
+    """Hold the parts of one run."""
+
+    def __init__(self, folder: Path, *, seed: int, size: Size) -> None:
+        self.size = size
+        self.random = Random(seed)
+        self.report = Report(seed)
+        self.journal = Journal()
+        self.store = DirectStore()
+        self.fleet = Fleet(folder)
+        self.groups = [GroupStandIn(f"g-{n}") for n in range(size.groups)]
+        self.backends = self._make_backends()
+        self.store_links: dict[str, Link] = {}
+        self.generation = 1
+        self.callers = Callers(
+            self.fleet.entries,
+            self.journal,
+            Random(self.random.random()),
+            late_s=LATE_S * size.patience,
+        )
+        self.faults = Faults(self)
+
+    async def run(self) -> Report:
+        """Start everything, harm it, heal it and check."""
+        try:
+            async with trio.open_nursery() as nursery:
+                await self._start(nursery)
+                async with trio.open_nursery() as load:
+                    for _ in range(self.size.callers):
+                        load.start_soon(self.callers.run)
+                    load.start_soon(self._watch_members)
+                    load.start_soon(self._probe_generations)
+                    await trio.sleep(1.0)
+                    await self.faults.run(self.size.seconds)
+                    await trio.sleep(TIMEOUT_S)
+                    load.cancel_scope.cancel()
+                await self._check_recovery()
+                await self._check_drain()
+                nursery.cancel_scope.cancel()
+        except* AssertionError as errors:
+            for error in errors.exceptions:
+                self.journal.violate(repr(error))
+        finally:
+            self.fleet.close()
+        self._check_calls()
+        self._fill_report()
+        return self.report
+
+    def register(self, backend: Backend) -> None:
+        """Write a replica's registration."""
+        self.store.put(f"servers/{backend.id}", backend.describe())
+
+    def configure(self) -> None:
+        """Write the next configuration: the newest route replaces the one before."""
+        self.generation += 1
+        self._write_configuration()
+
+    def _write_configuration(self) -> None:
+        document = make_configuration(self.generation)
+        routes = [
+            dict(route) | {"timeout-ms": int(TIMEOUT_S * 1_000)}
+            for route in document["routes"]  # type: ignore[attr-defined]
+        ]
+        routes.append(make_route(f"gen{self.generation}", public=True))
+        document["routes"] = routes
+        document["services"][1]["engine"] = ENGINE_WITH_EXPERTS  # type: ignore[index]
+        document["tenants"] = [
+            {"name": CUSTOMER, "api-keys": [KEY, f"key-{self.generation}"]}
+        ]
+        self.store.put("op/config", document)
+
+    def _make_backends(self) -> list[Backend]:
+        found = []
+        for number in range(self.size.plain):
+            found.append(self._make_backend(f"plain{number}", "checks", "127.0.3.1"))
+        for at, group in enumerate(self.groups):
+            for rank in range(RANKS):
+                host = f"127.0.4.{at * RANKS + rank + 1}"
+                name = f"rank{at}x{rank}"
+                found.append(self._make_backend(name, "drafting", host, group, rank))
+        return found
+
+    def _make_backend(
+        self,
+        name: str,
+        service: str,
+        host: str,
+        group: GroupStandIn | None = None,
+        rank: int = 0,
+    ) -> Backend:
+        return Backend(
+            name,
+            service=service,
+            random=Random(self.random.random()),
+            journal=self.journal,
+            host=host,
+            group=group,
+            rank=rank,
+        )
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        store_address = await nursery.start(
+            partial(
+                serve_asgi,
+                self.store,
+                bind="127.0.0.1:0",
+                graceful_timeout_s=0.1,
+                shutdown=trio.Event(),
+            )
+        )
+        for backend in self.backends:
+            await backend.start(nursery)
+            self.register(backend)
+        for group in self.groups:
+            nursery.start_soon(group.make_passes)
+        self._write_configuration()
+        await self._describe_members(nursery, store_address)
+        await self.fleet.start()
+
+    async def _describe_members(self, nursery: trio.Nursery, store: str) -> None:
+        entry_port, agent_port, beliefs = _find_ports()
+        hosts = [f"127.0.5.{n + 1}" for n in range(self.size.entries)]
+        seeds = [f"{host}:{beliefs}" for host in hosts]
+        shared = {
+            "availability_zone": "zone-a",
+            "entry_port": entry_port,
+            "agent_port": agent_port,
+            "grace_s": 6.0,
+        }
+        for number, host in enumerate(hosts):
+            self.fleet.add(
+                f"entry{number}",
+                shared
+                | {
+                    "role": "direct-entry",
+                    "vm": f"entry{number}",
+                    "store": await self._open_store_link(nursery, host, store),
+                    "callers": f"{host}:0",
+                    "readiness": f"{host}:0",
+                    "messages": f"{host}:{entry_port}",
+                    "metrics": f"{host}:0",
+                    "beliefs": f"{host}:{beliefs}",
+                    "seeds": seeds,
+                },
+            )
+        for backend in self.backends:
+            if backend.service != "drafting":
+                continue
+            self.fleet.add(
+                f"agent-{backend.name}",
+                shared
+                | {
+                    "role": "rank-agent",
+                    "vm": backend.name,
+                    "store": await self._open_store_link(nursery, backend.host, store),
+                    "messages": f"{backend.host}:{agent_port}",
+                    "metrics": f"{backend.host}:0",
+                    "replica": backend.link.address,
+                    "service": "drafting",
+                },
+            )
+
+    async def _open_store_link(
+        self, nursery: trio.Nursery, host: str, store: str
+    ) -> str:
+        link = Link(store, listen=f"{host}:0")
+        await nursery.start(link.serve)
+        self.store_links[host] = link
+        return link.address
+
+    async def _watch_members(self) -> None:
+        while True:
+            await trio.sleep(0.1)
+            for member in self.fleet.members:
+                if member.starts and not member.stopping and not member.is_running:
+                    self.journal.violate(f"{member.name} ended by itself")
+                    member.stopping = True
+
+    async def _probe_generations(self) -> None:
+        """Check that no process goes back to an older configuration."""
+        client = ReplicaClient()
+        newest: dict[tuple[str, int], int] = {}
+        number = 0
+        while True:
+            await trio.sleep(0.05)
+            for member in self.fleet.entries:
+                number += 1
+                generation = self.generation - number % 2
+                start = (member.name, member.starts)
+                seen = newest.get(start, 0)
+                status = await self._probe(client, member, generation, f"p-{number}")
+                knows = status not in (0, 404, 503)
+                if knows and generation < seen and member.starts == start[1]:
+                    self.journal.violate(f"{start} went back to {generation} of {seen}")
+                if knows:
+                    newest[start] = max(seen, generation)
+
+    async def _probe(
+        self, client: ReplicaClient, member: Member, generation: int, request_id: str
+    ) -> int:
+        body = f"body of {request_id}".encode()
+        fields = (
+            (b"host", b"portal.example"),
+            (b"x-request-id", request_id.encode()),
+            (b"x-deadline-ms", b"1000"),
+            (b"content-length", str(len(body)).encode()),
+        )
+        with trio.move_on_after(1.0):
+            try:
+                async with client.call(
+                    member.callers,
+                    method="POST",
+                    target=f"/gen{generation}/1".encode(),
+                    headers=fields,
+                    body=body,
+                ) as response:
+                    await response.read(max_bytes=2**20)
+                    return response.status
+            except Exception:
+                return 0
+        return 0
+
+    async def _check_recovery(self) -> None:
+        """Check that each entry serves each kind, and the newest configuration."""
+        client = ReplicaClient()
+        for member in self.fleet.entries:
+            for kind in KINDS:
+                await self._wait_served(client, member, kind)
+            with trio.move_on_after(HEAL_S * self.size.patience) as scope:
+                while (
+                    await self._probe(client, member, self.generation, "p-end") != 200
+                ):
+                    await trio.sleep(0.2)
+            if scope.cancelled_caught:
+                self.journal.violate(
+                    f"{member.name} has not generation {self.generation} in force"
+                )
+        await client.close()
+
+    async def _wait_served(
+        self, client: ReplicaClient, member: Member, kind: Kind
+    ) -> None:
+        number = 0
+        with trio.move_on_after(HEAL_S * self.size.patience):
+            while True:
+                number += 1
+                name = f"end-{member.name}-{number}-{kind.name}"
+                call = await self.callers.send(client, member, kind, name)
+                if call.status == 200 and call.whole:
+                    return
+                await trio.sleep(0.2)
+        self.journal.violate(f"{member.name} does not serve {kind} again")
+
+    async def _check_drain(self) -> None:
+        """Check that a replica that leaves gets nothing new."""
+        backend = self.backends[0]
+        backend.draining_since = trio.current_time()
+        self.register(backend)
+        await trio.sleep(DRAIN_S * self.size.patience)
+        before = sum(self.journal.runs.values())
+        backend.trouble_share = 0.0
+        client = ReplicaClient()
+        runs = backend.started
+        for number in range(30):
+            member = self.random.choice(self.fleet.entries)
+            await self.callers.send(client, member, KINDS[0], f"drain-{number}")
+        await client.close()
+        if backend.started != runs:
+            self.journal.violate(f"{backend.id} got new work while it was leaving")
+        if sum(self.journal.runs.values()) == before:
+            self.journal.violate("nothing was served while a replica was leaving")
+
+    def _check_calls(self) -> None:
+        for call in self.callers.calls:
+            runs = self.journal.runs[call.id]
+            told = f"{call.id} {call.kind.path} at {call.entry}, status {call.status}"
+            if call.kind.once and runs > 1:
+                self.journal.violate(f"ran {runs} times: {told}")
+            if call.kind.once and call.status in NOT_RUN and runs:
+                self.journal.violate(f"told not-run, and ran: {told}")
+            if call.status == 200 and not runs:
+                self.journal.violate(f"served, and never ran: {told}")
+            if self._is_cut_by_plan(call) and runs:
+                self.journal.violate(f"cut by a planned stop: {told}")
+            if call.status == -1 and not self.faults.harmed(
+                call.entry, call.sent_at - CALM_S, call.ended_at
+            ):
+                self.journal.violate(
+                    f"no answer in {TIMEOUT_S + self.callers.late_s} s: {told}"
+                )
+
+    def _is_cut_by_plan(self, call: Call) -> bool:
+        if call.whole or call.status == -1 or not call.sent or not call.ended_at:
+            return False
+        if call.ended_at - call.sent_at < 0.2 and call.status == 0:
+            # It may be the caller that left.
+            return False
+        if self.faults.harmed_anything(call.sent_at - CALM_S, call.ended_at):
+            return False
+        return self.faults.stopped(call.entry, call.sent_at, call.ended_at)
+
+    def _fill_report(self) -> None:
+        calls = self.callers.calls
+        self.report.calls = len(calls)
+        self.report.served = sum(one.status == 200 for one in calls)
+        self.report.refused = sum(one.status in NOT_RUN for one in calls)
+        self.report.left = self.callers.left
+        self.report.faults = self.faults.told
+        self.report.violations = self.journal.violations
+        self.report.changes = sum(
+            member.read_log().count("event=map-in-force")
+            for member in self.fleet.agents
+            if member.log_file.exists()
+        )
+
+
+def _find_ports() -> tuple[int, int, int]:
+    """Return ports that are free on loopback now."""
+    probes = [socket.socket(socket.AF_INET, socket.SOCK_STREAM) for _ in range(3)]
+    for probe in probes:
+        probe.bind(("127.0.0.1", 0))
+    first, second, third = (probe.getsockname()[1] for probe in probes)
+    for probe in probes:
+        probe.close()
+    return first, second, third
+
+
+def run_seed(folder: Path, *, seed: int, size: Size) -> Report:
+    """Run one seed and return what was seen."""
+    folder.mkdir(parents=True, exist_ok=True)
+    signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+    return trio.run(SoakRun(folder, seed=seed, size=size).run)
