Change maps only where a quarter of a pass is saved

Each makes passes 15 in 100 longer while experts are copied, and when demand moves on the next one waits for its end with passes twice as long. Change: a change must save 25 in 100 of a pass instead of 16.

--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -80,12 +80,13 @@
 NONCE_BITS = 20
 """Room in a version for the number of the process that chose it."""
 
-LEAST_GAIN = 0.16
+LEAST_GAIN = 0.25
 """Part of a pass that a change must save.
 
 Copying slows passes by 15 in 100 for some tenths of a second. What costs more: demand
-that moves on while a change is under way has to wait for its end. A change of less than
-this brings less in the three seconds for which demand stays.
+that moves on while a change is under way waits for its end, up to 0.7 s of passes that
+take twice as long. With two changes after each shift instead of four, two in three
+streams of a busy day met their objective instead of three in five.
 """
 
 COPIES_PER_SET = 4
