--- a/tests/functional/test_rank_agent.py
+++ b/tests/functional/test_rank_agent.py
@@ -16,21 +16,11 @@
 from hyssopvane._internal.state.loads import GroupLoad
 from hyssopvane._internal.transport.asgi_server import serve_asgi
 from hyssopvane._internal.transport.datagrams import DatagramPort
-from tests.lib.direct_installation import ENGINE, make_configuration
+from tests.lib.direct_installation import ENGINE, EXPERTS, make_configuration
 from tests.lib.direct_store import DirectStore
 from tests.lib.rank_model import RANKS
 from tests.lib.rank_standin import GroupStandIn
 
-LAYOUT = {
-    "expert-sets": 1,
-    "experts": 8,
-    "placement": 3,
-    "spare": 2,
-    "expert-mb": 1.0,
-    "expert-share": 0.85,
-    "link-mbps": 1000.0,
-}
-
 
 def find_port():
     """Return a port that is free for datagrams on loopback."""
@@ -74,7 +64,7 @@
     group, store, port = GroupStandIn(), DirectStore(), find_port()
     store_address = await serve(nursery, store, "127.0.0.1")
     configuration = make_configuration(1)
-    configuration["services"][1]["engine"] = ENGINE | LAYOUT
+    configuration["services"][1]["engine"] = ENGINE | EXPERTS
     store.put("op/config", configuration)
     agents = []
     for number in range(RANKS):
--- a/tests/lib/direct_installation.py
+++ b/tests/lib/direct_installation.py
@@ -31,6 +31,17 @@
     "read_per_s": 61_400.0,
 }
 
+EXPERTS = {
+    "expert-sets": 1,
+    "experts": 8,
+    "placement": 3,
+    "spare": 2,
+    "expert-mb": 1.0,
+    "expert-share": 0.85,
+    "link-mbps": 1000.0,
+}
+"""What an engine says of its experts, as the ranks' model has them."""
+
 
 def make_route(name: str, **changes: object) -> dict[str, object]:
     """Return a route of the configuration, under the prefix of its name."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,6 +14,7 @@
 from tests.lib.direct_installation import (
     CUSTOMER,
     ENGINE,
+    EXPERTS,
     KEY,
     make_configuration,
     make_route,
@@ -44,16 +45,6 @@
 CALM_S = 3.0
 """Time without faults before a request from which a planned stop must not cut it."""
 
-ENGINE_WITH_EXPERTS = ENGINE | {
-    "expert-sets": 1,
-    "experts": 8,
-    "placement": 3,
-    "spare": 2,
-    "expert-mb": 1.0,
-    "expert-share": 0.85,
-    "link-mbps": 1000.0,
-}
-
 
 @dataclass(frozen=True)
 class Size:
@@ -157,7 +148,7 @@
         ]
         routes.append(make_route(f"gen{self.generation}", public=True))
         document["routes"] = routes
-        document["services"][1]["engine"] = ENGINE_WITH_EXPERTS  # type: ignore[index]
+        document["services"][1]["engine"] = ENGINE | EXPERTS  # type: ignore[index]
         document["tenants"] = [
             {"name": CUSTOMER, "api-keys": [KEY, f"key-{self.generation}"]}
         ]
--- a/tests/unit/test_peer_connection.py
+++ b/tests/unit/test_peer_connection.py
@@ -124,6 +124,23 @@
     run(main)
 
 
+async def greet_silent_peer(nursery):
+    """Run a connection whose peer greets, and says nothing more."""
+    near, far = trio.testing.memory_stream_pair()
+    connection = PeerConnection(
+        near,
+        hello=make_hello("a"),
+        handler=RecordingHandler(),
+        times=TIMES,
+        opener=True,
+    )
+    nursery.start_soon(connection.run)
+    greeting = encode_frames([Frame(0, make_hello("b"))])
+    await far.send_all(len(greeting).to_bytes(4, "big") + greeting)
+    await trio.testing.wait_all_tasks_blocked(0.01)
+    return connection
+
+
 def test_silent_connection_is_closed():
     """A firewall between two VMs forgets an open connection: nothing arrives any more.
 
@@ -131,19 +148,8 @@
     """
 
     async def main():
-        near, _forgotten = trio.testing.memory_stream_pair()
-        connection = PeerConnection(
-            near,
-            hello=make_hello("a"),
-            handler=RecordingHandler(),
-            times=TIMES,
-            opener=True,
-        )
-        greeting = encode_frames([Frame(0, make_hello("b"))])
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(connection.run)
-            await _forgotten.send_all(len(greeting).to_bytes(4, "big") + greeting)
-            await trio.testing.wait_all_tasks_blocked(0.01)
+            connection = await greet_silent_peer(nursery)
             stream = connection.open_stream(make_opening())
             with pytest.raises(PeerLost, match="silent"):
                 await stream.receive()
@@ -160,19 +166,8 @@
     """
 
     async def main():
-        near, far = trio.testing.memory_stream_pair()
-        connection = PeerConnection(
-            near,
-            hello=make_hello("a"),
-            handler=RecordingHandler(),
-            times=TIMES,
-            opener=True,
-        )
-        greeting = encode_frames([Frame(0, make_hello("b"))])
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(connection.run)
-            await far.send_all(len(greeting).to_bytes(4, "big") + greeting)
-            await trio.testing.wait_all_tasks_blocked(0.01)
+            connection = await greet_silent_peer(nursery)
             clock.jump(10 * TIMES.silence_s)
             await trio.testing.wait_all_tasks_blocked(0.01)
             assert not connection.lost
