--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -57,6 +57,9 @@
         await self._run_series(PLANNED, seconds * PLANNED_PART)
         for backend in self._run.backends:
             backend.trouble_share = TROUBLE_SHARE
+        # A replica that breaks off cuts the caller's stream, whatever an entry does.
+        began_at = trio.current_time()
+        self.spans.append(Span("spoilt", "replicas", began_at, float("inf")))
         await self._run_series(None, seconds * (1 - PLANNED_PART))
         for backend in self._run.backends:
             backend.trouble_share = 0.0
