--- a/bench/direct.py
+++ b/bench/direct.py
@@ -65,7 +65,7 @@
         gate.add(Waiting(item, late_at=1.0, refuse_at=2.0), weight=1.0)
         for decision in gate.settle(0.0):
             if isinstance(decision, Place):
-                gate.finish(decision.replica.id, failed=False, now=0.0)
+                gate.finish(decision.replica, failed=False, now=0.0)
 
     def observe() -> None:
         gate.observe_load(loads[0], now=0.0)
--- a/src/hyssopvane/_internal/coordination/routing_feed.py
+++ b/src/hyssopvane/_internal/coordination/routing_feed.py
@@ -57,15 +57,22 @@
         *,
         random: Random,
         observe: Callable[[], None],
+        count: Callable[[str], None] = lambda event: None,
     ) -> None:
         self._store = store
         self._format = format
         self._random = random
         self._observe = observe
+        self._count = count
+        """Takes the name of an event that operators may want to watch."""
         self.table: RoutingTable | None = None
         self.replicas: dict[str, Replica] = {}
         self._configuration = KeyValue("", b"", 0)
         self._items: dict[str, KeyValue] = {}
+        self._unreadable: dict[str, int] = {}
+        """Revision of the registrations that can't be read, by their key."""
+        self.unreadable = 0
+        """Registrations that could not be read, since the start."""
         self._replicas_revision = 0
         self._missing: dict[str, float] = {}
         """Times at which replicas that lapsed during an outage are dropped."""
@@ -184,6 +191,7 @@
         try:
             table = self._format.decode_configuration(item.value)
         except ConfigurationError as error:
+            self._count("configuration-unreadable")
             log_event("error", "configuration-unreadable", why=error)
             return
         if self.table is not None and table.version < self.table.version:
@@ -200,12 +208,18 @@
             source=source,
         )
 
+    def list_unreadable(self) -> tuple[str, ...]:
+        """Return the keys whose registrations can't be read at present."""
+        return tuple(self._unreadable)
+
     def _get_revision(self, key: str) -> int:
         item = self._items.get(key)
-        return 0 if item is None else item.revision
+        read = 0 if item is None else item.revision
+        return max(read, self._unreadable.get(key, 0))
 
     def _apply_registration(self, event: WatchEvent) -> None:
         if event.value is None:
+            self._unreadable.pop(event.key, None)
             self._remove(event.key, why="registration removed")
         else:
             self._put(KeyValue(event.key, event.value, event.revision))
@@ -217,6 +231,8 @@
         for item in items:
             if item.revision > self._get_revision(item.key):
                 self._put(item)
+        for key in self._unreadable.keys() - present:
+            del self._unreadable[key]
         for key in self._items.keys() - present:
             self._remove(key, why=f"missing in the list of the {source}")
         self._replicas_revision = revision
@@ -225,12 +241,13 @@
         try:
             replica = self._format.decode_replica(item.key, item.value)
         except ConfigurationError as error:
-            log_event("error", "replica-unreadable", why=error)
+            self._leave_out(item, error)
             return
         known = self.replicas.get(item.key)
         if self._is_replaced(item.key, replica, item.revision):
             return
         self._items[item.key] = item
+        self._unreadable.pop(item.key, None)
         self._missing.pop(item.key, None)
         self.replicas[item.key] = replica
         if known != replica:
@@ -241,9 +258,25 @@
                 service=replica.service,
                 address=replica.address,
                 draining=replica.draining,
+                started_ms=replica.started_ms,
                 revision=item.revision,
             )
 
+    def _leave_out(self, item: KeyValue, error: ConfigurationError) -> None:
+        """Use no replica of a key whose registration can't be read.
+
+        Anything may write there. What the key named before may have ended, and its
+        address may belong to another service; whoever lives registers again within
+        seconds.
+        """
+        self.unreadable += 1
+        self._count("registration-unreadable")
+        if item.key not in self._unreadable:
+            # Once while it stays so: its writer may repeat it many times a second.
+            log_event("error", "replica-unreadable", revision=item.revision, why=error)
+        self._drop(item.key, why="its registration can't be read")
+        self._unreadable[item.key] = item.revision
+
     def _is_replaced(self, key: str, replica: Replica, revision: int) -> bool:
         # A replica that crashed says nothing, and its registration stays for seconds
         # beside that of the one which now has its address. Its load would be counted
--- a/src/hyssopvane/_internal/platform/configuration.py
+++ b/src/hyssopvane/_internal/platform/configuration.py
@@ -1,17 +1,23 @@
-"""Decode the operators' configuration and the registrations of replicas."""
+"""Decode the operators' configuration."""
 
-import json
-from collections.abc import Mapping
 from types import MappingProxyType
-from typing import Any
+from typing import Annotated, Literal
 
-from hyssopvane._internal.exceptions import ConfigurationError
+from pydantic import Field
+
+from hyssopvane._internal.platform.documents import (
+    Count,
+    Document,
+    Measure,
+    Milliseconds,
+    Name,
+    read_document,
+)
 from hyssopvane._internal.state.routing import (
     CallerBounds,
     Customer,
     EngineModel,
     ExpertLayout,
-    Replica,
     RequestKind,
     Route,
     RoutingTable,
@@ -20,7 +26,6 @@
 )
 
 CONFIGURATION_KEY = "op/config"
-REPLICAS_PREFIX = "servers/"
 
 _MILLISECONDS = 1_000.0
 _TOKENS_PER_K = 1_000.0
@@ -30,115 +35,168 @@
     "streaming": RequestKind.STREAM,
 }
 
+Positive = Annotated[int, Field(ge=1, le=2**31)]
+
+
+class _Part(Document):
+    service: Name
+    weight: Measure
+
+
+class _Route(Document):
+    name: Name
+    host: Name
+    prefix: Name
+    kind: Literal["idempotent", "non_idempotent", "streaming"]
+    timeout: Milliseconds = Field(alias="timeout-ms")
+    objective: Milliseconds = Field(alias="target-latency-ms")
+    service: Name | None = None
+    split: list[_Part] | None = Field(None, alias="traffic-split")
+    priority: Count = 0
+    max_attempts: Count = Field(1, alias="max-attempts")
+    public: bool = False
+    resumable: bool = False
+    pause: Milliseconds = Field(0.0, alias="gap-aim-ms")
+
+
+class _Engine(Document):
+    slots: Positive
+    kv_capacity: Count = Field(alias="kv-capacity")
+    stride: Positive
+    step: Milliseconds = Field(alias="step_ms")
+    per_request: Milliseconds = Field(alias="per_seq_ms")
+    context_per_k: Milliseconds
+    read_per_s: Annotated[float, Field(gt=0, allow_inf_nan=False)]
+    chunk: Count = 0
+    expert_sets: Count | None = Field(None, alias="expert-sets")
+    experts: Positive = 1
+    # The name says where experts are put; it holds how many fit.
+    placement: Positive = 1
+    # The name says free places; it holds how many experts an order may add.
+    spare: Count = 0
+    expert_share: Annotated[float, Field(ge=0, le=1)] = Field(0.0, alias="expert-share")
+    expert_mb: Measure = Field(0.0, alias="expert-mb")
+    link_mbps: Annotated[float, Field(gt=0, allow_inf_nan=False)] = Field(
+        1.0, alias="link-mbps"
+    )
+
+
+class _Service(Document):
+    name: Name
+    health_check: str = Field("/", alias="health-check")
+    max_connections: Count = Field(1, alias="max-connections")
+    engine: _Engine | None = None
+
+
+class _Limits(Document):
+    max_header_bytes: Positive = Field(alias="max-header-bytes")
+    max_body_bytes: Positive = Field(alias="max-body-bytes")
+    header_timeout: Milliseconds = Field(alias="header-timeout-ms")
+    idle_timeout: Milliseconds = Field(alias="idle-timeout-ms")
+
+
+class _Tenant(Document):
+    name: Name
+    priority: Count | None = None
+    api_keys: list[str] = Field([], alias="api-keys")
+
+
+class Configuration(Document):
+    """Describe all routes, services and tenants."""
+
+    version: Count
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits | None = None
+    tenants: list[_Tenant] | None = None
+
 
 def decode_configuration(value: bytes) -> RoutingTable:
     """Return the configuration that a value holds."""
-    try:
-        return _read_table(json.loads(value))
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        raise ConfigurationError(
-            f"the configuration can't be read: {error!r}",
-            context=CONFIGURATION_KEY,
-            hint="write a new version; the last one that could be read stays in force",
-        ) from error
-
-
-def decode_replica(key: str, value: bytes) -> Replica:
-    """Return the replica that a registration describes."""
-    try:
-        item = json.loads(value)
-        return Replica(
-            id=key.removeprefix(REPLICAS_PREFIX),
-            service=item["service"],
-            address=item["address"],
-            availability_zone=item.get("zone", ""),
-            slots=int(item.get("slots", 1)),
-            draining=item.get("state") != "ready",
-        )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        raise ConfigurationError(
-            f"the registration can't be read: {error!r}",
-            context=key,
-            hint="the replica is left out until it registers again",
-        ) from error
-
-
-def _read_table(document: Mapping[str, Any]) -> RoutingTable:
+    document = read_document(
+        Configuration,
+        value,
+        context=CONFIGURATION_KEY,
+        hint="write a new version; the last one that could be read stays in force",
+    )
     keys = {
-        key: Customer(tenant["name"], tenant.get("priority"))
-        for tenant in document.get("tenants", ())
-        for key in tenant.get("api-keys", ())
+        key: Customer(tenant.name, tenant.priority)
+        for tenant in document.tenants or ()
+        for key in tenant.api_keys
     }
-    services = [_read_service(item) for item in document["services"]]
+    services = [_make_service(item) for item in document.services]
     return RoutingTable(
-        version=int(document["version"]),
-        routes=tuple(_read_route(item) for item in document["routes"]),
+        version=document.version,
+        routes=tuple(_make_route(item) for item in document.routes),
         services=MappingProxyType({service.name: service for service in services}),
         customers_by_key=MappingProxyType(keys),
-        needs_keys="tenants" in document,
-        bounds=_read_bounds(document.get("limits", {})),
+        needs_keys=document.tenants is not None,
+        bounds=_make_bounds(document.limits),
     )
 
 
-def _read_route(item: Mapping[str, Any]) -> Route:
-    split = item.get("traffic-split") or [{"service": item["service"], "weight": 1}]
+def _make_route(item: _Route) -> Route:
+    if item.split:
+        split = tuple(SplitPart(part.service, part.weight) for part in item.split)
+    else:
+        split = (SplitPart(item.service, 1),) if item.service else ()
     return Route(
-        name=item["name"],
-        host=item["host"].lower(),
-        prefix=item["prefix"],
-        kind=_KINDS[item["kind"]],
-        split=tuple(SplitPart(part["service"], part["weight"]) for part in split),
-        timeout_s=item["timeout-ms"] / _MILLISECONDS,
-        objective_s=item["target-latency-ms"] / _MILLISECONDS,
-        priority=int(item.get("priority", 0)),
-        max_attempts=int(item.get("max-attempts", 1)),
-        public=bool(item.get("public", False)),
-        resumable=bool(item.get("resumable", False)),
-        pause_s=item.get("gap-aim-ms", 0) / _MILLISECONDS,
+        name=item.name,
+        host=item.host.lower(),
+        prefix=item.prefix,
+        kind=_KINDS[item.kind],
+        split=split,
+        timeout_s=item.timeout / _MILLISECONDS,
+        objective_s=item.objective / _MILLISECONDS,
+        priority=item.priority,
+        max_attempts=item.max_attempts,
+        public=item.public,
+        resumable=item.resumable,
+        pause_s=item.pause / _MILLISECONDS,
     )
 
 
-def _read_service(item: Mapping[str, Any]) -> ServiceSpec:
-    engine = item.get("engine")
+def _make_service(item: _Service) -> ServiceSpec:
     return ServiceSpec(
-        name=item["name"],
-        health_path=item.get("health-check", "/"),
-        max_connections=int(item.get("max-connections", 1)),
-        engine=None if engine is None else _read_engine(engine),
+        name=item.name,
+        health_path=item.health_check,
+        max_connections=item.max_connections,
+        engine=None if item.engine is None else _make_engine(item.engine),
     )
 
 
-def _read_engine(item: Mapping[str, Any]) -> EngineModel:
+def _make_engine(item: _Engine) -> EngineModel:
     return EngineModel(
-        slots=int(item["slots"]),
-        kv_tokens=int(item["kv-capacity"]),
-        steps_per_pass=int(item["stride"]),
-        step_s=item["step_ms"] / _MILLISECONDS,
-        per_request_s=item["per_seq_ms"] / _MILLISECONDS,
-        context_s=item["context_per_k"] / _MILLISECONDS / _TOKENS_PER_K,
-        read_tokens_per_s=item["read_per_s"],
-        layout=_read_layout(item) if item.get("expert-sets") else None,
+        slots=item.slots,
+        kv_tokens=item.kv_capacity,
+        steps_per_pass=item.stride,
+        step_s=item.step / _MILLISECONDS,
+        per_request_s=item.per_request / _MILLISECONDS,
+        context_s=item.context_per_k / _MILLISECONDS / _TOKENS_PER_K,
+        read_tokens_per_s=item.read_per_s,
+        read_chunk=item.chunk,
+        layout=_make_layout(item) if item.expert_sets else None,
     )
 
 
-def _read_layout(item: Mapping[str, Any]) -> ExpertLayout:
+def _make_layout(item: _Engine) -> ExpertLayout:
     return ExpertLayout(
-        sets=int(item["expert-sets"]),
-        experts=int(item["experts"]),
-        # The name says where experts are put; it holds how many fit.
-        places=int(item["placement"]),
-        # The name says free places; it holds how many experts an order may add.
-        new_copies=int(item["spare"]),
-        work_share=item["expert-share"],
-        expert_mb=item["expert-mb"],
-        link_mbps=item["link-mbps"],
+        sets=item.expert_sets or 0,
+        experts=item.experts,
+        places=item.placement,
+        new_copies=item.spare,
+        work_share=item.expert_share,
+        expert_mb=item.expert_mb,
+        link_mbps=item.link_mbps,
     )
 
 
-def _read_bounds(item: Mapping[str, Any]) -> CallerBounds:
+def _make_bounds(limits: _Limits | None) -> CallerBounds:
+    if limits is None:
+        return CallerBounds()
     return CallerBounds(
-        max_header_bytes=int(item["max-header-bytes"]),
-        max_body_bytes=int(item["max-body-bytes"]),
-        header_timeout_s=item["header-timeout-ms"] / _MILLISECONDS,
-        idle_timeout_s=item["idle-timeout-ms"] / _MILLISECONDS,
+        max_header_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        header_timeout_s=limits.header_timeout / _MILLISECONDS,
+        idle_timeout_s=limits.idle_timeout / _MILLISECONDS,
     )
--- /dev/null
+++ b/src/hyssopvane/_internal/platform/documents.py
@@ -0,0 +1,62 @@
+"""Check the documents that others write, before anything reads them."""
+
+from typing import Annotated, TypeVar
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from hyssopvane._internal.exceptions import ConfigurationError
+
+MAX_NUMBER = 2**53
+"""Largest whole number that is taken: the largest that each JSON reader keeps exact.
+
+Larger ones don't fit the fields of the messages between processes, and a writer that
+means one has made a mistake.
+"""
+
+MAX_MILLISECONDS = 86_400_000.0
+"""Longest time that is taken, one day: longer ones overflow sums of clock values."""
+
+MAX_NAME = 256
+"""Longest name that is taken, in characters: keys of the store have 200 bytes."""
+
+Count = Annotated[int, Field(ge=0, le=MAX_NUMBER)]
+Name = Annotated[str, Field(min_length=1, max_length=MAX_NAME)]
+Milliseconds = Annotated[float, Field(ge=0, le=MAX_MILLISECONDS, allow_inf_nan=False)]
+Measure = Annotated[float, Field(ge=0, le=MAX_NUMBER, allow_inf_nan=False)]
+
+
+class Document(BaseModel):
+    """Hold one checked document; fields that are not known are left out.
+
+    Types are taken as they are written: a number in quotes, a list for a name or a true
+    for a number is a mistake of the writer, and guessing at it would hide it.
+    """
+
+    model_config = ConfigDict(extra="ignore", frozen=True, strict=True)
+
+
+_Kind = TypeVar("_Kind", bound=Document)
+
+
+def read_document(kind: type[_Kind], body: bytes, *, context: str, hint: str) -> _Kind:
+    """Return a checked document; raise `ConfigurationError`."""
+    try:
+        return kind.model_validate_json(body)
+    except ValidationError as error:
+        raise ConfigurationError(
+            f"{kind.__name__} can't be read: {_describe(error)}",
+            context=context,
+            hint=hint,
+        ) from error
+
+
+def _describe(error: ValidationError) -> str:
+    """Return the first fault only: a hostile document has thousands."""
+    first = error.errors(include_url=False, include_context=False, include_input=False)
+    where = ".".join(str(part) for part in first[0]["loc"][:4])
+    why = f"{where}: {first[0]['msg']}"[:_MAX_REASON]
+    return f"{why} ({error.error_count()} faults)"
+
+
+_MAX_REASON = 160
+"""Longest reason that is logged, in characters."""
--- a/src/hyssopvane/_internal/platform/reports.py
+++ b/src/hyssopvane/_internal/platform/reports.py
@@ -2,10 +2,17 @@
 
 import json
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, Any, Literal, TypeVar
 
-from hyssopvane._internal.exceptions import ConfigurationError
+from pydantic import Field
+
+from hyssopvane._internal.platform.documents import (
+    Count,
+    Document,
+    Measure,
+    Name,
+    read_document,
+)
 from hyssopvane._internal.state.ranks import (
     Arm,
     Hold,
@@ -20,76 +27,119 @@
 MAP_PATH = b"/api/picked?lists=1"
 ORDER_PATH = b"/api/order"
 
+MAX_RANKS = 4_096
+"""Largest group that is believed; the largest that is planned for has 64 ranks."""
+
+MAX_EXPERTS = 65_535
+"""Experts of all sets that are believed: messages number them in two bytes."""
+
+MAX_REQUESTS = 65_535
+"""Requests of a replica that are believed: messages hold no larger number."""
+
+_SHOWN_BYTES = 200
+"""Bytes of an unreadable document that are logged."""
+
+Requests = Annotated[int, Field(ge=0, le=MAX_REQUESTS)]
+_Expert = Annotated[int, Field(ge=0, lt=MAX_EXPERTS)]
+_ExpertsBySet = Annotated[list[list[_Expert]], Field(max_length=MAX_EXPERTS)]
+_Kind = TypeVar("_Kind", bound=Document)
+
+
+class _Group(Document):
+    name: Name
+    epoch: Count
+    rank: Annotated[int, Field(ge=0, lt=MAX_RANKS)]
+    state: Literal["open", "broken"]
+
+
+class _Armed(Document):
+    version: Count = 0
+    step: Count = 0
+
+
+class Report(Document):
+    """Describe a replica as it reports of itself."""
+
+    group: _Group | None = None
+    size: Annotated[int, Field(ge=1, le=MAX_RANKS)] = 1
+    active: Requests = 0
+    queued: Requests = 0
+    pace: Measure = 1.0
+    step: Count = 0
+    # A version number, not the map itself.
+    expert_map: Count | None = Field(0, alias="expert-map")
+    # A version, a list of versions, or tables that hold them.
+    prepared: Count | _Armed | list[Count | _Armed] | None = None
+    armed: _Armed | Count | list[_Armed] | None = None
+    held: Count | _Armed | None = None
+    busy: bool = False
+    # The name says sequence; it counts the orders that were accepted since the start.
+    seq: Count = 0
+    # The millisecond of the replica's start by its own clock, where it is told.
+    born: Count = 0
+
 
 def decode_report(body: bytes) -> RankReport:
     """Return the report of a rank."""
-    try:
-        item = json.loads(body)
-        group = item.get("group") or {}
-        return RankReport(
-            group=group.get("name", ""),
-            epoch=int(group.get("epoch", 0)),
-            rank=int(group.get("rank", 0)),
-            ranks=int(group.get("size", item.get("size", 1))),
-            open=group.get("state", "open") == "open",
-            active=int(item.get("active", 0)),
-            queued=int(item.get("queued", 0)),
-            kv_used=int(item.get("kv-used", 0)),
-            kv_total=int(item.get("kv-total", 0)),
-            pace=float(item.get("pace", 1.0)),
-            step=int(item.get("step", 0)),
-            # A version number, not the map itself.
-            map_version=_read_version(item.get("expert-map")),
-            prepared=_read_version(item.get("prepared")),
-            armed_version=_read_version(item.get("armed")),
-            armed_step=_read_step(item.get("armed")),
-            held_step=_read_step(item.get("held")),
-            busy=bool(item.get("busy", False)),
-            sequence=int(item.get("seq", 0)),
-        )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        raise ConfigurationError(
-            f"the report can't be read: {error!r}", context=body[:200].decode("latin1")
-        ) from error
-
-
-@dataclass(frozen=True, slots=True)
-class Picks:
+    item = _read(Report, body)
+    group = item.group
+    armed = item.armed[0] if isinstance(item.armed, list) and item.armed else item.armed
+    return RankReport(
+        group="" if group is None else group.name,
+        epoch=0 if group is None else group.epoch,
+        rank=0 if group is None else group.rank,
+        ranks=item.size,
+        open=group is None or group.state == "open",
+        active=item.active,
+        queued=item.queued,
+        pace=item.pace,
+        step=item.step,
+        map_version=item.expert_map or 0,
+        prepared=_read_version(item.prepared),
+        armed_version=_read_version(item.armed),
+        armed_step=armed.step if isinstance(armed, _Armed) else 0,
+        held_step=item.held.step if isinstance(item.held, _Armed) else item.held or 0,
+        busy=item.busy,
+        sequence=item.seq,
+        started_ms=item.born,
+    )
+
+
+class Picks(Document):
     """Hold how often each expert was chosen, set by set, since the rank started."""
 
-    step: int
-    epoch: int
-    counts: tuple[int, ...]
+    step: Count
+    epoch: Count
+    # One list for all sets, one set behind the other.
+    counts: Annotated[tuple[Count, ...], Field(max_length=MAX_EXPERTS, strict=False)]
 
 
 def decode_picks(body: bytes) -> Picks:
     """Return the counts of a rank."""
-    try:
-        item = json.loads(body)
-        return Picks(
-            int(item["step"]),
-            int(item["epoch"]),
-            # One list for all sets, one set behind the other.
-            tuple(int(one) for one in item["counts"]),
-        )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        raise ConfigurationError(
-            f"the counts can't be read: {error!r}", context=body[:200].decode("latin1")
-        ) from error
+    return _read(Picks, body)
+
+
+class _Experts(Document):
+    experts: _ExpertsBySet
+
+
+class Experts(Document):
+    """Hold the experts of one rank."""
+
+    # Despite the name this holds one rank's experts, not the whole map.
+    lists: _Experts | _ExpertsBySet = Field(alias="expert-map")
 
 
 def decode_experts(body: bytes) -> tuple[tuple[int, ...], ...]:
     """Return the experts on a rank, by set."""
-    try:
-        # Despite the name this holds one rank's experts, not the whole map.
-        experts = json.loads(body)["expert-map"]
-        if isinstance(experts, Mapping):
-            experts = experts["experts"]
-        return tuple(tuple(one) for one in experts)
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        raise ConfigurationError(
-            f"the experts can't be read: {error!r}", context=body[:200].decode("latin1")
-        ) from error
+    lists = _read(Experts, body).lists
+    found = lists.experts if isinstance(lists, _Experts) else lists
+    return tuple(tuple(one) for one in found)
+
+
+def _read(kind: type[_Kind], body: bytes) -> _Kind:
+    context = body[:_SHOWN_BYTES].decode("latin1")
+    return read_document(kind, body, context=context, hint="the rank is asked again")
 
 
 def encode_order(order: RankOrder) -> bytes:
@@ -125,17 +175,9 @@
     return [[list(rank) for rank in one_set] for one_set in experts]
 
 
-def _read_version(value: Any) -> int:
-    # Depending on the field this is a number, a table with one, a list of such, or
-    # nothing; 0 is the map that every group begins with.
+def _read_version(value: object) -> int:
     if isinstance(value, list):
         return max((_read_version(one) for one in value), default=0)
-    if isinstance(value, Mapping):
-        return int(value.get("version", 0))
-    return int(value or 0)
-
-
-def _read_step(value: Any) -> int:
-    if isinstance(value, Mapping):
-        return int(value.get("step", 0))
-    return 0 if isinstance(value, list) else int(value or 0)
+    if isinstance(value, _Armed):
+        return value.version
+    return value if isinstance(value, int) else 0
--- a/src/hyssopvane/_internal/platform/wire.py
+++ b/src/hyssopvane/_internal/platform/wire.py
@@ -3,8 +3,10 @@
 from hyssopvane._internal.coordination.routing_feed import RoutingFormat
 from hyssopvane._internal.platform.configuration import (
     CONFIGURATION_KEY,
-    REPLICAS_PREFIX,
     decode_configuration,
+)
+from hyssopvane._internal.platform.registrations import (
+    REPLICAS_PREFIX,
     decode_replica,
 )
 from hyssopvane._internal.protocol.replica_headers import ReplicaHeaders
--- a/src/hyssopvane/_internal/policy/crash_suspects.py
+++ b/src/hyssopvane/_internal/policy/crash_suspects.py
@@ -3,6 +3,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from hyssopvane._internal.state.routing import Incarnation
+
 BAN_AFTER = 3
 """Lost replicas after which a request is sent no more.
 
@@ -17,7 +19,7 @@
 
 @dataclass(slots=True)
 class _Losses:
-    replicas: dict[str, float] = field(default_factory=dict)
+    replicas: dict[Incarnation, float] = field(default_factory=dict)
     banned_until: float = float("-inf")
 
 
@@ -32,8 +34,11 @@
     def __init__(self) -> None:
         self._losses: OrderedDict[int, _Losses] = OrderedDict()
 
-    def note_loss(self, fingerprint: int, replica_id: str, *, now: float) -> None:
-        """Take note that a replica was lost while it ran a request."""
+    def note_loss(self, fingerprint: int, lost: Incarnation, *, now: float) -> None:
+        """Take note that a replica was lost while it ran a request.
+
+        A replica that comes back under its id and is lost again counts again.
+        """
         losses = self._losses.setdefault(fingerprint, _Losses())
         self._losses.move_to_end(fingerprint)
         if len(self._losses) > _MAX_KNOWN:
@@ -41,7 +46,7 @@
         losses.replicas = {
             one: at for one, at in losses.replicas.items() if now - at < WINDOW_S
         }
-        losses.replicas[replica_id] = now
+        losses.replicas[lost] = now
         if len(losses.replicas) >= BAN_AFTER:
             losses.banned_until = now + BAN_S
 
--- a/src/hyssopvane/_internal/policy/demand_window.py
+++ b/src/hyssopvane/_internal/policy/demand_window.py
@@ -46,6 +46,10 @@
         self._added.clear()
         self._totals.clear()
 
+    def forget(self, rank: int) -> None:
+        """Forget a rank's last counts: it has started anew and counts from zero."""
+        self._last.pop(rank, None)
+
     def observe(self, rank: int, counts: Counts, *, now: float) -> None:
         """Take the counts of one rank since its start."""
         before = self._last.get(rank)
--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -220,7 +220,14 @@
                 self._begin_epoch(state)
         if state.group != self._group or state.epoch != self._epoch:
             return
+        state = self._leave_out_unsound(state)
         before = self._heard.get(state.rank)
+        if before is not None and before.state.started_ms != state.started_ms:
+            # The rank has started anew and holds nothing: neither the copies nor the
+            # arming that a change relies on. Its counts begin at zero.
+            before = None
+            self._demand.forget(state.rank)
+            self._reset()
         if not state.experts and before is not None:
             # Most messages leave the experts out; they change with the version only.
             if before.state.map_version == state.map_version:
@@ -234,15 +241,39 @@
             state = replace(state, messages=before.state.messages)
         self._heard[state.rank] = _Heard(state, now, agent_at)
 
-    def note_done(self, replica: str, order: RankOrder) -> None:
+    def _leave_out_unsound(self, state: RankState) -> RankState:
+        # Experts and counts are used as indices. One beyond the layout ends the process
+        # that leads, and the next one that leads after it.
+        layout = self.layout
+        if layout is None:
+            return replace(state, counts=(), experts=())
+        if len(state.counts) != layout.sets * layout.experts:
+            state = replace(state, counts=())
+        sound = len(state.experts) == layout.sets and all(
+            0 <= expert < layout.experts for one in state.experts for expert in one
+        )
+        return state if sound else replace(state, experts=())
+
+    def find_start(self, replica: str) -> int:
+        """Return what names the start of a rank's replica, 0 where it is unknown."""
+        starts = (
+            one.state.started_ms
+            for one in self._heard.values()
+            if one.state.replica == replica
+        )
+        return next(starts, 0)
+
+    def note_done(self, replica: str, order: RankOrder, *, started_ms: int = 0) -> None:
         """Take a rank's own answer that it has carried an order out.
 
         Its agent tells the same at its next look, up to a pass later; until then a held
-        group would stand still.
+        group would stand still. What one start has done says nothing of the next.
         """
         for one in self._heard.values():
             if one.state.replica != replica or one.state.epoch != order.epoch:
                 continue
+            if one.state.started_ms != started_ms:
+                continue
             match order:
                 case Hold():
                     one.state = replace(one.state, held_step=order.step)
--- a/src/hyssopvane/_internal/policy/replica_load.py
+++ b/src/hyssopvane/_internal/policy/replica_load.py
@@ -1,6 +1,6 @@
 """Hold what one entry believes of one replica's load."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from hyssopvane._internal.state.loads import SLOW_PACE, RankLoad
 from hyssopvane._internal.state.routing import Replica
@@ -39,6 +39,11 @@
     heard_at: float = float("-inf")
     failures: float = 0.0
     out_until: float = float("-inf")
+    registered_ms: int = 0
+    """Start that the registration named last; loads may know of a newer one."""
+
+    def __post_init__(self) -> None:
+        self.registered_ms = self.replica.started_ms
 
     @property
     def group(self) -> str:
@@ -65,16 +70,55 @@
             return self.own * max(UNHEARD_ENTRIES, entries)
         return self.load.active + self.load.queued + len(self.sent_at)
 
-    def observe(self, load: RankLoad, *, now: float) -> None:
-        """Take what its agent tells, unless something newer was told before."""
+    def register(self, replica: Replica) -> bool:
+        """Take a newer registration; tell whether it names another start."""
+        named, self.registered_ms = self.registered_ms, replica.started_ms
+        if replica.started_ms == named:
+            # Loads are newer than registrations: what they know of the start stays.
+            self.replica = replace(replica, started_ms=self.replica.started_ms)
+            return False
+        began = self._begin(replica.started_ms)
+        self.replica = replace(replica, started_ms=self.replica.started_ms)
+        if began and self.load is not None:
+            # It stays in its group until its agent tells another one.
+            self.load = replace(self.load, active=0, queued=0)
+            self.heard_at = float("-inf")
+        return began
+
+    def observe(self, load: RankLoad, *, now: float) -> bool:
+        """Take what its agent tells, unless something newer was told before.
+
+        Tell whether the load is of another start of the replica.
+        """
         if now < self.heard_at:
-            return
+            return False
+        began = self._begin(load.started_ms)
         self.load = load
         # What was sent before the report was taken is in it; a send takes a few
         # milliseconds to show.
         taken_at = now - _SHOWS_AFTER_S
         self.sent_at = [at for at in self.sent_at if at > taken_at]
         self.heard_at = now
+        return began
+
+    def _begin(self, started_ms: int) -> bool:
+        """Forget what is believed of the start before, when this is another one.
+
+        A replica that crashed may come back under its id and address within seconds,
+        and holds nothing of what was sent to it. Its requests would be counted as
+        running, and its failures against it, until they time out.
+        """
+        known = self.replica.started_ms
+        if not started_ms or started_ms == known:
+            return False
+        self.replica = replace(self.replica, started_ms=started_ms)
+        if not known:
+            return False
+        self.own = 0
+        self.sent_at.clear()
+        self.failures = 0.0
+        self.out_until = float("-inf")
+        return True
 
     def start(self, now: float) -> None:
         """Count a request of this entry."""
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -8,7 +8,7 @@
 from hyssopvane._internal.policy.queueing import FairQueue, QueuedItem
 from hyssopvane._internal.policy.replica_load import ReplicaLoad
 from hyssopvane._internal.state.loads import RankLoad
-from hyssopvane._internal.state.routing import EngineModel, Replica
+from hyssopvane._internal.state.routing import EngineModel, Incarnation, Replica
 
 OPEN_AGAIN_S = 2.0
 """Time until a caller is asked back while a group is broken."""
@@ -43,8 +43,8 @@
     """Time from which on its answer would miss the objective."""
     refuse_at: float
     """Time at which it is refused rather than held any longer."""
-    avoid: frozenset[str] = frozenset()
-    """Replicas that it was sent to already."""
+    avoid: frozenset[Incarnation] = frozenset()
+    """Starts of replicas that it was sent to already."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,28 +90,33 @@
         self._replicas: dict[str, ReplicaLoad] = {}
         self._by_address: dict[str, list[ReplicaLoad]] = {}
         self._groups: dict[str, GroupRoom] = {}
-        self._wrong: set[str] = set()
+        self._wrong: set[Incarnation] = set()
         """Replicas at whose address another one answered."""
         self._engine: EngineModel | None = None
         self._pause_s = 0.0
 
-    def update(self, replicas: Iterable[Replica], engine: EngineModel | None) -> None:
-        """Learn the replicas that may get work."""
+    def update(
+        self, replicas: Iterable[Replica], engine: EngineModel | None
+    ) -> list[str]:
+        """Learn the replicas that may get work; return addresses of new starts."""
         self._engine = engine
         known = {replica.id: replica for replica in replicas}
         # A replica whose address was given to another one is still listed for a while.
-        self._wrong &= known.keys()
+        self._wrong &= {replica.incarnation for replica in known.values()}
         for replica_id in self._replicas.keys() - known.keys():
             self._drop(replica_id)
+        restarted = []
         for replica in known.values():
-            if replica.id in self._wrong:
+            if replica.incarnation in self._wrong:
                 continue
             found = self._replicas.get(replica.id)
             if found is not None and found.replica.address == replica.address:
-                found.replica = replica
+                if found.register(replica):
+                    restarted.append(replica.address)
                 continue
             self._drop(replica.id)
             self._put(replica)
+        return restarted
 
     def set_pause(self, pause_s: float) -> None:
         """Learn the longest pause between events that callers should get."""
@@ -119,16 +124,18 @@
         for group in self._groups.values():
             group.passes.pause_s = pause_s
 
-    def observe_load(self, load: RankLoad, *, now: float) -> None:
-        """Take what the agent beside a replica tells."""
+    def observe_load(self, load: RankLoad, *, now: float) -> bool:
+        """Take what a replica's agent tells; tell whether it has started anew."""
+        restarted = False
         for one in self._by_address.get(load.address, ()):
             before = one.group
-            one.observe(load, now=now)
+            restarted |= one.observe(load, now=now)
             if one.group != before:
                 self._leave_group(one.replica.id, before)
                 self._join_group(one)
         if load.group in self._groups:
             self._groups[load.group].observe(load, now=now)
+        return restarted
 
     def add(self, waiting: Waiting, *, weight: float) -> None:
         """Let a request wait."""
@@ -152,9 +159,9 @@
         decisions += self._turn_away(now)
         return decisions
 
-    def finish(self, replica_id: str, *, failed: bool, now: float) -> None:
+    def finish(self, replica: Replica, *, failed: bool, now: float) -> None:
         """Take note that a request has left a replica."""
-        one = self._replicas.get(replica_id)
+        one = self._find(replica)
         if one is None:
             return
         one.finish(failed=failed)
@@ -162,17 +169,25 @@
             one.out_until = now + _EJECT_S
             one.failures = 0.0
 
-    def mark_wrong(self, replica_id: str) -> None:
+    def mark_wrong(self, replica: Replica) -> None:
         """Drop a replica whose address now belongs to another one."""
-        self._wrong.add(replica_id)
-        self._drop(replica_id)
+        self._wrong.add(replica.incarnation)
+        if self._find(replica) is not None:
+            self._drop(replica.id)
 
-    def rest(self, replica_id: str, *, until: float) -> None:
+    def rest(self, replica: Replica, *, until: float) -> None:
         """Send nothing to a replica that has just turned work away."""
-        one = self._replicas.get(replica_id)
+        one = self._find(replica)
         if one is not None:
             one.out_until = max(one.out_until, until)
 
+    def _find(self, replica: Replica) -> ReplicaLoad | None:
+        """Return what is believed of this start of a replica, if it still runs."""
+        one = self._replicas.get(replica.id)
+        if one is None or replica.started_ms not in (0, one.replica.started_ms):
+            return None
+        return one
+
     def list_unheard(self, now: float) -> list[str]:
         """Return the addresses of replicas whose load was not told lately."""
         return [
@@ -290,7 +305,8 @@
         # A rank's own requests cost its own time only, and all ranks wait for the
         # slowest: one request at a rank with a twelfth of its pace counts like twelve.
         usable = [one for one in usable if not one.is_slow(now)] or usable
-        fresh = [one for one in usable if one.replica.id not in waiting.avoid]
+        avoid = waiting.avoid
+        fresh = [one for one in usable if one.replica.incarnation not in avoid]
         counts = [(one.count(now, group.entries), one) for one in fresh or usable]
         room = [(count, one) for count, one in counts if count < one.replica.slots]
         if not room:
--- a/src/hyssopvane/_internal/protocol/group.capnp
+++ b/src/hyssopvane/_internal/protocol/group.capnp
@@ -50,6 +50,7 @@
   queued @2 :UInt16;
   ageMs @3 :UInt16;
   pace @4 :Float32;
+  startedMs @5 :UInt64;
 }
 
 struct Lists {
@@ -79,6 +80,7 @@
   # Choices since the rank's start, modulo 65,536; empty in most datagrams.
   queued @16 :UInt16;
   pace @17 :Float32;
+  startedMs @18 :UInt64;
 }
 
 struct MapChange {
--- a/src/hyssopvane/_internal/protocol/group_messages.py
+++ b/src/hyssopvane/_internal/protocol/group_messages.py
@@ -1,6 +1,7 @@
 """Encode the datagrams of the direct path."""
 
 from collections.abc import Callable, Sequence
+from math import isfinite
 from pathlib import Path
 from typing import Any
 
@@ -16,6 +17,7 @@
     RankState,
 )
 from hyssopvane._internal.state.loads import GroupLoad, MemberLoad
+from hyssopvane._internal.utils.ip_addresses import is_address
 
 GroupMessage = EntryState | GroupLoad | RankState | MapChange
 
@@ -47,9 +49,40 @@
     """Decode a datagram; raise `ProtocolError` when it is none of ours."""
     try:
         datagram = load_schema(_SCHEMA_FILE).Datagram.from_bytes_packed(data)
-        return _READERS[str(datagram.which())](datagram)
+        message = _READERS[str(datagram.which())](datagram)
     except (capnp.KjException, KeyError, ValueError) as error:
         raise ProtocolError("a datagram can't be read", context=str(error)) from error
+    _check(message)
+    return message
+
+
+def _check(message: GroupMessage) -> None:
+    """Raise `ProtocolError` where a readable message holds what nobody sends.
+
+    Addresses are sent to and numbers are counted with; a wrong one would end the
+    process far from here, where nobody could tell who sent it.
+    """
+    match message:
+        case EntryState():
+            addresses: tuple[str, ...] = (message.address, message.beliefs)
+            sound = True
+        case GroupLoad():
+            addresses = message.entries + tuple(m.address for m in message.members)
+            sound = message.ranks > 0 and all(
+                isfinite(m.pace) and m.pace >= 0 for m in message.members
+            )
+        case RankState():
+            addresses = (message.messages, message.replica)
+            sound = message.rank < message.ranks and (
+                isfinite(message.pace) and message.pace >= 0
+            )
+        case MapChange():
+            addresses = message.forward
+            sound = True
+    if not sound or not all(is_address(one) for one in addresses):
+        raise ProtocolError(
+            "a datagram holds what no process of ours sends", context=str(message)[:200]
+        )
 
 
 def encode_beliefs(beliefs: Beliefs) -> bytes:
@@ -119,7 +152,8 @@
         one.active = member.active
         one.queued = member.queued
         one.pace = member.pace
-        one.ageMs = min(_MAX_AGE_MS, int(member.age_s * _MILLISECONDS))
+        one.ageMs = min(_MAX_AGE_MS, max(0, int(member.age_s * _MILLISECONDS)))
+        one.startedMs = member.started_ms
 
 
 def _read_load(datagram: Any) -> GroupLoad:
@@ -139,6 +173,7 @@
                 member.queued,
                 member.pace,
                 member.ageMs / _MILLISECONDS,
+                member.startedMs,
             )
             for member in one.members
         ),
@@ -163,6 +198,7 @@
     _write_lists(builder.experts, message.experts)
     builder.queued = message.queued
     builder.pace = message.pace
+    builder.startedMs = message.started_ms
     builder.counts = [count % COUNT_MODULUS for count in message.counts]
 
 
@@ -187,6 +223,7 @@
         queued=one.queued,
         pace=one.pace,
         counts=tuple(one.counts),
+        started_ms=one.startedMs,
     )
 
 
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -20,7 +20,13 @@
 from hyssopvane._internal.roles.call import AnswerCut
 from hyssopvane._internal.roles.direct_answer import send_answer
 from hyssopvane._internal.roles.gate_keeper import GateKeeper
-from hyssopvane._internal.state.routing import Customer, Replica, RequestKind, Route
+from hyssopvane._internal.state.routing import (
+    Customer,
+    Incarnation,
+    Replica,
+    RequestKind,
+    Route,
+)
 from hyssopvane._internal.transport.replica_client import (
     ReplicaClient,
     ReplicaFailed,
@@ -93,7 +99,7 @@
     """Equal for requests with the same path, customer and body."""
     attempts: int = 0
     may_have_run: bool = False
-    tried: set[str] = field(default_factory=set)
+    tried: set[Incarnation] = field(default_factory=set)
 
     @property
     def priority(self) -> int:
@@ -212,7 +218,7 @@
             await self._exchange(replica)
             failed = False
         except _TryAgain as failure:
-            request.tried.add(replica.id)
+            request.tried.add(replica.incarnation)
             failed = failure.failed
             raise
         except trio.Cancelled:
@@ -220,7 +226,7 @@
             failed = False
             raise
         finally:
-            self._tools.gates.finish(request.service, replica.id, failed=failed)
+            self._tools.gates.finish(request.service, replica, failed=failed)
 
     async def _exchange(self, replica: Replica) -> None:
         request = self._request
@@ -240,7 +246,7 @@
             raise _TryAgain(f"unreachable: {error}", not_run=True) from error
         except ReplicaFailed as error:
             self._tools.suspects.note_loss(
-                request.fingerprint, replica.id, now=trio.current_time()
+                request.fingerprint, replica.incarnation, now=trio.current_time()
             )
             raise _TryAgain(f"failed: {error}", not_run=False) from error
 
@@ -281,9 +287,9 @@
     def _note_refusal(self, replica: Replica, response: ReplicaResponse) -> None:
         gate = self._tools.gates.get_gate(self._request.service)
         if response.status == _MISDIRECTED:
-            gate.mark_wrong(replica.id)
+            gate.mark_wrong(replica)
         else:
-            gate.rest(replica.id, until=trio.current_time() + FULL_REST_S)
+            gate.rest(replica, until=trio.current_time() + FULL_REST_S)
         raise _TryAgain(f"refused-{response.status}", not_run=True, failed=False)
 
     async def _relay_whole(self, response: ReplicaResponse) -> None:
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -78,11 +78,20 @@
         random = Random(secrets.randbits(63))
         self.metrics = Metrics(role=settings.role, vm=settings.vm)
         self.gates = GateKeeper(
-            random=random, availability_zone=settings.availability_zone
+            random=random,
+            availability_zone=settings.availability_zone,
+            observe_restart=self._forget_connections,
+        )
+        self.feed = RoutingFeed(
+            store,
+            format,
+            random=random,
+            observe=self._update,
+            count=self.metrics.count_event,
         )
-        self.feed = RoutingFeed(store, format, random=random, observe=self._update)
         self.exchange = BeliefExchange(self.feed, seeds=settings.seeds)
         self._client = ReplicaClient()
+        self._nursery: trio.Nursery | None = None
         self._port = DatagramPort(settings.messages)
         self._peers: frozenset[str] = frozenset()
         self._leaders: dict[str, str] = {}
@@ -107,6 +116,7 @@
     ) -> None:
         """Serve callers until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             await self._store.start(nursery)
             self.feed.start(nursery)
             self.gates.start(nursery)
@@ -162,6 +172,17 @@
     def _update(self) -> None:
         self.gates.update(self.feed.table, self.feed.replicas)
 
+    def _forget_connections(self, address: str) -> None:
+        """Close the connections that wait for a replica that is gone.
+
+        They lead to its earlier start, and a request sent on one of them may hang until
+        the connection times out.
+        """
+        self.metrics.count_event("replica-restarted")
+        log_event("info", "replica-restarted", address=address)
+        if self._nursery is not None:
+            self._nursery.start_soon(self._client.forget, address)
+
     def _receive(self, message: GroupMessage, sender: str) -> None:
         match message:
             case EntryState():
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -1,5 +1,6 @@
 """Let requests wait for the decisions of a service's gate."""
 
+from collections.abc import Callable
 from functools import partial
 from random import Random
 
@@ -27,7 +28,15 @@
 class GateKeeper:
     """Hold one gate for each service."""
 
-    def __init__(self, *, random: Random, availability_zone: str) -> None:
+    def __init__(
+        self,
+        *,
+        random: Random,
+        availability_zone: str,
+        observe_restart: Callable[[str], None] = lambda address: None,
+    ) -> None:
+        self._observe_restart = observe_restart
+        """Takes the address of a replica that has started anew under its id."""
         self._make_gate = partial(
             ServiceGate, random=random, availability_zone=availability_zone
         )
@@ -42,15 +51,24 @@
 
     def update(self, table: RoutingTable | None, replicas: dict[str, Replica]) -> None:
         """Learn the services and their replicas."""
+        # Whoever names a service that the operators don't know serves nobody. A gate
+        # for each name would also let a stranger fill the memory.
+        services = {} if table is None else table.services
         by_service: dict[str, list[Replica]] = {}
         for replica in replicas.values():
-            by_service.setdefault(replica.service, []).append(replica)
-        self._services = {one.address: one.service for one in replicas.values()}
+            if replica.service in services:
+                by_service.setdefault(replica.service, []).append(replica)
+        self._services = {
+            one.address: one.service for known in by_service.values() for one in known
+        }
         for name in by_service.keys() | self._gates.keys():
-            spec = None if table is None else table.services.get(name)
-            self.get_gate(name).update(
-                by_service.get(name, ()), None if spec is None else spec.engine
+            spec = services.get(name)
+            restarted = self.get_gate(name).update(
+                by_service.get(name, ()),
+                None if spec is None else spec.engine,
             )
+            for address in restarted:
+                self._observe_restart(address)
         for route in () if table is None else table.routes:
             if route.pause_s:
                 for part in route.split:
@@ -71,7 +89,8 @@
             if service is not None:
                 # What waits is looked at within a hundredth of a second anyway; a look
                 # at each load costs more than it brings.
-                self._gates[service].observe_load(member, now=now - age_s)
+                if self._gates[service].observe_load(member, now=now - age_s):
+                    self._observe_restart(member.address)
 
     def list_unheard(self, service: str) -> list[str]:
         """Return the addresses of a service's replicas with no fresh load."""
@@ -92,17 +111,17 @@
             gate.remove(request_id)
             if isinstance(waiter.decision, Place):
                 # Placed and given up in the same moment: nobody else gives it back.
-                self.finish(service, waiter.decision.replica.id, failed=False)
+                self.finish(service, waiter.decision.replica, failed=False)
             raise
         finally:
             del self._waiters[request_id]
         assert waiter.decision is not None
         return waiter.decision
 
-    def finish(self, service: str, replica_id: str, *, failed: bool) -> None:
+    def finish(self, service: str, replica: Replica, *, failed: bool) -> None:
         """Give a place back."""
         gate = self.get_gate(service)
-        gate.finish(replica_id, failed=failed, now=trio.current_time())
+        gate.finish(replica, failed=failed, now=trio.current_time())
         self._settle(gate)
 
     def settle(self) -> None:
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -131,11 +131,13 @@
         self._ranks = ranks
         self._store = store
         self._port = DatagramPort(settings.messages)
+        self._metrics = Metrics(role=settings.role, vm=settings.vm)
         self.feed = RoutingFeed(
             store,
             format,
             random=Random(secrets.randbits(63)),
             observe=self._update,
+            count=self._metrics.count_event,
         )
         self._passes = PassMeter()
         self._coordinator = MapCoordinator(nonce=secrets.randbits(31))
@@ -149,8 +151,8 @@
         self._group = ""
         """Group that the rank was last seen in."""
         self._experts: ExpertsBySet = ()
-        self._experts_of = (-1, -1)
-        """Epoch and map version that the experts belong to."""
+        self._experts_of = (-1, -1, -1)
+        """Start of the rank, epoch and map version that the experts belong to."""
         self._change: MapChange | None = None
         self._ordered: tuple[RankOrder | None, float] = (None, float("-inf"))
         self._changed = trio.Event()
@@ -158,7 +160,6 @@
         self._slept_s = self._measure_sleep()
         self._looked_at = float("inf")
         """Time of the last look, which has no bound before the first one."""
-        self._metrics = Metrics(role=settings.role, vm=settings.vm)
 
     async def run(
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -268,7 +269,7 @@
             self._changed = trio.Event()
 
     async def _refresh_experts(self, report: RankReport) -> None:
-        wanted = (report.epoch, report.map_version)
+        wanted = (report.started_ms, report.epoch, report.map_version)
         if report.group and wanted != self._experts_of:
             self._experts = await self._ranks.read_experts(self._settings.replica)
             self._experts_of = wanted
@@ -348,7 +349,14 @@
             pass_s=self._passes.measure(now=trio.current_time()),
             entries=entries,
             members=tuple(
-                MemberLoad(state.replica, state.active, state.queued, state.pace, age_s)
+                MemberLoad(
+                    state.replica,
+                    state.active,
+                    state.queued,
+                    state.pace,
+                    age_s,
+                    state.started_ms,
+                )
                 for state, age_s in heard
             ),
         )
@@ -376,6 +384,7 @@
             held_step=report.held_step,
             experts=() if replica else self._experts,
             counts=counts,
+            started_ms=report.started_ms,
         )
 
     async def _follow_change(self, report: RankReport, now: float) -> None:
@@ -453,6 +462,7 @@
 
     async def _give_order(self, replica: str, order: RankOrder) -> None:
         started_at = trio.current_time()
+        start = self._coordinator.find_start(replica)
         outcome = await self._ranks.send_order(replica, order)
         self._metrics.count_event(f"order-{outcome.value}")
         self._changed.set()
@@ -466,7 +476,7 @@
             took_ms=round((trio.current_time() - started_at) * 1_000, 1),
         )
         if outcome is OrderOutcome.DONE and self._coordinator.waits_for_ranks:
-            self._coordinator.note_done(replica, order)
+            self._coordinator.note_done(replica, order, started_ms=start)
             await self._lead(trio.current_time())
         if outcome is OrderOutcome.UNKNOWN:
             self._ordered = (None, float("-inf"))
--- a/src/hyssopvane/_internal/state/group.py
+++ b/src/hyssopvane/_internal/state/group.py
@@ -53,6 +53,8 @@
     """Time the replica takes against its usual one; over 1 when it is slow."""
     counts: Counts = ()
     """How often this rank's requests chose each expert since its start."""
+    started_ms: int = 0
+    """Names the start of the replica that this is of; 0 where not told."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hyssopvane/_internal/state/loads.py
+++ b/src/hyssopvane/_internal/state/loads.py
@@ -17,6 +17,8 @@
     """Time the replica takes against its usual one; over 1 when it is slow."""
     age_s: float
     """Time since its own agent told it."""
+    started_ms: int = 0
+    """Names the start of the replica that the load is of; 0 where not told."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +58,8 @@
     """Addresses of the entries that are told this load."""
     pace: float = 1.0
     """Time the replica takes against its usual one; over 1 when it is slow."""
+    started_ms: int = 0
+    """Names the start of the replica that the load is of; 0 where not told."""
 
     def leave(self) -> "RankLoad":
         """Return the load without one of its requests."""
@@ -77,6 +81,7 @@
                 pass_s=load.pass_s,
                 entries=load.entries,
                 pace=member.pace,
+                started_ms=member.started_ms,
             ),
             member.age_s,
         )
--- a/src/hyssopvane/_internal/state/ranks.py
+++ b/src/hyssopvane/_internal/state/ranks.py
@@ -20,8 +20,6 @@
     """Whether the group serves requests."""
     active: int
     queued: int
-    kv_used: int
-    kv_total: int
     pace: float
     """Time the replica takes against its usual one; over 1 when it is slow."""
     step: int
@@ -37,6 +35,12 @@
     """Whether an order is still being carried out."""
     sequence: int
     """Orders that were accepted since the replica's start."""
+    started_ms: int = 0
+    """Start of the replica by its own clock, in Unix milliseconds; 0 where not told.
+
+    It names one start among others. Clocks jump, so a later start may have a smaller
+    number; only equal and different mean anything.
+    """
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hyssopvane/_internal/state/routing.py
+++ b/src/hyssopvane/_internal/state/routing.py
@@ -88,6 +88,8 @@
     context_s: float
     """Time that each token of a writing request's context adds to a step."""
     read_tokens_per_s: float
+    read_chunk: int = 0
+    """Prompt tokens that a step reads at most; 0 where there is no such bound."""
     layout: ExpertLayout | None = None
 
 
@@ -151,14 +153,25 @@
         return None
 
 
+Incarnation = tuple[str, int]
+"""Id of a replica, and what names one of its starts."""
+
+
 @dataclass(frozen=True, slots=True)
 class Replica:
     """Describe one start of a replica, as it registered itself."""
 
     id: str
-    """Changes at each start."""
+    """May be that of an earlier start."""
     service: str
     address: str
     availability_zone: str
     slots: int
     draining: bool
+    started_ms: int = 0
+    """Names its start, in Unix milliseconds of its own clock; 0 where not told."""
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return what names this start of the replica."""
+        return self.id, self.started_ms
--- a/tests/functional/test_rank_agent.py
+++ b/tests/functional/test_rank_agent.py
@@ -71,6 +71,7 @@
         host = f"127.0.0.{number + 1}"
         replica = await serve(nursery, group.make_app(number), host)
         registration = {"service": "drafting", "address": replica, "state": "ready"}
+        registration |= {"zone": "zone-a", "slots": 6}
         store.put(f"servers/i-{number}", registration)
         agent = make_agent(number, replica=replica, store=store_address, port=port)
         agents.append(agent)
--- /dev/null
+++ b/tests/lib/decoder_fuzz.py
@@ -0,0 +1,181 @@
+"""Feed damaged documents to all decoders, and tell which error each of them raises."""
+
+import json
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from hyssopvane._internal.exceptions import ConfigurationError, ProtocolError
+from hyssopvane._internal.platform.configuration import decode_configuration
+from hyssopvane._internal.platform.registrations import decode_replica
+from hyssopvane._internal.platform.reports import (
+    decode_experts,
+    decode_picks,
+    decode_report,
+)
+from hyssopvane._internal.protocol.group_messages import (
+    decode_beliefs,
+    decode_message,
+    encode_beliefs,
+    encode_message,
+)
+from hyssopvane._internal.state.beliefs import Beliefs, BelievedItem
+from hyssopvane._internal.state.group import EntryState, MapChange, RankState
+from hyssopvane._internal.state.loads import GroupLoad, MemberLoad
+from tests.lib.direct_installation import ENGINE, EXPERTS, make_configuration
+
+EXPECTED = (ConfigurationError, ProtocolError)
+"""What a decoder may raise: its callers know these."""
+
+_CONFIGURATION = make_configuration(7)
+_CONFIGURATION["services"][1]["engine"] = ENGINE | EXPERTS  # type: ignore[index]
+
+_DOCUMENTS: dict[str, tuple[Callable[[bytes], object], Any]] = {
+    "registration": (
+        lambda data: decode_replica("servers/i-1", data),
+        {
+            "service": "checks",
+            "address": "10.0.0.1:80",
+            "zone": "zone-a",
+            "slots": 6,
+            "state": "ready",
+            "seq": 4,
+            "born": 1_700_000_000_000,
+        },
+    ),
+    "report": (
+        decode_report,
+        {
+            "group": {"name": "g0-0", "epoch": 2, "rank": 8, "state": "open"},
+            "size": 12,
+            "busy": False,
+            "seq": 3,
+            "queued": 1,
+            "active": 5,
+            "pace": 1.5,
+            "step": 91,
+            "expert-map": 7,
+            "prepared": {"version": 9},
+            "armed": {"version": 9, "step": 95},
+            "held": 95,
+            "born": 1_700_000_000_000,
+        },
+    ),
+    "counts": (decode_picks, {"step": 8, "epoch": 1, "counts": [5, 6, 7, 8]}),
+    "experts": (
+        decode_experts,
+        {"epoch": 0, "expert-map": {"version": 0, "experts": [[0, 2], [1, 3]]}},
+    ),
+    "configuration": (decode_configuration, _CONFIGURATION),
+}
+
+_A = "10.0.0.1:7340"
+_MESSAGES = (
+    EntryState(_A, _A, 3, 4),
+    GroupLoad("g", 1, 2, True, 9, 0.06, (_A,), (MemberLoad(_A, 1, 0, 1.0, 0.1),)),
+    RankState(
+        _A, _A, "g", 1, 0, 2, True, 1, 0, 9, 1, 2, 3, 4, 5, ((0, 1),), 1.0, (1, 2)
+    ),
+    MapChange("g", 1, 2, (((0,), (1,)),), 3, (_A,)),
+)
+_BELIEFS = Beliefs(3, b"{}", 4, (BelievedItem("servers/i-1", b"{}", 2),))
+
+_STRANGE: tuple[object, ...] = (
+    None,
+    True,
+    -1,
+    0,
+    1.5,
+    10**40,
+    -(10**40),
+    1e308,
+    "",
+    "7",
+    "x" * 5_000,
+    "\x00\r\n",
+    "\ud800",
+    [],
+    {},
+    [[]],
+    [None] * 50,
+)
+_TOKENS = (b"1e999", b"NaN", b"-Infinity", b"[" * 50_000, b'{"a":' * 20_000, b"\xff")
+
+
+@dataclass(frozen=True)
+class Escaped:
+    """Hold an input at which a decoder raised what nobody expects."""
+
+    decoder: str
+    data: bytes
+    error: Exception
+
+
+def fuzz(seed: int, count: int) -> Iterator[Escaped]:
+    """Try damaged inputs on each decoder; yield those whose error would end a process.
+
+    Each decoder gets `count` inputs, and the same ones for the same seed.
+    """
+    for name, decode, make in _list_decoders():
+        random = Random(f"{name}/{seed}")
+        for _ in range(count):
+            data = make(random)
+            try:
+                decode(data)
+            except EXPECTED:
+                continue
+            except Exception as error:
+                yield Escaped(name, data, error)
+
+
+def _list_decoders() -> Iterator[
+    tuple[str, Callable[[bytes], object], Callable[[Random], bytes]]
+]:
+    for name, (decode, document) in _DOCUMENTS.items():
+        yield name, decode, _make_document_damager(document)
+    encoded = [encode_message(message) for message in _MESSAGES]
+    yield (
+        "datagram",
+        decode_message,
+        lambda random: _flip(random.choice(encoded), random),
+    )
+    beliefs = encode_beliefs(_BELIEFS)
+    yield "beliefs", decode_beliefs, lambda random: _flip(beliefs, random)
+
+
+def _make_document_damager(document: Any) -> Callable[[Random], bytes]:
+    def damage(random: Random) -> bytes:
+        value = json.loads(json.dumps(document))
+        for _ in range(random.randint(1, 3)):
+            value = _replace_part(value, random)
+        data = json.dumps(value).encode()
+        draw = random.random()
+        if draw < 0.2:
+            return _flip(data, random)
+        if draw < 0.3:
+            at = random.randrange(len(data))
+            return data[:at] + random.choice(_TOKENS) + data[at + 1 :]
+        return data
+
+    return damage
+
+
+def _replace_part(value: Any, random: Random) -> Any:
+    if isinstance(value, dict) and value and random.random() < 0.9:
+        key = random.choice(list(value))
+        if random.random() < 0.2:
+            return {name: one for name, one in value.items() if name != key}
+        return value | {key: _replace_part(value[key], random)}
+    if isinstance(value, list) and value and random.random() < 0.7:
+        at = random.randrange(len(value))
+        return value[:at] + [_replace_part(value[at], random)] + value[at + 1 :]
+    return random.choice(_STRANGE)
+
+
+def _flip(data: bytes, random: Random) -> bytes:
+    damaged = bytearray(data)
+    for _ in range(random.randint(1, 8)):
+        damaged[random.randrange(len(damaged))] = random.randrange(256)
+    cut = random.randrange(len(damaged)) if random.random() < 0.2 else len(damaged)
+    return bytes(damaged[:cut])
--- a/tests/unit/test_direct_parts.py
+++ b/tests/unit/test_direct_parts.py
@@ -31,7 +31,7 @@
     suspects = CrashSuspects()
     for number in range(BAN_AFTER):
         assert not suspects.is_banned(1, now=number)
-        suspects.note_loss(1, f"i-{number}", now=number)
+        suspects.note_loss(1, (f"i-{number}", 0), now=number)
     assert suspects.is_banned(1, now=BAN_AFTER)
     assert not suspects.is_banned(2, now=BAN_AFTER)
     assert not suspects.is_banned(1, now=BAN_AFTER + BAN_S)
@@ -40,7 +40,7 @@
 def test_replica_that_breaks_off_again_and_again_bans_nobody():
     suspects = CrashSuspects()
     for number in range(20):
-        suspects.note_loss(1, "i-1", now=number)
+        suspects.note_loss(1, ("i-1", 0), now=number)
     assert not suspects.is_banned(1, now=20)
 
 
--- a/tests/unit/test_platform_formats.py
+++ b/tests/unit/test_platform_formats.py
@@ -5,10 +5,8 @@
 import pytest
 
 from hyssopvane._internal.exceptions import ConfigurationError
-from hyssopvane._internal.platform.configuration import (
-    decode_configuration,
-    decode_replica,
-)
+from hyssopvane._internal.platform.configuration import decode_configuration
+from hyssopvane._internal.platform.registrations import decode_replica
 from hyssopvane._internal.platform.reports import (
     decode_experts,
     decode_picks,
--- /dev/null
+++ b/tests/unit/test_restarted_replicas.py
@@ -0,0 +1,139 @@
+"""Test that nothing of a replica's earlier start is believed of its next one."""
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from hyssopvane._internal.policy.crash_suspects import BAN_AFTER, CrashSuspects
+from hyssopvane._internal.policy.map_coordinator import Phase
+from hyssopvane._internal.state.ranks import Arm
+from tests.lib.rank_model import TICK_S, Faults, GroupModel
+from tests.unit.test_service_gate import (
+    add,
+    list_places,
+    make_gate,
+    make_load,
+    make_replica,
+    make_waiting,
+)
+
+BEFORE, AFTER = 1_700_000_000_000, 1_700_000_004_000
+
+
+def make_restarted_gate(*, told_by):
+    """Return a gate with a full replica that starts anew, and its last places."""
+    gate = make_gate(0)
+    gate.update([make_replica(0, started_ms=BEFORE)], None)
+    alone = {"ranks": 1, "entries": ("a",)}
+    gate.observe_load(make_load(0, started_ms=BEFORE, **alone), now=0.0)
+    add(gate, 6)
+    places = list_places(gate.settle(0.0))
+    assert len(places) == 6
+    if told_by == "registration":
+        restarted = gate.update([make_replica(0, started_ms=AFTER)], None)
+        assert restarted == [make_replica(0).address]
+    else:
+        assert gate.observe_load(make_load(0, started_ms=AFTER, **alone), now=1.0)
+    gate.observe_load(make_load(0, started_ms=AFTER, **alone), now=1.0)
+    return gate, places
+
+
+@pytest.mark.parametrize("told_by", ["registration", "load"])
+def test_places_of_an_earlier_start_are_free_at_once(told_by):
+    """A replica crashes with six requests and is back under its id within seconds.
+
+    Their connections may hang for long. Counted as running, they would keep all callers
+    away from a replica that has nothing to do.
+    """
+    gate, _ = make_restarted_gate(told_by=told_by)
+    for number in range(10, 16):
+        gate.add(make_waiting(number, now=1.0), weight=1.0)
+    assert len(list_places(gate.settle(1.0))) == 6
+
+
+@pytest.mark.parametrize("told_by", ["registration", "load"])
+def test_end_of_an_old_request_frees_no_place_of_the_next_start(told_by):
+    """The old requests time out one by one after the replica has filled up again.
+
+    Each would free a place that is taken, and the replica would turn work away.
+    """
+    gate, old = make_restarted_gate(told_by=told_by)
+    for number in range(10, 16):
+        gate.add(make_waiting(number, now=1.0), weight=1.0)
+    gate.settle(1.0)
+    for place in old:
+        gate.finish(place.replica, failed=True, now=1.1)
+    gate.add(make_waiting(99, now=1.1), weight=1.0)
+    assert not list_places(gate.settle(1.1))
+
+
+def test_refusals_and_wrong_addresses_of_an_earlier_start_are_forgotten():
+    gate = make_gate(0)
+    old, new = make_replica(0, started_ms=BEFORE), make_replica(0, started_ms=AFTER)
+    gate.update([old], None)
+    gate.mark_wrong(old)
+    gate.update([new], None)
+    gate.rest(old, until=100.0)
+    add(gate, 1)
+    assert list_places(gate.settle(0.0))
+
+
+def test_older_registration_does_not_undo_what_loads_tell():
+    """The registration lags: it names the earlier start for a second after the load.
+
+    Were it believed, each of the two would undo the other and no count would hold.
+    """
+    gate, _ = make_restarted_gate(told_by="load")
+    add(gate, 2, now=1.0)
+    gate.settle(1.0)
+    assert gate.update([make_replica(0, started_ms=BEFORE)], None) == []
+    for number in range(10, 16):
+        gate.add(make_waiting(number, now=1.0), weight=1.0)
+    assert len(list_places(gate.settle(1.0))) == 4
+
+
+def test_request_is_sent_to_the_next_start_of_a_replica_that_lost_it():
+    gate = make_gate(0)
+    gate.update([make_replica(0, started_ms=AFTER)], None)
+    gate.add(make_waiting(1, avoid=(("i-0", BEFORE),)), weight=1.0)
+    assert list_places(gate.settle(0.0))
+
+
+def test_request_that_crashes_one_replica_again_and_again_is_banned():
+    """A request kills its replica, which comes back under its id each time."""
+    suspects = CrashSuspects()
+    for number in range(BAN_AFTER):
+        suspects.note_loss(1, ("i-1", BEFORE + number), now=float(number))
+    assert suspects.is_banned(1, now=float(BAN_AFTER))
+
+
+def make_arming_model():
+    model = GroupModel(Random(3), Faults())
+    leader = model.agents[0].coordinator
+    while leader.phase is not Phase.PREPARING:
+        model.play(TICK_S)
+    return model, leader
+
+
+def test_leader_gives_up_a_change_when_a_rank_starts_anew():
+    """A rank starts anew while it copies experts, and holds none of them."""
+    model, leader = make_arming_model()
+    state = replace(model._describe(1), started_ms=AFTER)
+    leader.observe(state, now=model.now)
+    assert leader.phase is Phase.IDLE
+
+
+def test_answer_of_an_earlier_start_is_no_state_of_the_next_one():
+    """The answer to an arming comes after the rank has started anew.
+
+    Taken for the new start's, it would release the pass while that rank has no map but
+    the first one.
+    """
+    model, leader = make_arming_model()
+    leader.observe(replace(model._describe(1), started_ms=AFTER), now=model.now)
+    order = Arm(model.epoch, 77, model.step + 3)
+    leader.note_done("1", order, started_ms=BEFORE)
+    assert leader._heard[1].state.armed_version == 0
+    leader.note_done("1", order, started_ms=AFTER)
+    assert leader._heard[1].state.armed_version == 77
--- a/tests/unit/test_service_gate.py
+++ b/tests/unit/test_service_gate.py
@@ -159,16 +159,16 @@
 def test_retry_goes_to_another_replica(avoided):
     gate = make_gate(2, engine=None)
     for number in range(20):
-        gate.add(make_waiting(number, avoid=(avoided,)), weight=1.0)
+        gate.add(make_waiting(number, avoid=((avoided, 0),)), weight=1.0)
         for place in list_places(gate.settle(0.0)):
             assert place.replica.id != avoided
-            gate.finish(place.replica.id, failed=False, now=0.0)
+            gate.finish(place.replica, failed=False, now=0.0)
 
 
 def test_failing_replica_is_left_out_for_a_while():
     gate = make_gate(3, engine=None)
     for _ in range(12):
-        gate.finish("i-0", failed=True, now=0.0)
+        gate.finish(make_replica(0), failed=True, now=0.0)
     add(gate, 12)
     placed = []
     for _ in range(12):
@@ -331,7 +331,7 @@
         make_groups(1, active=5, step=step, gate=gate)
         gate.add(make_waiting(step, now=0.0), weight=1.0)
         for place in list_places(gate.settle(0.0)):
-            gate.finish(place.replica.id, failed=False, now=0.0)
+            gate.finish(place.replica, failed=False, now=0.0)
             taken += 1
     # Four places of 24 are free, and four entries share them.
     assert 150 <= taken <= 200
@@ -344,7 +344,7 @@
     of the store, requests would use up their attempts.
     """
     gate = make_gate(2, engine=None)
-    gate.mark_wrong("i-0")
+    gate.mark_wrong(make_replica(0))
     gate.update([make_replica(number) for number in range(2)], None)
     add(gate, 3)
     assert {one.replica.id for one in list_places(gate.settle(0.0))} == {"i-1"}
