--- a/src/hyssopvane/_internal/protocol/group_messages.py
+++ b/src/hyssopvane/_internal/protocol/group_messages.py
@@ -64,7 +64,9 @@
     """
     match message:
         case EntryState():
-            addresses: tuple[str, ...] = (message.address, message.beliefs)
+            # An entry that gives nothing on names no address for its beliefs.
+            given = (message.beliefs,) if message.beliefs else ()
+            addresses: tuple[str, ...] = (message.address, *given)
             sound = True
         case GroupLoad():
             addresses = message.entries + tuple(m.address for m in message.members)
