--- a/src/hyssopvane/_internal/assembly.py
+++ b/src/hyssopvane/_internal/assembly.py
@@ -4,6 +4,7 @@
 since the memory of hundreds of processes is paid for.
 """
 
+import gc
 import traceback
 from collections.abc import Callable
 from functools import partial
@@ -44,7 +45,11 @@
 
 
 async def _run(settings: AnySettings, reload: Callable[[], AnySettings]) -> bool:
-    return await run_until_signal(make_role(settings), settings, reload=reload)
+    role = make_role(settings)
+    # What was loaded stays until the end: it need not be looked through for garbage.
+    gc.freeze()
+    gc.enable()
+    return await run_until_signal(role, settings, reload=reload)
 
 
 def make_role(settings: AnySettings) -> Role:
--- a/src/hyssopvane/_internal/cli/main.py
+++ b/src/hyssopvane/_internal/cli/main.py
@@ -1,5 +1,6 @@
 """Start the command that the arguments name."""
 
+import gc
 import signal
 import sys
 from collections.abc import Sequence
@@ -14,6 +15,10 @@
         # Loading a role takes a second. The default action of SIGHUP would end a
         # process that is told meanwhile to read its settings, which it will do anyway.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        # Nothing that is loaded becomes garbage, and looking for it took 0.14 s of the
+        # 0.95 s of processor time that loading an entry takes (mean of 4 runs each).
+        # After a failure of all VMs callers wait for that. The role turns it on again.
+        gc.disable()
 
     from hyssopvane._internal.cli.application import build_application
 
