--- a/src/hyssopvane/_internal/policy/group_room.py
+++ b/src/hyssopvane/_internal/policy/group_room.py
@@ -107,9 +107,23 @@
             return True
         if self._read_due:
             self._read_due = False
-            self._read_left += self.passes.measure_read_tokens(engine) / self.entries
+            tokens = self.passes.measure_read_tokens(engine)
+            self._read_left += tokens * self._measure_share(now)
         return self._read_left > 0
 
+    def _measure_share(self, now: float) -> float:
+        """Return this entry's part of what all entries may send.
+
+        Callers spread unevenly over many entries. With an even part the busiest of 13
+        entries lets its callers wait for what others leave unused; so the part follows
+        its requests, and is an even one at least. What the loads don't show yet is left
+        out: of others' requests just as new nothing is known either.
+        """
+        unseen = sum(len(member.sent_at) for member in self.members.values())
+        own = sum(member.own for member in self.members.values()) - unseen
+        told = self.count(now) - unseen
+        return max(1 / self.entries, min(1.0, own / told) if told > 0 else 0.0)
+
     def take(self, prompt_tokens: int) -> None:
         """Count a place that this entry has taken."""
         self._taken += 1
--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -240,15 +240,18 @@
 
     def observe(
         self, state: RankState, *, now: float, own: bool = False, asked: bool = False
-    ) -> None:
-        """Take what a rank's agent tells, or what its rank said when asked."""
+    ) -> bool:
+        """Take what a rank's agent tells, or what its rank said when asked.
+
+        Tell whether the rank has come further with a change of maps.
+        """
         if own:
             self._own = state.rank
             self._fresh_s = measure_fresh_s(state.ranks)
             if (state.group, state.epoch) != (self._group, self._epoch):
                 self._begin_epoch(state)
         if state.group != self._group or state.epoch != self._epoch:
-            return
+            return False
         state = self._leave_out_unsound(state)
         before = self._heard.get(state.rank)
         if before is not None and before.state.started_ms != state.started_ms:
@@ -269,6 +272,7 @@
             agent_at = before.agent_at
             state = replace(state, messages=before.state.messages)
         self._heard[state.rank] = _Heard(state, now, agent_at)
+        return before is None or get_progress(before.state) != get_progress(state)
 
     def _leave_out_unsound(self, state: RankState) -> RankState:
         # Experts and counts are used as indices. One beyond the layout ends the process
@@ -669,6 +673,17 @@
         return [GiveOrder(change.holder, order)]
 
 
+def get_progress(state: RankState) -> tuple[int, ...]:
+    """Return what a rank's part in a change of maps depends on."""
+    return (
+        state.map_version,
+        state.prepared,
+        state.armed_version,
+        state.armed_step,
+        state.held_step,
+    )
+
+
 def measure_look_s(ranks: int) -> float:
     """Return the pause between two looks of an agent in a group of so many ranks."""
     return max(LOOK_S, ranks / LOOKS_PER_S)
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -24,6 +24,7 @@
     AskRank,
     GiveOrder,
     MapCoordinator,
+    get_progress,
     measure_look_s,
 )
 from hyssopvane._internal.policy.pass_meter import PassMeter
@@ -99,6 +100,13 @@
 """Time for which an entry that does not hear of the replica is told its load straight:
 such an entry says so every 0.5 s."""
 
+_DUE_SHARE = 0.9
+"""Part of the pause between two looks after which the next word is due.
+
+A change makes agents look more often. Were each look told, a thousand messages a second
+would reach the leader of 63 ranks, and its loads would fill its link to the entries.
+"""
+
 _BITS = 8
 
 _LOST_S = 1.0
@@ -146,6 +154,10 @@
         """Start of the rank, epoch and map version that the experts belong to."""
         self._change: MapChange | None = None
         self._ordered: tuple[RankOrder | None, float] = (None, float("-inf"))
+        self._told_at = float("-inf")
+        """Time of the last regular word to the leader or the entries."""
+        self._told_progress: tuple[int, ...] = ()
+        """Progress of the change that the leader was told last."""
         self._changed = trio.Event()
         self._nursery: trio.Nursery | None = None
         self._slept_s = self._measure_sleep()
@@ -212,8 +224,9 @@
                     self._peers.pop(message.messages, None)
             case RankState():
                 self._peers[message.messages] = (message.rank, now)
-                self._coordinator.observe(message, now=now)
-                if self._coordinator.waits_for_ranks and self._nursery is not None:
+                is_news = self._coordinator.observe(message, now=now)
+                waits = is_news and self._coordinator.waits_for_ranks
+                if waits and self._nursery is not None:
                     # Until the last rank has told that it is armed, a pass is held:
                     # waiting for the next look at the own rank would cost a pass.
                     self._nursery.start_soon(self._lead, now)
@@ -287,7 +300,10 @@
         else:
             self._passes.rest()
         state = self._make_state(report, counts)
-        entries = self._list_entries(now)
+        is_due = now - self._told_at >= _DUE_SHARE * measure_look_s(report.ranks)
+        if is_due:
+            self._told_at = now
+        entries = self._list_entries(now) if is_due else ()
         if not report.group:
             await self._tell_load(report, [(state, 0.0)], entries, entries)
             return
@@ -299,9 +315,11 @@
             blind = tuple(e for e in entries if now - self._told_blind(e) < _BLIND_S)
             await self._tell_load(report, [(state, 0.0)], entries, blind)
         leader = self._find_leader(report, now)
-        if leader is not None:
+        progress = get_progress(state)
+        if leader is not None and (is_due or progress != self._told_progress):
             # The experts travel with the presence: they change seldom.
             await self._port.send(replace(state, experts=()), leader)
+            self._told_progress = progress
         await self._follow_change(report, now)
         await self._lead(now)
 
--- a/tests/unit/test_service_gate.py
+++ b/tests/unit/test_service_gate.py
@@ -414,3 +414,25 @@
     gate.observe_load(make_load(1, ranks=2, active=3), now=0.0)
     add(gate, 1)
     assert [one.replica.id for one in list_places(gate.settle(0.0))] == ["i-1"]
+
+
+def test_entry_with_most_callers_may_send_most_prompts():
+    """Half of the callers of four entries are at one of them.
+
+    With a quarter of what may be read its callers wait while others use up nothing.
+    """
+    engine = replace(ENGINE, layout=LAYOUT)
+    parts = []
+    for own in (6, 24):
+        gate = make_gate(12, engine=engine)
+        for number in range(12):
+            gate.observe_load(make_load(number, ranks=12, active=0), now=0.0)
+        for group in gate._groups.values():
+            for one in list(group.members.values()):
+                one.own = own // 12 if own >= 12 else int(one.replica.id[2:]) < own
+        for number in range(12):
+            gate.observe_load(make_load(number, ranks=12, active=4, step=2), now=0.1)
+        (group,) = gate._groups.values()
+        assert group.may_read(engine, 0.1)
+        parts.append(group._read_left)
+    assert parts[1] == pytest.approx(2 * parts[0])
