--- /dev/null
+++ b/tests/fuzz.py
@@ -0,0 +1,27 @@
+"""Feed damaged inputs to all decoders by hand: python -m tests.fuzz --seeds 100."""
+
+import argparse
+import os
+import sys
+
+from tests.lib.decoder_fuzz import fuzz
+
+
+def main() -> int:
+    """Run the seeds; return 1 when an input would have ended a process."""
+    parser = argparse.ArgumentParser(prog="fuzz", description=__doc__)
+    parser.add_argument("--first", type=int, default=int.from_bytes(os.urandom(3)))
+    parser.add_argument("--seeds", type=int, default=100)
+    parser.add_argument("--count", type=int, default=1_000, help="inputs a decoder")
+    found = parser.parse_args()
+    escaped = 0
+    for seed in range(found.first, found.first + found.seeds):
+        for one in fuzz(seed, found.count):
+            escaped += 1
+            print(f"seed={seed} {one.decoder}: {one.error!r} at {one.data[:200]!r}")
+    print(f"seeds {found.first} to {found.first + found.seeds - 1}, {escaped} escaped")
+    return 1 if escaped else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
