--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -88,7 +88,7 @@
 """Time of a pass while none was seen lately."""
 
 ORPHAN_S = 0.5
-"""Time that a hold without a leader must have been seen, with no rank armed.
+"""Time for which nobody has led a change before its hold is released without it.
 
 Agents that were told to arm do so within a tenth of a second, also where their first
 order was lost.
@@ -226,8 +226,8 @@
         self._fresh_s = FRESH_S
         self._hold_answered = False
         """Whether the rank that is to hold the group has answered that it does."""
-        self._orphan: tuple[int, float] | None = None
-        """Step of a hold without a leader, and when it was first seen."""
+        self._active_at = float("-inf")
+        """Time at which this agent was last bringing about a change."""
         self._step = -1
         self._pass_s = 0.0
         self.arming_s = FIRST_ARMING_S
@@ -329,7 +329,6 @@
         self._reset()
         self._heard.clear()
         self._demand.clear()
-        self._orphan = None
 
     def leads(self, now: float) -> bool:
         """Tell whether no agent of a lower rank lives."""
@@ -342,7 +341,8 @@
         if self._own not in self._heard:
             self._reset()
             return []
-        self._note_hold(now)
+        if self.phase is not Phase.IDLE:
+            self._active_at = now
         if not self.leads(now):
             self._reset()
             return []
@@ -416,7 +416,6 @@
         self._group, self._epoch = state.group, state.epoch
         self._heard.clear()
         self._demand.clear()
-        self._orphan = None
         self._reset()
 
     def _reset(self) -> None:
@@ -591,17 +590,6 @@
             return []
         return self._order(now, Release(self._epoch, change.step))
 
-    def _note_hold(self, now: float) -> None:
-        """Take note of how long a hold has been seen, also while another one leads.
-
-        The agent that leads next need not wait for that time again.
-        """
-        held = [state.held_step for state in self._list_states() if state.held_step]
-        if not held:
-            self._orphan = None
-        elif self._orphan is None or self._orphan[0] != held[0]:
-            self._orphan = (held[0], now)
-
     def _take_over(self, holder: RankState, now: float) -> list[Action]:
         """Go on with a hold that an earlier leader has left, or that came late."""
         if len(self._heard) != holder.ranks:
@@ -611,8 +599,7 @@
             for state in self._list_states()
             if state.armed_step == holder.held_step
         ]
-        seen_at = now if self._orphan is None else self._orphan[1]
-        if not armed and now - seen_at < ORPHAN_S:
+        if not armed and not self._is_orphan(now):
             return []
         version = max(armed, default=0)
         change = _Change(version, (), now, 0.0, holder.held_step, holder.replica)
@@ -621,6 +608,24 @@
         self.phase = Phase.ARMING if armed else Phase.RELEASING
         return self._arm(now) if armed else self._release(now)
 
+    def _is_orphan(self, now: float) -> bool:
+        """Tell whether nobody is armed or will be for a hold that is in force.
+
+        Released too early, the pass would begin while some ranks switch and others do
+        not. Whoever was told to arm has done so when the agent that told it has been
+        silent for long enough, or has given the change up for as long. Then each rank
+        must have told lately that it is not armed; the leader that fell silent alone
+        need not, since its own rank comes after all others.
+        """
+        lower = [one for rank, one in self._heard.items() if rank < self._own]
+        told_at = max([self._active_at, *(one.agent_at for one in lower)])
+        if now - told_at < ORPHAN_S:
+            return False
+        stale = [
+            rank for rank, one in self._heard.items() if now - one.at >= self._fresh_s
+        ]
+        return len(stale) <= 1 and all(rank < self._own for rank in stale)
+
     def _get_change(self) -> _Change:
         assert self._change is not None
         return self._change
--- a/tests/lib/rank_model.py
+++ b/tests/lib/rank_model.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from hyssopvane._internal.policy.map_coordinator import (
+    DEPUTIES,
     Announce,
     AskRank,
     GiveOrder,
@@ -18,6 +19,11 @@
 TICK_S = 0.02
 PASS_S = 0.05
 COPY_S = 0.1
+LOST_S = 1.0
+"""Silence after which an agent is no longer told the state as the leader."""
+PRESENCE_S = 0.25
+FAR_PRESENCE_S = 2.0
+"""Pause between words to all agents, from the lowest ranks and from all others."""
 
 LAYOUT = ExpertLayout(
     sets=1,
@@ -101,6 +107,9 @@
     change: MapChange | None = None
     ordered: RankOrder | None = None
     ordered_at: float = float("-inf")
+    told_all_at: float = float("-inf")
+    heard_at: dict[int, float] = field(default_factory=dict)
+    """Time of the last word of each rank's agent."""
 
 
 @dataclass
@@ -230,11 +239,13 @@
             agent.coordinator.forget()
             agent.change = None
         state = self._describe(number)
-        for other in self.agents:
+        for to in self._choose_told(number):
+            other = self.agents[to]
             if self.now < max(other.frozen_until, other.down_until):
                 continue
             if self.random.random() < self.message_loss:
                 continue
+            other.heard_at[number] = self.now
             other.coordinator.observe(state, now=self.now, own=other is agent)
         self._follow(number)
         for action in agent.coordinator.decide(self.now):
@@ -249,6 +260,20 @@
                 if self._send(int(action.replica), action.order):
                     agent.coordinator.note_done(action.replica, action.order)
 
+    def _choose_told(self, number: int) -> list[int]:
+        """Return the agents that one tells its state: itself, its leader, or all."""
+        agent = self.agents[number]
+        presence_s = PRESENCE_S if number <= DEPUTIES else FAR_PRESENCE_S
+        if self.now - agent.told_all_at >= presence_s:
+            agent.told_all_at = self.now
+            return list(range(RANKS))
+        alive = [
+            rank
+            for rank, at in agent.heard_at.items()
+            if rank < number and self.now - at < LOST_S
+        ]
+        return [number, min(alive)] if alive else [number]
+
     def _announce(self, number: int, action: Announce) -> None:
         change = action.change
         for other, agent in enumerate(self.agents):
--- a/tests/unit/test_map_coordinator.py
+++ b/tests/unit/test_map_coordinator.py
@@ -211,3 +211,53 @@
         coordinator.decide(now)
         phases.add(coordinator.phase)
     assert Phase.PREPARING in phases
+
+
+@pytest.mark.parametrize(
+    ("stale", "expected"),
+    [
+        ((), True),
+        ((0,), True),
+        ((2,), False),
+        ((0, 3), False),
+    ],
+)
+def test_hold_is_released_only_when_each_rank_has_told_that_it_is_not_armed(
+    stale, expected
+):
+    """The leader has told all ranks to arm, and falls silent.
+
+    The next agent has heard of some ranks last before they were armed. Were it to go
+    by that, the pass would begin with two maps, and all answers of it would be garbage.
+    """
+    layout = ExpertLayout(1, 8, 4, 2, 0.85, 110.0, 180_000.0)
+    deputy = MapCoordinator(nonce=1, layout=layout)
+    model = GroupModel(Random(1), Faults())
+    model.ranks[1].held = model.step + 2
+    for rank in (1, 0, 2, 3):
+        deputy.observe(model._describe(rank), now=0.0, own=rank == 1)
+    now = map_coordinator.ALONE_S + map_coordinator.ORPHAN_S
+    for rank in {1, 2, 3, 0} - set(stale):
+        deputy.observe(
+            model._describe(rank), now=now, own=rank == 1, asked=rank in {0, 2, 3}
+        )
+    deputy.decide(now)
+    assert (deputy.phase is Phase.RELEASING) == expected
+
+
+def test_leader_that_gives_a_change_up_waits_for_those_who_are_being_armed():
+    """The leader has told all to arm and drops the change in the same moment.
+
+    The orders are on their way to the ranks. A release at once would begin the pass
+    when some of them have come and others have not.
+    """
+    model = GroupModel(Random(3), Faults())
+    leader = model.agents[0].coordinator
+    while leader.phase is not Phase.ARMING:
+        model.play(TICK_S)
+    for one in leader._heard.values():
+        one.state = replace(one.state, armed_version=0, armed_step=0)
+    leader._reset()
+    assert leader._heard[1].state.held_step
+    leader.decide(model.now)
+    assert leader.phase is Phase.IDLE
