--- a/src/hyssopvane/_internal/protocol/group_messages.py
+++ b/src/hyssopvane/_internal/protocol/group_messages.py
@@ -1,5 +1,6 @@
 """Encode the datagrams of the direct path."""
 
+import zlib
 from collections.abc import Callable, Sequence
 from math import isfinite
 from pathlib import Path
@@ -27,6 +28,7 @@
 _MAX_PASS_US = 2**32 - 1
 _MILLISECONDS = 1_000
 _MAX_AGE_MS = 2**16 - 1
+_CHECKSUM_BYTES = 4
 
 
 def encode_message(message: GroupMessage) -> bytes:
@@ -41,14 +43,14 @@
             _write_rank(datagram.init("rank"), message)
         case MapChange():
             _write_change(datagram.init("change"), message)
-    encoded: bytes = datagram.to_bytes_packed()
-    return encoded
+    return _seal(datagram.to_bytes_packed())
 
 
 def decode_message(data: bytes) -> GroupMessage:
     """Decode a datagram; raise `ProtocolError` when it is none of ours."""
     try:
-        datagram = load_schema(_SCHEMA_FILE).Datagram.from_bytes_packed(data)
+        body = _open(data)
+        datagram = load_schema(_SCHEMA_FILE).Datagram.from_bytes_packed(body)
         message = _READERS[str(datagram.which())](datagram)
     except (capnp.KjException, KeyError, ValueError) as error:
         raise ProtocolError("a datagram can't be read", context=str(error)) from error
@@ -98,15 +100,14 @@
         builder.key = item.key
         builder.value = item.value
         builder.revision = item.revision
-    encoded: bytes = message.to_bytes_packed()
-    return encoded
+    return _seal(message.to_bytes_packed())
 
 
 def decode_beliefs(data: bytes) -> Beliefs:
     """Decode another entry's beliefs; raise `ProtocolError` when they are none."""
     try:
         message = load_schema(_SCHEMA_FILE).Beliefs.from_bytes_packed(
-            data, traversal_limit_in_words=_MAX_BELIEF_WORDS
+            _open(data), traversal_limit_in_words=_MAX_BELIEF_WORDS
         )
         return Beliefs(
             configuration_revision=message.configurationRevision,
@@ -121,6 +122,24 @@
         raise ProtocolError("beliefs can't be read", context=str(error)) from error
 
 
+def _seal(body: bytes) -> bytes:
+    """Put a checksum before a message."""
+    return zlib.crc32(body).to_bytes(_CHECKSUM_BYTES, "big") + body
+
+
+def _open(data: bytes) -> bytes:
+    """Return the message behind a checksum; raise `ProtocolError` when it is damaged.
+
+    The decoder of packed messages ends the whole process at some damaged ones, where
+    its own clean-up fails: there is no error that Python could catch, only a line on
+    standard error, and all callers of the process are cut. So none gets there.
+    """
+    checksum, body = data[:_CHECKSUM_BYTES], data[_CHECKSUM_BYTES:]
+    if zlib.crc32(body).to_bytes(_CHECKSUM_BYTES, "big") != checksum:
+        raise ProtocolError("a message is damaged", context=f"{len(data)} bytes")
+    return body
+
+
 def _write_entry(builder: Any, message: EntryState) -> None:
     builder.address = message.address
     builder.beliefs = message.beliefs
--- a/tests/lib/decoder_fuzz.py
+++ b/tests/lib/decoder_fuzz.py
@@ -81,6 +81,9 @@
 )
 _BELIEFS = Beliefs(3, b"{}", 4, (BelievedItem("servers/i-1", b"{}", 2),))
 
+MESSAGE_BYTES = [encode_message(message) for message in _MESSAGES]
+BELIEFS_BYTES = encode_beliefs(_BELIEFS)
+
 _STRANGE: tuple[object, ...] = (
     None,
     True,
@@ -134,14 +137,12 @@
 ]:
     for name, (decode, document) in _DOCUMENTS.items():
         yield name, decode, _make_document_damager(document)
-    encoded = [encode_message(message) for message in _MESSAGES]
     yield (
         "datagram",
         decode_message,
-        lambda random: _flip(random.choice(encoded), random),
+        lambda random: _flip(random.choice(MESSAGE_BYTES), random),
     )
-    beliefs = encode_beliefs(_BELIEFS)
-    yield "beliefs", decode_beliefs, lambda random: _flip(beliefs, random)
+    yield "beliefs", decode_beliefs, lambda random: _flip(BELIEFS_BYTES, random)
 
 
 def _make_document_damager(document: Any) -> Callable[[Random], bytes]:
--- a/tests/unit/test_decoder_fuzz.py
+++ b/tests/unit/test_decoder_fuzz.py
@@ -1,6 +1,8 @@
 """Test that no input ends a process: decoders raise what their callers know."""
 
 import json
+import subprocess
+import sys
 
 import pytest
 from hypothesis import given, settings
@@ -60,3 +62,40 @@
         return
     assert 0 <= report.rank < MAX_RANKS and 1 <= report.ranks <= MAX_RANKS
     assert 0 <= report.pace < 2**54
+
+
+_FATAL_BODIES = (
+    "011450010101015003035101020101090360ea11091211090e1111270167110172ffb6302eaf2e302e31"
+    "001f3a37333e30510403011101640c803ff100110172ff31302e302e30",
+    "010c500101000050e102010301040000110572110972ff31302e302e302e31001f3a37330b30ff31302e"
+    "302eb42e31001f3a37333430",
+)
+"""Damaged messages at which the decoder ended its process."""
+
+_DECODE_CUT_MESSAGES = """
+import sys
+from hyssopvane._internal.exceptions import ProtocolError
+from hyssopvane._internal.protocol.group_messages import decode_beliefs, decode_message
+from tests.lib.decoder_fuzz import BELIEFS_BYTES, MESSAGE_BYTES
+cases = [(decode_message, data) for data in MESSAGE_BYTES]
+cases.append((decode_beliefs, BELIEFS_BYTES))
+for body in sys.argv[1:]:
+    cases.append((decode_message, bytes.fromhex(body) + b"-"))
+for decode, data in cases:
+    for size in range(len(data)):
+        try:
+            decode(data[:size])
+        except ProtocolError:
+            pass
+"""
+
+
+def test_message_that_is_cut_off_or_damaged_ends_no_process():
+    """A datagram arrives without its end, or with bytes that nobody sent.
+
+    The decoder gives up in C++, where no error can be caught: the process ends, and
+    with it all streams of its callers.
+    """
+    command = [sys.executable, "-c", _DECODE_CUT_MESSAGES, *_FATAL_BODIES]
+    ended = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert ended.returncode == 0, ended.stderr[-500:]
