--- a/tests/lib/decoder_fuzz.py
+++ b/tests/lib/decoder_fuzz.py
@@ -24,6 +24,7 @@
 from hyssopvane._internal.state.group import EntryState, MapChange, RankState
 from hyssopvane._internal.state.loads import GroupLoad, MemberLoad
 from tests.lib.direct_installation import ENGINE, EXPERTS, make_configuration
+from tests.lib.platform_documents import REGISTRATION, REPORT, STARTED_MS
 
 EXPECTED = (ConfigurationError, ProtocolError)
 """What a decoder may raise: its callers know these."""
@@ -34,33 +35,11 @@
 _DOCUMENTS: dict[str, tuple[Callable[[bytes], object], Any]] = {
     "registration": (
         lambda data: decode_replica("servers/i-1", data),
-        {
-            "service": "checks",
-            "address": "10.0.0.1:80",
-            "zone": "zone-a",
-            "slots": 6,
-            "state": "ready",
-            "seq": 4,
-            "born": 1_700_000_000_000,
-        },
+        REGISTRATION,
     ),
     "report": (
         decode_report,
-        {
-            "group": {"name": "g0-0", "epoch": 2, "rank": 8, "state": "open"},
-            "size": 12,
-            "busy": False,
-            "seq": 3,
-            "queued": 1,
-            "active": 5,
-            "pace": 1.5,
-            "step": 91,
-            "expert-map": 7,
-            "prepared": {"version": 9},
-            "armed": {"version": 9, "step": 95},
-            "held": 95,
-            "born": 1_700_000_000_000,
-        },
+        REPORT | {"born": STARTED_MS},
     ),
     "counts": (decode_picks, {"step": 8, "epoch": 1, "counts": [5, 6, 7, 8]}),
     "experts": (
--- a/tests/unit/test_platform_formats.py
+++ b/tests/unit/test_platform_formats.py
@@ -16,23 +16,7 @@
 from hyssopvane._internal.state.ranks import Arm, Hold, Prepare, Release
 from hyssopvane._internal.state.routing import Customer, Replica, RequestKind, SplitPart
 from tests.lib.direct_installation import HOST, KEY, make_configuration, make_route
-
-REPORT = {
-    "group": {"name": "g0-0", "epoch": 2, "rank": 8, "state": "open"},
-    "size": 12,
-    "busy": False,
-    "seq": 3,
-    "queued": 1,
-    "active": 5,
-    "kv-used": 900,
-    "kv-total": 140_000,
-    "pace": 1.5,
-    "step": 91,
-    "expert-map": 7,
-    "prepared": {"version": 9},
-    "armed": {"version": 9, "step": 95},
-    "held": 95,
-}
+from tests.lib.platform_documents import REPORT
 
 
 def encode(document):
