--- a/tests/functional/test_direct_path.py
+++ b/tests/functional/test_direct_path.py
@@ -474,3 +474,45 @@
             await site.call("/drafts/7")
 
     run(test)
+
+
+def test_connections_to_an_earlier_start_of_a_replica_are_closed():
+    """A replica crashes and is back under its id and address a moment later.
+
+    The connections that waited for it lead to the process that is gone. A bid that is
+    sent on one of them hangs, or is lost without anybody knowing whether it ran.
+    """
+
+    async def test(site):
+        replica = await site.add_replica("i-1", answer_whole)
+        assert (await site.call("/bids/1")).status == 200
+        kept = site.entry._client._idle
+        await site.wait_until(lambda: kept.get(replica.address))
+        site.register(replica, started_ms=2)
+        await site.wait_until(lambda: not kept.get(replica.address))
+        assert (await site.call("/bids/2", request_id="request-2")).status == 200
+        assert "replica-restarted" in site.entry.metrics.render().decode()
+
+    run(test)
+
+
+def test_stranger_in_the_place_of_a_replica_gets_no_request():
+    """Another program writes nonsense over the registration of the only replica.
+
+    Callers are told that nothing has run and when to come back; they are served again
+    as soon as the replica has registered itself.
+    """
+
+    async def test(site):
+        replica = await site.add_replica("i-1", answer_whole)
+        site.store.put("servers/i-1", {"service": ["checks"], "slots": -1})
+        await site.wait_until(lambda: not site.entry.feed.replicas)
+        refused = await site.call("/status/1")
+        assert refused.status == 503
+        assert float(refused.headers["retry-after"]) > 0
+        assert not replica.received
+        site.register(replica)
+        await site.wait_until(lambda: site.entry.feed.replicas)
+        assert (await site.call("/status/2")).status == 200
+
+    run(test)
--- a/tests/lib/direct_installation.py
+++ b/tests/lib/direct_installation.py
@@ -134,12 +134,18 @@
         return replica
 
     def register(
-        self, replica: DirectReplica, *, service: str = "checks", state: str = "ready"
+        self,
+        replica: DirectReplica,
+        *,
+        service: str = "checks",
+        state: str = "ready",
+        started_ms: int = 1,
     ) -> None:
         """Write a replica's registration."""
         self.store.put(
             f"servers/{replica.id}",
             {
+                "born": started_ms,
                 "service": service,
                 "address": replica.address,
                 "zone": "zone-a",
