--- a/src/hyssopvane/_internal/policy/group_room.py
+++ b/src/hyssopvane/_internal/policy/group_room.py
@@ -105,6 +105,11 @@
         """
         if engine is None or not self._is_heard(now):
             return True
+        if not self._read_due and not self.count(now):
+            # Nothing runs whose readers would wait, and an idle group makes no passes
+            # that could pay for what was sent before.
+            self._read_left = 0.0
+            return True
         if self._read_due:
             self._read_due = False
             tokens = self.passes.measure_read_tokens(engine)
--- a/src/hyssopvane/_internal/policy/pass_model.py
+++ b/src/hyssopvane/_internal/policy/pass_model.py
@@ -1,5 +1,7 @@
 """Tell how many requests a group can work on before its pauses grow too long."""
 
+from math import inf
+
 from hyssopvane._internal.state.loads import RankLoad
 from hyssopvane._internal.state.routing import EngineModel
 
@@ -83,12 +85,20 @@
         are long anyway. Reading them makes the pass longer than the pause that every
         reader of a running stream allows, for all of these at once. Spread over a few
         passes they are still in time.
+
+        Where passes are longer than the pause anyway, every running stream is late.
+        Then holding prompts back helps nobody, and their callers are only refused: with
+        ranks at a sixth of their pace that were three in four of a day.
         """
+        if self.pass_s > self.pause_s:
+            return inf
         share = 0.0 if engine.layout is None else engine.layout.work_share
         busiest = (1 - share) + share * self._guess_skew(engine) / self._ranks
         fixed_s = engine.steps_per_pass * engine.step_s
         left_s = self.pause_s * WORST_SHARE - max(self.pass_s, fixed_s)
-        return max(0.0, left_s * engine.read_tokens_per_s / busiest)
+        # A little is always read: passes grow shorter only as requests come and go.
+        left_s = max(left_s, self.pause_s * (1 - WORST_SHARE))
+        return left_s * engine.read_tokens_per_s / busiest
 
     def reset(self) -> None:
         """Forget the passes so far: the group was formed anew, with the first map."""
--- a/tests/unit/test_service_gate.py
+++ b/tests/unit/test_service_gate.py
@@ -436,3 +436,48 @@
         assert group.may_read(engine, 0.1)
         parts.append(group._read_left)
     assert parts[1] == pytest.approx(2 * parts[0])
+
+
+def tell_group(gate, *, step, now, active, pass_s):
+    for number in range(12):
+        load = make_load(number, ranks=12, step=step, active=active, pass_s=pass_s)
+        gate.observe_load(load, now=now)
+
+
+def test_slow_spell_does_not_shut_a_group_for_good():
+    """Ranks are slow for seconds, and passes take three times the pause.
+
+    Then the group has served what it had, and is idle: an idle group makes no passes,
+    so the last long one stays in mind. Callers would be refused for the rest of the day
+    by a group that has nothing to do.
+    """
+    engine = replace(ENGINE, layout=LAYOUT)
+    gate = make_gate(12, engine=engine)
+    for step in range(1, 40):
+        tell_group(gate, step=step, now=step * 0.3, active=3, pass_s=0.3)
+    for look in range(20):
+        tell_group(gate, step=40, now=12.0 + look * 0.06, active=0, pass_s=0.0)
+    make_prompts(gate, 6, tokens=2_500, now=13.2)
+    placed = 0
+    for step in range(41, 60):
+        now = 13.2 + (step - 41) * 0.06
+        placed += len(list_places(gate.settle(now)))
+        tell_group(gate, step=step, now=now, active=1, pass_s=0.06)
+    assert placed == 6
+
+
+@pytest.mark.parametrize("pass_s", [0.13, 0.5])
+def test_prompts_are_not_held_back_where_all_streams_are_late_already(pass_s):
+    """A rank works at an eighth of its pace, and every pass is longer than the pause.
+
+    Whoever is let in is served late; whoever waits for shorter passes is refused.
+    """
+    engine = replace(ENGINE, layout=LAYOUT)
+    gate = make_gate(12, engine=engine)
+    for step in range(1, 40):
+        tell_group(gate, step=step, now=step * pass_s, active=0, pass_s=pass_s)
+    tell_group(gate, step=40, now=40 * pass_s, active=1, pass_s=pass_s)
+    (group,) = gate._groups.values()
+    group.take(100_000)
+    tell_group(gate, step=41, now=41 * pass_s, active=1, pass_s=pass_s)
+    assert group.may_read(engine, 41 * pass_s)
