--- a/tests/unit/test_service_gate.py
+++ b/tests/unit/test_service_gate.py
@@ -462,7 +462,10 @@
     for step in range(41, 60):
         now = 13.2 + (step - 41) * 0.06
         placed += len(list_places(gate.settle(now)))
-        tell_group(gate, step=step, now=now, active=1, pass_s=0.06)
+        if placed:
+            tell_group(gate, step=step, now=now, active=1, pass_s=0.06)
+        else:
+            tell_group(gate, step=40, now=now, active=0, pass_s=0.0)
     assert placed == 6
 
 
