--- a/bench/direct.py
+++ b/bench/direct.py
@@ -47,7 +47,7 @@
             queued=0,
             step=1,
             pass_s=0.06,
-            entries=("a", "b"),
+            entries=2,
         )
         for number, one in enumerate(found)
     ]
--- a/src/hyssopvane/_internal/policy/demand_window.py
+++ b/src/hyssopvane/_internal/policy/demand_window.py
@@ -3,7 +3,7 @@
 from collections import deque
 from collections.abc import Iterable, Sequence
 
-from hyssopvane._internal.state.group import COUNT_MODULUS, Counts
+from hyssopvane._internal.state.group import Counts
 
 WINDOW_S = 0.4
 """Time over which choices are counted.
@@ -36,33 +36,21 @@
     """
 
     def __init__(self) -> None:
-        self._last: dict[int, Counts] = {}
         self._added: deque[tuple[float, Counts]] = deque()
         self._totals: list[int] = []
 
     def clear(self) -> None:
         """Forget everything: the ranks have started anew."""
-        self._last.clear()
         self._added.clear()
         self._totals.clear()
 
-    def forget(self, rank: int) -> None:
-        """Forget a rank's last counts: it has started anew and counts from zero."""
-        self._last.pop(rank, None)
-
-    def observe(self, rank: int, counts: Counts, *, now: float) -> None:
-        """Take the counts of one rank since its start."""
-        before = self._last.get(rank)
-        self._last[rank] = counts
-        if before is None or len(before) != len(counts):
-            return
-        pairs = zip(counts, before, strict=True)
-        added = tuple((one - old) % COUNT_MODULUS for one, old in pairs)
-        if len(self._totals) != len(added):
-            self._totals = [0] * len(added)
+    def observe(self, counts: Counts, *, now: float) -> None:
+        """Take what the requests of one rank chose since its last word."""
+        if len(self._totals) != len(counts):
+            self._totals = [0] * len(counts)
             self._added.clear()
-        self._added.append((now, added))
-        self._totals = _sum_pairs(self._totals, added)
+        self._added.append((now, counts))
+        self._totals = _sum_pairs(self._totals, counts)
         self._drop_old(now)
 
     def measure(self, *, sets: int, now: float) -> list[list[float]]:
--- a/src/hyssopvane/_internal/policy/group_room.py
+++ b/src/hyssopvane/_internal/policy/group_room.py
@@ -39,9 +39,9 @@
         self._read_due = True
         """Whether a pass has begun since the tokens were last worked out."""
 
-    def observe(self, load: RankLoad, *, now: float) -> None:
-        """Take one member's load."""
-        self.entries = max(1, len(load.entries))
+    def observe(self, load: RankLoad, *, now: float, members: int = 1) -> None:
+        """Take what a load tells of the group, and of how many members it was."""
+        self.entries = max(1, load.entries)
         if load.epoch != self._epoch:
             self._epoch = load.epoch
             self.passes.reset()
@@ -50,7 +50,7 @@
             for member in self.members.values()
             if member.load is not None and member.is_heard(now)
         )
-        self.passes.observe(load, active=active)
+        self.passes.observe(load, active=active, members=members)
         if load.step != self._step:
             self._read_left = min(0.0, self._read_left)
             self._read_due = True
--- /dev/null
+++ b/src/hyssopvane/_internal/policy/load_relays.py
@@ -0,0 +1,147 @@
+"""Choose the entries by way of which a leader tells its group's load.
+
+A leader of 64 ranks that tells each of 35 entries sends 35 copies of each load over a
+link of 3 Mbit/s that keeps 12 KB waiting. It sends one to each zone instead, to an
+entry, which passes it on inside the zone. An entry that hears nothing says so, and is
+the next relay of its zone: whoever complains lives and reaches the leader, so a relay
+that has died, stands still or is cut off is replaced without a detector of its own.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from hyssopvane._internal.policy import rendezvous
+from hyssopvane._internal.state.group import EntryState
+from hyssopvane._internal.state.loads import EntryContact
+
+SILENT_S = 2.5
+"""Silence after which an entry is no relay: it speaks each second, and now and then a
+message is lost."""
+
+GONE_S = 5.0
+"""Silence after which an entry no longer counts as one that sends requests."""
+
+SWITCH_S = 0.3
+"""Time that a new relay gets before a complaint replaces it.
+
+Loads come eight times a second, and an entry complains after 0.35 s without one.
+"""
+
+MAX_RELAYS = 2
+"""Relays of one zone at a time.
+
+The one before stays beside the newest: where a single entry can't be reached from the
+leader, taking the zone's only relay away for it would cut off all others. More would
+let complaints raise what a leader sends, just when messages are lost.
+"""
+
+CALM_S = 5.0
+"""Time without a complaint after which a zone is told by way of one relay again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Relay:
+    """Name an entry that passes loads on, and how it is reached."""
+
+    entry: str
+    availability_zone: str
+    via: str = ""
+    """Agent that sends loads on to the entry; empty where the leader sends them."""
+
+
+@dataclass(slots=True)
+class _Known:
+    availability_zone: str
+    heard_at: float
+    via: str = ""
+    """Agent that passed the entry's last complaint on."""
+
+
+@dataclass(slots=True)
+class _Zone:
+    relays: deque[Relay] = field(default_factory=lambda: deque(maxlen=MAX_RELAYS))
+    """The newest first."""
+    switched_at: float = float("-inf")
+    complained_at: float = float("-inf")
+
+
+class LoadRelays:
+    """Know the entries, and choose one relay in each zone, two where one fails."""
+
+    def __init__(self, *, key: str) -> None:
+        self._key = key.encode()
+        self._entries: dict[str, _Known] = {}
+        self._zones: dict[str, _Zone] = {}
+
+    def observe(self, state: EntryState, *, now: float) -> bool:
+        """Take an entry's word; tell whether the entry is new."""
+        zone = state.availability_zone
+        known = self._entries.get(state.address)
+        is_new = known is None
+        if known is None or known.availability_zone != zone:
+            known = self._entries[state.address] = _Known(zone, now)
+        known.heard_at = now
+        known.via = state.via or known.via
+        if state.unheard:
+            self._take_complaint(state.address, known, now)
+        return is_new
+
+    def choose(self, now: float) -> list[Relay]:
+        """Return the relays to send to now, one or two in each zone with entries."""
+        self._forget_gone(now)
+        live: dict[str, list[str]] = {}
+        for address, known in self._entries.items():
+            if now - known.heard_at < SILENT_S:
+                live.setdefault(known.availability_zone, []).append(address)
+        for name in self._zones.keys() - live.keys():
+            del self._zones[name]
+        chosen: list[Relay] = []
+        for name, addresses in live.items():
+            zone = self._zones.setdefault(name, _Zone())
+            self._refresh(zone, addresses, now)
+            chosen += zone.relays
+        return chosen
+
+    def list_entries(self, now: float) -> list[EntryContact]:
+        """Return the entries that were heard lately."""
+        self._forget_gone(now)
+        return [
+            EntryContact(address, known.availability_zone)
+            for address, known in self._entries.items()
+        ]
+
+    def _take_complaint(self, address: str, known: _Known, now: float) -> None:
+        zone = self._zones.setdefault(known.availability_zone, _Zone())
+        zone.complained_at = now
+        if now - zone.switched_at < SWITCH_S:
+            return
+        relay = Relay(address, known.availability_zone)
+        if relay in zone.relays:
+            # What the leader sends does not arrive there. Without another agent that
+            # the entry reaches there is no other way to it.
+            if not known.via:
+                return
+            relay = Relay(address, known.availability_zone, known.via)
+        if relay in zone.relays:
+            return
+        zone.relays.appendleft(relay)
+        zone.switched_at = now
+
+    def _refresh(self, zone: _Zone, addresses: list[str], now: float) -> None:
+        for relay in [one for one in zone.relays if one.entry not in addresses]:
+            zone.relays.remove(relay)
+        if len(zone.relays) > 1 and now - zone.complained_at > CALM_S:
+            zone.relays.pop()
+        if zone.relays:
+            return
+        seeds = {name: rendezvous.hash_name(name) for name in addresses}
+        # Each group has its own order, so that one entry is not the relay of all.
+        first = rendezvous.rank(self._key, seeds, count=1)[0]
+        known = self._entries[first]
+        zone.relays.appendleft(Relay(first, known.availability_zone))
+        zone.switched_at = now
+
+    def _forget_gone(self, now: float) -> None:
+        for address, known in list(self._entries.items()):
+            if now - known.heard_at > GONE_S:
+                del self._entries[address]
--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -51,11 +51,13 @@
 LOOK_S = 0.06
 """Pause between two looks of an agent at its rank: about a pass."""
 
-LOOKS_PER_S = 200
+LOOKS_PER_S = 512
 """Looks of all agents of a group, each of which tells the leader its rank's state.
 
-The leader takes them all. Groups of more than 12 ranks look less often, so that its
-work, and that of all agents together, grows with the number of groups only.
+The leader takes them all. Groups of more than 30 ranks look less often, so that its
+work, and that of all agents together, grows with the number of groups only. With 64
+ranks each looks eight times a second: what entries believe is at most a look of the
+rank's agent and one of the leader old, a quarter of a second.
 """
 
 ALONE_S = 0.8
@@ -185,8 +187,6 @@
 class _Heard:
     state: RankState
     at: float
-    agent_at: float
-    """Time at which the rank's own agent was heard."""
 
 
 @dataclass(slots=True)
@@ -216,6 +216,10 @@
         self.layout = layout
         self.phase = Phase.IDLE
         self._heard: dict[int, _Heard] = {}
+        self._agents_at: dict[int, float] = {}
+        """Time at which each rank's own agent was heard."""
+        self._listens_since: float | None = None
+        """Time of the first look since the start or a standstill."""
         self._demand = DemandWindow()
         self._change: _Change | None = None
         self._known: _Change | None = None
@@ -246,6 +250,8 @@
         Tell whether the rank has come further with a change of maps.
         """
         if own:
+            if self._listens_since is None:
+                self._listens_since = now
             self._own = state.rank
             self._fresh_s = measure_fresh_s(state.ranks)
             if (state.group, state.epoch) != (self._group, self._epoch):
@@ -258,22 +264,28 @@
             # The rank has started anew and holds nothing: neither the copies nor the
             # arming that a change relies on. Its counts begin at zero.
             before = None
-            self._demand.forget(state.rank)
             self._reset()
         if not state.experts and before is not None:
             # Most messages leave the experts out; they change with the version only.
             if before.state.map_version == state.map_version:
                 state = replace(state, experts=before.state.experts)
         if state.counts:
-            self._demand.observe(state.rank, state.counts, now=now)
-        agent_at = now
+            self._demand.observe(state.counts, now=now)
         if asked and before is not None:
             # The rank was asked straight; its agent is where it was.
-            agent_at = before.agent_at
             state = replace(state, messages=before.state.messages)
-        self._heard[state.rank] = _Heard(state, now, agent_at)
+        if not asked:
+            self.note_agent(state.rank, now=now)
+        self._heard[state.rank] = _Heard(state, now)
         return before is None or get_progress(before.state) != get_progress(state)
 
+    def note_agent(self, rank: int, *, now: float) -> None:
+        """Take note that a rank's agent lives."""
+        self._agents_at[rank] = now
+
+    def _measure_silence(self, rank: int, now: float) -> float:
+        return now - self._agents_at.get(rank, float("-inf"))
+
     def _leave_out_unsound(self, state: RankState) -> RankState:
         # Experts and counts are used as indices. One beyond the layout ends the process
         # that leads, and the next one that leads after it.
@@ -328,13 +340,26 @@
         """
         self._reset()
         self._heard.clear()
+        self._agents_at.clear()
+        self._listens_since = None
         self._demand.clear()
 
     def leads(self, now: float) -> bool:
-        """Tell whether no agent of a lower rank lives."""
-        lower = (one for rank, one in self._heard.items() if rank < self._own)
+        """Tell whether no agent of a lower rank lives.
+
+        Whoever has just begun to listen has heard nobody yet. An agent that led until
+        it did would tell entries of a group with one member, its own rank.
+        """
+        if self._own < 0 or self._listens_since is None:
+            return False
         alone_s = ALONE_S if self._own <= DEPUTIES else FAR_ALONE_S
-        return self._own >= 0 and all(now - one.agent_at > alone_s for one in lower)
+        if self._own and now - self._listens_since <= alone_s:
+            return False
+        return all(
+            now - at > alone_s
+            for rank, at in self._agents_at.items()
+            if rank < self._own
+        )
 
     def decide(self, now: float) -> list[Action]:
         """Return what to do now."""
@@ -407,8 +432,8 @@
         self._asked_at = now
         return [
             AskRank(one.state.replica)
-            for one in self._heard.values()
-            if now - one.agent_at > self._fresh_s
+            for rank, one in self._heard.items()
+            if self._measure_silence(rank, now) > self._fresh_s
         ]
 
     def _begin_epoch(self, state: RankState) -> None:
@@ -577,9 +602,9 @@
         order = Arm(self._epoch, change.version, change.step)
         return [
             GiveOrder(one.state.replica, order)
-            for one in self._heard.values()
-            if now - one.agent_at > max(_DIRECT_AFTER_S, self._fresh_s)
-            and one.state.rank != self._own
+            for rank, one in self._heard.items()
+            if self._measure_silence(rank, now) > max(_DIRECT_AFTER_S, self._fresh_s)
+            and rank != self._own
             and not _is_armed(one.state, change)
         ]
 
@@ -617,8 +642,8 @@
         must have told lately that it is not armed; the leader that fell silent alone
         need not, since its own rank comes after all others.
         """
-        lower = [one for rank, one in self._heard.items() if rank < self._own]
-        told_at = max([self._active_at, *(one.agent_at for one in lower)])
+        lower = [at for rank, at in self._agents_at.items() if rank < self._own]
+        told_at = max([self._active_at, *lower])
         if now - told_at < ORPHAN_S:
             return False
         stale = [
--- a/src/hyssopvane/_internal/policy/pass_model.py
+++ b/src/hyssopvane/_internal/policy/pass_model.py
@@ -54,8 +54,8 @@
         self._active = 0.0
         self._ranks = 1
 
-    def observe(self, load: RankLoad, *, active: int) -> None:
-        """Take one rank's measure of the pass, and the requests of all ranks."""
+    def observe(self, load: RankLoad, *, active: int, members: int = 1) -> None:
+        """Take ranks' measure of the pass, and the requests of all ranks."""
         self._ranks = load.ranks
         if load.pass_s <= 0:
             return
@@ -63,7 +63,7 @@
             self.pass_s, self._active = load.pass_s, float(active)
         # Both follow at the same pace: requests that have just left are still in the
         # measured pass, and would make each of the others look dearer than it is.
-        weight = _SMOOTHING / load.ranks
+        weight = 1 - (1 - _SMOOTHING / load.ranks) ** members
         self.pass_s += weight * (load.pass_s - self.pass_s)
         self._active += weight * (active - self._active)
 
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -1,6 +1,6 @@
 """Decide which request goes to which replica, which one waits and which is refused."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -130,16 +130,23 @@
             group.passes.pause_s = pause_s
 
     def observe_load(self, load: RankLoad, *, now: float) -> bool:
-        """Take what a replica's agent tells; tell whether it has started anew."""
-        restarted = False
-        for one in self._by_address.get(load.address, ()):
-            before = one.group
-            restarted |= one.observe(load, now=now)
-            if one.group != before:
-                self._leave_group(one.replica.id, before)
-                self._join_group(one)
-        if load.group in self._groups:
-            self._groups[load.group].observe(load, now=now)
+        """Take one replica's load; tell whether it has started anew."""
+        return bool(self.observe_loads([(load, now)]))
+
+    def observe_loads(self, loads: Sequence[tuple[RankLoad, float]]) -> list[str]:
+        """Take loads of one group, and when each was told; return new starts."""
+        restarted = []
+        for load, at in loads:
+            for one in self._by_address.get(load.address, ()):
+                before = one.group
+                if one.observe(load, now=at):
+                    restarted.append(load.address)
+                if one.group != before:
+                    self._leave_group(one.replica.id, before)
+                    self._join_group(one)
+        newest, at = max(loads, key=lambda one: one[1])
+        if newest.group in self._groups:
+            self._groups[newest.group].observe(newest, now=at, members=len(loads))
         return restarted
 
     def add(self, waiting: Waiting, *, weight: float) -> None:
@@ -193,14 +200,6 @@
             return None
         return one
 
-    def list_unheard(self, now: float) -> list[str]:
-        """Return the addresses of replicas whose load was not told lately."""
-        return [
-            one.replica.address
-            for one in self._replicas.values()
-            if not one.is_heard(now)
-        ]
-
     def count_waiting(self) -> int:
         """Return the number of requests that wait."""
         return len(self._waiting)
--- a/src/hyssopvane/_internal/protocol/group.capnp
+++ b/src/hyssopvane/_internal/protocol/group.capnp
@@ -8,6 +8,8 @@
     load @1 :Load;
     rank @2 :RankState;
     change @3 :MapChange;
+    roster @4 :Roster;
+    presence @5 :Presence;
   }
 }
 
@@ -17,6 +19,15 @@
   replicasRevision @2 :UInt64;
   beliefs @3 :Text;
   unheard @4 :Bool;
+  availabilityZone @5 :Text;
+  via @6 :Text;
+}
+
+struct Presence {
+  messages @0 :Text;
+  group @1 :Text;
+  epoch @2 :UInt32;
+  rank @3 :UInt16;
 }
 
 struct Beliefs {
@@ -34,30 +45,55 @@
 }
 
 struct Load {
-  group @0 :Text;
-  epoch @1 :UInt32;
-  ranks @2 :UInt16;
-  open @3 :Bool;
-  step @4 :UInt64;
-  passUs @5 :UInt32;
-  entries @6 :List(Text);
-  members @7 :List(Member);
+  roster @0 :UInt64;
+  source @1 :UInt32;
+  sequence @2 :UInt32;
+  epoch @3 :UInt32;
+  ranks @4 :UInt16;
+  open @5 :Bool;
+  step @6 :UInt64;
+  passUs @7 :UInt32;
+  entries @8 :UInt16;
+  members @9 :Data;
+  # Six bytes a member: two for its running requests, two for those in its queue, one
+  # for its pace in sixteenths and one for its age in hundredths of a second.
+  relay @10 :Bool;
+  forward @11 :Text;
+}
+
+struct Roster {
+  number @0 :UInt64;
+  group @1 :Text;
+  members @2 :List(Member);
+  entries @3 :List(EntryContact);
+  relay @4 :Bool;
+  forward @5 :Text;
 }
 
 struct Member {
   address @0 :Text;
-  active @1 :UInt16;
-  queued @2 :UInt16;
-  ageMs @3 :UInt16;
-  pace @4 :Float32;
-  startedMs @5 :UInt64;
+  startedMs @1 :UInt64;
+}
+
+struct EntryContact {
+  address @0 :Text;
+  availabilityZone @1 :Text;
 }
 
 struct Lists {
-  # Lists of experts, one behind the other: lists of their own take three times the
-  # space, and a map of 16 sets on 24 ranks has 384 of them.
-  items @0 :List(UInt16);
-  lengths @1 :List(UInt16);
+  # Lists of experts, one behind the other, an expert in one byte or in two: lists of
+  # their own take three times the space, and a map of 12 sets on 64 ranks has 768.
+  items @0 :Data;
+  lengths @1 :Data;
+  wide @2 :Bool;
+}
+
+struct Counts {
+  # Compressed, a byte each in units that fit the largest: 12 sets of 256 experts have
+  # 6 KB in two bytes each, and 2 KB so.
+  items @0 :Data;
+  unit @1 :UInt32;
+  size @2 :UInt32;
 }
 
 struct RankState {
@@ -76,8 +112,8 @@
   armedStep @12 :UInt64;
   heldStep @13 :UInt64;
   experts @14 :Lists;
-  counts @15 :List(UInt16);
-  # Choices since the rank's start, modulo 65,536; empty in most datagrams.
+  counts @15 :Counts;
+  # Choices since the rank's last such word; empty in most datagrams.
   queued @16 :UInt16;
   pace @17 :Float32;
   startedMs @18 :UInt64;
--- a/src/hyssopvane/_internal/protocol/group_messages.py
+++ b/src/hyssopvane/_internal/protocol/group_messages.py
@@ -1,6 +1,8 @@
 """Encode the datagrams of the direct path."""
 
+import struct
 import zlib
+from array import array
 from collections.abc import Callable, Sequence
 from math import isfinite
 from pathlib import Path
@@ -12,22 +14,36 @@
 from hyssopvane._internal.protocol.codec import load_schema
 from hyssopvane._internal.state.beliefs import Beliefs, BelievedItem
 from hyssopvane._internal.state.group import (
-    COUNT_MODULUS,
+    Counts,
     EntryState,
     MapChange,
+    Presence,
     RankState,
 )
-from hyssopvane._internal.state.loads import GroupLoad, MemberLoad
+from hyssopvane._internal.state.loads import (
+    EntryContact,
+    GroupLoad,
+    Member,
+    MemberLoad,
+    Roster,
+)
 from hyssopvane._internal.utils.ip_addresses import is_address
 
-GroupMessage = EntryState | GroupLoad | RankState | MapChange
+GroupMessage = EntryState | GroupLoad | Roster | RankState | Presence | MapChange
 
 _SCHEMA_FILE = Path(__file__).with_name("group.capnp")
 _MAX_BELIEF_WORDS = 8 * 1024 * 1024
 _MICROSECONDS = 1_000_000
 _MAX_PASS_US = 2**32 - 1
-_MILLISECONDS = 1_000
-_MAX_AGE_MS = 2**16 - 1
+_MEMBER = struct.Struct("<HHBB")
+_MAX_WORD = 2**16 - 1
+_MAX_BYTE = 2**8 - 1
+_PACE_UNITS = 16
+_AGE_UNITS = 100
+_MAX_COUNTS = 2**16
+"""Counts in one message: 16 sets of 4,096 experts."""
+_QUICK = 1
+"""Level of compression: the better ones take three times as long for a tenth less."""
 _CHECKSUM_BYTES = 4
 
 
@@ -43,6 +59,10 @@
             _write_rank(datagram.init("rank"), message)
         case MapChange():
             _write_change(datagram.init("change"), message)
+        case Roster():
+            _write_roster(datagram.init("roster"), message)
+        case Presence():
+            _write_presence(datagram.init("presence"), message)
     return _seal(datagram.to_bytes_packed())
 
 
@@ -52,7 +72,7 @@
         body = _open(data)
         datagram = load_schema(_SCHEMA_FILE).Datagram.from_bytes_packed(body)
         message = _READERS[str(datagram.which())](datagram)
-    except (capnp.KjException, KeyError, ValueError) as error:
+    except (capnp.KjException, KeyError, ValueError, zlib.error) as error:
         raise ProtocolError("a datagram can't be read", context=str(error)) from error
     _check(message)
     return message
@@ -64,31 +84,41 @@
     Addresses are sent to and numbers are counted with; a wrong one would end the
     process far from here, where nobody could tell who sent it.
     """
+    sound = True
     match message:
         case EntryState():
             # An entry that gives nothing on names no address for its beliefs.
-            given = (message.beliefs,) if message.beliefs else ()
-            addresses: tuple[str, ...] = (message.address, *given)
-            sound = True
+            addresses = (message.address, *_present(message.beliefs, message.via))
         case GroupLoad():
-            addresses = message.entries + tuple(m.address for m in message.members)
-            sound = message.ranks > 0 and all(
-                isfinite(m.pace) and m.pace >= 0 for m in message.members
+            addresses = _present(message.forward)
+            sound = 0 < len(message.members) <= message.ranks
+        case Roster():
+            addresses = (
+                *(one.address for one in message.members),
+                *(one.address for one in message.entries),
+                *_present(message.forward),
             )
+            sound = bool(message.members)
+        case Presence():
+            addresses = (message.messages,)
         case RankState():
-            addresses = (message.messages, message.replica)
+            # A short word leaves out what the one before it has told.
+            addresses = _present(message.messages, message.replica)
             sound = message.rank < message.ranks and (
                 isfinite(message.pace) and message.pace >= 0
             )
         case MapChange():
             addresses = message.forward
-            sound = True
     if not sound or not all(is_address(one) for one in addresses):
         raise ProtocolError(
             "a datagram holds what no process of ours sends", context=str(message)[:200]
         )
 
 
+def _present(*addresses: str) -> tuple[str, ...]:
+    return tuple(one for one in addresses if one)
+
+
 def encode_beliefs(beliefs: Beliefs) -> bytes:
     """Encode what an entry has learnt from the store."""
     message = load_schema(_SCHEMA_FILE).Beliefs.new_message()
@@ -146,6 +176,8 @@
     builder.configurationRevision = message.configuration_revision
     builder.replicasRevision = message.replicas_revision
     builder.unheard = message.unheard
+    builder.availabilityZone = message.availability_zone
+    builder.via = message.via
 
 
 def _read_entry(datagram: Any) -> EntryState:
@@ -156,48 +188,98 @@
         configuration_revision=one.configurationRevision,
         replicas_revision=one.replicasRevision,
         unheard=one.unheard,
+        availability_zone=one.availabilityZone,
+        via=one.via,
     )
 
 
-def _write_load(builder: Any, message: GroupLoad) -> None:
+def _write_presence(builder: Any, message: Presence) -> None:
+    builder.messages = message.messages
     builder.group = message.group
     builder.epoch = message.epoch
+    builder.rank = message.rank
+
+
+def _read_presence(datagram: Any) -> Presence:
+    one = datagram.presence
+    return Presence(one.messages, one.group, one.epoch, one.rank)
+
+
+def _write_load(builder: Any, message: GroupLoad) -> None:
+    builder.roster = message.roster
+    builder.source = message.source
+    builder.sequence = message.sequence
+    builder.epoch = message.epoch
     builder.ranks = message.ranks
     builder.open = message.open
     builder.step = message.step
     builder.passUs = min(_MAX_PASS_US, int(message.pass_s * _MICROSECONDS))
-    builder.entries = list(message.entries)
-    members = builder.init("members", len(message.members))
-    for one, member in zip(members, message.members, strict=True):
-        one.address = member.address
-        one.active = member.active
-        one.queued = member.queued
-        one.pace = member.pace
-        one.ageMs = min(_MAX_AGE_MS, max(0, int(member.age_s * _MILLISECONDS)))
-        one.startedMs = member.started_ms
+    builder.entries = min(_MAX_WORD, message.entries)
+    builder.members = b"".join(_pack_member(member) for member in message.members)
+    builder.relay = message.relay
+    builder.forward = message.forward
+
+
+def _pack_member(member: MemberLoad) -> bytes:
+    return _MEMBER.pack(
+        min(_MAX_WORD, member.active),
+        min(_MAX_WORD, member.queued),
+        min(_MAX_BYTE, round(member.pace * _PACE_UNITS)),
+        min(_MAX_BYTE, max(0, int(member.age_s * _AGE_UNITS))),
+    )
 
 
 def _read_load(datagram: Any) -> GroupLoad:
     one = datagram.load
+    try:
+        members = tuple(
+            MemberLoad(active, queued, pace / _PACE_UNITS, age / _AGE_UNITS)
+            for active, queued, pace, age in _MEMBER.iter_unpack(one.members)
+        )
+    except struct.error as error:
+        raise ValueError(f"members of a load: {error}") from error
     return GroupLoad(
-        group=one.group,
+        roster=one.roster,
+        source=one.source,
+        sequence=one.sequence,
         epoch=one.epoch,
         ranks=one.ranks,
         open=one.open,
         step=one.step,
         pass_s=one.passUs / _MICROSECONDS,
-        entries=tuple(one.entries),
-        members=tuple(
-            MemberLoad(
-                member.address,
-                member.active,
-                member.queued,
-                member.pace,
-                member.ageMs / _MILLISECONDS,
-                member.startedMs,
-            )
-            for member in one.members
+        entries=one.entries,
+        members=members,
+        relay=one.relay,
+        forward=one.forward,
+    )
+
+
+def _write_roster(builder: Any, message: Roster) -> None:
+    builder.number = message.number
+    builder.group = message.group
+    members = builder.init("members", len(message.members))
+    for one, member in zip(members, message.members, strict=True):
+        one.address = member.address
+        one.startedMs = member.started_ms
+    entries = builder.init("entries", len(message.entries))
+    for one, entry in zip(entries, message.entries, strict=True):
+        one.address = entry.address
+        one.availabilityZone = entry.availability_zone
+    builder.relay = message.relay
+    builder.forward = message.forward
+
+
+def _read_roster(datagram: Any) -> Roster:
+    one = datagram.roster
+    return Roster(
+        number=one.number,
+        group=one.group,
+        members=tuple(Member(m.address, m.startedMs) for m in one.members),
+        entries=tuple(
+            EntryContact(entry.address, entry.availabilityZone) for entry in one.entries
         ),
+        relay=one.relay,
+        forward=one.forward,
     )
 
 
@@ -220,7 +302,7 @@
     builder.queued = message.queued
     builder.pace = message.pace
     builder.startedMs = message.started_ms
-    builder.counts = [count % COUNT_MODULUS for count in message.counts]
+    _write_counts(builder.counts, message.counts)
 
 
 def _read_rank(datagram: Any) -> RankState:
@@ -243,7 +325,7 @@
         experts=_read_lists(one.experts),
         queued=one.queued,
         pace=one.pace,
-        counts=tuple(one.counts),
+        counts=_read_counts(one.counts),
         started_ms=one.startedMs,
     )
 
@@ -276,21 +358,60 @@
 
 
 def _write_lists(builder: Any, lists: Sequence[Sequence[int]]) -> None:
-    builder.items = [item for one in lists for item in one]
-    builder.lengths = [len(one) for one in lists]
+    items = [item for one in lists for item in one]
+    builder.wide = max(items, default=0) > _MAX_BYTE
+    builder.items = _pack_numbers(items, wide=builder.wide)
+    builder.lengths = _pack_numbers([len(one) for one in lists], wide=True)
 
 
 def _read_lists(builder: Any) -> tuple[tuple[int, ...], ...]:
-    items, found, at = tuple(builder.items), [], 0
-    for length in builder.lengths:
+    items = _unpack_numbers(builder.items, wide=builder.wide)
+    found, at = [], 0
+    for length in _unpack_numbers(builder.lengths, wide=True):
         found.append(items[at : at + length])
         at += length
     return tuple(found)
 
 
+def _pack_numbers(numbers: Sequence[int], *, wide: bool) -> bytes:
+    return array("H" if wide else "B", numbers).tobytes()
+
+
+def _unpack_numbers(data: bytes, *, wide: bool) -> tuple[int, ...]:
+    # The system's VMs are of one kind, so both ends have the same order of bytes.
+    numbers = array("H" if wide else "B")
+    numbers.frombytes(data)
+    return tuple(numbers)
+
+
+def _write_counts(builder: Any, counts: Counts) -> None:
+    if not counts:
+        return
+    unit = max(1, -(-max(counts) // _MAX_BYTE))
+    rounded = bytes((count + unit // 2) // unit for count in counts)
+    builder.items = zlib.compress(rounded, _QUICK)
+    builder.unit = unit
+    builder.size = len(counts)
+
+
+def _read_counts(builder: Any) -> Counts:
+    size, unit = builder.size, builder.unit
+    if not size:
+        return ()
+    if size > _MAX_COUNTS:
+        raise ValueError(f"{size} counts in one message")
+    # A few bytes may unfold to gigabytes: no more is unfolded than is announced.
+    rounded = zlib.decompressobj().decompress(builder.items, size)
+    if len(rounded) != size:
+        raise ValueError(f"{len(rounded)} counts instead of {size}")
+    return tuple(rounded) if unit == 1 else tuple(one * unit for one in rounded)
+
+
 _READERS: dict[str, Callable[[Any], GroupMessage]] = {
     "entry": _read_entry,
     "load": _read_load,
     "rank": _read_rank,
     "change": _read_change,
+    "roster": _read_roster,
+    "presence": _read_presence,
 }
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -12,6 +12,7 @@
 from hyssopvane._internal.coordination.routing_feed import RoutingFeed, RoutingFormat
 from hyssopvane._internal.models.settings import DirectEntrySettings
 from hyssopvane._internal.policy.crash_suspects import CrashSuspects
+from hyssopvane._internal.policy.load_inbox import LoadInbox
 from hyssopvane._internal.policy.repeat_budget import RepeatBudget
 from hyssopvane._internal.protocol.group_messages import GroupMessage
 from hyssopvane._internal.protocol.replica_headers import ReplicaHeaders
@@ -22,7 +23,7 @@
 from hyssopvane._internal.roles.metrics_app import MetricsApp
 from hyssopvane._internal.roles.process import Role
 from hyssopvane._internal.state.group import EntryState
-from hyssopvane._internal.state.loads import GroupLoad
+from hyssopvane._internal.state.loads import GroupLoad, Roster
 from hyssopvane._internal.transport.addresses import replace_port
 from hyssopvane._internal.transport.asgi_messages import (
     TEXT_TYPE,
@@ -35,15 +36,15 @@
 from hyssopvane._internal.utils.logs import log_event
 from hyssopvane._internal.utils.metrics import Metrics
 
-TELL_INTERVAL_S = 0.5
-"""Pause between two messages that keep the leading agents telling their load."""
+LOOK_S = 0.25
+"""Pause between two looks for groups whose load no longer comes."""
 
-TELL_ALL_EVERY = 4
-"""Such messages for one that goes to all agents, any of which may lead next.
+TELL_PEERS_EVERY = 2
+"""Looks between two words to other entries on how new this one's beliefs are."""
 
-To 72 agents twice a second these would be three in four of the datagrams that an entry
-sends, and only the leaders need them that often.
-"""
+TELL_LEADERS_EVERY = 4
+"""Looks between two words to the agents that lead groups or lead them next: they tell
+loads to whoever has spoken in the last seconds."""
 
 _LISTEN_SHARE = 0.36
 """Part of the grace period in which new requests still come in.
@@ -92,10 +93,9 @@
         self.exchange = BeliefExchange(self.feed, seeds=settings.seeds)
         self._client = ReplicaClient()
         self._nursery: trio.Nursery | None = None
-        self._port = DatagramPort(settings.messages)
-        self._peers: frozenset[str] = frozenset()
-        self._leaders: dict[str, str] = {}
-        """Address of the agent that told a group's load last."""
+        self._port = DatagramPort(settings.messages, count=self.metrics.count_event)
+        self._random = random
+        self._inbox = LoadInbox(random=random)
         self.app = DirectApp(
             feed=self.feed,
             random=random,
@@ -187,48 +187,91 @@
         match message:
             case EntryState():
                 self.exchange.observe(message)
+            case Roster():
+                self._inbox.add_roster(message, now=trio.current_time())
+                if message.relay:
+                    self._pass_on(message, message)
             case GroupLoad():
-                self._peers = frozenset(message.entries) - {self._port.address}
-                self._leaders[message.group] = sender
-                self.gates.observe_load(message)
+                self._take_load(message)
             case _:
                 log_event("debug", "datagram-unexpected", sender=sender)
 
+    def _take_load(self, load: GroupLoad) -> None:
+        roster = self._inbox.take(load, now=trio.current_time())
+        if roster is None:
+            self.metrics.count_event("load-unused")
+            return
+        self.gates.observe_load(load, roster)
+        if load.relay:
+            self._pass_on(load, roster)
+
+    def _pass_on(self, message: GroupLoad | Roster, roster: Roster) -> None:
+        """Send what a leader tells to the other entries of the zone."""
+        near = [
+            one.address
+            for one in roster.entries
+            if one.availability_zone == self.settings.availability_zone
+            and one.address != self._port.address
+        ]
+        if near and self._nursery is not None:
+            passed_on = replace(message, relay=False)
+            self._nursery.start_soon(self._port.send, passed_on, *near)
+
     async def _tell_state(self) -> None:
         for number in count():
+            now = trio.current_time()
             state = EntryState(
                 address=self._port.address,
                 beliefs=self.beliefs_address,
                 configuration_revision=self.feed.configuration_revision,
                 replicas_revision=self.feed.replicas_revision,
+                availability_zone=self.settings.availability_zone,
             )
-            to_all = number % TELL_ALL_EVERY == 0 or not self._leaders
-            told = self._list_agents() if to_all else set(self._leaders.values())
-            await self._port.send(state, *told, *self._peers)
-            await self._port.send(replace(state, unheard=True), *self._list_unheard())
-            await trio.sleep(TELL_INTERVAL_S)
+            told = set()
+            if number % TELL_PEERS_EVERY == 0:
+                told.update(self._choose_peers())
+            if number % TELL_LEADERS_EVERY == 0:
+                told.update(map(self._find_agent, self._inbox.list_contacts()))
+            await self._port.send(state, *told)
+            await self._complain(replace(state, unheard=True), now)
+            await trio.sleep(LOOK_S)
+
+    def _choose_peers(self) -> list[str]:
+        """Return the entries that are told how new this one's beliefs are.
+
+        Those of the zone, and one of another: from zone to zone news then take about
+        as long as inside one, and what an entry sends grows with its zone only.
+        """
+        others = [
+            one
+            for one in self._inbox.list_entries()
+            if one.address != self._port.address
+        ]
+        zone = self.settings.availability_zone
+        near = [one.address for one in others if one.availability_zone == zone]
+        far = [one.address for one in others if one.availability_zone != zone]
+        return near + self._random.sample(sorted(far), min(1, len(far)))
+
+    async def _complain(self, state: EntryState, now: float) -> None:
+        """Tell agents that the load of their replicas does not come.
 
-    def _list_agents(self) -> set[str]:
+        Without this a relay that has died, or a leader that is cut off from this entry
+        alone, would leave the entry to guess the load of all ranks.
+        """
+        silent = self._inbox.choose_complaints(now)
         ranked = self._list_ranked()
-        port = self.settings.agent_port
-        return {
-            replace_port(replica.address, port)
+        replicas = [
+            replica.address
             for replica in self.feed.replicas.values()
             if replica.service in ranked
-        }
-
-    def _list_unheard(self) -> set[str]:
-        """Return agents whose replicas' load no leader tells.
+        ]
+        asked = silent + self._inbox.choose_asked(replicas, now)
+        if asked:
+            self.metrics.count_event("load-missing", len(asked))
+            await self._port.send(state, *map(self._find_agent, asked))
 
-        A leader that is cut off from the entries alone still leads its group. Without
-        this the entries would have to guess the load of all its ranks meanwhile.
-        """
-        port = self.settings.agent_port
-        return {
-            replace_port(address, port)
-            for service in self._list_ranked()
-            for address in self.gates.list_unheard(service)
-        }
+    def _find_agent(self, replica: str) -> str:
+        return replace_port(replica, self.settings.agent_port)
 
     def _list_ranked(self) -> set[str]:
         table = self.feed.table
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -12,7 +12,12 @@
     Turned,
     Waiting,
 )
-from hyssopvane._internal.state.loads import GroupLoad, split_load
+from hyssopvane._internal.state.loads import (
+    GroupLoad,
+    RankLoad,
+    Roster,
+    split_load,
+)
 from hyssopvane._internal.state.routing import Replica, RoutingTable
 
 SETTLE_INTERVAL_S = 0.01
@@ -81,20 +86,19 @@
             self._gates[service] = self._make_gate()
         return self._gates[service]
 
-    def observe_load(self, load: GroupLoad) -> None:
+    def observe_load(self, load: GroupLoad, roster: Roster) -> None:
         """Take what the leading agent of a group tells."""
         now = trio.current_time()
-        for member, age_s in split_load(load):
+        by_service: dict[str, list[tuple[RankLoad, float]]] = {}
+        for member, age_s in split_load(load, roster):
             service = self._services.get(member.address)
             if service is not None:
-                # What waits is looked at within a hundredth of a second anyway; a look
-                # at each load costs more than it brings.
-                if self._gates[service].observe_load(member, now=now - age_s):
-                    self._observe_restart(member.address)
-
-    def list_unheard(self, service: str) -> list[str]:
-        """Return the addresses of a service's replicas with no fresh load."""
-        return self.get_gate(service).list_unheard(trio.current_time())
+                by_service.setdefault(service, []).append((member, now - age_s))
+        for service, members in by_service.items():
+            # What waits is looked at within a hundredth of a second anyway; a look at
+            # each load costs more than it brings.
+            for restarted in self._gates[service].observe_loads(members):
+                self._observe_restart(restarted)
 
     async def wait_for_place(
         self, service: str, waiting: Waiting, *, weight: float
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -17,8 +17,10 @@
 )
 from hyssopvane._internal.coordination.routing_feed import RoutingFeed, RoutingFormat
 from hyssopvane._internal.models.settings import RankAgentSettings
+from hyssopvane._internal.policy.count_meter import CountMeter
+from hyssopvane._internal.policy.group_presence import PRESENCE_S, GroupPresence
+from hyssopvane._internal.policy.load_teller import LoadTeller
 from hyssopvane._internal.policy.map_coordinator import (
-    DEPUTIES,
     LOOK_S,
     Announce,
     AskRank,
@@ -27,6 +29,7 @@
     get_progress,
     measure_look_s,
 )
+from hyssopvane._internal.policy.map_spread import split_among, split_by_zone
 from hyssopvane._internal.policy.pass_meter import PassMeter
 from hyssopvane._internal.protocol.group_messages import GroupMessage
 from hyssopvane._internal.roles.metrics_app import MetricsApp
@@ -36,49 +39,40 @@
     EntryState,
     ExpertsBySet,
     MapChange,
+    Presence,
     RankState,
 )
-from hyssopvane._internal.state.loads import GroupLoad, MemberLoad
+from hyssopvane._internal.state.loads import GroupLoad, Roster
 from hyssopvane._internal.state.ranks import Arm, Prepare, RankOrder, RankReport
 from hyssopvane._internal.transport.addresses import replace_port
 from hyssopvane._internal.transport.asgi_server import serve_until_cancelled
 from hyssopvane._internal.transport.datagrams import DatagramPort
 from hyssopvane._internal.utils.logs import log_event
 from hyssopvane._internal.utils.metrics import Metrics
+from hyssopvane._internal.utils.token_bucket import TokenBucket
 
 IDLE_POLL_S = 0.2
 """As above, while the rank has nothing to do."""
 
-COUNTS_EVERY = 2
-"""Looks at the report for one look at the counts: one in two passes."""
+COUNTS_S = 0.12
+"""Pause between two words on the counts: about two passes."""
 
-COUNTED_RANKS = 12
-"""Ranks of a group that read and tell their counts, spread evenly over the group.
-
-Their requests are a fair sample of the group's. A message with the counts of 16 sets of
-96 experts has 3 KB; from all of 24 ranks, eight times a second, these are 4.7 Mbit/s,
-more than the link of the leader's machine may have.
-"""
-
-PRESENCE_S = 0.25
-"""Pause between two messages to the group's other agents, from the lowest ranks."""
+COUNTS_PER_S = 40
+"""Words on counts that a leader gets in a second, from all ranks that tell them.
 
-FAR_PRESENCE_S = 2.0
-"""As above, from all other ranks, and to the agents of the service's other groups.
-
-They only have to be found: a replica that is replaced may be given to any group.
+With 12 sets of 256 experts one has 2 KB; 40 a second are a fifth of a link of 3 Mbit/s,
+which brings the states of 64 ranks as well.
 """
 
-RELAYS = 5
-"""Agents that a leader sends a new map to when there are more, to be passed on.
+COUNTED_RANKS = 12
+"""Ranks of a group that read and tell their counts, spread evenly over the group.
 
-A link of 4 Mbit/s keeps some 12 KB waiting and drops the rest: of 23 datagrams of
-2.4 KB sent at once five arrived, and no change of maps ever came about. With 63 ranks
-a map has 4 KB and each relay passes on 12, which are sent at the pace of the link.
+Their requests are a fair sample of the group's.
 """
 
-ENTRY_GONE_S = 5.0
-"""Silence after which an entry gets no more load: it speaks every two seconds."""
+COMPLAINTS_PER_S = 4.0
+"""Complaints of entries that an agent passes on to its leader: each of them is about
+the whole group, and the leader answers it once in a zone."""
 
 LOG_INTERVAL_S = 1.0
 """Pause between two lines on the state of the group, written by its leader."""
@@ -96,10 +90,6 @@
 at most; one that was only slow loses no more than the change it was about.
 """
 
-_BLIND_S = 1.2
-"""Time for which an entry that does not hear of the replica is told its load straight:
-such an entry says so every 0.5 s."""
-
 _DUE_SHARE = 0.9
 """Part of the pause between two looks after which the next word is due.
 
@@ -109,11 +99,6 @@
 
 _BITS = 8
 
-_LOST_S = 1.0
-"""Silence after which an agent is no longer taken for the leader."""
-_GONE_S = 6.0
-"""Silence after which an agent is told nothing more."""
-
 
 class RankAgent(Role):
     """Stand beside one rank."""
@@ -129,23 +114,29 @@
         self._settings = settings
         self._ranks = ranks
         self._store = store
-        self._port = DatagramPort(settings.messages)
+        self._random = Random(secrets.randbits(63))
         self._metrics = Metrics(role=settings.role, vm=settings.vm)
+        self._port = DatagramPort(settings.messages, count=self._metrics.count_event)
         self.feed = RoutingFeed(
             store,
             format,
-            random=Random(secrets.randbits(63)),
+            random=self._random,
             observe=self._update,
             count=self._metrics.count_event,
         )
         self._passes = PassMeter()
         self._coordinator = MapCoordinator(nonce=secrets.randbits(31))
-        self._entries: dict[str, float] = {}
-        self._blind: dict[str, float] = {}
-        """Time at which an entry said last that it does not hear of the replica."""
-        self._peers: dict[str, tuple[int, float]] = {}
-        """Rank and time of the last message of the other agents, by their address."""
-        self._agents: frozenset[str] = frozenset()
+        self._teller = LoadTeller(source=secrets.randbits(32), key=settings.replica)
+        self._presence = GroupPresence()
+        self._complaints = TokenBucket(per_s=COMPLAINTS_PER_S, burst=COMPLAINTS_PER_S)
+        self._counts = CountMeter()
+        self._counted_at = float("-inf")
+        """Time of the last look at the counts."""
+        self._follows_store = False
+        self._zones: dict[str, str] = {}
+        """Availability zone of each agent of the service."""
+        self._agents: tuple[str, ...] = ()
+        """Addresses of the service's other agents."""
         self._report: RankReport | None = None
         self._group = ""
         """Group that the rank was last seen in."""
@@ -171,8 +162,6 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             await self._port.start(nursery, self._receive)
-            await self._store.start(nursery)
-            self.feed.start(nursery)
             nursery.start_soon(self._watch_rank)
             nursery.start_soon(self._tell_presence)
             nursery.start_soon(self._log_group)
@@ -197,12 +186,12 @@
     def _update(self) -> None:
         port = self._settings.agent_port
         own = self._settings.messages
-        addresses = {
-            replace_port(replica.address, port)
+        self._zones = {
+            replace_port(replica.address, port): replica.availability_zone
             for replica in self.feed.replicas.values()
             if replica.service == self._settings.service
         }
-        self._agents = frozenset(addresses - {own})
+        self._agents = tuple(sorted(self._zones.keys() - {own}))
         table = self.feed.table
         spec = None if table is None else table.services.get(self._settings.service)
         if spec is not None and spec.engine is not None:
@@ -212,44 +201,74 @@
         now = trio.current_time()
         match message:
             case EntryState():
-                if message.address not in self._entries:
-                    log_event("info", "entry-found", entry=message.address)
-                self._entries[message.address] = now
-                if message.unheard:
-                    self._blind[message.address] = now
-            case RankState() | MapChange() if message.group != self._group:
+                self._take_entry(message, now)
+            case Roster() | GroupLoad():
+                self._pass_load_on(message, sender, now)
+            case Presence() if message.group != self._group:
                 # A service may have several groups, which have nothing to do with
                 # each other: the lowest rank of another one leads nothing here.
-                if isinstance(message, RankState):
-                    self._peers.pop(message.messages, None)
+                self._presence.forget(message.messages)
+            case Presence():
+                self._presence.observe(message.messages, message.rank, now=now)
+                self._coordinator.note_agent(message.rank, now=now)
             case RankState():
-                self._peers[message.messages] = (message.rank, now)
-                is_news = self._coordinator.observe(message, now=now)
-                waits = is_news and self._coordinator.waits_for_ranks
-                if waits and self._nursery is not None:
-                    # Until the last rank has told that it is armed, a pass is held:
-                    # waiting for the next look at the own rank would cost a pass.
-                    self._nursery.start_soon(self._lead, now)
+                self._take_state(message, sender, now)
+            case MapChange() if message.group != self._group:
+                log_event("debug", "map-of-another-group", sender=sender)
             case MapChange():
                 self._change = message
                 self._changed.set()
-                if message.forward and self._nursery is not None:
-                    passed_on = replace(message, forward=())
-                    self._nursery.start_soon(
-                        self._send_paced, passed_on, message.forward
-                    )
+                self._spread_map(message, split_among(message.forward))
             case _:
                 log_event("debug", "datagram-unexpected", sender=sender)
 
+    def _take_entry(self, state: EntryState, now: float) -> None:
+        report = self._report
+        if self._teller.observe(state, now=now):
+            log_event("info", "entry-found", entry=state.address, via=state.via)
+        if not state.unheard or state.via or report is None or not report.group:
+            return
+        leader = self._presence.find_leader(report.rank, now)
+        if leader is not None and self._complaints.take(now):
+            # The leader may be cut off from the entry and from nobody else.
+            told = replace(state, via=self._settings.messages)
+            self._send_soon(told, leader)
+
+    def _pass_load_on(
+        self, message: GroupLoad | Roster, sender: str, now: float
+    ) -> None:
+        report = self._report
+        if report is None or not message.forward:
+            return
+        if sender == self._presence.find_leader(report.rank, now):
+            self._send_soon(replace(message, forward=""), message.forward)
+
+    def _take_state(self, state: RankState, sender: str, now: float) -> None:
+        if state.group and state.group != self._group:
+            self._presence.forget(state.messages)
+            return
+        whole = self._presence.complete(state, sender, now=now)
+        if whole is None:
+            self._metrics.count_event("state-incomplete")
+            return
+        is_news = self._coordinator.observe(whole, now=now)
+        if is_news and self._coordinator.waits_for_ranks and self._nursery is not None:
+            # Until the last rank has told that it is armed, a pass is held:
+            # waiting for the next look at the own rank would cost a pass.
+            self._nursery.start_soon(self._lead, now)
+
+    def _send_soon(self, message: GroupMessage, to: str) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(self._port.send, message, to)
+
     async def _watch_rank(self) -> None:
-        number = 0
         lost = False
         while True:
             counts: Counts = ()
             try:
                 report = await self._ranks.read_report(self._settings.replica)
-                if number % COUNTS_EVERY == 0 and _tells_counts(report):
-                    counts = await self._ranks.read_counts(self._settings.replica)
+                if self._is_counting_due(report):
+                    counts = await self._read_counts(report)
                 await self._refresh_experts(report)
                 if lost:
                     log_event("info", "replica-regained", epoch=report.epoch)
@@ -262,9 +281,10 @@
                 self._report = None
                 await trio.sleep(LOOK_S)
                 continue
-            number += 1
             self._report = report
-            self._group = report.group or self._group
+            if report.group and report.group != self._group:
+                self._presence.clear()
+                self._group = report.group
             await self._use_report(report, counts)
             idle = not (report.active or report.queued or report.held_step)
             pause_s = measure_look_s(report.ranks)
@@ -276,6 +296,21 @@
                 await self._changed.wait()
             self._changed = trio.Event()
 
+    def _is_counting_due(self, report: RankReport) -> bool:
+        now = trio.current_time()
+        # Counts that are read and not told would be missing from the demand.
+        told = now - self._told_at >= _DUE_SHARE * measure_look_s(report.ranks)
+        tellers = min(report.ranks, COUNTED_RANKS)
+        pause_s = max(COUNTS_S, tellers / COUNTS_PER_S)
+        return told and _tells_counts(report) and now - self._counted_at >= pause_s
+
+    async def _read_counts(self, report: RankReport) -> Counts:
+        counts = await self._ranks.read_counts(self._settings.replica)
+        self._counted_at = trio.current_time()
+        return self._counts.measure(
+            counts, started_ms=report.started_ms, epoch=report.epoch
+        )
+
     async def _refresh_experts(self, report: RankReport) -> None:
         wanted = (report.started_ms, report.epoch, report.map_version)
         if report.group and wanted != self._experts_of:
@@ -303,77 +338,36 @@
         is_due = now - self._told_at >= _DUE_SHARE * measure_look_s(report.ranks)
         if is_due:
             self._told_at = now
-        entries = self._list_entries(now) if is_due else ()
         if not report.group:
-            await self._tell_load(report, [(state, 0.0)], entries, entries)
+            if is_due:
+                await self._tell_load(report, [(state, 0.0)], now)
             return
         self._coordinator.observe(state, now=now, own=True)
         if self._coordinator.leads(now):
-            heard = self._coordinator.list_heard(now)
-            await self._tell_load(report, heard, entries, entries)
-        else:
-            blind = tuple(e for e in entries if now - self._told_blind(e) < _BLIND_S)
-            await self._tell_load(report, [(state, 0.0)], entries, blind)
-        leader = self._find_leader(report, now)
+            if is_due:
+                heard = self._coordinator.list_heard(now)
+                await self._tell_load(report, heard, now)
         progress = get_progress(state)
-        if leader is not None and (is_due or progress != self._told_progress):
-            # The experts travel with the presence: they change seldom.
-            await self._port.send(replace(state, experts=()), leader)
+        if is_due or progress != self._told_progress:
+            await self._tell_leaders(state, now)
             self._told_progress = progress
         await self._follow_change(report, now)
         await self._lead(now)
 
-    def _list_entries(self, now: float) -> tuple[str, ...]:
-        for address, heard_at in list(self._entries.items()):
-            if now - heard_at > ENTRY_GONE_S:
-                del self._entries[address]
-                self._blind.pop(address, None)
-                log_event("info", "entry-gone", entry=address)
-        return tuple(self._entries)
-
-    def _find_leader(self, report: RankReport, now: float) -> str | None:
-        """Return the agent of the lowest rank that lives, unless it is this one."""
-        lower = [
-            (rank, address)
-            for address, (rank, at) in self._peers.items()
-            if rank < report.rank and now - at < _LOST_S
-        ]
-        return min(lower)[1] if lower else None
-
-    def _told_blind(self, entry: str) -> float:
-        return self._blind.get(entry, float("-inf"))
+    async def _tell_leaders(self, state: RankState, now: float) -> None:
+        to, is_full = self._presence.choose_full(state, state.rank, now)
+        if not is_full:
+            # What hardly ever changes is left out: most of a state are addresses.
+            state = replace(state, messages="", replica="", group="", experts=())
+        await self._port.send(state, *to)
 
     async def _tell_load(
-        self,
-        report: RankReport,
-        heard: list[tuple[RankState, float]],
-        entries: tuple[str, ...],
-        to: tuple[str, ...],
+        self, report: RankReport, heard: list[tuple[RankState, float]], now: float
     ) -> None:
-        """Tell entries the load of ranks, all of a group in one message."""
-        if not to:
-            return
-        load = GroupLoad(
-            group=report.group,
-            epoch=report.epoch,
-            ranks=report.ranks,
-            open=report.open,
-            step=report.step,
-            pass_s=self._passes.measure(now=trio.current_time()),
-            entries=entries,
-            members=tuple(
-                MemberLoad(
-                    state.replica,
-                    state.active,
-                    state.queued,
-                    state.pace,
-                    age_s,
-                    state.started_ms,
-                )
-                for state, age_s in heard
-            ),
-        )
-        await self._port.send(load, *to)
+        """Tell the entries the load of ranks, by way of one entry in each zone."""
+        pass_s = self._passes.measure(now=now)
+        for telling in self._teller.tell(report, heard, pass_s=pass_s, now=now):
+            await self._port.send(telling.message, *telling.to)
 
     def _make_state(
         self, report: RankReport, counts: Counts, *, replica: str = ""
@@ -460,18 +454,26 @@
         # The leader's own rank must not be armed before all others, so its agent is
         # never told by message.
         to = [one for one in action.to if one != self._settings.messages]
-        relays, others = to[:RELAYS], tuple(to[RELAYS:])
-        if not action.change.experts or not others:
+        if not action.change.experts:
             await self._port.send(action.change, *to)
             return
-        for number, relay in enumerate(relays):
-            told = replace(action.change, forward=others[number::RELAYS])
-            await self._send_paced(told, (relay,))
+        # Another order each time: who is told by way of an agent that has died is told
+        # by way of another one the next time.
+        self._random.shuffle(to)
+        self._spread_map(action.change, split_by_zone(to, self._zones))
+
+    def _spread_map(
+        self, change: MapChange, parts: list[tuple[str, tuple[str, ...]]]
+    ) -> None:
+        if parts and self._nursery is not None:
+            self._nursery.start_soon(self._send_paced, change, parts)
 
-    async def _send_paced(self, message: MapChange, to: tuple[str, ...]) -> None:
+    async def _send_paced(
+        self, change: MapChange, parts: list[tuple[str, tuple[str, ...]]]
+    ) -> None:
         """Send a large message to one agent after the other, as the link takes them."""
-        for address in to:
-            size = await self._port.send(message, address)
+        for agent, others in parts:
+            size = await self._port.send(replace(change, forward=others), agent)
             await trio.sleep(size * _BITS / self._settings.link_bits_per_s)
 
     async def _ask_rank(self, replica: str) -> None:
@@ -487,9 +489,6 @@
         if self._coordinator.waits_for_ranks:
             await self._lead(now)
 
-    def _list_peers(self, now: float) -> tuple[str, ...]:
-        return tuple(a for a, (_, at) in self._peers.items() if now - at < _GONE_S)
-
     async def _give_order(self, replica: str, order: RankOrder) -> None:
         started_at = trio.current_time()
         start = self._coordinator.find_start(replica)
@@ -527,20 +526,37 @@
                 )
 
     async def _tell_presence(self) -> None:
-        pause_s = PRESENCE_S
-        told_all_at = float("-inf")
         while True:
-            await trio.sleep(pause_s)
+            await trio.sleep(PRESENCE_S)
             report = self._report
+            now = trio.current_time()
             if report is None or not report.group:
                 continue
-            now = trio.current_time()
-            to_all = now - told_all_at >= FAR_PRESENCE_S
-            if to_all:
-                told_all_at = now
-            told = self._agents if to_all else self._list_peers(now)
-            await self._port.send(self._make_state(report, ()), *told)
-            pause_s = PRESENCE_S if report.rank <= DEPUTIES else FAR_PRESENCE_S
+            if not self._presence.announces(report.rank, now):
+                continue
+            self._follow_store()
+            told = self._presence.choose_told(
+                report.rank,
+                report.ranks,
+                self._agents,
+                now,
+                leads=self._coordinator.leads(now),
+            )
+            presence = Presence(
+                self._settings.messages, report.group, report.epoch, report.rank
+            )
+            await self._port.send(presence, *told)
+
+    def _follow_store(self) -> None:
+        """Learn the other agents and the experts' layout.
+
+        Only agents that lead, or lead next, need them. Were all 192 agents of a service
+        to watch the store, each registration would cost a call of each.
+        """
+        if not self._follows_store and self._nursery is not None:
+            self._follows_store = True
+            self.feed.start(self._nursery)
+            log_event("info", "store-followed")
 
 
 def _tells_counts(report: RankReport) -> bool:
--- a/src/hyssopvane/_internal/state/group.py
+++ b/src/hyssopvane/_internal/state/group.py
@@ -5,8 +5,6 @@
 from hyssopvane._internal.state.ranks import ExpertLists
 
 ExpertsBySet = tuple[tuple[int, ...], ...]
-COUNT_MODULUS = 2**16
-"""Counts are told modulo this number: two bytes each, and only differences matter."""
 
 Counts = tuple[int, ...]
 """Choices of each expert, one set behind the other."""
@@ -22,8 +20,22 @@
     """Where it gives what it has learnt from the store."""
     configuration_revision: int
     replicas_revision: int
+    availability_zone: str = ""
     unheard: bool = False
-    """Whether it has no fresh load of the replica beside the agent that gets this."""
+    """Whether it has no fresh load of the group of the agent that gets this."""
+    via: str = ""
+    """Agent that passes this on to its leader; empty where the entry itself does."""
+
+
+@dataclass(frozen=True, slots=True)
+class Presence:
+    """Tell that the agent of a rank lives, and may lead its group."""
+
+    messages: str
+    """Address of the agent."""
+    group: str
+    epoch: int
+    rank: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +43,7 @@
     """Hold what one rank's agent knows of its rank."""
 
     messages: str
-    """Address of the agent."""
+    """Address of the agent; empty in a short word, as are the next two."""
     replica: str
     """Address of the rank's replica."""
     group: str
@@ -52,7 +64,7 @@
     pace: float = 1.0
     """Time the replica takes against its usual one; over 1 when it is slow."""
     counts: Counts = ()
-    """How often this rank's requests chose each expert since its start."""
+    """How often this rank's requests chose each expert since its last such word."""
     started_ms: int = 0
     """Names the start of the replica that this is of; 0 where not told."""
 
--- a/src/hyssopvane/_internal/transport/datagrams.py
+++ b/src/hyssopvane/_internal/transport/datagrams.py
@@ -12,10 +12,14 @@
 )
 from hyssopvane._internal.transport.addresses import format_address, parse_address
 from hyssopvane._internal.utils.logs import log_event
+from hyssopvane._internal.utils.token_bucket import TokenBucket
 
 MAX_BYTES = 65_507
 """Largest payload of a datagram over IPv4."""
 
+LOGGED_PER_S = 2.0
+"""Lines on datagrams that can't be read: whoever sends them may send thousands."""
+
 ReceiveMessage = Callable[[GroupMessage, str], None]
 """Takes a message and the address it came from."""
 
@@ -27,12 +31,14 @@
     was lost as well, but late, behind a silent link, and there it is worth nothing.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, *, count: Callable[[str], None] = lambda event: None
+    ) -> None:
         self.address = address
+        self._count = count
+        """Takes the name of an event that operators may want to watch."""
+        self._logged = TokenBucket(per_s=LOGGED_PER_S, burst=LOGGED_PER_S)
         self._socket = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
-        self.unsent = 0
-        """Messages that the kernel did not take."""
-        self.malformed = 0
 
     async def start(self, nursery: trio.Nursery, receive: ReceiveMessage) -> None:
         """Bind the address, and pass on what arrives."""
@@ -55,7 +61,7 @@
                 await self._socket.sendto(data, parse_address(address))
             except OSError:
                 # A full queue or no route: the next message makes it good.
-                self.unsent += 1
+                self._count("datagram-unsent")
         return len(data)
 
     async def _receive(self, receive: ReceiveMessage) -> None:
@@ -69,7 +75,8 @@
             try:
                 message = decode_message(data)
             except ProtocolError as error:
-                self.malformed += 1
-                log_event("warning", "datagram-malformed", sender=sender, why=error)
+                self._count("datagram-malformed")
+                if self._logged.take(trio.current_time()):
+                    log_event("warning", "datagram-malformed", sender=sender, why=error)
                 continue
             receive(message, f"{sender[0]}:{sender[1]}")
