Load metrics and their server in an agent only when somebody asks for them

Cause: each of 192 agents loaded the instruments, their exporter and the HTTP server, and hardly any is ever asked.

--- a/src/hyssopvane/_internal/roles/metrics_app.py
+++ b/src/hyssopvane/_internal/roles/metrics_app.py
@@ -1,21 +1,27 @@
 """Answer whoever collects the metrics of a process on the direct path."""
 
-from typing import Any
+from typing import Any, Protocol
 
 from hyssopvane._internal.transport.asgi_messages import (
     TEXT_TYPE,
     send_response,
     serve_lifespan,
 )
-from hyssopvane._internal.utils.metrics import Metrics
 
 METRICS_PATH = "/metrics"
 
 
+class Rendered(Protocol):
+    """Tell what metrics say."""
+
+    def render(self) -> bytes:
+        """Return all instruments in the Prometheus text format."""
+
+
 class MetricsApp:
     """Serve the metrics address."""
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(self, metrics: Rendered) -> None:
         self._metrics = metrics
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -32,7 +32,6 @@
 from hyssopvane._internal.policy.map_spread import split_among, split_by_zone
 from hyssopvane._internal.policy.pass_meter import PassMeter
 from hyssopvane._internal.protocol.group_messages import GroupMessage
-from hyssopvane._internal.roles.metrics_app import MetricsApp
 from hyssopvane._internal.roles.process import Role
 from hyssopvane._internal.state.group import (
     Counts,
@@ -44,11 +43,14 @@
 )
 from hyssopvane._internal.state.loads import GroupLoad, Roster
 from hyssopvane._internal.state.ranks import Arm, Prepare, RankOrder, RankReport
-from hyssopvane._internal.transport.addresses import replace_port
-from hyssopvane._internal.transport.asgi_server import serve_until_cancelled
+from hyssopvane._internal.transport.addresses import (
+    bind_listener,
+    format_address,
+    replace_port,
+)
 from hyssopvane._internal.transport.datagrams import DatagramPort
+from hyssopvane._internal.utils.deferred_metrics import DeferredMetrics
 from hyssopvane._internal.utils.logs import log_event
-from hyssopvane._internal.utils.metrics import Metrics
 from hyssopvane._internal.utils.token_bucket import TokenBucket
 
 IDLE_POLL_S = 0.2
@@ -112,10 +114,11 @@
         ranks: RankControl,
     ) -> None:
         self._settings = settings
+        self.metrics_address = ""
         self._ranks = ranks
         self._store = store
         self._random = Random(secrets.randbits(63))
-        self._metrics = Metrics(role=settings.role, vm=settings.vm)
+        self._metrics = DeferredMetrics(role=settings.role, vm=settings.vm)
         self._port = DatagramPort(settings.messages, count=self._metrics.count_event)
         self.feed = RoutingFeed(
             store,
@@ -165,13 +168,29 @@
             nursery.start_soon(self._watch_rank)
             nursery.start_soon(self._tell_presence)
             nursery.start_soon(self._log_group)
-            await nursery.start(
-                serve_until_cancelled, MetricsApp(self._metrics), self._settings.metrics
-            )
+            await nursery.start(self._serve_metrics)
             log_event("info", "started", replica=self._settings.replica)
             task_status.started()
             await trio.sleep_forever()
 
+    async def _serve_metrics(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Load the HTTP server when somebody asks for the metrics for the first time.
+
+        It takes 3 MB and 100 ms, and hardly any agent is ever asked.
+        """
+        with bind_listener(self._settings.metrics) as listener:
+            listener.listen()
+            self.metrics_address = format_address(listener.getsockname())
+            task_status.started()
+            await trio.lowlevel.wait_readable(listener)
+
+            from hyssopvane._internal.roles.metrics_app import MetricsApp
+            from hyssopvane._internal.transport.asgi_server import serve_listener
+
+            await serve_listener(MetricsApp(self._metrics), listener)
+
     async def drain(self) -> None:
         """End at once: nothing runs through the agent."""
         log_event("info", "draining", phase=self._coordinator.phase.name)
--- a/src/hyssopvane/_internal/transport/asgi_server.py
+++ b/src/hyssopvane/_internal/transport/asgi_server.py
@@ -1,5 +1,6 @@
 """Serve an ASGI application on a kernel or a fixed port."""
 
+import socket
 import sys
 
 import trio
@@ -78,6 +79,26 @@
     )
 
 
+async def serve_listener(
+    app: ASGIFramework,
+    listener: socket.socket,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve a socket that listens already, until cancelled."""
+    server = HttpServer(
+        app,
+        config=_make_config(keep_alive_s=KEEP_ALIVE_S),
+        policy=ConnectionPolicy(),
+        leaving=trio.Event(),
+        shutdown=trio.Event(),
+        graceful_timeout_s=0.0,
+    )
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.run, listener)
+        task_status.started()
+
+
 def _make_config(*, keep_alive_s: float) -> Config:
     config = Config()
     config.set_statsd_logger_class(StatsdLogger)
--- a/src/hyssopvane/_internal/utils/metrics.py
+++ b/src/hyssopvane/_internal/utils/metrics.py
@@ -1,5 +1,7 @@
 """Count what a process does, by OpenTelemetry, and render it for Prometheus."""
 
+from collections.abc import Mapping
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.resources import Resource
@@ -49,6 +51,11 @@
         """Count something an operator may want to watch."""
         self._events.add(amount, {**self._labels, "event": event})
 
+    def count_events(self, amounts: Mapping[str, int]) -> None:
+        """Count several events at once, by their names."""
+        for event, amount in amounts.items():
+            self._events.add(amount, {**self._labels, "event": event})
+
     def record_duration(self, *, service: str, seconds: float) -> None:
         """Record the time of a request from its head to its last byte."""
         self._duration.record(seconds, {**self._labels, "service": service})
