Let two entries of a zone watch the store closely, and the others less often

Change: the others wait 15 s. News still come at once; what a silent connection keeps back comes from the close ones, who also tell when the store has come back, so that registrations that lapsed are held as before.

--- a/src/hyssopvane/_internal/coordination/key_value.py
+++ b/src/hyssopvane/_internal/coordination/key_value.py
@@ -84,6 +84,10 @@
     `KeyValueRefused` when the service refuses it.
     """
 
+    watch_s: float = 0.0
+    """Seconds that a watch waits for a change before it is asked again; a service whose
+    watches need no asking leaves it unused."""
+
     @abstractmethod
     async def start(self, nursery: trio.Nursery) -> None:
         """Make the store ready for calls."""
--- a/src/hyssopvane/_internal/coordination/routing_feed.py
+++ b/src/hyssopvane/_internal/coordination/routing_feed.py
@@ -79,6 +79,9 @@
         self.connected_at = -REGAIN_S
         """Time of the first answer of the store since its last silence."""
         self._connected: dict[str, bool] = {}
+        self._was_lost = False
+        self.returned_at: float | None = None
+        """Time of the store's last return from a silence, None where none was seen."""
 
     def start(self, nursery: trio.Nursery) -> None:
         """Follow the store in a nursery."""
@@ -118,6 +121,14 @@
             self._replace_replicas(items, beliefs.replicas_revision, source="peer")
         self._observe()
 
+    def note_return(self, at: float) -> None:
+        """Learn from a peer when the store came back from a silence.
+
+        Registrations lapse while the store is away. A process whose watch waited all
+        the while would take the news of that for the end of all replicas.
+        """
+        self.connected_at = max(self.connected_at, at)
+
     @property
     def configuration_revision(self) -> int:
         """Return the revision of the configuration in force."""
@@ -154,6 +165,9 @@
         self._connected[prefix] = connected
         if connected:
             self.connected_at = trio.current_time()
+            if self._was_lost:
+                self.returned_at = self.connected_at
+        self._was_lost = not connected
         event = "store-regained" if connected else "store-lost"
         log_event(
             "info" if connected else "warning",
--- a/src/hyssopvane/_internal/platform/store.py
+++ b/src/hyssopvane/_internal/platform/store.py
@@ -24,6 +24,7 @@
     KeyValueUnavailable,
     KeyValueUnknown,
 )
+from hyssopvane._internal.policy.store_watch import WATCH_S
 from hyssopvane._internal.transport.replica_client import (
     ReplicaClient,
     ReplicaFailed,
@@ -33,16 +34,9 @@
 CALL_TIMEOUT_S = 1.0
 """Time for an answer: the store answers in 4 ms, and in 0.3 s when it is slow."""
 
-WATCH_S = 3.0
-"""Time that a watch waits for a change before it is asked again.
-
-A connection may go silent for good while new ones work. The watch of an entry has to
-notice it within the two seconds that an accepted change may take, beyond the three in
-which no rule holds. An agent has more time, and each call is paid for.
-"""
-
 AGENT_WATCH_S = 20.0
-"""As above, for agents: the store allows 30 s."""
+"""Time that an agent's watch waits for a change before it is asked again: it has more
+time than an entry's, each call is paid for, and the store allows 30 s."""
 
 REST_S = 0.15
 """Pause after a watch has brought changes, before it is asked again.
@@ -52,7 +46,7 @@
 the two seconds that an accepted change may take.
 """
 
-AGENT_REST_S = 2.0
+AGENT_REST_S = 5.0
 """As above, for agents, which only have to find each other."""
 
 _MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -77,7 +71,7 @@
         self, *, address: str, watch_s: float = WATCH_S, rest_s: float = REST_S
     ) -> None:
         self._address = address
-        self._watch_s = watch_s
+        self.watch_s = watch_s
         self._rest_s = rest_s
         self._client = ReplicaClient()
 
@@ -182,10 +176,14 @@
     async def _wait_for_changes(
         self, prefix: str, after: int
     ) -> tuple[list[WatchEvent], int]:
-        wait_ms = int(self._watch_s * _MILLISECONDS)
-        query = {"prefix": prefix, "after": after, "wait-ms": wait_ms}
+        watch_s = self.watch_s
+        query = {
+            "prefix": prefix,
+            "after": after,
+            "wait-ms": int(watch_s * _MILLISECONDS),
+        }
         status, answer = await self._read(
-            "/api/kv-watch", query, timeout_s=self._watch_s + CALL_TIMEOUT_S
+            "/api/kv-watch", query, timeout_s=watch_s + CALL_TIMEOUT_S
         )
         if status == _HISTORY_GONE:
             raise _HistoryGone
--- a/src/hyssopvane/_internal/protocol/group.capnp
+++ b/src/hyssopvane/_internal/protocol/group.capnp
@@ -21,6 +21,8 @@
   unheard @4 :Bool;
   availabilityZone @5 :Text;
   via @6 :Text;
+  storeReturnedMs @7 :UInt16;
+  # Time since the store's last return, and one more; 0 for none.
 }
 
 struct Presence {
--- a/src/hyssopvane/_internal/protocol/group_messages.py
+++ b/src/hyssopvane/_internal/protocol/group_messages.py
@@ -38,6 +38,7 @@
 _MEMBER = struct.Struct("<HHBB")
 _MAX_WORD = 2**16 - 1
 _MAX_BYTE = 2**8 - 1
+_MILLISECONDS = 1_000
 _PACE_UNITS = 16
 _AGE_UNITS = 100
 _MAX_COUNTS = 2**16
@@ -178,6 +179,9 @@
     builder.unheard = message.unheard
     builder.availabilityZone = message.availability_zone
     builder.via = message.via
+    if message.store_returned_s is not None:
+        returned_ms = int(message.store_returned_s * _MILLISECONDS)
+        builder.storeReturnedMs = min(_MAX_WORD, 1 + returned_ms)
 
 
 def _read_entry(datagram: Any) -> EntryState:
@@ -190,9 +194,14 @@
         unheard=one.unheard,
         availability_zone=one.availabilityZone,
         via=one.via,
+        store_returned_s=_read_returned(one.storeReturnedMs),
     )
 
 
+def _read_returned(milliseconds: int) -> float | None:
+    return (milliseconds - 1) / _MILLISECONDS if milliseconds else None
+
+
 def _write_presence(builder: Any, message: Presence) -> None:
     builder.messages = message.messages
     builder.group = message.group
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -14,6 +14,7 @@
 from hyssopvane._internal.policy.crash_suspects import CrashSuspects
 from hyssopvane._internal.policy.load_inbox import LoadInbox
 from hyssopvane._internal.policy.repeat_budget import RepeatBudget
+from hyssopvane._internal.policy.store_watch import choose_watch_s
 from hyssopvane._internal.protocol.group_messages import GroupMessage
 from hyssopvane._internal.protocol.replica_headers import ReplicaHeaders
 from hyssopvane._internal.roles.belief_exchange import BeliefExchange
@@ -36,6 +37,10 @@
 from hyssopvane._internal.utils.logs import log_event
 from hyssopvane._internal.utils.metrics import Metrics
 
+RETURN_TOLD_S = 3.0
+"""Time for which other entries are told that the store has come back: what lapsed
+meanwhile is back within two seconds."""
+
 LOOK_S = 0.25
 """Pause between two looks for groups whose load no longer comes."""
 
@@ -186,6 +191,10 @@
     def _receive(self, message: GroupMessage, sender: str) -> None:
         match message:
             case EntryState():
+                if message.store_returned_s is not None:
+                    self.feed.note_return(
+                        trio.current_time() - message.store_returned_s
+                    )
                 self.exchange.observe(message)
             case Roster():
                 self._inbox.add_roster(message, now=trio.current_time())
@@ -226,6 +235,7 @@
                 configuration_revision=self.feed.configuration_revision,
                 replicas_revision=self.feed.replicas_revision,
                 availability_zone=self.settings.availability_zone,
+                store_returned_s=self._measure_return(now),
             )
             told = set()
             if number % TELL_PEERS_EVERY == 0:
@@ -236,6 +246,11 @@
             await self._complain(replace(state, unheard=True), now)
             await trio.sleep(LOOK_S)
 
+    def _measure_return(self, now: float) -> float | None:
+        if self.feed.returned_at is None or now - self.feed.returned_at > RETURN_TOLD_S:
+            return None
+        return now - self.feed.returned_at
+
     def _choose_peers(self) -> list[str]:
         """Return the entries that are told how new this one's beliefs are.
 
@@ -250,6 +265,7 @@
         zone = self.settings.availability_zone
         near = [one.address for one in others if one.availability_zone == zone]
         far = [one.address for one in others if one.availability_zone != zone]
+        self._store.watch_s = choose_watch_s(self._port.address, near)
         return near + self._random.sample(sorted(far), min(1, len(far)))
 
     async def _complain(self, state: EntryState, now: float) -> None:
--- a/src/hyssopvane/_internal/state/group.py
+++ b/src/hyssopvane/_internal/state/group.py
@@ -21,6 +21,8 @@
     configuration_revision: int
     replicas_revision: int
     availability_zone: str = ""
+    store_returned_s: float | None = None
+    """Time since the store's last return from a silence, for some seconds after it."""
     unheard: bool = False
     """Whether it has no fresh load of the group of the agent that gets this."""
     via: str = ""
