--- a/src/hyssopvane/_internal/policy/group_presence.py
+++ b/src/hyssopvane/_internal/policy/group_presence.py
@@ -25,6 +25,10 @@
 """Silence after which an agent is no longer taken for the leader: the words of the
 next one come each second."""
 
+MISSING_S = 3.0
+"""Silence after which a member is looked for among the agents that are not known: its
+replica may have been replaced by one on another machine."""
+
 GONE_S = 6.0
 """Silence after which an agent is told nothing more: full states come each 2 s."""
 
@@ -84,10 +88,14 @@
     def observe(self, address: str, rank: int, *, now: float) -> None:
         """Take note that an agent lives."""
         peer = self._peers.get(address)
-        if peer is None or peer.rank != rank:
-            self._peers[address] = _Peer(rank, now)
-        else:
+        if peer is not None and peer.rank == rank:
             peer.at = now
+            return
+        # Another machine has the rank now: whoever had it is no member any more.
+        for other, known in list(self._peers.items()):
+            if known.rank == rank:
+                del self._peers[other]
+        self._peers[address] = _Peer(rank, now)
 
     def complete(
         self, state: RankState, sender: str, *, now: float
@@ -133,7 +141,8 @@
         told = lowest[:ANNOUNCERS]
         if self._round % (LEADER_EVERY if leads else DEPUTY_EVERY) == 0:
             told = lowest
-        if len(self._peers) + 1 < ranks:
+        present = sum(now - peer.at < MISSING_S for peer in self._peers.values())
+        if present + 1 < ranks:
             told = [*told, *self._choose_strangers(agents)]
         return told
 
--- a/src/hyssopvane/_internal/policy/load_relays.py
+++ b/src/hyssopvane/_internal/policy/load_relays.py
@@ -79,6 +79,7 @@
         known = self._entries.get(state.address)
         is_new = known is None
         if known is None or known.availability_zone != zone:
+            self._forget_gone(now)
             known = self._entries[state.address] = _Known(zone, now)
         known.heard_at = now
         known.via = state.via or known.via
--- /dev/null
+++ b/tests/unit/test_group_presence.py
@@ -0,0 +1,186 @@
+"""Test which agents of a group speak to whom."""
+
+import pytest
+
+from hyssopvane._internal.policy.group_presence import (
+    ANNOUNCERS,
+    FIRST_S,
+    FULL_REPEATS,
+    FULL_S,
+    GONE_S,
+    LOST_S,
+    MISSING_S,
+    PRESENCE_S,
+    STRANGERS_PER_S,
+    GroupPresence,
+)
+from hyssopvane._internal.state.group import RankState
+
+RANKS = 64
+
+
+def make_address(rank):
+    return f"10.0.0.{rank + 1}:7001"
+
+
+def make_state(rank, **changes):
+    fields = {
+        "messages": make_address(rank),
+        "replica": f"10.0.0.{rank + 1}:80",
+        "group": "g",
+        "epoch": 1,
+        "rank": rank,
+        "ranks": RANKS,
+        "open": True,
+        "active": 1,
+        "queued": 0,
+        "step": 5,
+        "map_version": 0,
+        "prepared": 0,
+        "armed_version": 0,
+        "armed_step": 0,
+        "held_step": 0,
+        "started_ms": 7,
+    }
+    return RankState(**(fields | changes))
+
+
+def make_short(rank, **changes):
+    return make_state(rank, messages="", replica="", group="", **changes)
+
+
+def make_presence(ranks, *, now=0.0):
+    presence = GroupPresence()
+    for rank in ranks:
+        presence.observe(make_address(rank), rank, now=now)
+    return presence
+
+
+@pytest.mark.parametrize(
+    ("own", "heard", "expected"),
+    [
+        (0, (1, 2, 3), True),
+        (2, (0, 1), True),
+        (3, (0, 1, 2), False),
+        (40, (0, 1), True),
+        (40, (0, 1, 2), False),
+        (40, (50, 51, 52), True),
+    ],
+)
+def test_only_the_lowest_ranks_that_live_speak_to_all(own, heard, expected):
+    presence = make_presence(heard)
+    presence.announces(own, 0.0)
+    later = FIRST_S + 64 * 0.02
+    for rank in heard:
+        presence.observe(make_address(rank), rank, now=later)
+    assert presence.announces(own, later) == expected
+
+
+def test_all_agents_start_at_once_and_few_speak():
+    """Everything lost power, and all agents of a group come back in the same moment.
+
+    Were each to speak to all others before it has heard one, thousands of messages
+    would fill the links that callers wait for.
+    """
+    agents = {rank: GroupPresence() for rank in range(RANKS)}
+    spoke = set()
+    for tick in range(200):
+        now = tick * 0.01
+        for rank, presence in agents.items():
+            if presence.announces(rank, now):
+                spoke.add(rank)
+                for other in agents.values():
+                    if other is not presence:
+                        other.observe(make_address(rank), rank, now=now)
+    assert spoke == set(range(ANNOUNCERS))
+
+
+def count_words(presence, seconds, *, leads, ranks=RANKS, agents=()):
+    told = 0
+    for tick in range(int(seconds / PRESENCE_S)):
+        now = tick * PRESENCE_S
+        for rank in range(1, RANKS):
+            presence.observe(make_address(rank), rank, now=now)
+        told += len(presence.choose_told(0, ranks, agents, now, leads=leads))
+    return told
+
+
+def test_words_grow_with_the_group_and_not_with_the_fleet():
+    strangers = [f"10.1.{n // 200}.{n % 200}:7001" for n in range(10_000)]
+    few = count_words(make_presence(()), 10.0, leads=True)
+    many = count_words(make_presence(()), 10.0, leads=True, agents=strangers)
+    assert few == many
+    missing = count_words(
+        make_presence(()), 10.0, leads=True, ranks=RANKS + 1, agents=strangers
+    )
+    assert missing - few <= 10 * STRANGERS_PER_S
+
+
+def test_member_that_was_replaced_is_looked_for():
+    """A replica is replaced by one on another machine, whose agent nobody knows."""
+    presence = make_presence(range(1, RANKS))
+    stranger = "10.9.9.9:7001"
+    told = set()
+    for tick in range(int((MISSING_S + 1.0) / PRESENCE_S)):
+        now = tick * PRESENCE_S
+        for rank in range(1, RANKS - 1):
+            presence.observe(make_address(rank), rank, now=now)
+        told.update(presence.choose_told(0, RANKS, [stranger], now, leads=True))
+    assert stranger in told
+    presence.observe(stranger, RANKS - 1, now=MISSING_S + 1.0)
+    told = presence.choose_told(0, RANKS, [], MISSING_S + 1.0, leads=True)
+    assert make_address(RANKS - 1) not in told
+
+
+@pytest.mark.parametrize(
+    "short",
+    [
+        make_short(5, started_ms=8),
+        make_short(5, epoch=2),
+        make_short(6),
+        make_short(5, ranks=65),
+    ],
+    ids=["other-start", "other-epoch", "other-rank", "other-size"],
+)
+def test_short_state_is_completed_by_the_full_one_of_the_same_start_only(short):
+    """A replica starts anew, or its group is formed anew, before a full state of it.
+
+    What an earlier one named may be another's address by now.
+    """
+    presence = GroupPresence()
+    sender = make_address(5)
+    assert presence.complete(make_short(5), sender, now=0.0) is None
+    presence.complete(make_state(5), sender, now=0.0)
+    assert presence.complete(make_short(5, active=3), sender, now=0.1) == make_state(
+        5, active=3
+    )
+    assert presence.complete(short, sender, now=0.2) is None
+
+
+def test_full_states_come_first_and_then_now_and_then():
+    presence = make_presence((0, 1, 2))
+    full = []
+    for tick in range(100):
+        now = tick * 0.1
+        for rank in (0, 1, 2):
+            presence.observe(make_address(rank), rank, now=now)
+        to, is_full = presence.choose_full(make_state(9), 9, now)
+        assert to[0] == make_address(0)
+        assert len(to) == (ANNOUNCERS if is_full else 1)
+        full.append(is_full)
+    assert all(full[:FULL_REPEATS])
+    assert sum(full) <= FULL_REPEATS + 10.0 / FULL_S
+
+
+def test_next_rank_is_told_when_the_leader_is_silent():
+    presence = make_presence((0, 1, 2))
+    assert presence.find_leader(9, 0.0) == make_address(0)
+    presence.observe(make_address(1), 1, now=LOST_S + 0.1)
+    assert presence.find_leader(9, LOST_S + 0.2) == make_address(1)
+    to, is_full = presence.choose_full(make_state(9), 9, LOST_S + 0.2)
+    assert (to[0], is_full) == (make_address(1), True)
+
+
+def test_agent_that_left_is_forgotten():
+    presence = make_presence(range(1, 4))
+    assert len(presence.choose_told(0, 4, [], GONE_S + 1.0, leads=True)) == 0
