Expect arrivals by what runs and how long it lasts, and divide a zone's replicas

The arrivals until the next loads were told by an entry's own rate, one or two a second, so that each of seven entries of a zone took itself for alone.

Change: arrivals are the group's running requests over the mean time that they last. Of the replicas of its zone an entry goes first to those that are its own by rendezvous, while they lie no higher than the common level.

--- a/src/hyssopvane/_internal/policy/group_room.py
+++ b/src/hyssopvane/_internal/policy/group_room.py
@@ -18,8 +18,11 @@
 """
 
 
-RATE_S = 1.0
-"""Time over which an entry counts the places that it takes."""
+FIRST_LASTS_S = 1.0
+"""Time for which a request runs while none has ended yet."""
+
+LASTS_WEIGHT = 0.1
+"""Weight of the last request in the mean time for which one runs."""
 
 
 class GroupRoom:
@@ -42,7 +45,10 @@
         self._epoch = -1
         self._ranks = 1
         self._starts: deque[float] = deque()
-        """Times at which this entry took places lately."""
+        """Times at which this entry took the places that it still has."""
+        self._lasts_s = FIRST_LASTS_S
+        """Mean time for which a request runs."""
+        self._ended = 0
         self._read_left = 0.0
         """Prompt tokens that this entry may still send before the next pass."""
         self._read_due = True
@@ -143,12 +149,29 @@
         """Return the requests that all entries send in the time between two loads.
 
         What is believed of a rank is up to a look of its agent and one of the leader
-        old. Others send as many requests as their part of those that run.
+        old. As many requests come in a time as leave in it, so their number follows
+        from those that run and how long they last. What one entry sends in that time is
+        too little to tell by: with its own rate, of one or two requests a second, each
+        of seven entries of a zone took itself for alone, and one request in eight met a
+        full rank.
         """
-        while self._starts and self._starts[0] <= now - RATE_S:
-            self._starts.popleft()
         unheard_s = 2 * measure_look_s(self._ranks)
-        return len(self._starts) / RATE_S * unheard_s / self._measure_share(now)
+        return self.count(now) * unheard_s / max(self._lasts_s, unheard_s)
+
+    def finish(self, now: float) -> None:
+        """Take note that one of this entry's requests has left the group.
+
+        Which one it was does not matter for the mean time that they last.
+        """
+        # Those of a replica's earlier start have ended unseen.
+        own = sum(member.own for member in self.members.values())
+        while len(self._starts) > own + 1:
+            self._starts.popleft()
+        if self._starts:
+            lasted_s = now - self._starts.popleft()
+            self._ended += 1
+            weight = max(LASTS_WEIGHT, 1 / self._ended)
+            self._lasts_s += weight * (lasted_s - self._lasts_s)
 
     def take(self, prompt_tokens: int, *, now: float) -> None:
         """Count a place that this entry has taken."""
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from hyssopvane._internal.policy.group_room import GroupRoom
+from hyssopvane._internal.policy.home_replicas import HomeReplicas
 from hyssopvane._internal.policy.level_choice import (
     REQUEST_COST,
     choose_below,
@@ -97,8 +98,15 @@
     takes its part of what is free.
     """
 
-    def __init__(self, *, random: Random, availability_zone: str) -> None:
+    def __init__(
+        self,
+        *,
+        random: Random,
+        availability_zone: str,
+        homes: HomeReplicas | None = None,
+    ) -> None:
         self._random = random
+        self._homes = HomeReplicas() if homes is None else homes
         self._zone = availability_zone
         self._queue = FairQueue()
         self._late = FairQueue()
@@ -196,6 +204,7 @@
         if one is None:
             return
         one.finish(failed=failed)
+        self._groups[one.group].finish(now)
         if one.failures > _EJECT_ABOVE and self._may_eject(now):
             one.out_until = now + _EJECT_S
             one.failures = 0.0
@@ -255,6 +264,7 @@
         same_address.remove(one)
         if not same_address:
             del self._by_address[one.replica.address]
+        self._homes.forget(one.replica.address)
         self._leave_group(replica_id, one.group)
 
     def _join_group(self, one: ReplicaLoad) -> None:
@@ -351,9 +361,14 @@
         # Those of the own zone get about their part of what arrives. Bytes between
         # zones are paid for; a full rank beside a free one costs more.
         near_arrivals = arrivals * len(near) / len(room)
-        if near and _find_level(near, near_arrivals) <= (
-            _find_level(room, arrivals) + NEAR_SLACK
-        ):
+        highest = _find_level(room, arrivals) + NEAR_SLACK
+        home = [one for one in near if self._homes.is_home(one.load.replica.address)]
+        if home:
+            least = min(one.cost for one in home)
+            if least + REQUEST_COST <= highest:
+                best = [one for one in home if one.cost == least]
+                return self._random.choice(best).load
+        if near and _find_level(near, near_arrivals) <= highest:
             room, arrivals = near, near_arrivals
         number = choose_below(
             [one.cost for one in room],
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -265,6 +265,7 @@
         zone = self.settings.availability_zone
         near = [one.address for one in others if one.availability_zone == zone]
         far = [one.address for one in others if one.availability_zone != zone]
+        self.gates.homes.update(self._port.address, near)
         self._store.watch_s = choose_watch_s(self._port.address, near)
         return near + self._random.sample(sorted(far), min(1, len(far)))
 
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from hyssopvane._internal.policy.home_replicas import HomeReplicas
 from hyssopvane._internal.policy.service_gate import (
     Place,
     ServiceGate,
@@ -42,8 +43,12 @@
     ) -> None:
         self._observe_restart = observe_restart
         """Takes the address of a replica that has started anew under its id."""
+        self.homes = HomeReplicas()
         self._make_gate = partial(
-            ServiceGate, random=random, availability_zone=availability_zone
+            ServiceGate,
+            random=random,
+            availability_zone=availability_zone,
+            homes=self.homes,
         )
         self._gates: dict[str, ServiceGate] = {}
         self._waiters: dict[str, _Waiter] = {}
