--- a/tests/unit/test_level_choice.py
+++ b/tests/unit/test_level_choice.py
@@ -115,9 +115,8 @@
 def test_arrivals_follow_from_what_runs_and_how_long_it_lasts():
     """An entry of many sends a request or two a second, and sees a hundred running."""
     gate = make_gate(63, engine=ENGINE)
-    for rank in range(63):
-        load = make_load(rank, ranks=63, active=2, pass_s=0.05, entries=13)
-        gate.observe_load(load, now=10.0)
+    told = {"ranks": 63, "active": 2, "pass_s": 0.05, "entries": 13}
+    gate.observe_loads([(make_load(rank, **told), 10.0) for rank in range(63)])
     room = gate._groups["group"]
     for number in range(60):
         gate.add(make_waiting(number, now=10.0), weight=1.0)
