Learn how long a demand lasts, and make no change that costs more than it saves

Cause: the number of copies followed from a demand of 3 s, a figure of one site. Change: the time from a map in force to the next change that is worth making, by a moving mean; a demand that has stayed longer is expected to stay as long again.

--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -108,8 +108,11 @@
 streams of a busy day met their objective instead of three in five.
 """
 
-DEMAND_S = 3.0
-"""Time that a demand is expected to last when it is found."""
+FIRST_DEMAND_S = 3.0
+"""Time that a demand is expected to last until it has been seen to move."""
+
+DEMAND_WEIGHT = 0.3
+"""Weight of the last demand in the time that one is expected to last."""
 
 _ASK_AGAIN_S = 0.03
 """Time after which the rank that holds is read again: one call takes some 5 ms."""
@@ -240,6 +243,9 @@
         self._pass_s = 0.0
         self.arming_s = FIRST_ARMING_S
         self._step_at = float("-inf")
+        self._in_force_at: float | None = None
+        """Time at which the last change came into force."""
+        self._lasts_s = FIRST_DEMAND_S
         self._asked_at = float("-inf")
         self._searched_at = float("-inf")
         """Time of the last look for a better map."""
@@ -454,6 +460,7 @@
         self._group, self._epoch = state.group, state.epoch
         self._heard.clear()
         self._demand.clear()
+        self._in_force_at = None
         self._reset()
 
     def _reset(self) -> None:
@@ -491,6 +498,9 @@
         chosen = self._choose(now)
         if chosen is None:
             return []
+        if self._in_force_at is not None:
+            lasted_s = now - self._in_force_at
+            self._lasts_s += DEMAND_WEIGHT * (lasted_s - self._lasts_s)
         version = self._make_version(states)
         self._change = _Change(version, chosen.move.experts, now, chosen.copy_s)
         self.phase = Phase.PREPARING
@@ -513,10 +523,20 @@
             loads,
             self.layout,
             paces=self._list_paces(),
-            lasts_s=DEMAND_S,
+            lasts_s=self._measure_lasting(now),
             arming_s=self.arming_s,
         )
-        return found if found.saved >= LEAST_GAIN else None
+        return found if found.saved >= LEAST_GAIN and found.worth_s > 0 else None
+
+    def _measure_lasting(self, now: float) -> float:
+        """Return the time that the present demand is expected to last.
+
+        It is the time from a map in force to the next one that is worth making. A
+        demand that has stayed for longer is expected to stay as long again.
+        """
+        if self._in_force_at is None:
+            return self._lasts_s
+        return max(self._lasts_s, now - self._in_force_at)
 
     def _get_map(self) -> ExpertLists | None:
         states = self._list_states()
@@ -618,6 +638,7 @@
     def _release(self, now: float) -> list[Action]:
         change = self._get_change()
         if self._find(change.holder).held_step != change.step:
+            self._in_force_at = now
             self._reset()
             return []
         return self._order(now, Release(self._epoch, change.step))
