--- a/src/hyssopvane/_internal/policy/group_presence.py
+++ b/src/hyssopvane/_internal/policy/group_presence.py
@@ -44,10 +44,12 @@
 followed the store for nothing.
 """
 
-STRANGERS_PER_S = 200
+STRANGERS_PER_S = 400
 """Agents outside the group that is known which are told, while members are missing.
 
-They are told in turn, so the cost does not grow with the fleet.
+They are told in turn, so the cost does not grow with the fleet: 19 KB a second. After a
+loss of power a group of 64 among 192 was complete after three seconds with a quarter of
+that, and until then no map followed its demand.
 """
 
 FULL_S = 2.0
