--- a/src/hyssopvane/_internal/policy/load_inbox.py
+++ b/src/hyssopvane/_internal/policy/load_inbox.py
@@ -62,12 +62,7 @@
             return
         self._rosters[roster.number] = roster
         self._used_at[roster.number] = now
-        name = _name_group(roster)
-        group = self._groups.get(name)
-        if group is None:
-            self._groups[name] = _Group(roster, now)
-        else:
-            group.roster = roster
+        self._find_group(roster, now).roster = roster
         self._forget_old(now)
 
     def take(self, load: GroupLoad, *, now: float) -> Roster | None:
@@ -80,7 +75,7 @@
         roster = self._rosters.get(load.roster)
         if roster is None or len(roster.members) != len(load.members):
             return None
-        group = self._groups[_name_group(roster)]
+        group = self._find_group(roster, now)
         if load.sequence <= group.sequences.get(load.source, -1):
             return None
         group.sequences.pop(load.source, None)
@@ -142,6 +137,12 @@
         self._ask_pause_s = min(LAST_COMPLAINT_S, 2 * self._ask_pause_s)
         return self._random.sample(unknown, min(ASKED_AT_ONCE, len(unknown)))
 
+    def _find_group(self, roster: Roster, now: float) -> _Group:
+        name = _name_group(roster)
+        if name not in self._groups:
+            self._groups[name] = _Group(roster, now)
+        return self._groups[name]
+
     def _forget_old(self, now: float) -> None:
         for number, used_at in list(self._used_at.items()):
             if now - used_at > KEPT_S:
