Believe an agent that says it leads where the leader is silent

Change: who begins to lead tells all at once, and is believed where the lower ranks have been silent for 0.6 s; a leader tells all each 0.5 s, so a cut between the two alone changes nothing.

--- a/src/hyssopvane/_internal/policy/group_presence.py
+++ b/src/hyssopvane/_internal/policy/group_presence.py
@@ -29,6 +29,14 @@
 """Silence after which a member is looked for among the agents that are not known: its
 replica may have been replaced by one on another machine."""
 
+CLAIM_S = 0.6
+"""Silence of the lower ranks after which an agent that says that it leads is believed.
+
+It has not heard of them for 0.8 s, and a leader tells all that it lives each 0.5 s.
+Were the ranks to wait for the whole time above, a pass that the leader held when it
+failed would stand still for half a second more.
+"""
+
 GONE_S = 6.0
 """Silence after which an agent is told nothing more: full states come each 2 s."""
 
@@ -74,6 +82,7 @@
         self._peers: dict[str, _Peer] = {}
         self._since: float | None = None
         self._round = 0
+        self._led = False
         self._turn = 0
         self._told: tuple[object, ...] = ()
         """What the last full states were about."""
@@ -88,8 +97,14 @@
         """Drop all agents: the rank belongs to another group now."""
         self._peers.clear()
 
-    def observe(self, address: str, rank: int, *, now: float) -> None:
-        """Take note that an agent lives."""
+    def observe(
+        self, address: str, rank: int, *, now: float, leads: bool = False
+    ) -> None:
+        """Take note that an agent lives, and whether it says that it leads."""
+        if leads:
+            for peer in self._peers.values():
+                if peer.rank < rank and now - peer.at > CLAIM_S:
+                    peer.at = min(peer.at, now - LOST_S)
         peer = self._peers.get(address)
         if peer is not None and peer.rank == rank:
             peer.at = now
@@ -143,7 +158,10 @@
         self._round += 1
         lowest = sorted(self._peers, key=lambda one: self._peers[one].rank)
         told = lowest[:ANNOUNCERS]
-        if self._round % (LEADER_EVERY if leads else DEPUTY_EVERY) == 0:
+        begins_to_lead = leads and not self._led
+        self._led = leads
+        every = LEADER_EVERY if leads else DEPUTY_EVERY
+        if begins_to_lead or self._round % every == 0:
             told = lowest
         present = sum(now - peer.at < MISSING_S for peer in self._peers.values())
         if present + 1 < ranks:
--- a/src/hyssopvane/_internal/protocol/group.capnp
+++ b/src/hyssopvane/_internal/protocol/group.capnp
@@ -31,6 +31,7 @@
   group @1 :Text;
   epoch @2 :UInt32;
   rank @3 :UInt16;
+  leads @4 :Bool;
 }
 
 struct Beliefs {
--- a/src/hyssopvane/_internal/protocol/group_messages.py
+++ b/src/hyssopvane/_internal/protocol/group_messages.py
@@ -214,11 +214,12 @@
     builder.group = message.group
     builder.epoch = message.epoch
     builder.rank = message.rank
+    builder.leads = message.leads
 
 
 def _read_presence(datagram: Any) -> Presence:
     one = datagram.presence
-    return Presence(one.messages, one.group, one.epoch, one.rank)
+    return Presence(one.messages, one.group, one.epoch, one.rank, one.leads)
 
 
 def _write_order(builder: Any, message: OrderRequest) -> None:
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -248,7 +248,9 @@
                 # each other: the lowest rank of another one leads nothing here.
                 self._presence.forget(message.messages)
             case Presence():
-                self._presence.observe(message.messages, message.rank, now=now)
+                self._presence.observe(
+                    message.messages, message.rank, now=now, leads=message.leads
+                )
                 self._coordinator.note_agent(message.rank, now=now)
             case RankState():
                 self._take_state(message, sender, now)
@@ -607,15 +609,12 @@
             if not self._presence.announces(report.rank, now):
                 continue
             self._follow_store()
+            leads = self._coordinator.leads(now)
             told = self._presence.choose_told(
-                report.rank,
-                report.ranks,
-                self._agents,
-                now,
-                leads=self._coordinator.leads(now),
+                report.rank, report.ranks, self._agents, now, leads=leads
             )
             presence = Presence(
-                self._settings.messages, report.group, report.epoch, report.rank
+                self._settings.messages, report.group, report.epoch, report.rank, leads
             )
             await self._port.send(presence, *told)
 
--- a/src/hyssopvane/_internal/state/group.py
+++ b/src/hyssopvane/_internal/state/group.py
@@ -38,6 +38,8 @@
     group: str
     epoch: int
     rank: int
+    leads: bool = False
+    """Whether it leads: it has not heard of a lower rank for a while."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/lib/decoder_fuzz.py
+++ b/tests/lib/decoder_fuzz.py
@@ -66,7 +66,7 @@
     EntryState(_A, _A, 3, 4, "zone-a", 0.5, True, _A),
     GroupLoad(7, 1, 5, 1, 2, True, 9, 0.06, 4, (MemberLoad(1, 0, 1.0, 0.1),), True, _A),
     Roster(7, "g", (Member(_A, 5),), (EntryContact(_A, "zone-a"),), True, _A),
-    Presence(_A, "g", 1, 0),
+    Presence(_A, "g", 1, 0, True),
     OrderRequest("g", 1, 9, True),
     RankState(
         _A, _A, "g", 1, 0, 2, True, 1, 0, 9, 1, 2, 3, 4, 5, ((0, 1),), 1.0, (1, 2)
--- a/tests/unit/test_group_presence.py
+++ b/tests/unit/test_group_presence.py
@@ -188,3 +188,30 @@
 def test_agent_that_left_is_forgotten():
     presence = make_presence(range(1, 4))
     assert len(presence.choose_told(0, 4, [], GONE_S + 1.0, leads=True)) == 0
+
+
+@pytest.mark.parametrize(
+    ("silent_s", "believed"), [(0.1, False), (0.5, False), (0.7, True), (1.2, True)]
+)
+def test_agent_that_says_it_leads_is_believed_when_the_leader_is_silent(
+    silent_s, believed
+):
+    """The leader fails while it holds its group, and the next agent takes over.
+
+    Until the ranks tell it where they are, it can't let the pass go on, and all streams
+    of the group pause. Where only the link between the two is cut, the ranks still hear
+    the leader and stay with it.
+    """
+    presence = make_presence((0, 1))
+    presence.observe(make_address(1), 1, now=silent_s, leads=True)
+    expected = make_address(1 if believed else 0)
+    assert presence.find_leader(9, silent_s) == expected
+    presence.observe(make_address(0), 0, now=silent_s + 0.1)
+    assert presence.find_leader(9, silent_s + 0.1) == make_address(0)
+
+
+def test_agent_that_begins_to_lead_tells_all_at_once():
+    presence = make_presence(range(2, RANKS))
+    for _ in range(3):
+        presence.choose_told(1, RANKS, [], 0.0, leads=False)
+    assert len(presence.choose_told(1, RANKS, [], 0.0, leads=True)) == RANKS - 2
