--- a/src/hyssopvane/_internal/policy/group_presence.py
+++ b/src/hyssopvane/_internal/policy/group_presence.py
@@ -102,9 +102,9 @@
     ) -> None:
         """Take note that an agent lives, and whether it says that it leads."""
         if leads:
-            for peer in self._peers.values():
-                if peer.rank < rank and now - peer.at > CLAIM_S:
-                    peer.at = min(peer.at, now - LOST_S)
+            for lower in self._peers.values():
+                if lower.rank < rank and now - lower.at > CLAIM_S:
+                    lower.at = min(lower.at, now - LOST_S)
         peer = self._peers.get(address)
         if peer is not None and peer.rank == rank:
             peer.at = now
