--- a/src/hyssopvane/_internal/policy/load_inbox.py
+++ b/src/hyssopvane/_internal/policy/load_inbox.py
@@ -103,6 +103,14 @@
             one for group in self._groups.values() for one in group.roster.entries
         )
 
+    def list_silent(self, now: float) -> frozenset[str]:
+        """Return the groups whose load has not come lately, by their names."""
+        return frozenset(
+            name
+            for name, group in self._groups.items()
+            if now - group.heard_at >= UNHEARD_S
+        )
+
     def choose_complaints(self, now: float) -> list[str]:
         """Return the replicas whose agents are told now that a load is missing."""
         chosen: list[str] = []
--- a/src/hyssopvane/_internal/policy/load_relays.py
+++ b/src/hyssopvane/_internal/policy/load_relays.py
@@ -103,6 +103,14 @@
             chosen += zone.relays
         return chosen
 
+    def describe(self) -> str:
+        """Return the relays of each zone, for the log."""
+        return ",".join(
+            f"{name}={relay.entry}" + (f" via {relay.via}" if relay.via else "")
+            for name, zone in sorted(self._zones.items())
+            for relay in zone.relays
+        )
+
     def list_entries(self, now: float) -> list[EntryContact]:
         """Return the entries that were heard lately."""
         self._forget_gone(now)
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -101,6 +101,8 @@
         self._port = DatagramPort(settings.messages, count=self.metrics.count_event)
         self._random = random
         self._inbox = LoadInbox(random=random)
+        self._silent: frozenset[str] = frozenset()
+        """Groups whose load did not come at the last look."""
         self.app = DirectApp(
             feed=self.feed,
             random=random,
@@ -243,9 +245,18 @@
             if number % TELL_LEADERS_EVERY == 0:
                 told.update(map(self._find_agent, self._inbox.list_contacts()))
             await self._port.send(state, *told)
+            self._note_silence(now)
             await self._complain(replace(state, unheard=True), now)
             await trio.sleep(LOOK_S)
 
+    def _note_silence(self, now: float) -> None:
+        silent = self._inbox.list_silent(now)
+        for group in silent - self._silent:
+            log_event("warning", "group-silent", group=group)
+        for group in self._silent - silent:
+            log_event("info", "group-heard", group=group)
+        self._silent = silent
+
     def _measure_return(self, now: float) -> float | None:
         if self.feed.returned_at is None or now - self.feed.returned_at > RETURN_TOLD_S:
             return None
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -167,6 +167,7 @@
         self._ordered: tuple[RankOrder | None, float] = (None, float("-inf"))
         self._told_at = float("-inf")
         """Time of the last regular word to the leader or the entries."""
+        self._logged_relays = ""
         self._told_progress: tuple[int, ...] = ()
         """Progress of the change that the leader was told last."""
         self._changed = trio.Event()
@@ -428,6 +429,10 @@
         pass_s = self._passes.measure(now=now)
         for telling in self._teller.tell(report, heard, pass_s=pass_s, now=now):
             await self._port.send(telling.message, *telling.to)
+        relays = self._teller.relays.describe()
+        if relays != self._logged_relays:
+            self._logged_relays = relays
+            log_event("info", "load-relays", group=report.group, relays=relays)
 
     def _make_state(
         self, report: RankReport, counts: Counts, *, replica: str = ""
