Keep the actions of a leader and the times of looks in modules of their own

group_room needs the time of a look and imported the whole coordinator for it. Nothing else changes.

--- a/src/hyssopvane/_internal/policy/group_room.py
+++ b/src/hyssopvane/_internal/policy/group_room.py
@@ -3,7 +3,7 @@
 from collections import deque
 from random import Random
 
-from hyssopvane._internal.policy.map_coordinator import measure_look_s
+from hyssopvane._internal.policy.look_times import measure_look_s
 from hyssopvane._internal.policy.pass_model import PassModel
 from hyssopvane._internal.policy.replica_load import UNHEARD_ENTRIES, ReplicaLoad
 from hyssopvane._internal.state.loads import RankLoad
--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -28,35 +28,21 @@
 
 from hyssopvane._internal.policy.demand_window import DemandWindow
 from hyssopvane._internal.policy.expert_moves import measure_skew
+from hyssopvane._internal.policy.look_times import FRESH_S, measure_fresh_s
+from hyssopvane._internal.policy.map_actions import (
+    Action,
+    Announce,
+    AskAgent,
+    AskRank,
+    DelegateOrder,
+    GiveOrder,
+)
 from hyssopvane._internal.policy.move_worth import WeighedMove, find_move
 from hyssopvane._internal.state.group import MapChange, RankState
 from hyssopvane._internal.state.loads import SLOW_PACE
 from hyssopvane._internal.state.ranks import Arm, ExpertLists, Hold, RankOrder, Release
 from hyssopvane._internal.state.routing import ExpertLayout
 
-FRESH_S = 0.2
-"""Age up to which a rank's state counts; agents tell it every few hundredths."""
-
-FRESH_LOOKS = 2.5
-"""As above, in looks of the ranks' agents, for groups whose agents look less often.
-
-The leader of a group must see all ranks fresh at one moment, and now and then a message
-is lost: two looks and room for the way. With the time alone, a group of more than 40
-ranks was never seen whole, and no change of maps ever began.
-"""
-
-LOOK_S = 0.06
-"""Pause between two looks of an agent at its rank: about a pass."""
-
-LOOKS_PER_S = 512
-"""Looks of all agents of a group, each of which tells the leader its rank's state.
-
-The leader takes them all. Groups of more than 30 ranks look less often, so that its
-work, and that of all agents together, grows with the number of groups only. With 64
-ranks each looks eight times a second: what entries believe is at most a look of the
-rank's agent and one of the leader old, a quarter of a second.
-"""
-
 ALONE_S = 0.8
 """Silence of the agents of lower ranks after which the next one leads."""
 
@@ -152,50 +138,6 @@
     RELEASING = auto()
 
 
-@dataclass(frozen=True, slots=True)
-class Announce:
-    """Tell the agents of all ranks what to bring about."""
-
-    change: MapChange
-    to: tuple[str, ...]
-    """Addresses of the agents that are told."""
-
-
-@dataclass(frozen=True, slots=True)
-class GiveOrder:
-    """Give an order to one rank directly."""
-
-    replica: str
-    order: RankOrder
-
-
-@dataclass(frozen=True, slots=True)
-class DelegateOrder:
-    """Let the agent beside a rank give it an order."""
-
-    agent: str
-    """Address of the agent."""
-    order: Hold | Release
-
-
-@dataclass(frozen=True, slots=True)
-class AskAgent:
-    """Let the agent beside a rank look at it now and tell what it sees."""
-
-    agent: str
-    """Address of the agent."""
-
-
-@dataclass(frozen=True, slots=True)
-class AskRank:
-    """Read the report of a rank whose own agent is silent."""
-
-    replica: str
-
-
-Action = Announce | GiveOrder | DelegateOrder | AskAgent | AskRank
-
-
 @dataclass(slots=True)
 class _Heard:
     state: RankState
@@ -769,16 +711,6 @@
     )
 
 
-def measure_look_s(ranks: int) -> float:
-    """Return the pause between two looks of an agent in a group of so many ranks."""
-    return max(LOOK_S, ranks / LOOKS_PER_S)
-
-
-def measure_fresh_s(ranks: int) -> float:
-    """Return the age up to which the state of a rank counts."""
-    return max(FRESH_S, FRESH_LOOKS * measure_look_s(ranks))
-
-
 def _is_armed(state: RankState, change: _Change) -> bool:
     if state.map_version == change.version:
         return True
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -20,17 +20,15 @@
 from hyssopvane._internal.policy.count_meter import CountMeter
 from hyssopvane._internal.policy.group_presence import PRESENCE_S, GroupPresence
 from hyssopvane._internal.policy.load_teller import LoadTeller
-from hyssopvane._internal.policy.map_coordinator import (
-    LOOK_S,
+from hyssopvane._internal.policy.look_times import LOOK_S, measure_look_s
+from hyssopvane._internal.policy.map_actions import (
     Announce,
     AskAgent,
     AskRank,
     DelegateOrder,
     GiveOrder,
-    MapCoordinator,
-    get_progress,
-    measure_look_s,
 )
+from hyssopvane._internal.policy.map_coordinator import MapCoordinator, get_progress
 from hyssopvane._internal.policy.map_spread import split_among, split_by_zone
 from hyssopvane._internal.policy.pass_meter import PassMeter
 from hyssopvane._internal.protocol.group_messages import GroupMessage
--- a/tests/functional/test_rank_agent.py
+++ b/tests/functional/test_rank_agent.py
@@ -10,7 +10,7 @@
 from hyssopvane._internal.assembly import make_role
 from hyssopvane._internal.models.settings import RankAgentSettings
 from hyssopvane._internal.policy import map_spread
-from hyssopvane._internal.policy.map_coordinator import Announce
+from hyssopvane._internal.policy.map_actions import Announce
 from hyssopvane._internal.roles.rank_agent import PAUSE_S
 from hyssopvane._internal.state.group import EntryState, MapChange
 from hyssopvane._internal.state.loads import GroupLoad, Roster
--- a/tests/lib/rank_model.py
+++ b/tests/lib/rank_model.py
@@ -4,12 +4,14 @@
 from random import Random
 
 from hyssopvane._internal.policy.group_presence import ANNOUNCERS, LOST_S
-from hyssopvane._internal.policy.map_coordinator import (
+from hyssopvane._internal.policy.map_actions import (
     Announce,
     AskAgent,
     AskRank,
     DelegateOrder,
     GiveOrder,
+)
+from hyssopvane._internal.policy.map_coordinator import (
     MapCoordinator,
 )
 from hyssopvane._internal.state.group import MapChange, RankState
--- a/tests/unit/test_map_coordinator.py
+++ b/tests/unit/test_map_coordinator.py
@@ -6,11 +6,14 @@
 import pytest
 
 from hyssopvane._internal.policy import map_coordinator
-from hyssopvane._internal.policy.map_coordinator import (
+from hyssopvane._internal.policy.look_times import measure_look_s
+from hyssopvane._internal.policy.map_actions import (
     AskAgent,
     AskRank,
     DelegateOrder,
     GiveOrder,
+)
+from hyssopvane._internal.policy.map_coordinator import (
     MapCoordinator,
     Phase,
 )
@@ -166,7 +169,7 @@
 
 def hear_all(coordinator, *, ranks, layout, now, round_number):
     """Let each agent of a group tell its state once, spread over one look."""
-    look_s = map_coordinator.measure_look_s(ranks)
+    look_s = measure_look_s(ranks)
     for rank in range(ranks):
         at = now + look_s * rank / ranks
         counts = tuple(
