Draw the group of a request as well, by what each lacks to the common level

Entries sent to the emptiest of three groups, and all saw the same one. Change: the group is drawn as the ranks are, by what each lacks to the level that the requests expected until the next loads bring all groups to. Checks: thirty placements by the same loads; all in one group on the code before.

--- a/src/hyssopvane/_internal/policy/level_choice.py
+++ b/src/hyssopvane/_internal/policy/level_choice.py
@@ -16,16 +16,23 @@
 prompt is still to be read."""
 
 
-def find_level(costs: Sequence[float], added: float) -> float:
-    """Return the level that costs come to when so much is poured over the lowest."""
-    ordered = sorted(costs)
-    filled = 0.0
-    for number, (cost, higher) in enumerate(pairwise(ordered), start=1):
-        step = (higher - cost) * number
+def find_level(
+    costs: Sequence[float], added: float, widths: Sequence[float] = ()
+) -> float:
+    """Return the level that costs come to when so much is poured over the lowest.
+
+    `widths` tell how much each takes for a rise by one; empty: one each.
+    """
+    ordered = sorted(zip(costs, widths or [1.0] * len(costs), strict=True))
+    filled = width = 0.0
+    for (cost, own_width), (higher, _) in pairwise(ordered):
+        width += own_width
+        step = (higher - cost) * width
         if filled + step >= added:
-            return cost + (added - filled) / number
+            return cost + (added - filled) / width
         filled += step
-    return ordered[-1] + (added - filled) / len(ordered)
+    cost, own_width = ordered[-1]
+    return cost + (added - filled) / (width + own_width)
 
 
 def choose_below(
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -324,10 +324,7 @@
         item = queue.peek()
         assert item is not None
         waiting = self._waiting[item.request_id]
-        ordered = sorted(
-            groups, key=lambda group: group.measure_fullness(self._engine, now)
-        )
-        for group in ordered:
+        for group in self._order_groups(groups, now):
             one = self._choose(group, waiting, now)
             if one is not None:
                 self.remove(item.request_id)
@@ -335,6 +332,28 @@
                 return Place(item.request_id, one.replica), group, waiting.prompt_tokens
         return None
 
+    def _order_groups(self, groups: list[GroupRoom], now: float) -> list[GroupRoom]:
+        """Return a group that is drawn, and then the others, the emptiest first.
+
+        Made for several groups and many entries that see the same loads. With the
+        emptiest first, all that comes until the next loads goes to one group: one
+        request in six met a full rank there, while the other groups were half empty.
+        """
+        fullness = {id(one): one.measure_fullness(self._engine, now) for one in groups}
+        ordered = sorted(groups, key=lambda one: fullness[id(one)])
+        if len(ordered) < 2 or self._engine is None:
+            return ordered
+        limits = [one.get_limit(self._engine) for one in ordered]
+        arrivals = max(1.0, sum(one.measure_arrivals(now) for one in ordered))
+        costs = [fullness[id(one)] for one in ordered]
+        level = find_level(costs, arrivals, limits)
+        weights = [
+            limit * max(0.0, level - cost)
+            for cost, limit in zip(costs, limits, strict=True)
+        ]
+        first = self._random.choices(ordered, weights)[0]
+        return [first, *(one for one in ordered if one is not first)]
+
     def _choose(
         self, group: GroupRoom, waiting: Waiting, now: float
     ) -> ReplicaLoad | None:
--- a/tests/unit/test_level_choice.py
+++ b/tests/unit/test_level_choice.py
@@ -142,3 +142,26 @@
     assert set(before) == set(after) == set(replicas)
     moved = [one for one in replicas if before[one] != after[one]]
     assert all(before[one] == names[-1] for one in moved)
+
+
+def test_entries_with_the_same_loads_do_not_fill_the_same_group():
+    """Three groups are about equally full, and all entries see which is emptiest.
+
+    All that came until the next loads went to that one, and met full ranks there.
+    """
+    taken = [0, 0, 0]
+    for seed in range(30):
+        gate = make_gate(12, engine=ENGINE, seed=seed)
+        loads = []
+        for rank in range(12):
+            told = {"ranks": 4, "pass_s": 0.05, "entries": 8, "group": f"g{rank // 4}"}
+            active = 2 if rank == 0 else 3
+            loads.append((make_load(rank, active=active, **told), 0.0))
+        for start in (0, 4, 8):
+            gate.observe_loads(loads[start : start + 4])
+        gate.add(make_waiting(seed), weight=1.0)
+        for place in list_places(gate.settle(0.0)):
+            taken[int(place.replica.id.removeprefix("i-")) // 4] += 1
+    assert sum(taken) >= 15
+    assert max(taken) <= 0.75 * sum(taken)
+    assert taken[0] == max(taken)
