Tell counts as often as the leader's link bears, as small groups did before

Cause: a bound of 40 words a second, made for 3,072 counts, let groups of 12 ranks tell their 288 counts each 0.3 s instead of each 0.12 s. Change: the pause follows from the size of a word, the ranks that tell and a fifth of the link: 0.12 s with 288 counts, 0.17 s with 2,016 at 4 Mbit/s, 0.34 s with 3,072 at 3 Mbit/s. Sizes counted: 1.4 KB for 2,016 counts, 2.1 KB for 3,072.

--- a/src/hyssopvane/_internal/policy/replica_load.py
+++ b/src/hyssopvane/_internal/policy/replica_load.py
@@ -8,7 +8,7 @@
 FRESH_S = 0.5
 """Age up to which a load that a replica's agent told counts.
 
-Agents tell it every few hundredths of a second; an older one means that the agent is
+Leaders tell it eight times a second and more; an older one means that the agent is
 away, and the replica's load is guessed from this entry's own requests.
 """
 
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -62,17 +62,7 @@
 from hyssopvane._internal.utils.token_bucket import TokenBucket
 
 IDLE_POLL_S = 0.2
-"""As above, while the rank has nothing to do."""
-
-COUNTS_S = 0.12
-"""Pause between two words on the counts: about two passes."""
-
-COUNTS_PER_S = 40
-"""Words on counts that a leader gets in a second, from all ranks that tell them.
-
-With 12 sets of 256 experts one has 2 KB; 40 a second are a fifth of a link of 3 Mbit/s,
-which brings the states of 64 ranks as well.
-"""
+"""Pause between two looks at a rank that has nothing to do."""
 
 COUNTED_RANKS = 12
 """Ranks of a group that read and tell their counts, spread evenly over the group.
@@ -359,8 +349,10 @@
         now = trio.current_time()
         # Counts that are read and not told would be missing from the demand.
         told = now - self._told_at >= _DUE_SHARE * measure_look_s(report.ranks)
-        tellers = min(report.ranks, COUNTED_RANKS)
-        pause_s = max(COUNTS_S, tellers / COUNTS_PER_S)
+        pause_s = self._counts.measure_pause_s(
+            tellers=min(report.ranks, COUNTED_RANKS),
+            link_bytes_per_s=self._settings.link_bits_per_s / _BITS,
+        )
         return told and _tells_counts(report) and now - self._counted_at >= pause_s
 
     async def _read_counts(self, report: RankReport) -> Counts:
--- a/tests/unit/test_direct_parts.py
+++ b/tests/unit/test_direct_parts.py
@@ -77,6 +77,20 @@
     assert meter.measure((20, 0, 5, 9), started_ms=1, epoch=1) == (10, 0, 0, 4)
 
 
+@pytest.mark.parametrize(
+    ("counts", "link_mbps", "expected"),
+    [(288, 10, 0.12), (2_016, 4, 0.17), (3_072, 3, 0.34), (3_072, 1_000, 0.12)],
+)
+def test_counts_are_told_as_often_as_the_leaders_link_bears(
+    counts, link_mbps, expected
+):
+    """Twelve ranks tell their counts over a link that brings all states as well."""
+    meter = CountMeter()
+    meter.measure((1,) * counts, started_ms=1, epoch=1)
+    pause_s = meter.measure_pause_s(tellers=12, link_bytes_per_s=link_mbps * 125_000)
+    assert pause_s == pytest.approx(expected, rel=0.05)
+
+
 @pytest.mark.parametrize("start", [(2, 1), (1, 2), (2, 2)])
 def test_counts_of_another_start_are_not_taken_for_choices(start):
     """A rank starts anew, or its group is formed anew, and its counts begin at zero.
