Keep together to the requests a second that a replica in need names

A replica names in its answers what it takes from all entries together, and nothing read it. Each entry now sends an even part at an even pace, without anything saved up; where even one request of each would be too much, a few entries of the replica's zone send. Limits and their ends are told between entries. Who can't be served inside the limits is refused at once.

A part by recent demand, handed out by one entry, was not built. A bucket that saves up, parts that ignore the others, and even parts of many entries are each seen to break the bound by a test.

--- a/src/hyssopvane/_internal/models/direct_refusals.py
+++ b/src/hyssopvane/_internal/models/direct_refusals.py
@@ -15,6 +15,7 @@
     BODY_SLOW = "body-slow"
     HEADERS_TOO_LARGE = "headers-too-large"
     OVERLOADED = "overloaded"
+    REPLICAS_LIMITED = "replicas-limited"
     GROUP_BROKEN = "group-broken"
     NO_REPLICA = "no-replica"
     REPLICA_REFUSED = "replica-refused"
@@ -34,6 +35,7 @@
     DirectRefusal.BODY_SLOW: 408,
     DirectRefusal.HEADERS_TOO_LARGE: 431,
     DirectRefusal.OVERLOADED: 503,
+    DirectRefusal.REPLICAS_LIMITED: 503,
     DirectRefusal.GROUP_BROKEN: 503,
     DirectRefusal.NO_REPLICA: 503,
     DirectRefusal.REPLICA_REFUSED: 503,
--- a/src/hyssopvane/_internal/platform/wire.py
+++ b/src/hyssopvane/_internal/platform/wire.py
@@ -26,6 +26,7 @@
     token_counts=b"x-token-count",
     length_hint=b"x-length-hint",
     priority=b"x-request-priority",
+    request_limit=b"server-limit",
 )
 
 
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -11,8 +11,11 @@
     choose_below,
     find_level,
 )
+from hyssopvane._internal.policy.limit_shares import EntryCensus
+from hyssopvane._internal.policy.limited_replicas import LimitedReplicas
 from hyssopvane._internal.policy.queueing import FairQueue, QueuedItem
 from hyssopvane._internal.policy.replica_load import ReplicaLoad
+from hyssopvane._internal.state.limits import LimitNews
 from hyssopvane._internal.state.loads import RankLoad
 from hyssopvane._internal.state.routing import EngineModel, Incarnation, Replica
 
@@ -26,6 +29,10 @@
 that were in the way have ended.
 """
 
+ELSEWHERE_AGAIN_S = 0.05
+"""Time until a caller is asked back whose replicas take requests of other entries only:
+a new connection reaches another entry."""
+
 _EJECT_ABOVE = 0.35
 """Share of failures at which a replica is left out for a while.
 
@@ -104,10 +111,14 @@
         random: Random,
         availability_zone: str,
         homes: HomeReplicas | None = None,
+        census: EntryCensus | None = None,
     ) -> None:
         self._random = random
         self._homes = HomeReplicas() if homes is None else homes
         self._zone = availability_zone
+        if census is None:
+            census = EntryCensus(availability_zone=availability_zone)
+        self.limits = LimitedReplicas(random=random, census=census)
         self._queue = FairQueue()
         self._late = FairQueue()
         """Requests that can't meet their objective any more.
@@ -225,6 +236,27 @@
             # A rank refuses when its group does.
             self._groups[one.group].note_refusal(now)
 
+    def note_limit(
+        self, replica: Replica, per_s: float | None, *, now: float, age_s: float = 0.0
+    ) -> bool:
+        """Take the limit that a replica names; tell whether that is new."""
+        one = self._find(replica)
+        if one is None:
+            return False
+        heard_at = now - age_s
+        return self.limits.observe(one.replica, per_s, heard_at=heard_at, now=now)
+
+    def note_news(self, news: LimitNews, *, now: float) -> bool:
+        """Take what another entry tells of a limit; tell whether that is new."""
+        told = False
+        for one in self._by_address.get(news.replica, ()):
+            starts = (one.replica.started_ms, news.started_ms)
+            if 0 in starts or starts[0] == starts[1]:
+                told |= self.note_limit(
+                    one.replica, news.per_s, now=now, age_s=news.age_s
+                )
+        return told
+
     def _find(self, replica: Replica) -> ReplicaLoad | None:
         """Return what is believed of this start of a replica, if it still runs."""
         one = self._replicas.get(replica.id)
@@ -269,6 +301,7 @@
         if not same_address:
             del self._by_address[one.replica.address]
         self._homes.forget(one.replica.address)
+        self.limits.forget(one.replica.address)
         self._leave_group(replica_id, one.group)
 
     def _join_group(self, one: ReplicaLoad) -> None:
@@ -329,6 +362,7 @@
             if one is not None:
                 self.remove(item.request_id)
                 one.start(now)
+                self.limits.take(one.replica, now)
                 return Place(item.request_id, one.replica), group, waiting.prompt_tokens
         return None
 
@@ -357,11 +391,9 @@
     def _choose(
         self, group: GroupRoom, waiting: Waiting, now: float
     ) -> ReplicaLoad | None:
-        usable = [
-            one
-            for one in group.members.values()
-            if not one.replica.draining and now >= one.out_until and one.is_open(now)
-        ]
+        usable = self._list_usable(group.members.values(), now)
+        if len(self.limits):
+            usable = [one for one in usable if self.limits.may_send(one.replica, now)]
         # A rank's own requests cost its own time only, and all ranks wait for the
         # slowest: one request at a rank with a twelfth of its pace counts like twelve.
         usable = [one for one in usable if not one.is_slow(now)] or usable
@@ -406,9 +438,12 @@
         closed = bool(self._groups) and not any(
             group.is_open(now) for group in self._groups.values()
         )
+        excess = self._find_excess(now)
         for waiting in list(self._waiting.values()):
             if closed:
                 reason, after = "group-broken", OPEN_AGAIN_S
+            elif waiting.item.request_id in excess:
+                reason, after = "replicas-limited", excess[waiting.item.request_id]
             elif now >= waiting.refuse_at:
                 reason, after = "overloaded", RETRY_AFTER_S
             else:
@@ -417,6 +452,44 @@
             turned.append(Turned(waiting.item.request_id, reason, self._spread(after)))
         return turned
 
+    def _find_excess(self, now: float) -> dict[str, float]:
+        """Return who waits in vain for limited replicas, and when to come back.
+
+        Made for a service whose replicas all name a limit. They take what they take;
+        who stands so far back that its turn comes after its time is told so at once,
+        and comes back when those before it are through.
+        """
+        if not len(self.limits) or not self._waiting:
+            return {}
+        usable = self._list_usable(self._replicas.values(), now)
+        shares = [self.limits.get_share(one.replica) for one in usable]
+        limited = [share for share in shares if share is not None]
+        if not limited or len(limited) < len(shares):
+            return {}
+        per_s = sum(limited)
+        if not per_s:
+            return dict.fromkeys(self._waiting, ELSEWHERE_AGAIN_S)
+        first_s = min(self.limits.measure_due_s(one.replica, now) for one in usable)
+        excess: dict[str, float] = {}
+        kept = 0
+        for waiting in sorted(
+            self._waiting.values(), key=lambda one: one.item.priority
+        ):
+            turn_s = first_s + kept / per_s
+            if now + turn_s > waiting.refuse_at:
+                excess[waiting.item.request_id] = turn_s
+            else:
+                kept += 1
+        return excess
+
+    @staticmethod
+    def _list_usable(members: Iterable[ReplicaLoad], now: float) -> list[ReplicaLoad]:
+        return [
+            one
+            for one in members
+            if not one.replica.draining and now >= one.out_until and one.is_open(now)
+        ]
+
     def _spread(self, after_s: float) -> float:
         # A group that breaks refuses all its callers in the same moment. Asked back for
         # the same moment too, they would bring all their prompts at once.
--- a/src/hyssopvane/_internal/protocol/group.capnp
+++ b/src/hyssopvane/_internal/protocol/group.capnp
@@ -11,6 +11,7 @@
     roster @4 :Roster;
     presence @5 :Presence;
     order @6 :OrderRequest;
+    limits @7 :ReplicaLimits;
   }
 }
 
@@ -26,6 +27,19 @@
   # Time since the store's last return, and one more; 0 for none.
 }
 
+struct ReplicaLimits {
+  news @0 :List(LimitNews);
+}
+
+struct LimitNews {
+  replica @0 :Text;
+  startedMs @1 :UInt64;
+  named @2 :Bool;
+  # Whether the replica names a limit now.
+  perS @3 :Float64;
+  ageMs @4 :UInt32;
+}
+
 struct Presence {
   messages @0 :Text;
   group @1 :Text;
--- a/src/hyssopvane/_internal/protocol/group_messages.py
+++ b/src/hyssopvane/_internal/protocol/group_messages.py
@@ -21,6 +21,7 @@
     Presence,
     RankState,
 )
+from hyssopvane._internal.state.limits import LimitNews, ReplicaLimits
 from hyssopvane._internal.state.loads import (
     EntryContact,
     GroupLoad,
@@ -31,7 +32,14 @@
 from hyssopvane._internal.utils.ip_addresses import is_address
 
 GroupMessage = (
-    EntryState | GroupLoad | Roster | RankState | Presence | OrderRequest | MapChange
+    EntryState
+    | GroupLoad
+    | Roster
+    | RankState
+    | Presence
+    | OrderRequest
+    | MapChange
+    | ReplicaLimits
 )
 
 _SCHEMA_FILE = Path(__file__).with_name("group.capnp")
@@ -42,6 +50,7 @@
 _MAX_WORD = 2**16 - 1
 _MAX_BYTE = 2**8 - 1
 _MILLISECONDS = 1_000
+_MAX_AGE_MS = 2**32 - 1
 _PACE_UNITS = 16
 _AGE_UNITS = 100
 _MAX_COUNTS = 2**16
@@ -69,6 +78,8 @@
             _write_presence(datagram.init("presence"), message)
         case OrderRequest():
             _write_order(datagram.init("order"), message)
+        case ReplicaLimits():
+            _write_limits(datagram.init("limits"), message)
     return _seal(datagram.to_bytes_packed())
 
 
@@ -117,12 +128,19 @@
             addresses = ()
         case MapChange():
             addresses = message.forward
+        case ReplicaLimits():
+            addresses = tuple(one.replica for one in message.news)
+            sound = all(_is_limit(one.per_s) for one in message.news)
     if not sound or not all(is_address(one) for one in addresses):
         raise ProtocolError(
             "a datagram holds what no process of ours sends", context=str(message)[:200]
         )
 
 
+def _is_limit(per_s: float | None) -> bool:
+    return per_s is None or (isfinite(per_s) and per_s >= 0)
+
+
 def _present(*addresses: str) -> tuple[str, ...]:
     return tuple(one for one in addresses if one)
 
@@ -234,6 +252,30 @@
     return OrderRequest(one.group, one.epoch, one.step, one.release)
 
 
+def _write_limits(builder: Any, message: ReplicaLimits) -> None:
+    items = builder.init("news", len(message.news))
+    for item, one in zip(items, message.news, strict=True):
+        item.replica = one.replica
+        item.startedMs = one.started_ms
+        item.named = one.per_s is not None
+        item.perS = one.per_s or 0.0
+        item.ageMs = min(_MAX_AGE_MS, max(0, int(one.age_s * _MILLISECONDS)))
+
+
+def _read_limits(datagram: Any) -> ReplicaLimits:
+    return ReplicaLimits(
+        tuple(
+            LimitNews(
+                replica=one.replica,
+                started_ms=one.startedMs,
+                per_s=one.perS if one.named else None,
+                age_s=one.ageMs / _MILLISECONDS,
+            )
+            for one in datagram.limits.news
+        )
+    )
+
+
 def _write_load(builder: Any, message: GroupLoad) -> None:
     builder.roster = message.roster
     builder.source = message.source
@@ -444,4 +486,5 @@
     "roster": _read_roster,
     "presence": _read_presence,
     "order": _read_order,
+    "limits": _read_limits,
 }
--- a/src/hyssopvane/_internal/protocol/replica_headers.py
+++ b/src/hyssopvane/_internal/protocol/replica_headers.py
@@ -1,7 +1,10 @@
 """Name the headers that callers, entries and replicas exchange on the direct path."""
 
+import re
+from collections.abc import Mapping
 from dataclasses import dataclass
 
+from hyssopvane._internal.exceptions import ProtocolError
 from hyssopvane._internal.protocol.headers import HOP_BY_HOP
 from hyssopvane._internal.protocol.messages import Headers
 
@@ -31,8 +34,12 @@
     """Caller's guess of the output tokens."""
     priority: bytes
     """Rank at the replica, 0 to 9, 0 first."""
+    request_limit: bytes
+    """Requests a second that a replica in need takes from all entries together."""
 
 
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+
 _OF_ONE_CONNECTION = HOP_BY_HOP | {b"expect"}
 
 
@@ -58,6 +65,23 @@
     return tuple((name, value) for name, value in lowered if name not in dropped)
 
 
+def read_request_limit(
+    fields: Mapping[bytes, bytes], names: ReplicaHeaders
+) -> float | None:
+    """Return the requests a second that a replica takes, None where it names no limit.
+
+    Raise `ProtocolError` where it names one that can't be read.
+    """
+    value = fields.get(names.request_limit)
+    if value is None:
+        return None
+    if _DECIMAL.fullmatch(value.strip()) is None:
+        raise ProtocolError(
+            "a replica names a limit that can't be read", context=repr(value[:40])
+        )
+    return float(value)
+
+
 def _list_named(headers: Headers) -> frozenset[bytes]:
     # RFC 9110, 7.6.1: the names that Connection lists concern that connection only.
     return frozenset(
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from hyssopvane._internal.exceptions import ProtocolError
 from hyssopvane._internal.models.direct_refusals import DirectAnswer, DirectRefusal
 from hyssopvane._internal.policy.crash_suspects import CrashSuspects
 from hyssopvane._internal.policy.queueing import QueuedItem
@@ -15,6 +16,7 @@
 from hyssopvane._internal.protocol.messages import Headers
 from hyssopvane._internal.protocol.replica_headers import (
     ReplicaHeaders,
+    read_request_limit,
     select_for_caller,
     select_for_replica,
 )
@@ -273,9 +275,11 @@
 
     async def _relay(self, replica: Replica, response: ReplicaResponse) -> None:
         names = self._tools.names
+        echoed = response.fields.get(names.request_id, b"").decode("latin1")
+        if echoed == self._request.request_id:
+            self._note_limit(replica, response)
         if names.not_executed in response.fields or response.status == _MISDIRECTED:
             self._note_refusal(replica, response)
-        echoed = response.fields.get(names.request_id, b"").decode("latin1")
         if echoed != self._request.request_id:
             raise ReplicaFailed("the answer belongs to another request")
         signed = names.signature in response.fields
@@ -289,6 +293,21 @@
         else:
             await self._relay_whole(response)
 
+    def _note_limit(self, replica: Replica, response: ReplicaResponse) -> None:
+        if response.status == _MISDIRECTED:
+            # Another replica has the address now.
+            return
+        names = self._tools.names
+        try:
+            per_s = read_request_limit(response.fields, names)
+        except ProtocolError as error:
+            # What was said before still holds; the caller gets its answer all the same.
+            self._tools.metrics.count_event("limit-unreadable")
+            log_event("warning", "limit-unreadable", replica=replica.id, why=error)
+            return
+        if per_s is not None or names.signature in response.fields:
+            self._tools.gates.observe_answer(self._request.service, replica, per_s)
+
     def _note_refusal(self, replica: Replica, response: ReplicaResponse) -> None:
         gate = self._tools.gates.get_gate(self._request.service)
         if response.status == _MISDIRECTED:
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -24,6 +24,7 @@
 from hyssopvane._internal.roles.metrics_app import MetricsApp
 from hyssopvane._internal.roles.process import Role
 from hyssopvane._internal.state.group import EntryState
+from hyssopvane._internal.state.limits import ReplicaLimits
 from hyssopvane._internal.state.loads import GroupLoad, Roster
 from hyssopvane._internal.transport.addresses import replace_port
 from hyssopvane._internal.transport.asgi_messages import (
@@ -204,6 +205,8 @@
                     self._pass_on(message, message)
             case GroupLoad():
                 self._take_load(message)
+            case ReplicaLimits():
+                self.gates.observe_limits(message)
             case _:
                 log_event("debug", "datagram-unexpected", sender=sender)
 
@@ -241,7 +244,11 @@
             )
             told = set()
             if number % TELL_PEERS_EVERY == 0:
-                told.update(self._choose_peers())
+                peers = self._choose_peers()
+                told.update(peers)
+                limits = self.gates.list_limits()
+                if limits.news and peers:
+                    await self._port.send(limits, *peers)
             if number % TELL_LEADERS_EVERY == 0:
                 told.update(map(self._find_agent, self._inbox.list_contacts()))
             await self._port.send(state, *told)
@@ -276,7 +283,7 @@
         zone = self.settings.availability_zone
         near = [one.address for one in others if one.availability_zone == zone]
         far = [one.address for one in others if one.availability_zone != zone]
-        self.gates.homes.update(self._port.address, near)
+        self.gates.observe_entries(self._port.address, near)
         self._store.watch_s = choose_watch_s(self._port.address, near)
         return near + self._random.sample(sorted(far), min(1, len(far)))
 
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -1,18 +1,20 @@
 """Let requests wait for the decisions of a service's gate."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 from random import Random
 
 import trio
 
 from hyssopvane._internal.policy.home_replicas import HomeReplicas
+from hyssopvane._internal.policy.limit_shares import EntryCensus
 from hyssopvane._internal.policy.service_gate import (
     Place,
     ServiceGate,
     Turned,
     Waiting,
 )
+from hyssopvane._internal.state.limits import LimitNews, ReplicaLimits
 from hyssopvane._internal.state.loads import (
     GroupLoad,
     RankLoad,
@@ -20,6 +22,7 @@
     split_load,
 )
 from hyssopvane._internal.state.routing import Replica, RoutingTable
+from hyssopvane._internal.utils.logs import log_event
 
 SETTLE_INTERVAL_S = 0.01
 """Pause between looks at what has waited too long."""
@@ -44,11 +47,13 @@
         self._observe_restart = observe_restart
         """Takes the address of a replica that has started anew under its id."""
         self.homes = HomeReplicas()
+        self.census = EntryCensus(availability_zone=availability_zone)
         self._make_gate = partial(
             ServiceGate,
             random=random,
             availability_zone=availability_zone,
             homes=self.homes,
+            census=self.census,
         )
         self._gates: dict[str, ServiceGate] = {}
         self._waiters: dict[str, _Waiter] = {}
@@ -94,6 +99,7 @@
     def observe_load(self, load: GroupLoad, roster: Roster) -> None:
         """Take what the leading agent of a group tells."""
         now = trio.current_time()
+        self.census.observe(load.entries, now=now)
         by_service: dict[str, list[tuple[RankLoad, float]]] = {}
         for member, age_s in split_load(load, roster):
             service = self._services.get(member.address)
@@ -105,6 +111,44 @@
             for restarted in self._gates[service].observe_loads(members):
                 self._observe_restart(restarted)
 
+    def observe_entries(self, own: str, near: Iterable[str]) -> None:
+        """Learn the entries of the own zone by their addresses."""
+        self.homes.update(own, near)
+        self.census.update(own, near)
+
+    def observe_answer(
+        self, service: str, replica: Replica, per_s: float | None
+    ) -> None:
+        """Take the request limit that an answer of a replica names, None for none."""
+        gate = self.get_gate(service)
+        if per_s is None and not len(gate.limits):
+            return
+        if gate.note_limit(replica, per_s, now=trio.current_time()):
+            _log_limit(replica.address, per_s, gate, source="answer")
+
+    def observe_limits(self, told: ReplicaLimits) -> None:
+        """Take what another entry tells of request limits."""
+        now = trio.current_time()
+        for news in told.news:
+            service = self._services.get(news.replica)
+            if service is None:
+                continue
+            gate = self._gates[service]
+            if gate.note_news(news, now=now):
+                _log_limit(
+                    news.replica, news.per_s, gate, source="entry", age_s=news.age_s
+                )
+
+    def list_limits(self) -> ReplicaLimits:
+        """Return what other entries are told of request limits now."""
+        now = trio.current_time()
+        news: list[LimitNews] = []
+        for gate in self._gates.values():
+            for address in gate.limits.refresh(now):
+                log_event("info", "limit-expired", replica=address)
+            news += gate.limits.list_news(now)
+        return ReplicaLimits(tuple(news))
+
     async def wait_for_place(
         self, service: str, waiting: Waiting, *, weight: float
     ) -> Place | Turned:
@@ -150,3 +194,16 @@
         while True:
             await trio.sleep(SETTLE_INTERVAL_S)
             self.settle()
+
+
+def _log_limit(
+    address: str, per_s: float | None, gate: ServiceGate, **fields: object
+) -> None:
+    log_event(
+        "info",
+        "limit-ended" if per_s is None else "limit-named",
+        replica=address,
+        per_s="-" if per_s is None else per_s,
+        limited=len(gate.limits),
+        **fields,
+    )
--- /dev/null
+++ b/tests/functional/test_request_limits.py
@@ -0,0 +1,75 @@
+"""Test how callers and a replica fare that names a request limit, over real sockets."""
+
+import time
+
+import pytest
+import trio
+
+from hyssopvane._internal.policy.limit_shares import PROBE_S
+from tests.lib.direct_installation import HANG_S, open_direct
+from tests.lib.direct_replica import answer_whole, make_answer
+
+CALLS = 12
+
+
+def name_limit(value):
+    async def behave(replica, stream, request):
+        await stream.send_all(make_answer(request, headers=(("Server-Limit", value),)))
+        return True
+
+    return behave
+
+
+def run(test):
+    async def main():
+        with trio.fail_after(2 * HANG_S):
+            async with open_direct() as site:
+                await test(site)
+
+    trio.run(main)
+
+
+def test_callers_of_a_replica_that_takes_none_are_refused_at_once_with_a_time():
+    """The only replica of a service is in need and takes no more requests.
+
+    Callers that waited for it would use up their time, and each one that was sent to it
+    would make its need worse.
+    """
+
+    async def test(site):
+        replica = await site.add_replica("i-1", name_limit("0"))
+        start = time.monotonic()
+        assert (await site.call("/status/1")).status == 200
+        answers = [await site.call(f"/status/{number}") for number in range(CALLS)]
+        elapsed_s = time.monotonic() - start
+        refused = [one for one in answers if one.status == 503]
+        assert len(replica.received) <= 2 + elapsed_s / PROBE_S
+        assert len(refused) + len(replica.received) == CALLS + 1
+        assert all(float(one.headers["retry-after"]) > 0 for one in refused)
+
+    run(test)
+
+
+def test_other_replica_takes_what_the_limited_one_can_not():
+    async def test(site):
+        limited = await site.add_replica("i-1", name_limit("0"))
+        sound = await site.add_replica("i-2", answer_whole)
+        start = time.monotonic()
+        for number in range(4 * CALLS):
+            assert (await site.call(f"/status/{number}")).status == 200
+        elapsed_s = time.monotonic() - start
+        assert len(limited.received) <= 2 + elapsed_s / PROBE_S
+        assert len(limited.received) + len(sound.received) == 4 * CALLS
+
+    run(test)
+
+
+@pytest.mark.parametrize("value", ["", "-1", "many", "nan", "1, 2"])
+def test_limit_that_can_not_be_read_harms_no_caller(value):
+    async def test(site):
+        replica = await site.add_replica("i-1", name_limit(value))
+        for number in range(CALLS):
+            assert (await site.call(f"/status/{number}")).status == 200
+        assert len(replica.received) == CALLS
+
+    run(test)
--- /dev/null
+++ b/tests/lib/limit_model.py
@@ -0,0 +1,190 @@
+"""Play entries that send to one replica with a request limit, without sockets."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from hyssopvane._internal.policy.limit_shares import (
+    EXCESS,
+    EXCESS_REQUESTS,
+    WINDOW_S,
+    EntryCensus,
+)
+from hyssopvane._internal.policy.limited_replicas import LimitedReplicas
+from hyssopvane._internal.state.routing import Replica
+
+STEP_S = 0.01
+"""Pause between two looks of an entry at what waits."""
+ANSWER_S = 0.06
+NEWS_S = 0.5
+COUNT_S = 0.125
+FORGOTTEN_S = 5.0
+"""Silence after which an entry is no longer counted."""
+PASSED_ON_S = 0.5
+"""Time after which an entry that has seen the limit is bound by it."""
+UNLIMITED_S = 0.05
+"""Pause between two requests of an entry that knows of no limit."""
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+
+
+@dataclass
+class Entry:
+    """Hold one entry and what is on its way to it."""
+
+    name: str
+    zone: str
+    limits: LimitedReplicas
+    census: EntryCensus
+    asleep: tuple[float, float] = (-1.0, -1.0)
+    """Times from and until which it stands still."""
+    has_callers: bool = True
+    sent_at: float = float("-inf")
+    passed_on_at: float | None = None
+    """Time at which it first passed on an answer that names a limit."""
+
+    def is_awake(self, now: float) -> bool:
+        return not self.asleep[0] <= now < self.asleep[1]
+
+
+@dataclass
+class LimitModel:
+    """Run entries against a replica whose limit follows a schedule."""
+
+    entries: int
+    limit_at: Callable[[float], float | None]
+    seed: int = 1
+    loss: float = 0.0
+    """Part of the messages between entries that is lost."""
+    delay_s: float = 0.02
+    """Longest time that a message takes."""
+    sleeps: dict[int, tuple[float, float]] = field(default_factory=dict)
+    idle: frozenset[int] = frozenset()
+    """Entries whose callers ask for nothing."""
+    arrivals: list[tuple[float, Entry]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.random = Random(self.seed)
+        self.replica = Replica(
+            id="i-1",
+            service="checks",
+            address="10.0.0.1:80",
+            availability_zone=ZONES[0],
+            slots=6,
+            draining=False,
+            started_ms=1,
+        )
+        self.fleet = [self._make_entry(number) for number in range(self.entries)]
+        self._numbers = count()
+        self._events: list[tuple[float, int, Callable[[float], None]]] = []
+
+    def _make_entry(self, number: int) -> Entry:
+        zone = ZONES[number % len(ZONES)]
+        census = EntryCensus(availability_zone=zone)
+        limits = LimitedReplicas(random=Random(self.seed + number), census=census)
+        return Entry(
+            name=f"10.1.0.{number}:9",
+            zone=zone,
+            limits=limits,
+            census=census,
+            asleep=self.sleeps.get(number, (-1.0, -1.0)),
+            has_callers=number not in self.idle,
+        )
+
+    def run(self, length_s: float) -> None:
+        """Play a time from 0 on."""
+        for step in range(round(length_s / STEP_S)):
+            now = step * STEP_S
+            while self._events and self._events[0][0] <= now:
+                _, _, act = heappop(self._events)
+                act(now)
+            for entry in self.fleet:
+                if entry.is_awake(now):
+                    self._look(entry, now)
+            if step % round(COUNT_S / STEP_S) == 0:
+                self._count(now)
+            if step % round(NEWS_S / STEP_S) == 0:
+                self._tell(now)
+
+    def _look(self, entry: Entry, now: float) -> None:
+        if not entry.has_callers or not entry.limits.may_send(self.replica, now):
+            return
+        if entry.limits.get_share(self.replica) is None:
+            if now - entry.sent_at < UNLIMITED_S:
+                return
+        entry.sent_at = now
+        entry.limits.take(self.replica, now)
+        self.arrivals.append((now + self.random.uniform(0.001, 0.005), entry))
+        self._schedule(now + ANSWER_S, lambda at: self._answer(entry, at))
+
+    def _answer(self, entry: Entry, now: float) -> None:
+        if not entry.is_awake(now):
+            self._schedule(entry.asleep[1], lambda at: self._answer(entry, at))
+            return
+        limit = self.limit_at(now)
+        entry.limits.observe(self.replica, limit, heard_at=now, now=now)
+        if limit is not None and entry.passed_on_at is None:
+            entry.passed_on_at = now
+
+    def _count(self, now: float) -> None:
+        live = sum(
+            entry.is_awake(now) or now - entry.asleep[0] < FORGOTTEN_S
+            for entry in self.fleet
+        )
+        for entry in self.fleet:
+            if entry.is_awake(now) and self.random.random() >= self.loss:
+                entry.census.observe(live, now=now)
+                near = [one.name for one in self.fleet if one.zone == entry.zone]
+                entry.census.update(entry.name, near)
+
+    def _tell(self, now: float) -> None:
+        for entry in self.fleet:
+            if not entry.is_awake(now):
+                continue
+            entry.limits.refresh(now)
+            near = [one for one in self.fleet if one.zone == entry.zone]
+            far = [one for one in self.fleet if one.zone != entry.zone]
+            for news in entry.limits.list_news(now):
+                for to in near + self.random.sample(far, min(1, len(far))):
+                    if to is not entry and self.random.random() >= self.loss:
+                        heard_at = now - news.age_s
+                        at = now + self.random.uniform(0, self.delay_s)
+                        self._schedule(at, self._bring(to, news.per_s, heard_at))
+
+    def _bring(
+        self, to: Entry, per_s: float | None, heard_at: float
+    ) -> Callable[[float], None]:
+        def bring(now: float) -> None:
+            to.limits.observe(self.replica, per_s, heard_at=heard_at, now=now)
+
+        return bring
+
+    def _schedule(self, at: float, act: Callable[[float], None]) -> None:
+        heappush(self._events, (at, next(self._numbers), act))
+
+    def measure_excess(self, *, start_s: float, per_s: float) -> float:
+        """Return the most requests of a window beyond what a limit allows in it.
+
+        Only those count whose entry had passed on an answer with a limit for a while.
+        """
+        times = sorted(
+            at
+            for at, entry in self.arrivals
+            if at >= start_s
+            and entry.passed_on_at is not None
+            and at >= entry.passed_on_at + PASSED_ON_S
+        )
+        allowed = EXCESS * per_s * WINDOW_S + EXCESS_REQUESTS
+        most, first = 0, 0
+        for last, at in enumerate(times):
+            while at - times[first] >= WINDOW_S:
+                first += 1
+            most = max(most, last - first + 1)
+        return most - allowed
+
+    def measure_rate(self, start_s: float, end_s: float) -> float:
+        """Return the requests a second that the replica got in a time."""
+        got = sum(start_s <= at < end_s for at, _ in self.arrivals)
+        return got / (end_s - start_s)
--- /dev/null
+++ b/tests/unit/test_request_limits.py
@@ -0,0 +1,233 @@
+"""Test that entries keep together to the request limit that a replica names."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hyssopvane._internal.exceptions import ProtocolError
+from hyssopvane._internal.platform.wire import HEADERS
+from hyssopvane._internal.policy import limit_shares, limited_replicas
+from hyssopvane._internal.policy.limit_shares import EntryCensus, RequestPace
+from hyssopvane._internal.policy.limited_replicas import (
+    MAX_TOLD,
+    LimitedReplicas,
+)
+from hyssopvane._internal.protocol.group_messages import (
+    decode_message,
+    encode_message,
+)
+from hyssopvane._internal.protocol.replica_headers import read_request_limit
+from hyssopvane._internal.state.limits import LimitNews, ReplicaLimits
+from hyssopvane._internal.state.routing import Replica
+from tests.lib.limit_model import LimitModel
+
+SETTLED_S = 4.0
+"""Time after a limit is first named from which it has to hold."""
+
+
+@pytest.mark.parametrize("entries", [1, 12, 35])
+@pytest.mark.parametrize("per_s", [0.0, 0.4, 1.0, 2.5, 8.0, 40.0])
+def test_replica_in_need_gets_no_more_than_it_takes(entries, per_s):
+    """A replica is near its end and asks all entries together for fewer requests.
+
+    Each entry sees only its own. Were each to send what the replica takes from all,
+    it would fall over, and callers would lose what it has begun.
+    """
+    model = LimitModel(entries, lambda now: per_s)
+    model.run(30.0)
+    assert model.measure_excess(start_s=SETTLED_S, per_s=per_s) <= 0
+
+
+@pytest.mark.parametrize("entries", [1, 12, 35])
+@pytest.mark.parametrize("per_s", [2.5, 8.0, 40.0])
+def test_what_the_replica_takes_is_used_while_callers_wait(entries, per_s):
+    model = LimitModel(entries, lambda now: per_s)
+    model.run(30.0)
+    assert model.measure_rate(10.0, 30.0) >= 0.9 * per_s
+
+
+@settings(max_examples=25, deadline=None, derandomize=True)
+@given(
+    entries=st.sampled_from([1, 5, 12, 35]),
+    per_s=st.floats(0, 30),
+    seed=st.integers(0, 10**6),
+    loss=st.floats(0, 0.5),
+    delay_s=st.floats(0, 0.4),
+    asleep=st.integers(0, 4),
+)
+def test_limit_holds_with_lost_and_late_words_and_entries_that_stand_still(
+    entries, per_s, seed, loss, delay_s, asleep
+):
+    """Some entries stand still for seconds and wake, while words between them are lost.
+
+    One that wakes must not send at once what it has missed, and those that were awake
+    must not have taken its part for good.
+    """
+    sleeps = {number: (8.0 + number, 12.0 + number) for number in range(asleep)}
+    model = LimitModel(
+        entries,
+        lambda now: per_s,
+        seed=seed,
+        loss=loss,
+        delay_s=delay_s,
+        sleeps=sleeps,
+    )
+    model.run(24.0)
+    assert model.measure_excess(start_s=SETTLED_S, per_s=per_s) <= 0
+
+
+@pytest.mark.parametrize("entries", [1, 12, 35])
+def test_falling_limit_is_kept_soon_after(entries):
+    model = LimitModel(entries, lambda now: 30.0 if now < 10 else 3.0)
+    model.run(30.0)
+    assert model.measure_excess(start_s=10 + SETTLED_S, per_s=3.0) <= 0
+
+
+@pytest.mark.parametrize("entries", [1, 12, 35])
+def test_replica_gets_its_part_again_soon_after_its_limit_ends(entries):
+    """A replica has recovered and names no limit any more.
+
+    The entries that send it nothing can't see that. Were they to wait for an answer of
+    their own, the others would be full while it idles.
+    """
+    model = LimitModel(entries, lambda now: 0.0 if now < 10 else None)
+    model.run(20.0)
+    unlimited_per_s = entries / 0.05
+    assert model.measure_rate(17.0, 20.0) > 0.5 * unlimited_per_s
+
+
+class SavingPace(RequestPace):
+    """Let an entry send at once what it has not sent before."""
+
+    def take(self, now):
+        self._last_at += 1 / self.per_s
+
+
+def share_evenly(census, replica, zone, per_s):
+    return max(per_s / max(census._counted, 1), 1 / limit_shares.PROBE_S)
+
+
+def ignore_others(census, replica, zone, per_s):
+    return per_s
+
+
+@pytest.mark.parametrize(
+    "owner, name, replaced, options",
+    [
+        # Entries that stood still or had no callers have saved up requests.
+        (
+            limited_replicas,
+            "RequestPace",
+            SavingPace,
+            {"sleeps": {n: (5.0, 14.0) for n in range(12)}},
+        ),
+        # Many entries with a small part each.
+        (EntryCensus, "measure_share", share_evenly, {"entries": 35, "per_s": 1.0}),
+        # Each takes the limit for its own.
+        (EntryCensus, "measure_share", ignore_others, {}),
+    ],
+)
+def test_without_a_protection_the_limit_is_broken(
+    monkeypatch, owner, name, replaced, options
+):
+    """Each protection is taken out by itself: the model must see what it prevents."""
+    entries = options.pop("entries", 12)
+    per_s = options.pop("per_s", 3.0)
+    monkeypatch.setattr(owner, name, replaced)
+    seeds = range(1, 9)
+    broken = []
+    for seed in seeds:
+        model = LimitModel(entries, lambda now: per_s, seed=seed, **options)
+        model.run(30.0)
+        broken.append(model.measure_excess(start_s=SETTLED_S, per_s=per_s) > 0)
+    assert any(broken)
+
+
+@pytest.mark.parametrize(
+    "value, expected",
+    [
+        (None, None),
+        (b"2.5", 2.5),
+        (b" 12 ", 12.0),
+        (b"0", 0.0),
+    ],
+)
+def test_limit_is_read(value, expected):
+    fields = {} if value is None else {HEADERS.request_limit: value}
+    assert read_request_limit(fields, HEADERS) == expected
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"-1", b"nan", b"inf", b"1e9", b"2.5, 2.5", b"x", b"9" * 400, b"1."]
+)
+def test_limit_that_can_not_be_read_is_an_error(value):
+    with pytest.raises(ProtocolError):
+        read_request_limit({HEADERS.request_limit: value}, HEADERS)
+
+
+@pytest.mark.parametrize("per_s", [None, 0.0, 2.5])
+def test_limits_are_told_between_entries(per_s):
+    told = ReplicaLimits((LimitNews("10.0.0.1:80", 7, per_s, 1.5),))
+    assert decode_message(encode_message(told)) == told
+
+
+@pytest.mark.parametrize("per_s", [-1.0, float("nan"), float("inf")])
+def test_limit_that_no_entry_tells_is_refused(per_s):
+    told = ReplicaLimits((LimitNews("10.0.0.1:80", 7, per_s, 1.5),))
+    with pytest.raises(ProtocolError):
+        decode_message(encode_message(told))
+
+
+def make_replica(number, **changes):
+    values = {
+        "id": f"i-{number}",
+        "service": "checks",
+        "address": f"10.0.{number // 256}.{number % 256}:80",
+        "availability_zone": "zone-a",
+        "slots": 6,
+        "draining": False,
+        "started_ms": 1,
+    }
+    return Replica(**values | changes)
+
+
+def make_limits(random):
+    census = EntryCensus(availability_zone="zone-a")
+    return LimitedReplicas(random=random, census=census)
+
+
+@pytest.mark.parametrize("replicas", [1, MAX_TOLD, 10_000])
+def test_what_is_told_at_once_fits_a_packet_and_all_get_their_turn(replicas, rng):
+    limits = make_limits(rng)
+    for number in range(replicas):
+        limits.observe(make_replica(number), 2.0, heard_at=0.0, now=0.0)
+    told = set()
+    for _ in range(replicas // MAX_TOLD + 1):
+        news = limits.list_news(1.0)
+        assert len(encode_message(ReplicaLimits(tuple(news)))) < 1_400
+        told |= {one.replica for one in news}
+    assert len(told) == replicas
+
+
+def test_new_start_of_a_replica_has_no_limit(rng):
+    """A replica in need crashes and comes back under its id, and is well."""
+    limits = make_limits(rng)
+    limits.observe(make_replica(1), 0.0, heard_at=0.0, now=0.0)
+    assert limits.get_share(make_replica(1)) is not None
+    assert limits.may_send(make_replica(1, started_ms=2), 0.1)
+    assert limits.get_share(make_replica(1, started_ms=2)) is None
+
+
+def test_older_word_does_not_bring_back_a_limit_that_has_ended(rng):
+    limits = make_limits(rng)
+    limits.observe(make_replica(1), 2.0, heard_at=1.0, now=1.0)
+    limits.observe(make_replica(1), None, heard_at=2.0, now=2.0)
+    assert not limits.observe(make_replica(1), 2.0, heard_at=1.5, now=2.5)
+    assert limits.get_share(make_replica(1)) is None
+
+
+@pytest.fixture
+def rng():
+    return Random(1)
--- a/tests/unit/test_service_gate.py
+++ b/tests/unit/test_service_gate.py
@@ -541,3 +541,38 @@
     places = list_places(gate.settle(0.05))
     assert places
     assert places[0].replica.id != full.id
+
+
+def test_those_whose_turn_at_a_limited_replica_comes_too_late_are_refused_at_once():
+    """A service's only replica takes ten requests a second, and fifty callers come.
+
+    This entry may send it a part of those. Who stands further back than its time
+    lasts would wait for nothing; it hears at once when its turn may come.
+    """
+    gate = make_gate(1, engine=None)
+    (replica,) = gate.update([make_replica(1)], None) or [make_replica(1)]
+    gate.note_limit(replica, 160.0, now=0.0)
+    add(gate, 50, now=0.1)
+    turned = list_turned(gate.settle(0.1))
+    assert {one.reason for one in turned} == {"replicas-limited"}
+    assert 45 <= len(turned) < 50
+    assert all(one.retry_after_s > 0 for one in turned)
+
+
+def test_limited_replica_is_passed_over_while_another_has_room():
+    gate = make_gate(2, engine=None)
+    gate.note_limit(make_replica(1), 0.0, now=0.0)
+    add(gate, 4, now=0.0)
+    places = list_places(gate.settle(0.0))
+    assert [one.replica.id for one in places].count("i-1") <= 1
+
+
+def test_limit_of_an_earlier_start_does_not_bind_the_next_one():
+    gate = make_gate(1, engine=None)
+    gate.update([make_replica(0, started_ms=1)], None)
+    gate.note_limit(make_replica(0, started_ms=1), 0.0, now=0.0)
+    gate.update([make_replica(0, started_ms=2)], None)
+    add(gate, 3, now=0.1)
+    placed = list_places(gate.settle(0.1)) + list_places(gate.settle(0.1))
+    assert len(placed) >= 1
+    assert not list_turned(gate.settle(0.1))
