Start the soak's processes with the default action of SIGHUP

Under nohup the signal is ignored from the parent on, and a process that is still starting passed for one that takes it: test_reload_is_played_only_where_the_program_takes_it failed once in a run of 1,193. The test now plays both inherited actions; run under nohup, both pass.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.soak.fleet import Member
+from tests.soak.fleet import Member, reset_reload_action
 from tests.soak.run import Size, run_seed
 
 SMALL = Size(entries=2, groups=1, plain=2, callers=6, seconds=6.0, patience=6.0)
@@ -44,6 +44,14 @@
     assert report.violations == [], (report.kept_in, report.faults)
 
 
+@pytest.fixture(params=[signal.SIG_DFL, signal.SIG_IGN], ids=["default", "ignored"])
+def inherited_action(request):
+    """Set what processes started by the test do on SIGHUP, as their parent has it."""
+    before = signal.signal(signal.SIGHUP, request.param)
+    yield request.param
+    signal.signal(signal.SIGHUP, before)
+
+
 def start_member(tmp_path, *arguments):
     member = Member("agent", {"role": "rank-agent"}, tmp_path)
     member._popen = subprocess.Popen(
@@ -51,15 +59,17 @@
         stdin=subprocess.PIPE,
         stdout=subprocess.DEVNULL,
         stderr=subprocess.DEVNULL,
+        preexec_fn=reset_reload_action,
     )
     return member
 
 
-def test_reload_is_played_only_where_the_program_takes_it(tmp_path):
+def test_reload_is_played_only_where_the_program_takes_it(tmp_path, inherited_action):
     """A supervisor reloads a process that it started a moment ago.
 
     Before the program's first line the signal ends the interpreter; from then on it
-    does not, also while the role is still being loaded.
+    does not, also while the role is still being loaded. Whoever runs the tests from a
+    shell that ignores SIGHUP, as under nohup, sees the same.
     """
     # An interpreter that waits, in place of one that is still loading.
     early = start_member(tmp_path, "-c", "input()")
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -17,6 +17,15 @@
 _POLL_S = 0.02
 
 
+def reset_reload_action() -> None:
+    """Give a new process the default action of SIGHUP, as a supervisor does.
+
+    A process inherits that a signal is ignored. Under nohup one that is still starting
+    would pass for one that takes the signal.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
+
 @dataclass
 class Member:
     """Hold one process of the system, over all its starts."""
@@ -78,6 +87,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
+                preexec_fn=reset_reload_action,
             )
         with trio.fail_after(START_LIMIT_S):
             while not (found := self._find_start(begun)):
