Change maps while the agent beside a rank stands still

A leader waited for the word of every rank's agent.

The leader now reads ranks with silent agents from afar, five times a second, and orders them itself, up to eight and up to a quarter of the group; the rank that holds is one whose agent speaks. Agents keep the last map that a leader told, since a report names no experts, and forget it when the group is formed anew.

--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -40,7 +40,14 @@
 from hyssopvane._internal.policy.move_worth import WeighedMove, find_move
 from hyssopvane._internal.state.group import MapChange, RankState
 from hyssopvane._internal.state.loads import SLOW_PACE
-from hyssopvane._internal.state.ranks import Arm, ExpertLists, Hold, RankOrder, Release
+from hyssopvane._internal.state.ranks import (
+    Arm,
+    ExpertLists,
+    Hold,
+    Prepare,
+    RankOrder,
+    Release,
+)
 from hyssopvane._internal.state.routing import ExpertLayout
 
 ALONE_S = 0.8
@@ -79,8 +86,19 @@
 order was lost.
 """
 
-STALLED_S = 0.3
-"""Time without a new pass, though requests run, after which silent ranks are asked."""
+MOST_SILENT = 8
+"""Ranks with silent agents that a leader reads and orders itself, from afar.
+
+Each costs it some milliseconds five times a second, and its map takes a fortieth of a
+second of its link.
+"""
+
+MOST_SILENT_SHARE = 0.25
+"""As above, as a part of the group's ranks.
+
+A leader that is heard by few of them may be cut off, and another one may lead. Two that
+change maps at a time undo each other's copies, and the group stays held.
+"""
 
 NONCE_BITS = 20
 """Room in a version for the number of the process that chose it."""
@@ -171,6 +189,8 @@
     chosen_at: float = 0.0
     """Time at which the step was chosen."""
     told_at: float = field(default=float("-inf"))
+    prepared_at: float = field(default=float("-inf"))
+    """Time at which ranks with silent agents were ordered last to copy experts."""
     order: RankOrder | None = None
     """Last order to the rank that holds."""
     ordered_at: float = field(default=float("-inf"))
@@ -195,8 +215,8 @@
         """Time of the first look since the start or a standstill."""
         self._demand = DemandWindow()
         self._change: _Change | None = None
-        self._known: _Change | None = None
-        """The last change that was brought into force here."""
+        self._known: tuple[int, ExpertLists] | None = None
+        """Version and experts of the last map that was told or brought into force."""
         self._group = ""
         self._epoch = 0
         self._own = -1
@@ -266,6 +286,16 @@
         if layout is not None and layout.report_lag_s is not None:
             self.report_lag_s = layout.report_lag_s
 
+    def note_map(self, change: MapChange) -> None:
+        """Take the map that a leader tells.
+
+        Whoever leads next knows then what the ranks have, also that of a rank whose
+        agent is silent: a report doesn't name the experts.
+        """
+        if (change.group, change.epoch) == (self._group, self._epoch):
+            if change.experts:
+                self._known = (change.version, change.experts)
+
     def note_agent(self, rank: int, *, now: float) -> None:
         """Take note that a rank's agent lives."""
         self._agents_at[rank] = now
@@ -425,22 +455,30 @@
         }
 
     def _ask_silent(self, now: float) -> list[Action]:
-        # An agent that froze or died while its rank held the group can't tell. The
-        # group stands still then, and its rank is the only one who knows why.
+        """Read the ranks whose agents are silent.
+
+        An agent may stand still for seconds while its rank works. Its rank is the only
+        one then who knows whether it holds the group and which map it has; without it
+        no map would follow the demand until the agent wakes.
+        """
         own = self._heard[self._own].state
         if own.step != self._step or not own.active:
             passed = own.step - self._step
             self._pass_s = (now - self._step_at) / passed if passed > 0 else 0.0
             self._step, self._step_at = own.step, now
-        stalled = now - self._step_at > STALLED_S
-        if not stalled or now - self._asked_at < STALLED_S:
+        if now - self._asked_at < self.report_lag_s:
+            return []
+        silent = [rank for rank in self._heard if self._is_silent(rank, now)]
+        most = min(MOST_SILENT, int(MOST_SILENT_SHARE * own.ranks))
+        if not 0 < len(silent) <= most:
             return []
         self._asked_at = now
-        return [
-            AskRank(one.state.replica)
-            for rank, one in self._heard.items()
-            if self._measure_silence(rank, now) > self._fresh_s
-        ]
+        return [AskRank(self._heard[rank].state.replica) for rank in silent]
+
+    def _is_silent(self, rank: int, now: float) -> bool:
+        if rank == self._own:
+            return False
+        return self._measure_silence(rank, now) > max(_DIRECT_AFTER_S, self._fresh_s)
 
     def _begin_epoch(self, state: RankState) -> None:
         # A group that was formed anew has map 0 and nothing prepared, armed or held.
@@ -448,6 +486,7 @@
         self._heard.clear()
         self._demand.clear()
         self._in_force_at = None
+        self._known = None
         self._reset()
 
     def _reset(self) -> None:
@@ -530,8 +569,8 @@
         if not states or len(states) != states[0].ranks:
             return None
         versions = {state.map_version for state in states}
-        if self._known is not None and versions == {self._known.version}:
-            return self._known.experts
+        if self._known is not None and versions == {self._known[0]}:
+            return self._known[1]
         if not all(state.experts for state in states):
             return None
         sets = len(states[0].experts)
@@ -547,7 +586,7 @@
                 self.phase = Phase.HOLDING
                 change.step = self._choose_step(now)
                 self._hold_answered = False
-                change.holder = self._choose_holder(own)
+                change.holder = self._choose_holder(own, now)
                 # The next announcement says something new: it must not wait because
                 # the last one has just gone out.
                 change.told_at = float("-inf")
@@ -555,7 +594,19 @@
         if now - change.started_at > change.copy_s + _COPY_SLACK_S:
             self._reset()
             return []
-        return self._tell(now, step=0)
+        return self._tell(now, step=0) + self._prepare_silent(now)
+
+    def _prepare_silent(self, now: float) -> list[Action]:
+        change = self._get_change()
+        if now - change.prepared_at < _RETELL_S:
+            return []
+        change.prepared_at = now
+        order = Prepare(self._epoch, change.version, change.experts)
+        return [
+            GiveOrder(one.state.replica, order)
+            for rank, one in self._heard.items()
+            if self._is_silent(rank, now) and one.state.prepared != change.version
+        ]
 
     def _hold(self, now: float) -> list[Action]:
         change = self._get_change()
@@ -589,7 +640,13 @@
             took_s = now - change.chosen_at
             self.arming_s = max(took_s, ARMING_FADE * self.arming_s)
             if change.experts:
-                self._known = change
+                self._known = (change.version, change.experts)
+            return self._release(now)
+        if self._all(lambda state: _is_overtaken(state, change)):
+            # Another leader has brought its copies to the ranks before they were
+            # armed. None of them can be armed for this change any more, so the pass
+            # may begin without it; waiting for them would hold the group for ever.
+            self.phase = Phase.RELEASING
             return self._release(now)
         if now - change.told_at < _ARM_AGAIN_S and not self._is_own_due(change):
             return []
@@ -620,9 +677,7 @@
         return [
             GiveOrder(one.state.replica, order)
             for rank, one in self._heard.items()
-            if self._measure_silence(rank, now) > max(_DIRECT_AFTER_S, self._fresh_s)
-            and rank != self._own
-            and not _is_armed(one.state, change)
+            if self._is_silent(rank, now) and not _is_armed(one.state, change)
         ]
 
     def _release(self, now: float) -> list[Action]:
@@ -678,8 +733,12 @@
             one.state for one in self._heard.values() if one.state.replica == replica
         )
 
-    def _choose_holder(self, own: RankState) -> str:
-        return self._heard[(own.rank + 1) % own.ranks].state.replica
+    def _choose_holder(self, own: RankState, now: float) -> str:
+        """Return the rank after the own one whose agent speaks, to order it as well."""
+        others = [(own.rank + number) % own.ranks for number in range(1, own.ranks)]
+        speaking = [rank for rank in others if not self._is_silent(rank, now)]
+        chosen = (speaking or others or [own.rank])[0]
+        return self._heard[chosen].state.replica
 
     def _choose_step(self, now: float) -> int:
         self._get_change().chosen_at = now
@@ -749,6 +808,11 @@
     return _is_armed(state, change) if step else state.prepared == change.version
 
 
+def _is_overtaken(state: RankState, change: _Change) -> bool:
+    """Tell whether a rank has newer copies and so can't be armed for a change."""
+    return state.prepared > change.version and not _is_armed(state, change)
+
+
 def _is_armed(state: RankState, change: _Change) -> bool:
     if state.map_version == change.version:
         return True
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -254,6 +254,7 @@
             case MapChange() if message.group != self._group:
                 log_event("debug", "map-of-another-group", sender=sender)
             case MapChange():
+                self._coordinator.note_map(message)
                 self._change = message
                 self._changed.set()
                 self._spread_map(message, split_among(message.forward))
--- a/tests/lib/rank_model.py
+++ b/tests/lib/rank_model.py
@@ -133,6 +133,8 @@
     freezes: float = 0.0
     restarts: float = 0.0
     broken: float = 0.0
+    silences: float = 0.0
+    """Agents whose process stands still while their rank works, a second."""
 
 
 @dataclass
@@ -244,6 +246,10 @@
             number = self.random.randrange(RANKS)
             self.agents[number] = self._make_agent()
             self.agents[number].down_until = self.now + 0.8
+        if self.random.random() < self.faults.silences * TICK_S:
+            agent = self.random.choice(self.agents)
+            agent.down_until = self.now + self.random.uniform(0.3, 4.0)
+            agent.stood_still = True
         if self.random.random() < self.faults.broken * TICK_S:
             self.epoch += 1
             self.begin_epoch()
@@ -336,6 +342,7 @@
                 and self.random.random() >= self.message_loss
             ):
                 agent.change = change
+                agent.coordinator.note_map(change)
 
     def _follow(self, number: int) -> None:
         agent, rank = self.agents[number], self.ranks[number]
--- a/tests/unit/test_map_coordinator.py
+++ b/tests/unit/test_map_coordinator.py
@@ -21,7 +21,7 @@
 from hyssopvane._internal.state.group import RankState
 from hyssopvane._internal.state.ranks import Hold, Release
 from hyssopvane._internal.state.routing import ExpertLayout
-from tests.lib.rank_model import TICK_S, Faults, GroupModel, MapsDiffer
+from tests.lib.rank_model import EXPERTS, TICK_S, Faults, GroupModel, MapsDiffer
 
 SEEDS = range(6)
 
@@ -33,7 +33,9 @@
     "frozen leaders": Faults(freezes=0.8),
     "restarted agents": Faults(restarts=0.8),
     "broken groups": Faults(broken=0.3),
+    "silent agents": Faults(lost=0.1, late=0.15, silences=0.8),
     "all": Faults(0.1, 0.15, 0.1, 0.3, 0.3, 0.1),
+    "all and silent agents": Faults(0.1, 0.15, 0.1, 0.3, 0.3, 0.1, 0.5),
 }
 
 
@@ -356,3 +358,59 @@
     order = Release(model.epoch, leader._get_change().step)
     given = leader._order(model.now + 1.0, order)
     assert {type(one) for one in given} == {GiveOrder, DelegateOrder}
+
+
+@pytest.mark.parametrize("silent", [0, 2])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_maps_follow_demand_while_an_agent_stands_still(silent, seed):
+    """The process beside one rank stands still for seconds; its rank goes on working.
+
+    A leader that waits for its word changes no map meanwhile. Demand moves on, passes
+    take twice as long, and a third of the callers is refused until it wakes.
+    """
+    model = GroupModel(Random(seed), Faults())
+    model.play(6.0)
+    model.agents[silent].down_until = model.now + 12.0
+    model.agents[silent].stood_still = True
+    model.play(map_coordinator.ALONE_S + map_coordinator.ORPHAN_S + 0.5)
+    before = model.changes
+    for _ in range(4):
+        model.hot = (model.hot + 3) % EXPERTS
+        model.play(2.5)
+    assert model.changes >= before + 2
+    assert model.longest_hold_s < map_coordinator.ALONE_S + map_coordinator.ORPHAN_S
+
+
+def test_many_silent_agents_are_not_all_read_from_afar(monkeypatch):
+    """More agents are silent than the leader can read ranks for: it leaves the map."""
+    monkeypatch.setattr(map_coordinator, "MOST_SILENT", 1)
+    model = GroupModel(Random(3), Faults())
+    model.play(6.0)
+    for silent in (2, 3):
+        model.agents[silent].down_until = model.now + 12.0
+    model.play(1.0)
+    before = model.changes
+    model.play(4.0)
+    assert model.changes == before
+
+
+def test_change_that_another_leader_has_overtaken_lets_the_group_go_on():
+    """Two agents lead for a moment, and one brings its copies after the other's hold.
+
+    No rank can be armed for the first change any more. A leader that waits for them
+    holds the group for ever, and all its streams end at their deadlines.
+    """
+    model = GroupModel(Random(3), Faults())
+    leader = model.agents[0].coordinator
+    while leader.phase is not Phase.ARMING:
+        model.play(TICK_S)
+    for rank in model.ranks:
+        rank.armed = None
+        rank.prepared += 1
+    for agent in model.agents:
+        agent.change = None
+    for number in range(4):
+        leader.observe(model._describe(number), now=model.now, own=number == 0)
+    before = model.step
+    model.play(0.5)
+    assert model.step > before + 3
