Look for a better map as soon as the skew has risen

A group of 72 ranks with 12 sets looked for a better map each 0.47 s, as one look takes 42 ms. To measure the skews takes 2 ms there; where their mean has risen by 15 in 100 since the last look, the next one follows after 0.12 s. The new test fails without it.

--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -150,6 +150,10 @@
 the leader takes no word of a rank. Demand is counted about as often as the first.
 """
 
+_MOVED_ON = 1.15
+"""Rise of the skew from its least since the last look for a better map, after which the
+next one is not put off: demand has moved on, and passes are long until a map follows."""
+
 _COPY_SLACK_S = 1.0
 """Time beyond the copying itself after which a change is given up."""
 
@@ -235,6 +239,8 @@
         self._asked_at = float("-inf")
         self._searched_at = float("-inf")
         """Time of the last look for a better map."""
+        self._least_skew = 1.0
+        """Least mean skew of the sets since that look."""
         self.changes = 0
         """Maps that were brought into force since the start."""
 
@@ -517,10 +523,10 @@
         settled = len({state.map_version for state in states}) == 1
         if not settled or any(state.armed_step for state in states):
             return []
-        lists = self.layout.sets * len(states)
-        if now - self._searched_at < _CHOOSE_S + _CHOOSE_PART_S * lists:
+        if not self._is_search_due(now):
             return []
         self._searched_at = now
+        self._least_skew = self._measure_mean_skew(now)
         chosen = self._choose(now)
         if chosen is None:
             return []
@@ -532,6 +538,25 @@
         self.phase = Phase.PREPARING
         return self._prepare(now)
 
+    def _is_search_due(self, now: float) -> bool:
+        """Tell whether to look for a better map.
+
+        To see that demand has moved on takes a twentieth of the time of such a look,
+        so a large group need not wait for its next one.
+        """
+        assert self.layout is not None
+        since_s = now - self._searched_at
+        lists = self.layout.sets * len(self._heard)
+        if since_s >= _CHOOSE_S + _CHOOSE_PART_S * lists:
+            return True
+        skew = self._measure_mean_skew(now)
+        self._least_skew = min(self._least_skew, skew)
+        return since_s >= _CHOOSE_S and skew > _MOVED_ON * self._least_skew
+
+    def _measure_mean_skew(self, now: float) -> float:
+        skews = self.measure_skews(now)
+        return sum(skews) / len(skews) if skews else 1.0
+
     def _make_version(self, states: list[RankState]) -> int:
         highest = max(max(state.map_version, state.prepared) for state in states)
         version: int = (((highest >> NONCE_BITS) + 1) << NONCE_BITS) + self._nonce
--- a/tests/unit/test_map_coordinator.py
+++ b/tests/unit/test_map_coordinator.py
@@ -414,3 +414,58 @@
     before = model.step
     model.play(0.5)
     assert model.step > before + 3
+
+
+def test_large_group_follows_a_shift_of_demand_without_waiting_for_its_next_look():
+    """Demand moves to other experts right after the leader has looked for a better map.
+
+    In a group of 64 ranks the next look is half a second away. All passes take twice as
+    long until then, and every stream that runs pauses for too long.
+    """
+    ranks = 64
+    layout = ExpertLayout(12, 128, 4, 2, 0.85, 1.0, 180_000.0)
+    coordinator = MapCoordinator(nonce=1, layout=layout)
+    now, searched = 0.0, []
+    look_s = measure_look_s(ranks)
+    for look in range(8):
+        hottest = 2_000 if look >= 5 else 10
+        for rank in range(ranks):
+            counts = tuple(
+                hottest if expert == 0 else 10
+                for _ in range(12)
+                for expert in range(128)
+            )
+            state = make_state(rank, ranks, layout, counts=counts, step=look)
+            at = now + look_s * rank / ranks
+            coordinator.observe(state, now=at, own=rank == 0)
+        now += look_s
+        coordinator._reset()
+        coordinator.decide(now)
+        if coordinator._searched_at == now:
+            searched.append(look)
+    assert searched[0] <= 1
+    assert {5, 6} & set(searched)
+
+
+def make_state(rank, ranks, layout, **changes):
+    values = {
+        "messages": str(rank),
+        "replica": str(rank),
+        "group": "g",
+        "epoch": 1,
+        "rank": rank,
+        "ranks": ranks,
+        "open": True,
+        "active": 3,
+        "queued": 0,
+        "step": 1,
+        "map_version": 0,
+        "prepared": 0,
+        "armed_version": 0,
+        "armed_step": 0,
+        "held_step": 0,
+        "experts": tuple(
+            tuple(range(rank, layout.experts, ranks)) for _ in range(layout.sets)
+        ),
+    }
+    return RankState(**values | changes)
