--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -151,8 +151,9 @@
 """
 
 _MOVED_ON = 1.15
-"""Rise of the skew from its least since the last look for a better map, after which the
-next one is not put off: demand has moved on, and passes are long until a map follows."""
+"""Rise of the skew from its least since the last look for a better map, after which
+the next one is not put off: demand has moved on, and passes are long until a map
+follows."""
 
 _COPY_SLACK_S = 1.0
 """Time beyond the copying itself after which a change is given up."""
