Count demand at every look where looks and counts are about as far apart

With 72 ranks an agent looks each 0.141 s and counts are due each 0.145 s, so every other look came a moment too early and demand was counted each 0.28 s. Counts may now come by a tenth of their pause earlier, as states do: 22 in 100 of the leader's link at most instead of 20.

--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -368,7 +368,10 @@
             tellers=min(report.ranks, COUNTED_RANKS),
             link_bytes_per_s=self._settings.link_bits_per_s / _BITS,
         )
-        return told and _tells_counts(report) and now - self._counted_at >= pause_s
+        # Looks are about as far apart as counts are due. Without the share every other
+        # look would come a moment too early, and demand would be seen half as often.
+        counted = now - self._counted_at >= _DUE_SHARE * pause_s
+        return told and counted and _tells_counts(report)
 
     async def _read_counts(self, report: RankReport) -> Counts:
         counts = await self._ranks.read_counts(self._settings.replica)
