Keep experts that ranks tell before the leader knows their layout

After a loss of power the leader read the configuration (1,049 routes) 0.7 s after it had begun to follow the store. Experts are now kept and checked when the layout is known. The test failed before.

--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -211,9 +211,9 @@
         self.layout: ExpertLayout | None = None
         self.report_lag_s = REPORT_LAG_S
         """Age of what a rank's report says when it is read from another machine."""
-        self.set_layout(layout)
         self.phase = Phase.IDLE
         self._heard: dict[int, _Heard] = {}
+        self.set_layout(layout)
         self._agents_at: dict[int, float] = {}
         """Time at which each rank's own agent was heard."""
         self._listens_since: float | None = None
@@ -289,7 +289,11 @@
 
     def set_layout(self, layout: ExpertLayout | None) -> None:
         """Learn the engine's figures."""
+        if layout == self.layout:
+            return
         self.layout = layout
+        for one in self._heard.values():
+            one.state = self._leave_out_unsound(one.state)
         if layout is not None and layout.report_lag_s is not None:
             self.report_lag_s = layout.report_lag_s
 
@@ -315,7 +319,10 @@
         # that leads, and the next one that leads after it.
         layout = self.layout
         if layout is None:
-            return replace(state, counts=(), experts=())
+            # Nothing is done with the experts before the layout is known. Ranks name
+            # them again after seconds only: were they dropped, a group that has just
+            # been formed would keep its first map for as long.
+            return replace(state, counts=())
         if len(state.counts) != layout.sets * layout.experts:
             state = replace(state, counts=())
         sound = len(state.experts) == layout.sets and all(
--- a/tests/unit/test_map_coordinator.py
+++ b/tests/unit/test_map_coordinator.py
@@ -447,6 +447,42 @@
     assert {5, 6} & set(searched)
 
 
+def test_experts_that_are_told_before_the_layout_is_known_count_later():
+    """All processes start anew, and the ranks name their experts at once.
+
+    The leader reads the configuration half a second later. Ranks name their experts
+    again after two seconds; until then no map follows the demand, passes are long, and
+    callers who come back are refused.
+    """
+    layout = ExpertLayout(1, 24, 4, 2, 0.85, 1.0, 180_000.0)
+    coordinator = MapCoordinator(nonce=1)
+    for rank in range(12):
+        state = make_state(rank, 12, layout)
+        coordinator.observe(state, now=0.0, own=rank == 0)
+    coordinator.set_layout(layout)
+    counts = tuple(100 if expert == 3 else 1 for expert in range(24))
+    for rank in range(12):
+        state = make_state(rank, 12, layout, experts=(), counts=counts, step=2)
+        coordinator.observe(state, now=0.1, own=rank == 0)
+    coordinator.decide(0.1)
+    assert coordinator.phase is Phase.PREPARING
+
+
+@pytest.mark.parametrize("experts", [((24,),), ((-1,),), ((0,), (1,))])
+def test_experts_outside_the_layout_are_dropped_when_it_becomes_known(experts):
+    layout = ExpertLayout(1, 24, 4, 2, 0.85, 1.0, 180_000.0)
+    coordinator = MapCoordinator(nonce=1)
+    for rank in range(12):
+        state = make_state(rank, 12, layout, experts=experts)
+        coordinator.observe(state, now=0.0, own=rank == 0)
+    coordinator.set_layout(layout)
+    counts = (1,) * 24
+    for rank in range(12):
+        state = make_state(rank, 12, layout, experts=(), counts=counts, step=2)
+        coordinator.observe(state, now=0.1, own=rank == 0)
+    assert coordinator.decide(0.1) == []
+
+
 def make_state(rank, ranks, layout, **changes):
     values = {
         "messages": str(rank),
