--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -22,12 +22,10 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from enum import Enum, auto
 from math import ceil
 
-from hyssopvane._internal.policy.demand_window import DemandWindow
-from hyssopvane._internal.policy.expert_moves import measure_skew
 from hyssopvane._internal.policy.look_times import FRESH_S, measure_fresh_s
 from hyssopvane._internal.policy.map_actions import (
     Action,
@@ -37,7 +35,15 @@
     DelegateOrder,
     GiveOrder,
 )
-from hyssopvane._internal.policy.move_worth import WeighedMove, find_move
+from hyssopvane._internal.policy.map_changes import (
+    Change,
+    HeardRank,
+    get_progress,
+    is_armed,
+    is_overtaken,
+    is_told,
+)
+from hyssopvane._internal.policy.map_search import MapSearch
 from hyssopvane._internal.state.group import MapChange, RankState
 from hyssopvane._internal.state.loads import SLOW_PACE
 from hyssopvane._internal.state.ranks import (
@@ -64,10 +70,7 @@
 """Passes between the one that runs and the one that is held.
 
 As many as arming all ranks took lately. With too few the group stands still at each
-change, which every stream sees as a longer pause: 80 ms and more while ranks leave
-orders unanswered. With too many the change comes late. Where half of the orders get no
-answer, six passes were too few: of 30 s groups were held for 2.7 s, with twelve for
-1.6 s (8 seeds of the model with 4 ranks).
+change, which every stream sees as a longer pause; with too many the change comes late.
 """
 
 FIRST_ARMING_S = 0.1
@@ -103,21 +106,6 @@
 NONCE_BITS = 20
 """Room in a version for the number of the process that chose it."""
 
-LEAST_GAIN = 0.25
-"""Part of a pass that a change must save.
-
-Copying slows passes by 15 in 100 for some tenths of a second. What costs more: demand
-that moves on while a change is under way waits for its end, up to 0.7 s of passes that
-take twice as long. With two changes after each shift instead of four, two in three
-streams of a busy day met their objective instead of three in five.
-"""
-
-FIRST_DEMAND_S = 3.0
-"""Time that a demand is expected to last until it has been seen to move."""
-
-DEMAND_WEIGHT = 0.3
-"""Weight of the last demand in the time that one is expected to last."""
-
 REPORT_LAG_S = 0.3
 """Age of a report from another machine where the engine's figures don't name it."""
 
@@ -127,9 +115,8 @@
 _ARM_AGAIN_S = 0.04
 """Time after which agents that have not told that their rank is armed are told again.
 
-One lost word in a calm hour stopped a group for 0.27 s, when it was told again after
-0.08 s only, and all its streams paused for too long. All ranks of a large group have
-answered within 0.04 s.
+All ranks of a large group have answered by then. A lost word stops the group, and all
+its streams pause, until it is told again.
 """
 
 _REPEAT_S = 0.08
@@ -142,19 +129,6 @@
 fills the leader's link, and no state of a rank comes through in time for a change.
 """
 
-_CHOOSE_S = 0.12
-_CHOOSE_PART_S = 0.0004
-"""Pause between two looks for a better map, and what each list of experts adds to it.
-
-One look takes 2 ms with 3 sets on 12 ranks and 40 ms with 12 sets on 64, and meanwhile
-the leader takes no word of a rank. Demand is counted about as often as the first.
-"""
-
-_MOVED_ON = 1.15
-"""Rise of the skew from its least since the last look for a better map, after which
-the next one is not put off: demand has moved on, and passes are long until a map
-follows."""
-
 _COPY_SLACK_S = 1.0
 """Time beyond the copying itself after which a change is given up."""
 
@@ -172,37 +146,6 @@
     RELEASING = auto()
 
 
-@dataclass(slots=True)
-class _Heard:
-    state: RankState
-    at: float
-    as_of: float
-    """Time at which the rank was so, as far as known: reports from afar lag."""
-
-
-@dataclass(slots=True)
-class _Change:
-    version: int
-    experts: ExpertLists
-    started_at: float
-    copy_s: float
-    step: int = 0
-    holder: str = ""
-    """Address of the replica whose rank holds the group."""
-    own_ordered_at: float = 0.0
-    """Time at which the leader's own rank was armed, 0 before."""
-    chosen_at: float = 0.0
-    """Time at which the step was chosen."""
-    told_at: float = field(default=float("-inf"))
-    prepared_at: float = field(default=float("-inf"))
-    """Time at which ranks with silent agents were ordered last to copy experts."""
-    order: RankOrder | None = None
-    """Last order to the rank that holds."""
-    ordered_at: float = field(default=float("-inf"))
-    asked_at: float = field(default=float("-inf"))
-    """Time at which the rank that holds was read last."""
-
-
 class MapCoordinator:
     """Decide what the agent that leads a group does next."""
 
@@ -212,14 +155,14 @@
         self.report_lag_s = REPORT_LAG_S
         """Age of what a rank's report says when it is read from another machine."""
         self.phase = Phase.IDLE
-        self._heard: dict[int, _Heard] = {}
+        self._heard: dict[int, HeardRank] = {}
         self.set_layout(layout)
         self._agents_at: dict[int, float] = {}
         """Time at which each rank's own agent was heard."""
         self._listens_since: float | None = None
         """Time of the first look since the start or a standstill."""
-        self._demand = DemandWindow()
-        self._change: _Change | None = None
+        self._search = MapSearch()
+        self._change: Change | None = None
         self._known: tuple[int, ExpertLists] | None = None
         """Version and experts of the last map that was told or brought into force."""
         self._group = ""
@@ -234,14 +177,7 @@
         self._pass_s = 0.0
         self.arming_s = FIRST_ARMING_S
         self._step_at = float("-inf")
-        self._in_force_at: float | None = None
-        """Time at which the last change came into force."""
-        self._lasts_s = FIRST_DEMAND_S
         self._asked_at = float("-inf")
-        self._searched_at = float("-inf")
-        """Time of the last look for a better map."""
-        self._least_skew = 1.0
-        """Least mean skew of the sets since that look."""
         self.changes = 0
         """Maps that were brought into force since the start."""
 
@@ -278,13 +214,13 @@
             if before.state.map_version == state.map_version:
                 state = replace(state, experts=before.state.experts)
         if state.counts:
-            self._demand.observe(state.counts, now=now)
+            self._search.observe(state.counts, now=now)
         if asked and before is not None:
             # The rank was asked straight; its agent is where it was.
             state = replace(state, messages=before.state.messages)
         if not asked:
             self.note_agent(state.rank, now=now)
-        self._heard[state.rank] = _Heard(state, now, as_of)
+        self._heard[state.rank] = HeardRank(state, now, as_of)
         return before is None or get_progress(before.state) != get_progress(state)
 
     def set_layout(self, layout: ExpertLayout | None) -> None:
@@ -383,7 +319,7 @@
         self._heard.clear()
         self._agents_at.clear()
         self._listens_since = None
-        self._demand.clear()
+        self._search.clear()
 
     def leads(self, now: float) -> bool:
         """Tell whether no agent of a lower rank lives.
@@ -446,13 +382,7 @@
         current = self._get_map()
         if current is None:
             return []
-        loads = self._demand.measure(sets=len(current), now=now)
-        if not loads:
-            return []
-        paces = self._list_paces()
-        return [
-            measure_skew(r, one, paces) for r, one in zip(current, loads, strict=True)
-        ]
+        return self._search.measure_skews(current, self._list_paces(), now)
 
     def describe(self, now: float) -> dict[str, object]:
         """Return what the decisions go by, for the log."""
@@ -498,8 +428,7 @@
         # A group that was formed anew has map 0 and nothing prepared, armed or held.
         self._group, self._epoch = state.group, state.epoch
         self._heard.clear()
-        self._demand.clear()
-        self._in_force_at = None
+        self._search.begin_epoch()
         self._known = None
         self._reset()
 
@@ -531,72 +460,29 @@
         settled = len({state.map_version for state in states}) == 1
         if not settled or any(state.armed_step for state in states):
             return []
-        if not self._is_search_due(now):
+        current = self._get_map()
+        if current is None:
             return []
-        self._searched_at = now
-        self._least_skew = self._measure_mean_skew(now)
-        chosen = self._choose(now)
+        chosen = self._search.find(
+            current,
+            self.layout,
+            paces=self._list_paces(),
+            arming_s=self.arming_s,
+            now=now,
+        )
         if chosen is None:
             return []
-        if self._in_force_at is not None:
-            lasted_s = now - self._in_force_at
-            self._lasts_s += DEMAND_WEIGHT * (lasted_s - self._lasts_s)
+        self._search.note_begun(now)
         version = self._make_version(states)
-        self._change = _Change(version, chosen.move.experts, now, chosen.copy_s)
+        self._change = Change(version, chosen.move.experts, now, chosen.copy_s)
         self.phase = Phase.PREPARING
         return self._prepare(now)
 
-    def _is_search_due(self, now: float) -> bool:
-        """Tell whether to look for a better map.
-
-        To see that demand has moved on takes a twentieth of the time of such a look,
-        so a large group need not wait for its next one.
-        """
-        assert self.layout is not None
-        since_s = now - self._searched_at
-        lists = self.layout.sets * len(self._heard)
-        if since_s >= _CHOOSE_S + _CHOOSE_PART_S * lists:
-            return True
-        skew = self._measure_mean_skew(now)
-        self._least_skew = min(self._least_skew, skew)
-        return since_s >= _CHOOSE_S and skew > _MOVED_ON * self._least_skew
-
-    def _measure_mean_skew(self, now: float) -> float:
-        skews = self.measure_skews(now)
-        return sum(skews) / len(skews) if skews else 1.0
-
     def _make_version(self, states: list[RankState]) -> int:
         highest = max(max(state.map_version, state.prepared) for state in states)
         version: int = (((highest >> NONCE_BITS) + 1) << NONCE_BITS) + self._nonce
         return version
 
-    def _choose(self, now: float) -> WeighedMove | None:
-        current = self._get_map()
-        if current is None or self.layout is None:
-            return None
-        loads = self._demand.measure(sets=len(current), now=now)
-        if not loads:
-            return None
-        found = find_move(
-            current,
-            loads,
-            self.layout,
-            paces=self._list_paces(),
-            lasts_s=self._measure_lasting(now),
-            arming_s=self.arming_s,
-        )
-        return found if found.saved >= LEAST_GAIN and found.worth_s > 0 else None
-
-    def _measure_lasting(self, now: float) -> float:
-        """Return the time that the present demand is expected to last.
-
-        It is the time from a map in force to the next one that is worth making. A
-        demand that has stayed for longer is expected to stay as long again.
-        """
-        if self._in_force_at is None:
-            return self._lasts_s
-        return max(self._lasts_s, now - self._in_force_at)
-
     def _get_map(self) -> ExpertLists | None:
         states = self._list_states()
         if not states or len(states) != states[0].ranks:
@@ -666,7 +552,7 @@
 
     def _arm(self, now: float) -> list[Action]:
         change = self._get_change()
-        if self._all(lambda state: _is_armed(state, change)):
+        if self._all(lambda state: is_armed(state, change)):
             self.phase = Phase.RELEASING
             change.ordered_at = float("-inf")
             self.changes += 1
@@ -675,7 +561,7 @@
             if change.experts:
                 self._known = (change.version, change.experts)
             return self._release(now)
-        if self._all(lambda state: _is_overtaken(state, change)):
+        if self._all(lambda state: is_overtaken(state, change)):
             # Another leader has brought its copies to the ranks before they were
             # armed. None of them can be armed for this change any more, so the pass
             # may begin without it; waiting for them would hold the group for ever.
@@ -689,12 +575,12 @@
             + self._arm_own(now)
         )
 
-    def _is_own_due(self, change: _Change) -> bool:
+    def _is_own_due(self, change: Change) -> bool:
         return not change.own_ordered_at and self._are_others_armed(change)
 
-    def _are_others_armed(self, change: _Change) -> bool:
+    def _are_others_armed(self, change: Change) -> bool:
         others = (s for s in self._list_states() if s.rank != self._own)
-        return all(_is_armed(state, change) for state in others)
+        return all(is_armed(state, change) for state in others)
 
     def _arm_own(self, now: float) -> list[Action]:
         change = self._get_change()
@@ -710,13 +596,13 @@
         return [
             GiveOrder(one.state.replica, order)
             for rank, one in self._heard.items()
-            if self._is_silent(rank, now) and not _is_armed(one.state, change)
+            if self._is_silent(rank, now) and not is_armed(one.state, change)
         ]
 
     def _release(self, now: float) -> list[Action]:
         change = self._get_change()
         if self._find(change.holder).held_step != change.step:
-            self._in_force_at = now
+            self._search.note_in_force(now)
             self._reset()
             return []
         return self._order(now, Release(self._epoch, change.step))
@@ -733,7 +619,7 @@
         if not armed and not self._is_orphan(now):
             return []
         version = max(armed, default=0)
-        change = _Change(version, (), now, 0.0, holder.held_step, holder.replica)
+        change = Change(version, (), now, 0.0, holder.held_step, holder.replica)
         change.chosen_at = now
         self._change = change
         self.phase = Phase.ARMING if armed else Phase.RELEASING
@@ -757,7 +643,7 @@
         ]
         return len(stale) <= 1 and all(rank < self._own for rank in stale)
 
-    def _get_change(self) -> _Change:
+    def _get_change(self) -> Change:
         assert self._change is not None
         return self._change
 
@@ -801,7 +687,7 @@
         to = tuple(
             state.messages
             for state in self._list_states()
-            if state.rank != self._own and not _is_told(state, change, step=step)
+            if state.rank != self._own and not is_told(state, change, step=step)
         )
         return [Announce(told, to)]
 
@@ -823,30 +709,3 @@
         if is_first and isinstance(order, Hold):
             return [direct]
         return [direct, DelegateOrder(self._find(change.holder).messages, order)]
-
-
-def get_progress(state: RankState) -> tuple[int, ...]:
-    """Return what a rank's part in a change of maps depends on."""
-    return (
-        state.map_version,
-        state.prepared,
-        state.armed_version,
-        state.armed_step,
-        state.held_step,
-    )
-
-
-def _is_told(state: RankState, change: _Change, *, step: int) -> bool:
-    """Tell whether a rank has done what an announcement asks for."""
-    return _is_armed(state, change) if step else state.prepared == change.version
-
-
-def _is_overtaken(state: RankState, change: _Change) -> bool:
-    """Tell whether a rank has newer copies and so can't be armed for a change."""
-    return state.prepared > change.version and not _is_armed(state, change)
-
-
-def _is_armed(state: RankState, change: _Change) -> bool:
-    if state.map_version == change.version:
-        return True
-    return state.armed_version == change.version and state.armed_step == change.step
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -28,7 +28,8 @@
     DelegateOrder,
     GiveOrder,
 )
-from hyssopvane._internal.policy.map_coordinator import MapCoordinator, get_progress
+from hyssopvane._internal.policy.map_changes import get_progress
+from hyssopvane._internal.policy.map_coordinator import MapCoordinator
 from hyssopvane._internal.policy.map_spread import split_among, split_by_zone
 from hyssopvane._internal.policy.pass_meter import PassMeter
 from hyssopvane._internal.protocol.group_messages import GroupMessage
--- a/tests/unit/test_map_coordinator.py
+++ b/tests/unit/test_map_coordinator.py
@@ -441,7 +441,7 @@
         now += look_s
         coordinator._reset()
         coordinator.decide(now)
-        if coordinator._searched_at == now:
+        if coordinator._search.searched_at == now:
             searched.append(look)
     assert searched[0] <= 1
     assert {5, 6} & set(searched)
