--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -36,8 +36,8 @@
     ReplicaResponse,
     ReplicaUnreachable,
 )
+from hyssopvane._internal.utils.deferred_metrics import DeferredMetrics
 from hyssopvane._internal.utils.logs import log_event
-from hyssopvane._internal.utils.metrics import Metrics
 
 MAX_PLAIN_ANSWER_BYTES = 16 * 1024 * 1024
 """Largest answer of a plain service; it is held whole before it is passed on."""
@@ -121,7 +121,7 @@
     names: ReplicaHeaders
     gates: GateKeeper
     client: ReplicaClient
-    metrics: Metrics
+    metrics: DeferredMetrics
     suspects: CrashSuspects
     budget: RepeatBudget
 
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -35,8 +35,8 @@
 from hyssopvane._internal.transport.asgi_server import serve_asgi, serve_until_cancelled
 from hyssopvane._internal.transport.datagrams import DatagramPort
 from hyssopvane._internal.transport.replica_client import ReplicaClient
+from hyssopvane._internal.utils.deferred_metrics import DeferredMetrics
 from hyssopvane._internal.utils.logs import log_event
-from hyssopvane._internal.utils.metrics import Metrics
 
 RETURN_TOLD_S = 3.0
 """Time for which other entries are told that the store has come back: what lapsed
@@ -83,7 +83,7 @@
         self._shutdown = trio.Event()
         self._callers_closed = trio.Event()
         random = Random(secrets.randbits(63))
-        self.metrics = Metrics(role=settings.role, vm=settings.vm)
+        self.metrics = DeferredMetrics(role=settings.role, vm=settings.vm)
         self.gates = GateKeeper(
             random=random,
             availability_zone=settings.availability_zone,
--- a/src/hyssopvane/_internal/utils/metrics.py
+++ b/src/hyssopvane/_internal/utils/metrics.py
@@ -1,6 +1,6 @@
 """Count what a process does, by OpenTelemetry, and render it for Prometheus."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.sdk.metrics import MeterProvider
@@ -51,10 +51,28 @@
         """Count something an operator may want to watch."""
         self._events.add(amount, {**self._labels, "event": event})
 
-    def count_events(self, amounts: Mapping[str, int]) -> None:
-        """Count several events at once, by their names."""
-        for event, amount in amounts.items():
+    def add(
+        self,
+        *,
+        events: Mapping[str, int],
+        refusals: Mapping[str, int],
+        retries: Mapping[str, int],
+        requests: Mapping[tuple[str, str], int],
+        durations: Mapping[str, Iterable[float]],
+    ) -> None:
+        """Count what was gathered elsewhere; requests by service and outcome."""
+        for event, amount in events.items():
             self._events.add(amount, {**self._labels, "event": event})
+        by_reason = ((self._refusals, refusals), (self._retries, retries))
+        for counter, amounts in by_reason:
+            for reason, amount in amounts.items():
+                counter.add(amount, {**self._labels, "reason": reason})
+        for (service, outcome), amount in requests.items():
+            labels = {**self._labels, "service": service, "outcome": outcome}
+            self._requests.add(amount, labels)
+        for service, seconds in durations.items():
+            for one in seconds:
+                self.record_duration(service=service, seconds=one)
 
     def record_duration(self, *, service: str, seconds: float) -> None:
         """Record the time of a request from its head to its last byte."""
