--- a/src/hyssopvane/_internal/cli/status_codes.py
+++ b/src/hyssopvane/_internal/cli/status_codes.py
@@ -2,6 +2,13 @@
 
 from enum import IntEnum
 
+from hyssopvane._internal.exceptions import (
+    EditConflict,
+    HyssopvaneError,
+    KeyValueError,
+    SettingsError,
+)
+
 
 class StatusCode(IntEnum):
     """Tell a shell how a command ended."""
@@ -14,3 +21,19 @@
     UNAVAILABLE = 5
     CUT = 6
     """A shutdown reached its time limit with requests still in progress."""
+
+
+_STATUS_BY_ERROR: tuple[tuple[type[HyssopvaneError], StatusCode], ...] = (
+    (SettingsError, StatusCode.BAD_SETTINGS),
+    (EditConflict, StatusCode.CONFLICT),
+    (KeyValueError, StatusCode.UNAVAILABLE),
+    (HyssopvaneError, StatusCode.ERROR),
+)
+
+
+def get_status(error: HyssopvaneError) -> StatusCode:
+    """Return the exit code for an error."""
+    for kind, status in _STATUS_BY_ERROR:
+        if isinstance(error, kind):
+            return status
+    return StatusCode.ERROR
--- a/tests/unit/test_main.py
+++ b/tests/unit/test_main.py
@@ -1,10 +1,12 @@
 """Test the entry of the command line."""
 
 import signal
+import subprocess
+import sys
 
 import pytest
 
-from hyssopvane._internal.cli import application
+from hyssopvane._internal.cli import application, role_process
 from hyssopvane._internal.cli.main import main
 
 
@@ -18,10 +20,17 @@
         self.found = signal.getsignal(signal.SIGHUP)
         return 0
 
+    def run_plain(self, role, path):
+        return self.run_arguments([role, path])
+
 
 @pytest.mark.parametrize(
     ("arguments", "ignored"),
-    [(["run", "direct-entry", "file"], True), (["table", "show"], False)],
+    [
+        (["run", "direct-entry", "file"], True),
+        (["run", "direct-entry", "--help"], True),
+        (["table", "show"], False),
+    ],
 )
 def test_reload_during_the_start_ends_no_process(monkeypatch, arguments, ignored):
     """Settings change on many machines while a process is just being started there.
@@ -32,8 +41,26 @@
     before = signal.signal(signal.SIGHUP, signal.SIG_DFL)
     found = RecordingApplication()
     monkeypatch.setattr(application, "build_application", lambda: found)
+    monkeypatch.setattr(role_process, "run_plain", found.run_plain)
     try:
         main(arguments)
     finally:
         signal.signal(signal.SIGHUP, before)
     assert (found.found == signal.SIG_IGN) is ignored
+
+
+def test_role_starts_without_the_library_of_the_command_line():
+    """All machines have lost power, and callers wait for each entry's start."""
+    loaded = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            "import sys; from hyssopvane._internal.cli.main import main;"
+            "main(['run', 'rank-agent', '/nowhere']); print('cleo' in sys.modules)",
+        ],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert loaded.stdout.strip() == "False"
+    assert "can't be read" in loaded.stderr
