Speak to the agents of a group as soon as they are known

After a restart of everything the agents of the lowest ranks waited for 0.75 s before they spoke to anybody, and for the next quarter of a second after they had read the list. The three lowest ranks speak at their first turn, and at once when the list comes.

--- a/src/hyssopvane/_internal/policy/group_presence.py
+++ b/src/hyssopvane/_internal/policy/group_presence.py
@@ -40,12 +40,10 @@
 GONE_S = 6.0
 """Silence after which an agent is told nothing more: full states come each 2 s."""
 
-FIRST_S = 0.3
-"""Time from its group's forming until an agent that has heard nobody speaks to all."""
-
 OTHERS_S = 4.0
 STAGGER_S = 0.05
-"""As above, for ranks that don't lead and aren't next, and what each rank adds.
+"""Time from its group's forming until an agent that has heard nobody speaks to all, for
+ranks that don't lead and aren't next, and what each rank adds. The others don't wait.
 
 All agents may start in the same moment. The lowest ranks read the store and speak to
 two hundred agents within two seconds; while the others did not wait for that, 38 of 45
@@ -145,7 +143,7 @@
         """Tell whether this agent speaks to all others of its group."""
         if self._since is None:
             self._since = now
-        waits_s = FIRST_S if rank < ANNOUNCERS else OTHERS_S + rank * STAGGER_S
+        waits_s = 0.0 if rank < ANNOUNCERS else OTHERS_S + rank * STAGGER_S
         if now - self._since < waits_s:
             return False
         return len(self._list_lower(rank, now)) < ANNOUNCERS
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -150,6 +150,8 @@
         """Availability zone of each agent of the service."""
         self._agents: tuple[str, ...] = ()
         """Addresses of the service's other agents."""
+        self._found_agents = trio.Event()
+        """Set when the first other agents are known."""
         self._report: RankReport | None = None
         self._group = ""
         """Group that the rank was last seen in."""
@@ -226,7 +228,10 @@
             for replica in self.feed.replicas.values()
             if replica.service == self._settings.service
         }
+        knew_none = not self._agents
         self._agents = tuple(sorted(self._zones.keys() - {own}))
+        if knew_none and self._agents:
+            self._found_agents.set()
         table = self.feed.table
         spec = None if table is None else table.services.get(self._settings.service)
         if spec is not None and spec.engine is not None:
@@ -618,8 +623,15 @@
                 )
 
     async def _tell_presence(self) -> None:
+        """Tell others that this agent lives, and at once when they become known.
+
+        After a loss of power no map follows the demand, and a pass that was held by a
+        killed leader stands still, until a group has found its members.
+        """
         while True:
-            await trio.sleep(PRESENCE_S)
+            with trio.move_on_after(PRESENCE_S):
+                await self._found_agents.wait()
+                self._found_agents = trio.Event()
             report = self._report
             now = trio.current_time()
             if report is None or not report.group:
