Ask callers of a service that is out back by what is known of its outages

A caller of a broken group was asked back after 2 s give or take a quarter, whatever the group did; a part of the crowd after a loss of power came back before it served, and had no try left. It is now asked back after what the last outage had left, after as long as this one has lasted where that is longer, or after 2 s where none was seen to end; spread over as long as the outage has lasted, within a third of its time. Of those that wait at a group that nobody tells of and that has refused, one at a time is sent. While no leader is heard, one entry is assumed for six replicas: with four, 12 entries send 72 ranks three times what they take (new test). A request that comes before the first configuration waits for it, half a second at most.

--- a/src/hyssopvane/_internal/coordination/routing_feed.py
+++ b/src/hyssopvane/_internal/coordination/routing_feed.py
@@ -65,6 +65,7 @@
         self._observe = observe
         self._count = count
         """Takes the name of an event that operators may want to watch."""
+        self._was_ready = trio.Event()
         self.table: RoutingTable | None = None
         self.replicas: dict[str, Replica] = {}
         self._configuration = KeyValue("", b"", 0)
@@ -93,6 +94,15 @@
         """Tell whether a configuration and replicas are known."""
         return self.table is not None and bool(self.replicas)
 
+    async def wait_until_ready(self) -> None:
+        """Wait until a configuration and replicas were known for the first time."""
+        await self._was_ready.wait()
+
+    def _tell(self) -> None:
+        if self.is_ready():
+            self._was_ready.set()
+        self._observe()
+
     def export(self) -> Beliefs:
         """Return what is known, to pass it on to another process."""
         return Beliefs(
@@ -119,7 +129,7 @@
                 for item in beliefs.replicas
             )
             self._replace_replicas(items, beliefs.replicas_revision, source="peer")
-        self._observe()
+        self._tell()
 
     def note_return(self, at: float) -> None:
         """Learn from a peer when the store came back from a silence.
@@ -185,7 +195,7 @@
                     self._apply_configuration(item, source="store")
         elif revision >= self._replicas_revision:
             self._replace_replicas(items, revision, source="store")
-        self._observe()
+        self._tell()
 
     def _apply_event(self, prefix: str, event: WatchEvent) -> None:
         if prefix == self._format.configuration_key:
@@ -195,7 +205,7 @@
         elif event.revision > self._get_revision(event.key):
             self._apply_registration(event)
             self._replicas_revision = max(self._replicas_revision, event.revision)
-        self._observe()
+        self._tell()
 
     def _apply_configuration(self, item: KeyValue, *, source: str) -> None:
         # An answer that was on its way for long, or a peer that lags, must not bring
@@ -326,4 +336,4 @@
             now = trio.current_time()
             for key in [one for one, at in self._missing.items() if at <= now]:
                 self._drop(key, why="not back after an outage of the store")
-                self._observe()
+                self._tell()
--- a/src/hyssopvane/_internal/policy/group_room.py
+++ b/src/hyssopvane/_internal/policy/group_room.py
@@ -5,7 +5,7 @@
 
 from hyssopvane._internal.policy.look_times import measure_look_s
 from hyssopvane._internal.policy.pass_model import PassModel
-from hyssopvane._internal.policy.replica_load import UNHEARD_ENTRIES, ReplicaLoad
+from hyssopvane._internal.policy.replica_load import ReplicaLoad, guess_entries
 from hyssopvane._internal.state.loads import RankLoad
 from hyssopvane._internal.state.routing import EngineModel
 
@@ -40,7 +40,8 @@
         self.passes = PassModel()
         self.members: dict[str, ReplicaLoad] = {}
         """Replicas by their id."""
-        self.entries = UNHEARD_ENTRIES
+        self._told_entries = 0
+        """Entries that the leader hears; 0 where no load has come."""
         self._step = -1
         self._taken = 0
         """Places that this entry has taken since the last pass began."""
@@ -48,6 +49,8 @@
         self._epoch = -1
         self._refuses_until = float("-inf")
         """Time until which a group that nobody tells of counts as broken."""
+        self._has_served = False
+        """Whether a member has begun to answer since it last refused."""
         self._ranks = 1
         self._starts: deque[float] = deque()
         """Times at which this entry took the places that it still has."""
@@ -59,9 +62,14 @@
         self._read_due = True
         """Whether a pass has begun since the tokens were last worked out."""
 
+    @property
+    def entries(self) -> int:
+        """Return the entries that send to the group, guessed while none are told."""
+        return self._told_entries or guess_entries(len(self.members))
+
     def observe(self, load: RankLoad, *, now: float, members: int = 1) -> None:
         """Take what a load tells of the group, and of how many members it was."""
-        self.entries = max(1, load.entries)
+        self._told_entries = max(1, load.entries)
         self._ranks = load.ranks
         if load.epoch != self._epoch:
             self._epoch = load.epoch
@@ -97,6 +105,14 @@
             return now >= self._refuses_until
         return any(member.is_open(now) for member in told)
 
+    def serves(self, now: float) -> bool | None:
+        """Tell whether it serves requests, None while nothing shows it."""
+        if self._is_heard(now):
+            return self.is_open(now)
+        if now < self._refuses_until + TRY_AGAIN_S:
+            return False
+        return True if self._has_served else None
+
     def note_refusal(self, now: float) -> None:
         """Take note that a member has turned a request away.
 
@@ -108,6 +124,12 @@
         """
         if not self._is_heard(now):
             self._refuses_until = now + TRY_AGAIN_S
+            self._has_served = False
+
+    def note_served(self) -> None:
+        """Take note that a member has begun to answer a request."""
+        self._refuses_until = float("-inf")
+        self._has_served = True
 
     def measure_fullness(self, engine: EngineModel | None, now: float) -> float:
         """Return the part of the limit that is used."""
@@ -122,6 +144,8 @@
         all of its streams would stutter. So each takes its part once in a pass. Where
         fewer places than entries are free, a draw decides who takes one.
         """
+        if self._is_tried(now):
+            return 1
         limit = self.get_limit(engine)
         reserve = limit * LATE_RESERVE if late else 0.0
         free = limit - reserve - self.count(now)
@@ -132,6 +156,14 @@
         share = (free + self._taken) / self.entries
         return max(0, int(share + self._draw) - self._taken)
 
+    def _is_tried(self, now: float) -> bool:
+        """Tell whether one request shows whether a group that refused serves again.
+
+        All who wait would be sent at once else, and be refused together.
+        """
+        refused = self._refuses_until > float("-inf")
+        return refused and not self._is_heard(now)
+
     def may_read(self, engine: EngineModel | None, now: float) -> bool:
         """Tell whether one more prompt fits in the next pass.
 
@@ -194,6 +226,8 @@
 
     def take(self, prompt_tokens: int, *, now: float) -> None:
         """Count a place that this entry has taken."""
+        if self._is_tried(now):
+            self._refuses_until = now + TRY_AGAIN_S
         self._starts.append(now)
         self._taken += 1
         self._read_left -= prompt_tokens
--- a/src/hyssopvane/_internal/policy/replica_load.py
+++ b/src/hyssopvane/_internal/policy/replica_load.py
@@ -13,10 +13,13 @@
 """
 
 UNHEARD_ENTRIES = 4
-"""Entries that are assumed to send as much as this one while no agent tells better.
+REPLICAS_AN_ENTRY = 6
+"""Entries that are assumed to send as much as this one while no agent tells better: so
+many at least, and one to so many replicas.
 
 After a restart of everything the entries are there before the agents are heard. Were
-each to fill the group alone, most requests would be refused by full replicas.
+each to fill the group alone, the callers who come back at once would make each pass so
+long that all of them are late, and most would be refused by full replicas.
 """
 
 _SHOWS_AFTER_S = 0.01
@@ -26,6 +29,11 @@
 """Weight of the last request in a replica's share of failures."""
 
 
+def guess_entries(replicas: int) -> int:
+    """Return the entries that are assumed to send to so many replicas."""
+    return max(UNHEARD_ENTRIES, replicas // REPLICAS_AN_ENTRY)
+
+
 @dataclass(slots=True)
 class ReplicaLoad:
     """Count the requests of one replica, from its agent's word and from own ones."""
@@ -67,7 +75,7 @@
     def count(self, now: float, entries: int) -> int:
         """Return the requests that the replica is believed to have."""
         if self.load is None or not self.is_heard(now):
-            return self.own * max(UNHEARD_ENTRIES, entries)
+            return self.own * entries
         return self.load.active + self.load.queued + len(self.sent_at)
 
     def count_unread(self) -> int:
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -13,15 +13,13 @@
 )
 from hyssopvane._internal.policy.limit_shares import EntryCensus
 from hyssopvane._internal.policy.limited_replicas import LimitedReplicas
+from hyssopvane._internal.policy.opening_times import PATIENCE, OpeningTimes
 from hyssopvane._internal.policy.queueing import FairQueue, QueuedItem
 from hyssopvane._internal.policy.replica_load import ReplicaLoad
 from hyssopvane._internal.state.limits import LimitNews
 from hyssopvane._internal.state.loads import RankLoad
 from hyssopvane._internal.state.routing import EngineModel, Incarnation, Replica
 
-OPEN_AGAIN_S = 2.0
-"""Time until a caller is asked back while a group is broken."""
-
 RETRY_AFTER_S = 0.5
 """Time until a caller is asked back while a service is overloaded.
 
@@ -137,6 +135,7 @@
         """Replicas at whose address another one answered."""
         self._engine: EngineModel | None = None
         self._pause_s = 0.0
+        self.opening = OpeningTimes()
 
     def update(
         self, replicas: Iterable[Replica], engine: EngineModel | None
@@ -220,6 +219,12 @@
             one.out_until = now + _EJECT_S
             one.failures = 0.0
 
+    def note_served(self, replica: Replica) -> None:
+        """Take note that a replica has begun to answer a request."""
+        one = self._find(replica)
+        if one is not None:
+            self._groups[one.group].note_served()
+
     def mark_wrong(self, replica: Replica) -> None:
         """Drop a replica whose address now belongs to another one."""
         self._wrong.add(replica.incarnation)
@@ -435,13 +440,15 @@
 
     def _turn_away(self, now: float) -> list[Turned]:
         turned = []
-        closed = bool(self._groups) and not any(
-            group.is_open(now) for group in self._groups.values()
-        )
+        serve = [group.serves(now) for group in self._groups.values()]
+        closed = bool(serve) and all(one is False for one in serve)
+        if closed or True in serve:
+            self.opening.observe(is_open=not closed, now=now)
         excess = self._find_excess(now)
         for waiting in list(self._waiting.values()):
             if closed:
-                reason, after = "group-broken", OPEN_AGAIN_S
+                reason = "group-broken"
+                after = self._choose_return(waiting, now)
             elif waiting.item.request_id in excess:
                 reason, after = "replicas-limited", excess[waiting.item.request_id]
             elif now >= waiting.refuse_at:
@@ -452,6 +459,12 @@
             turned.append(Turned(waiting.item.request_id, reason, self._spread(after)))
         return turned
 
+    def _choose_return(self, waiting: Waiting, now: float) -> float:
+        form_s = 0.0 if self._engine is None else self._engine.form_s
+        wait_s = self.opening.measure_wait_s(form_s, now)
+        spread_s = self._random.uniform(0, self.opening.measure_spread_s(now))
+        return min(wait_s + spread_s, PATIENCE * (waiting.item.deadline - now))
+
     def _find_excess(self, now: float) -> dict[str, float]:
         """Return who waits in vain for limited replicas, and when to come back.
 
--- a/src/hyssopvane/_internal/roles/direct_app.py
+++ b/src/hyssopvane/_internal/roles/direct_app.py
@@ -34,6 +34,12 @@
 _MAX_TOKENS = 10**9
 """Largest number of tokens that is believed; no engine holds as many."""
 _NOT_READY_RETRY_S = 0.5
+_STARTING_S = 0.5
+"""Time that a request waits for the first configuration after the entry's start.
+
+It is there within some tenths of a second. After a loss of power a caller's first try
+has met a machine without power; refused now, it may have no other one left.
+"""
 _LEAVING_RETRY_S = 0.05
 """Other entries are at hand at once; a new connection reaches one of them."""
 
@@ -153,6 +159,8 @@
         request_id: str,
         arrived_at: float,
     ) -> DirectRequest | DirectAnswer:
+        with trio.move_on_after(_STARTING_S):
+            await self._feed.wait_until_ready()
         table = self._feed.table
         if table is None or not self._feed.is_ready():
             return DirectAnswer(DirectRefusal.NOT_READY, _NOT_READY_RETRY_S)
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -287,6 +287,7 @@
             raise ReplicaFailed("a success without a signature")
         if b"content-encoding" in response.fields:
             raise ReplicaFailed("an encoded body is not the replica's")
+        self._tools.gates.get_gate(self._request.service).note_served(replica)
         streamed = self._request.route.kind is RequestKind.STREAM
         if streamed and response.status in _OK:
             await self._relay_stream(response)
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -185,7 +185,11 @@
     def _settle(self, gate: ServiceGate) -> None:
         if not gate.count_waiting():
             return
-        for decision in gate.settle(trio.current_time()):
+        was_closed = gate.opening.is_closed
+        decisions = gate.settle(trio.current_time())
+        if gate.opening.is_closed != was_closed:
+            _log_opening(gate, decided=len(decisions))
+        for decision in decisions:
             waiter = self._waiters[decision.request_id]
             waiter.decision = decision
             waiter.event.set()
@@ -196,6 +200,16 @@
             self.settle()
 
 
+def _log_opening(gate: ServiceGate, *, decided: int) -> None:
+    closed = gate.opening.is_closed
+    log_event(
+        "warning" if closed else "info",
+        "groups-closed" if closed else "groups-open",
+        decided=decided,
+        **gate.describe(trio.current_time()),
+    )
+
+
 def _log_limit(
     address: str, per_s: float | None, gate: ServiceGate, **fields: object
 ) -> None:
--- a/tests/functional/test_direct_path.py
+++ b/tests/functional/test_direct_path.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from hyssopvane._internal.roles import direct_app
 from hyssopvane._internal.transport.replica_client import ReplicaFailed
 from tests.lib.direct_installation import (
     CUSTOMER,
@@ -13,6 +14,7 @@
 )
 from tests.lib.direct_replica import (
     STREAM_HEAD,
+    DirectReplica,
     answer_whole,
     chunk,
     make_answer,
@@ -516,3 +518,31 @@
         assert (await site.call("/status/2")).status == 200
 
     run(test)
+
+
+def test_caller_that_comes_before_the_first_configuration_is_served_a_moment_later(
+    monkeypatch,
+):
+    """All machines have lost power, and an entry listens before it has read the store.
+
+    Callers whose first try met a machine without power have no third one. Refused in
+    that moment, they get no answer at all.
+    """
+    monkeypatch.setattr(direct_app, "_STARTING_S", HANG_S)
+
+    async def test(site):
+        answers = []
+
+        async def call():
+            answers.append(await site.call("/status/1"))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await site.wait_until(lambda: site.entry.app.running == 1)
+            replica = DirectReplica("i-1", answer_whole)
+            await site.nursery.start(replica.serve)
+            site.register(replica)
+            site.store.put("op/config", make_configuration(1))
+        assert [one.status for one in answers] == [200]
+
+    run(test, configured=False)
--- /dev/null
+++ b/tests/unit/test_opening_times.py
@@ -0,0 +1,50 @@
+"""Test when callers of a service that is out are asked back."""
+
+import pytest
+
+from hyssopvane._internal.policy.opening_times import (
+    UNKNOWN_WAIT_S,
+    OpeningTimes,
+)
+
+FORM_S = 0.6
+
+
+def play(*closed):
+    """Let outages pass, each a pair of times, from an open service on."""
+    times = OpeningTimes()
+    times.observe(is_open=True, now=0.0)
+    for start, end in closed:
+        times.observe(is_open=False, now=start)
+        times.observe(is_open=True, now=end)
+    return times
+
+
+@pytest.mark.parametrize(
+    ("outages", "elapsed_s", "expected_s"),
+    [
+        ((), 0.0, UNKNOWN_WAIT_S),
+        ((), 3.0, UNKNOWN_WAIT_S),
+        (((1.0, 4.0),), 0.5, 2.5),
+        (((1.0, 4.0),), 2.9, 2.9),
+        (((1.0, 1.2),), 0.1, FORM_S),
+        (((1.0, 4.0), (6.0, 7.0)), 0.25, 0.75),
+    ],
+)
+def test_callers_are_asked_back_by_the_length_of_the_last_outage(
+    outages, elapsed_s, expected_s
+):
+    """A rank crashes for seconds, as one did before.
+
+    Callers that are asked back too early are refused again and have no try left.
+    """
+    times = play(*outages)
+    times.observe(is_open=False, now=10.0)
+    assert times.measure_wait_s(FORM_S, 10.0 + elapsed_s) == pytest.approx(expected_s)
+
+
+def test_return_is_spread_over_as_long_as_the_outage_lasts():
+    """Those who were refused in two seconds must not come back in half of one."""
+    times = play()
+    times.observe(is_open=False, now=10.0)
+    assert times.measure_spread_s(12.0) == pytest.approx(2.0)
--- a/tests/unit/test_service_gate.py
+++ b/tests/unit/test_service_gate.py
@@ -576,3 +576,43 @@
     placed = list_places(gate.settle(0.1)) + list_places(gate.settle(0.1))
     assert len(placed) >= 1
     assert not list_turned(gate.settle(0.1))
+
+
+def test_one_caller_at_a_time_shows_whether_a_group_that_refused_serves_again():
+    """Everything lost power, and a crowd stands at an entry before the group is formed.
+
+    Were all of them sent at once after a refusal, each would lose one of the tries that
+    its request has, and a second refusal ends it.
+    """
+    gate = make_gate(12)
+    add(gate, 1)
+    (first,) = list_places(gate.settle(0.0))
+    gate.rest(first.replica, now=0.0, until=0.1)
+    gate.finish(first.replica, failed=False, now=0.0)
+    add(gate, 8, now=0.3)
+    decisions = gate.settle(0.3)
+    assert len(list_places(decisions)) == 1
+    assert len(list_turned(decisions)) == 7
+    add(gate, 8, now=0.31)
+    assert not list_places(gate.settle(0.31))
+    gate.note_served(first.replica)
+    add(gate, 8, now=0.32)
+    assert len(list_places(gate.settle(0.32))) > 1
+
+
+@pytest.mark.parametrize(("replicas", "entries"), [(12, 4), (72, 12), (192, 32)])
+def test_herd_after_a_return_fills_the_groups_once_over_all_entries(replicas, entries):
+    """Everything has lost power, and each entry has a crowd of callers that came back.
+
+    No load has been told yet, so no entry knows how many others there are. With a few
+    assumed, a dozen entries sent three times what the ranks can take, and those who
+    came for the first time were late as well, for seconds.
+    """
+    placed, limit = 0, 0.0
+    for number in range(entries):
+        gate = make_gate(replicas, seed=number)
+        add(gate, 3 * replicas // entries * ENGINE.slots)
+        for _ in range(20):
+            placed += len(list_places(gate.settle(0.0)))
+        limit = gate.limit
+    assert 0.5 * limit <= placed <= 1.2 * limit
