Ask nobody back sooner than in two seconds, however short the last outage was

A group that looks closed for half a second, while no leader is heard, passed for an outage, and the callers of the next real one would have come back before it ended and lost their last try. What is known of outages lengthens the wait only. A request with less time than the wait for the first configuration doesn't wait past its time.

--- a/src/hyssopvane/_internal/policy/opening_times.py
+++ b/src/hyssopvane/_internal/policy/opening_times.py
@@ -1,10 +1,10 @@
 """Expect when a service whose groups are all closed serves requests again."""
 
-UNKNOWN_WAIT_S = 2.0
-"""Time until a caller is asked back while no outage has been seen to end.
+LEAST_WAIT_S = 2.0
+"""Least time until a caller is asked back.
 
-One that comes back too early is refused again and has no try left; one that comes late
-has lost little.
+A rank has to start and its group to form. One that comes back too early is refused
+again and has no try left; one that comes late has lost little.
 """
 
 PATIENCE = 1 / 3
@@ -23,7 +23,7 @@
 
     def __init__(self) -> None:
         self._closed_at: float | None = None
-        self._length_s: float | None = None
+        self._length_s = 0.0
         """Length of the last outage that was seen to end."""
 
     def observe(self, *, is_open: bool, now: float) -> None:
@@ -41,13 +41,11 @@
         """Tell whether no group has served lately, as far as known."""
         return self._closed_at is not None
 
-    def measure_wait_s(self, form_s: float, now: float) -> float:
+    def measure_wait_s(self, now: float) -> float:
         """Return the time until a caller who is refused now should come back."""
-        if self._length_s is None:
-            return UNKNOWN_WAIT_S
         elapsed_s = 0.0 if self._closed_at is None else now - self._closed_at
         # One that lasts for longer than the last one did may last as long again.
-        return max(form_s, self._length_s - elapsed_s, elapsed_s)
+        return max(LEAST_WAIT_S, self._length_s - elapsed_s, elapsed_s)
 
     def measure_spread_s(self, now: float) -> float:
         """Return the time over which those who are refused now should come back.
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -380,8 +380,7 @@
         return turned
 
     def _choose_return(self, waiting: Waiting, now: float) -> float:
-        form_s = 0.0 if self._engine is None else self._engine.form_s
-        wait_s = self.opening.measure_wait_s(form_s, now)
+        wait_s = self.opening.measure_wait_s(now)
         spread_s = self._random.uniform(0, self.opening.measure_spread_s(now))
         return min(wait_s + spread_s, PATIENCE * (waiting.item.deadline - now))
 
--- a/src/hyssopvane/_internal/roles/direct_app.py
+++ b/src/hyssopvane/_internal/roles/direct_app.py
@@ -159,7 +159,8 @@
         request_id: str,
         arrived_at: float,
     ) -> DirectRequest | DirectAnswer:
-        with trio.move_on_after(_STARTING_S):
+        deadline_s = _read_deadline_s(fields.get(self._tools.names.deadline_ms))
+        with trio.move_on_after(min(_STARTING_S, deadline_s or _STARTING_S)):
             await self._feed.wait_until_ready()
         table = self._feed.table
         if table is None or not self._feed.is_ready():
@@ -179,7 +180,6 @@
         customer = _find_customer(table, fields)
         if customer is None and table.needs_keys and not route.public:
             return DirectAnswer(DirectRefusal.UNKNOWN_KEY)
-        deadline_s = _read_deadline_s(fields.get(self._tools.names.deadline_ms))
         if deadline_s is None:
             deadline_s = route.timeout_s
         caller_deadline = arrived_at + deadline_s
--- a/src/hyssopvane/_internal/state/routing.py
+++ b/src/hyssopvane/_internal/state/routing.py
@@ -93,8 +93,6 @@
     read_chunk: int = 0
     """Prompt tokens that a step reads at most; 0 where there is no such bound."""
     layout: ExpertLayout | None = None
-    form_s: float = 0.0
-    """Time from the return of its last rank until a group serves."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/unit/test_opening_times.py
+++ b/tests/unit/test_opening_times.py
@@ -3,12 +3,10 @@
 import pytest
 
 from hyssopvane._internal.policy.opening_times import (
-    UNKNOWN_WAIT_S,
+    LEAST_WAIT_S,
     OpeningTimes,
 )
 
-FORM_S = 0.6
-
 
 def play(*closed):
     """Let outages pass, each a pair of times, from an open service on."""
@@ -23,12 +21,12 @@
 @pytest.mark.parametrize(
     ("outages", "elapsed_s", "expected_s"),
     [
-        ((), 0.0, UNKNOWN_WAIT_S),
-        ((), 3.0, UNKNOWN_WAIT_S),
-        (((1.0, 4.0),), 0.5, 2.5),
-        (((1.0, 4.0),), 2.9, 2.9),
-        (((1.0, 1.2),), 0.1, FORM_S),
-        (((1.0, 4.0), (6.0, 7.0)), 0.25, 0.75),
+        ((), 0.0, LEAST_WAIT_S),
+        ((), 3.0, 3.0),
+        (((1.0, 6.0),), 0.5, 4.5),
+        (((1.0, 6.0),), 3.5, 3.5),
+        (((1.0, 1.2),), 0.1, LEAST_WAIT_S),
+        (((1.0, 9.0), (11.0, 14.0)), 0.25, 2.75),
     ],
 )
 def test_callers_are_asked_back_by_the_length_of_the_last_outage(
@@ -39,8 +37,8 @@
     Callers that are asked back too early are refused again and have no try left.
     """
     times = play(*outages)
-    times.observe(is_open=False, now=10.0)
-    assert times.measure_wait_s(FORM_S, 10.0 + elapsed_s) == pytest.approx(expected_s)
+    times.observe(is_open=False, now=20.0)
+    assert times.measure_wait_s(20.0 + elapsed_s) == pytest.approx(expected_s)
 
 
 def test_return_is_spread_over_as_long_as_the_outage_lasts():
