--- a/tests/functional/test_in_force.py
+++ b/tests/functional/test_in_force.py
@@ -171,7 +171,23 @@
         cluster.unlist_vm(vm)
 
 
+def count_reached(cluster, vm):
+    """Return how many processes an entry asks about a request, and how many answer."""
+    answer = request(
+        "GET", cluster.operators[vm], "/explain-all?id=none", headers=OPERATOR
+    )
+    document = json.loads(answer.body)
+    return document["asked"], document["answered"]
+
+
 def test_explain_gathers_entry_and_agent(cluster):
+    """An operator asks one entry about a request that another one has answered.
+
+    An entry knows the others by the platform's list, which lags by a moment after a
+    start: asked before that, it can't know of the request.
+    """
+    everybody = len(ENTRIES) + 1
+    wait_until(lambda: count_reached(cluster, "entry-1") == (everybody, everybody))
     answer = call(cluster, "entry-2")
     request_id = answer.headers["hyssopvane-request-id"]
     output = ask(cluster, "explain", request_id, entry="entry-1")
