--- a/src/hyssopvane/_internal/policy/expert_moves.py
+++ b/src/hyssopvane/_internal/policy/expert_moves.py
@@ -16,15 +16,14 @@
 """Power of a rank's time in the cost of a set.
 
 With the busiest rank's time alone a search stops as soon as two ranks are equally
-busy, since no single copy eases both: at 1.74 times the mean on 64 ranks, whatever may
-be copied, where this one comes to 1.35.
+busy, since no single copy eases both, whatever else may be copied.
 """
 
 EVEN = 1.2
 """Busiest rank against the mean from which on a set is left as it is.
 
 Until a map is in force demand has moved on by more than that, and the last tenth would
-take as many copies as all the rest: 309 on 63 ranks from 1.2 to 1.1, 190 until then."""
+take more copies than all the rest."""
 
 _LEAST_PART = 0.02
 """Part of the busiest rank's cost that a step must save."""
--- a/src/hyssopvane/_internal/policy/group_presence.py
+++ b/src/hyssopvane/_internal/policy/group_presence.py
@@ -46,16 +46,14 @@
 ranks that don't lead and aren't next, and what each rank adds. The others don't wait.
 
 All agents may start in the same moment. The lowest ranks read the store and speak to
-two hundred agents within two seconds; while the others did not wait for that, 38 of 45
-followed the store for nothing.
+two hundred agents within two seconds; the others would follow the store for nothing.
 """
 
 STRANGERS_PER_S = 400
 """Agents outside the group that is known which are told, while members are missing.
 
 They are told in turn, so the cost does not grow with the fleet: 19 KB a second. After a
-loss of power a group of 64 among 192 was complete after three seconds with a quarter of
-that, and until then no map followed its demand.
+loss of power no map follows the demand until the group is complete.
 """
 
 FULL_S = 2.0
--- a/src/hyssopvane/_internal/policy/group_room.py
+++ b/src/hyssopvane/_internal/policy/group_room.py
@@ -117,10 +117,10 @@
         """Take note that a member has turned a request away.
 
         Made for the seconds after everything has lost power: entries are back before
-        the group is formed and before an agent tells them that it is not. Each caller
-        was sent to two ranks, refused by both, asked back within 0.3 s and refused
-        again: 475 of 560 in two seconds. Now one request in a while shows whether the
-        group serves again, and all others hear at once when to come back.
+        the group is formed and before an agent tells them that it is not. Callers
+        would be sent to two ranks, refused by both, asked back within 0.3 s and refused
+        again. One request in a while shows whether the group serves again, and all
+        others hear at once when to come back.
         """
         if not self._is_heard(now):
             self._refuses_until = now + TRY_AGAIN_S
@@ -202,9 +202,8 @@
         What is believed of a rank is up to a look of its agent and one of the leader
         old. As many requests come in a time as leave in it, so their number follows
         from those that run and how long they last. What one entry sends in that time is
-        too little to tell by: with its own rate, of one or two requests a second, each
-        of seven entries of a zone took itself for alone, and one request in eight met a
-        full rank.
+        too little to tell by: with its own rate each entry of a zone would take itself
+        for alone, and send to ranks that others have just filled.
         """
         unheard_s = 2 * measure_look_s(self._ranks)
         return self.count(now) * unheard_s / max(self._lasts_s, unheard_s)
--- a/src/hyssopvane/_internal/policy/pass_model.py
+++ b/src/hyssopvane/_internal/policy/pass_model.py
@@ -21,8 +21,8 @@
 """
 
 MOVED_SKEW = 3.2
-"""Busiest rank against the mean when demand has moved on: 3.5 was seen with the first
-map, and some of what the last map has spread is still of use."""
+"""Busiest rank against the mean when demand has moved on: some of what the last map has
+spread is still of use."""
 
 OWN_SKEW = 1.5
 """Requests of the fullest rank against the mean; arrivals are not even."""
@@ -71,8 +71,8 @@
 
         Each rank may always have one. While nothing is known of the passes, what a
         request adds follows from the engine's figures and from a map that does not fit
-        the demand. A fixed first limit refused half of a large group's callers until
-        its first passes were seen, and let a small one stutter.
+        the demand. A fixed first limit refuses callers of a large group until its first
+        passes are seen, and lets a small one stutter.
         """
         ranks = max(self._ranks, members)
         moved_s = self._guess_moved(engine, ranks)
@@ -94,8 +94,7 @@
         passes they are still in time.
 
         Where passes are longer than the pause anyway, every running stream is late.
-        Then holding prompts back helps nobody, and their callers are only refused: with
-        ranks at a sixth of their pace that were three in four of a day.
+        Then holding prompts back helps nobody, and their callers are only refused.
         """
         if self.pass_s > self.pause_s:
             return inf
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -53,7 +53,7 @@
 
 The map of the experts follows a change of demand within about a second; meanwhile a
 group takes a third less. Who waits that long is served late. Who is refused at once
-comes back in the same second, and is refused again as often as not.
+comes back in the same second, and may be refused again.
 """
 
 RESUME_WAIT_S = 1.0
