--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -30,6 +30,7 @@
     "direct-path": Measurement(
         "bench.direct_path", "the entry straight to a replica, and through an agent"
     ),
+    "start": Measurement("bench.start", "how soon a process serves after its start"),
     "losses": Measurement("bench.losses", "why requests of a log were lost or late"),
     "telling": Measurement("bench.telling", "cost of telling loads by size"),
     "maps": Measurement("bench.maps", "skew and bytes of expert maps as loads drift"),
--- a/src/hyssopvane/_internal/cli/role_process.py
+++ b/src/hyssopvane/_internal/cli/role_process.py
@@ -1,8 +1,8 @@
 """Run the process of a role without loading the command line's library.
 
 There is a process beside each replica, and after a loss of power callers wait for each
-entry's start. The library that reads arguments and prints help takes a tenth of that
-time and a third of an agent's memory, and a role needs nothing of it.
+entry's start. The library that reads arguments and prints help costs time and some
+megabytes of each, and a role needs nothing of it.
 """
 
 import sys
