Read all silent ranks of a group that stands still, however many they are

The bound on the ranks that a leader reads from afar also bound the search for a hold: with more than a quarter of the agents silent, and one of their ranks holding the group, all streams would have stood until the agents were back. The new test fails with the bound alone.

--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -89,6 +89,10 @@
 order was lost.
 """
 
+STALLED_S = 0.3
+"""Time without a new pass, though requests run, after which all silent ranks are read:
+one of them may hold the group."""
+
 MOST_SILENT = 8
 """Ranks with silent agents that a leader reads and orders itself, from afar.
 
@@ -410,11 +414,12 @@
             passed = own.step - self._step
             self._pass_s = (now - self._step_at) / passed if passed > 0 else 0.0
             self._step, self._step_at = own.step, now
-        if now - self._asked_at < self.report_lag_s:
+        stalled = now - self._step_at > STALLED_S
+        if now - self._asked_at < (STALLED_S if stalled else self.report_lag_s):
             return []
         silent = [rank for rank in self._heard if self._is_silent(rank, now)]
         most = min(MOST_SILENT, int(MOST_SILENT_SHARE * own.ranks))
-        if not 0 < len(silent) <= most:
+        if not silent or (len(silent) > most and not stalled):
             return []
         self._asked_at = now
         return [AskRank(self._heard[rank].state.replica) for rank in silent]
--- a/tests/unit/test_map_coordinator.py
+++ b/tests/unit/test_map_coordinator.py
@@ -394,6 +394,23 @@
     assert model.changes == before
 
 
+def test_all_silent_ranks_of_a_group_that_stands_still_are_read():
+    """Most agents of a group die while the rank beside one of them holds it.
+
+    Their ranks are the only ones who know which of them holds. A leader that reads a
+    few of them at most would leave all streams standing until the agents are back.
+    """
+    model = GroupModel(Random(3), Faults())
+    leader = model.agents[0].coordinator
+    while leader.phase is not Phase.IDLE or leader.changes < 1:
+        model.play(TICK_S)
+    for silent in (1, 2, 3):
+        model.agents[silent].down_until = model.now + 60.0
+    model.ranks[2].held = model.step + 1
+    model.play(map_coordinator.ORPHAN_S + 2 * map_coordinator.STALLED_S + 0.5)
+    assert not model.ranks[2].held
+
+
 def test_change_that_another_leader_has_overtaken_lets_the_group_go_on():
     """Two agents lead for a moment, and one brings its copies after the other's hold.
 
