Let an agent without a configuration ask an entry for it

Entries tell leaders each second how new their beliefs are; an agent that has none now fetches them, once.

--- a/src/hyssopvane/_internal/roles/belief_exchange.py
+++ b/src/hyssopvane/_internal/roles/belief_exchange.py
@@ -50,7 +50,8 @@
     def start(self, nursery: trio.Nursery) -> None:
         """Ask the seeds until something is known."""
         self._nursery = nursery
-        nursery.start_soon(self._ask_seeds)
+        if self._seeds:
+            nursery.start_soon(self._ask_seeds)
 
     async def close(self) -> None:
         """Close the connections to peers."""
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -33,6 +33,7 @@
 from hyssopvane._internal.policy.map_spread import split_among, split_by_zone
 from hyssopvane._internal.policy.pass_meter import PassMeter
 from hyssopvane._internal.protocol.group_messages import GroupMessage
+from hyssopvane._internal.roles.belief_exchange import BeliefExchange
 from hyssopvane._internal.roles.process import Role
 from hyssopvane._internal.state.group import (
     Counts,
@@ -137,6 +138,7 @@
             observe=self._update,
             count=self._metrics.count_event,
         )
+        self._exchange = BeliefExchange(self.feed, seeds=())
         self._passes = PassMeter()
         self._coordinator = MapCoordinator(nonce=secrets.randbits(31))
         self._teller = LoadTeller(source=secrets.randbits(32), key=settings.replica)
@@ -181,6 +183,7 @@
         """Serve until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            self._exchange.start(nursery)
             await self._port.start(nursery, self._receive)
             nursery.start_soon(self._watch_rank)
             nursery.start_soon(self._lead_on_news)
@@ -216,6 +219,7 @@
     async def close(self) -> None:
         """Close all connections."""
         self._port.close()
+        await self._exchange.close()
         self._metrics.close()
         await self._ranks.close()
         await self._store.close()
@@ -271,6 +275,10 @@
         report = self._report
         if self._teller.observe(state, now=now):
             log_event("info", "entry-found", entry=state.address, via=state.via)
+        if self._follows_store and self.feed.table is None and state.beliefs:
+            # The store may turn away this machine alone. Without the layout of the
+            # experts an agent that leads changes no map, and all passes stay long.
+            self._exchange.observe(state)
         if not state.unheard or state.via or report is None or not report.group:
             return
         leader = self._presence.find_leader(report.rank, now)
--- a/tests/functional/test_rank_agent.py
+++ b/tests/functional/test_rank_agent.py
@@ -16,11 +16,19 @@
 from hyssopvane._internal.state.loads import GroupLoad, Roster
 from hyssopvane._internal.transport.asgi_server import serve_asgi
 from hyssopvane._internal.transport.datagrams import DatagramPort
-from tests.lib.direct_installation import ENGINE, EXPERTS, make_configuration
+from tests.lib.direct_installation import (
+    ENGINE,
+    EXPERTS,
+    make_configuration,
+    make_entry,
+)
 from tests.lib.direct_store import DirectStore
 from tests.lib.rank_model import RANKS
 from tests.lib.rank_standin import GroupStandIn
 
+NOWHERE = "127.0.0.1:1"
+"""Address at which no store answers."""
+
 
 def list_whole_loads(told):
     """Return the loads of all ranks among messages."""
@@ -65,8 +73,8 @@
     return make_role(settings)
 
 
-async def start_group(nursery):
-    """Start a store, the ranks and their agents; return the group."""
+async def start_group(nursery, *, cut_off=()):
+    """Start a store, the ranks and their agents, some without it; return the group."""
     group, store, port = GroupStandIn(), DirectStore(), find_port()
     store_address = await serve(nursery, store, "127.0.0.1")
     configuration = make_configuration(1)
@@ -79,18 +87,20 @@
         registration = {"service": "drafting", "address": replica, "state": "ready"}
         registration |= {"zone": "zone-a", "slots": 6}
         store.put(f"servers/i-{number}", registration)
-        agent = make_agent(number, replica=replica, store=store_address, port=port)
+        reached = NOWHERE if number in cut_off else store_address
+        agent = make_agent(number, replica=replica, store=reached, port=port)
         agents.append(agent)
         await nursery.start(agent.run)
     nursery.start_soon(group.make_passes)
+    group.store = store_address
     return group, agents, port
 
 
-def run(test):
+def run(test, **options):
     async def main():
         with trio.fail_after(240):
             async with trio.open_nursery() as nursery:
-                group, agents, port = await start_group(nursery)
+                group, agents, port = await start_group(nursery, **options)
                 await test(group, agents, port, nursery)
                 nursery.cancel_scope.cancel()
             for agent in agents:
@@ -233,3 +243,22 @@
 
     clock = trio.testing.MockClock()
     trio.run(main, clock=clock)
+
+
+def test_leader_that_the_store_turns_away_learns_the_layout_from_an_entry():
+    """All processes start anew, and the store turns away the machine of the first rank.
+
+    Its agent leads the group and knows no layout, so no map follows the demand. Passes
+    take twice as long, and a quarter of all streams is late until the store serves it.
+    """
+
+    async def test(group, agents, port, nursery):
+        entry = make_entry(group.store, agent_port=port)
+        async with trio.open_nursery() as own:
+            await own.start(entry.run)
+            await wait_until(lambda: group.model.ranks[0].map_version > 0)
+            own.cancel_scope.cancel()
+        await entry.close()
+        assert agents[0].feed.table is not None
+
+    run(test, cut_off=(0,))
