Bound a read by the time between two parts, not by the whole of it

The incident's real cause: the agents of the lowest ranks read a configuration of 1,849 routes over 4 Mbit/s, which takes about a second, the bound of a call; each try was given up and begun anew (event=store-lost, 'did not answer', one second after each start), so the leader never knew the layout. Reads of the store and of another process's beliefs may now take 1 s from part to part and 20 s in all.

--- a/src/hyssopvane/_internal/platform/store.py
+++ b/src/hyssopvane/_internal/platform/store.py
@@ -26,6 +26,7 @@
 )
 from hyssopvane._internal.policy.store_watch import WATCH_S
 from hyssopvane._internal.transport.replica_client import (
+    PartLimit,
     ReplicaClient,
     ReplicaFailed,
     ReplicaUnreachable,
@@ -213,7 +214,7 @@
         length = (b"content-length", str(len(body)).encode())
         headers = (_HOST, _JSON, length) if body else (_HOST,)
         try:
-            with trio.fail_after(timeout_s):
+            with trio.fail_after(timeout_s) as scope:
                 async with self._client.call(
                     self._address,
                     method=method,
@@ -221,7 +222,8 @@
                     headers=headers,
                     body=body,
                 ) as response:
-                    answer = await response.read(max_bytes=_MAX_BODY_BYTES)
+                    limit = PartLimit(scope, part_s=CALL_TIMEOUT_S)
+                    answer = await response.read(max_bytes=_MAX_BODY_BYTES, limit=limit)
                     status = response.status
         except ReplicaUnreachable as error:
             raise KeyValueUnavailable(
--- a/src/hyssopvane/_internal/roles/belief_exchange.py
+++ b/src/hyssopvane/_internal/roles/belief_exchange.py
@@ -18,6 +18,7 @@
     serve_lifespan,
 )
 from hyssopvane._internal.transport.replica_client import (
+    PartLimit,
     ReplicaClient,
     ReplicaFailed,
     ReplicaUnreachable,
@@ -98,14 +99,15 @@
 
     async def _fetch(self, address: str) -> None:
         try:
-            with trio.fail_after(FETCH_TIMEOUT_S):
+            with trio.fail_after(FETCH_TIMEOUT_S) as scope:
                 async with self._client.call(
                     address,
                     method="GET",
                     target=BELIEFS_PATH.encode(),
                     headers=((b"host", b"peer"),),
                 ) as response:
-                    body = await response.read(max_bytes=MAX_BYTES)
+                    limit = PartLimit(scope, part_s=FETCH_TIMEOUT_S)
+                    body = await response.read(max_bytes=MAX_BYTES, limit=limit)
             beliefs = decode_beliefs(body)
         except (
             ReplicaUnreachable,
--- a/src/hyssopvane/_internal/transport/replica_client.py
+++ b/src/hyssopvane/_internal/transport/replica_client.py
@@ -22,6 +22,9 @@
 KEPT_S = 8.0
 """Time that an idle connection is kept where the replica names none."""
 
+LONGEST_READ_S = 20.0
+"""Time that a body may take whose parts keep coming: 16 MB at 6 Mbit/s."""
+
 MAX_IDLE = 8
 """Idle connections kept to a replica; more than it works on at once helps nobody."""
 
@@ -53,6 +56,25 @@
     usable_until: float
 
 
+class PartLimit:
+    """Bound the time between two parts of a body instead of the whole of it.
+
+    A large document takes more than a second over a thin link. With one bound for all
+    of it, it would be asked for again and again, never read to its end, and would fill
+    the link meanwhile.
+    """
+
+    def __init__(self, scope: trio.CancelScope, *, part_s: float) -> None:
+        self._scope = scope
+        self._part_s = part_s
+        self._ends_at = scope.deadline + LONGEST_READ_S
+
+    def note_part(self) -> None:
+        """Allow as long again for the next part, within the longest time in all."""
+        next_at = trio.current_time() + self._part_s
+        self._scope.deadline = min(next_at, self._ends_at)
+
+
 class ReplicaResponse:
     """Read one response."""
 
@@ -70,12 +92,14 @@
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             raise ReplicaFailed(f"{type(error).__name__}: {error}") from error
 
-    async def read(self, *, max_bytes: int) -> bytes:
+    async def read(self, *, max_bytes: int, limit: "PartLimit | None" = None) -> bytes:
         """Return the whole body."""
         parts: list[bytes] = []
         size = 0
         async for part in self.iterate():
             size += len(part)
+            if limit is not None:
+                limit.note_part()
             if size > max_bytes:
                 raise ReplicaFailed(f"the body is over {max_bytes} bytes")
             parts.append(part)
--- /dev/null
+++ b/tests/unit/test_part_limit.py
@@ -0,0 +1,58 @@
+"""Test how long a large document may take over a thin link."""
+
+import pytest
+import trio
+import trio.testing
+
+from hyssopvane._internal.transport.replica_client import (
+    LONGEST_READ_S,
+    PartLimit,
+    ReplicaResponse,
+)
+
+LIMIT_S = 1.0
+
+
+class SlowResponse:
+    """Give a body in parts, each after a pause."""
+
+    status = 200
+    headers = ()
+
+    def __init__(self, pauses_s):
+        self.pauses_s = pauses_s
+
+    async def aiter_stream(self):
+        for pause_s in self.pauses_s:
+            await trio.sleep(pause_s)
+            yield b"x"
+
+
+async def read(pauses_s):
+    with trio.fail_after(LIMIT_S) as scope:
+        limit = PartLimit(scope, part_s=LIMIT_S)
+        response = ReplicaResponse(SlowResponse(pauses_s))
+        return await response.read(max_bytes=1_000, limit=limit)
+
+
+def run(pauses_s):
+    return trio.run(read, pauses_s, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_document_whose_parts_keep_coming_is_read_to_its_end():
+    """The configuration has grown, and an agent reads it over a link of 4 Mbit/s.
+
+    With a second for all of it the agent asks again and again and never has it; its
+    group gets no map that follows the demand for as long as it leads.
+    """
+    assert run([0.9] * 5) == b"x" * 5
+
+
+@pytest.mark.parametrize(
+    "pauses_s",
+    [[1.1], [0.9, 1.1], [0.9] * (int(LONGEST_READ_S) + 10)],
+    ids=["no answer", "it stops", "it trickles"],
+)
+def test_silent_store_is_given_up(pauses_s):
+    with pytest.raises(trio.TooSlowError):
+        run(pauses_s)
