--- a/src/hyssopvane/_internal/policy/limited_replicas.py
+++ b/src/hyssopvane/_internal/policy/limited_replicas.py
@@ -140,5 +140,10 @@
 
 def _is_same_start(known: Replica, other: Replica) -> bool:
     """Tell whether two beliefs of a replica are of one start, as far as known."""
-    starts = (known.started_ms, other.started_ms)
-    return known.id == other.id and (0 in starts or starts[0] == starts[1])
+    same_id = known.id == other.id
+    return same_id and may_be_one_start(known.started_ms, other.started_ms)
+
+
+def may_be_one_start(some_ms: int, other_ms: int) -> bool:
+    """Tell whether two names of starts differ only where one is not known."""
+    return 0 in (some_ms, other_ms) or some_ms == other_ms
--- a/src/hyssopvane/_internal/policy/map_search.py
+++ b/src/hyssopvane/_internal/policy/map_search.py
@@ -76,12 +76,7 @@
     ) -> list[float]:
         """Return the busiest rank's time against the mean, by set of experts."""
         loads = self._demand.measure(sets=len(current), now=now)
-        if not loads:
-            return []
-        return [
-            measure_skew(ranks, one, paces)
-            for ranks, one in zip(current, loads, strict=True)
-        ]
+        return _measure_skews(current, loads, paces)
 
     def find(
         self,
@@ -93,7 +88,8 @@
         now: float,
     ) -> WeighedMove | None:
         """Return a change that is worth its cost, if a look is due and finds one."""
-        skews = self.measure_skews(current, paces, now)
+        loads = self._demand.measure(sets=len(current), now=now)
+        skews = _measure_skews(current, loads, paces)
         if not skews:
             return None
         skew = sum(skews) / len(skews)
@@ -102,7 +98,7 @@
         self.searched_at, self._least_skew = now, skew
         found = find_move(
             current,
-            self._demand.measure(sets=len(current), now=now),
+            loads,
             layout,
             paces=paces,
             lasts_s=self._measure_lasting(now),
@@ -131,3 +127,14 @@
         if self._in_force_at is None:
             return self._lasts_s
         return max(self._lasts_s, now - self._in_force_at)
+
+
+def _measure_skews(
+    current: ExpertLists, loads: list[list[float]], paces: tuple[float, ...]
+) -> list[float]:
+    if not loads:
+        return []
+    return [
+        measure_skew(ranks, one, paces)
+        for ranks, one in zip(current, loads, strict=True)
+    ]
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -7,7 +7,10 @@
 from hyssopvane._internal.policy.group_room import GroupRoom
 from hyssopvane._internal.policy.home_replicas import HomeReplicas
 from hyssopvane._internal.policy.limit_shares import EntryCensus
-from hyssopvane._internal.policy.limited_replicas import LimitedReplicas
+from hyssopvane._internal.policy.limited_replicas import (
+    LimitedReplicas,
+    may_be_one_start,
+)
 from hyssopvane._internal.policy.opening_times import PATIENCE, OpeningTimes
 from hyssopvane._internal.policy.queueing import FairQueue, QueuedItem
 from hyssopvane._internal.policy.replica_choice import ReplicaChooser, list_usable
@@ -242,8 +245,7 @@
         """Take what another entry tells of a limit; tell whether that is new."""
         told = False
         for one in self._by_address.get(news.replica, ()):
-            starts = (one.replica.started_ms, news.started_ms)
-            if 0 in starts or starts[0] == starts[1]:
+            if may_be_one_start(one.replica.started_ms, news.started_ms):
                 told |= self.note_limit(
                     one.replica, news.per_s, now=now, age_s=news.age_s
                 )
