--- a/src/hyssopvane/_internal/coordination/key_value.py
+++ b/src/hyssopvane/_internal/coordination/key_value.py
@@ -32,6 +32,8 @@
 
     revision: int
     items: tuple[KeyValue, ...]
+    era: int = 0
+    """How often the service has come back from an older copy; 0 where not told."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hyssopvane/_internal/coordination/routing_feed.py
+++ b/src/hyssopvane/_internal/coordination/routing_feed.py
@@ -9,6 +9,7 @@
 from hyssopvane._internal.coordination.key_value import (
     KeyValue,
     KeyValueStore,
+    Snapshot,
     WatchEvent,
 )
 from hyssopvane._internal.exceptions import ConfigurationError, KeyValueError
@@ -139,6 +140,13 @@
         """
         self.connected_at = max(self.connected_at, at)
 
+    def measure_levels(self) -> dict[str, int]:
+        """Return what is in force, for the metrics."""
+        return {
+            "configuration-version": 0 if self.table is None else self.table.version,
+            "replicas": len(self.replicas),
+        }
+
     @property
     def configuration_revision(self) -> int:
         """Return the revision of the configuration in force."""
@@ -154,7 +162,7 @@
         while True:
             try:
                 snapshot = await self._store.get_prefix(prefix)
-                self._note_connection(prefix, True)
+                self._note_connection(prefix, True, snapshot=snapshot)
                 self._load(prefix, snapshot.items, snapshot.revision)
                 retry_s = _FIRST_RETRY_S
                 await self._watch(prefix, snapshot.revision + 1)
@@ -169,7 +177,14 @@
             async for event in events:
                 self._apply_event(prefix, event)
 
-    def _note_connection(self, prefix: str, connected: bool, *, why: str = "") -> None:
+    def _note_connection(
+        self,
+        prefix: str,
+        connected: bool,
+        *,
+        snapshot: Snapshot | None = None,
+        why: str = "",
+    ) -> None:
         if self._connected.get(prefix) == connected:
             return
         self._connected[prefix] = connected
@@ -185,6 +200,8 @@
             prefix=prefix,
             configuration_revision=self._configuration.revision,
             replicas_revision=self._replicas_revision,
+            store_revision=-1 if snapshot is None else snapshot.revision,
+            era=-1 if snapshot is None else snapshot.era,
             why=why,
         )
 
@@ -211,6 +228,7 @@
         # An answer that was on its way for long, or a peer that lags, must not bring
         # back routes and keys that were removed.
         if item.revision <= self._configuration.revision:
+            self._note_left_out(item, source=source)
             return
         try:
             table = self._format.decode_configuration(item.value)
@@ -219,6 +237,7 @@
             log_event("error", "configuration-unreadable", why=error)
             return
         if self.table is not None and table.version < self.table.version:
+            self._note_left_out(item, source=source)
             return
         self._configuration = item
         self.table = table
@@ -232,6 +251,19 @@
             source=source,
         )
 
+    def _note_left_out(self, item: KeyValue, *, source: str) -> None:
+        if item == self._configuration:
+            return
+        self._count("configuration-left-out")
+        log_event(
+            "info",
+            "configuration-left-out",
+            revision=item.revision,
+            known_revision=self._configuration.revision,
+            known_version=-1 if self.table is None else self.table.version,
+            source=source,
+        )
+
     def list_unreadable(self) -> tuple[str, ...]:
         """Return the keys whose registrations can't be read at present."""
         return tuple(self._unreadable)
--- a/src/hyssopvane/_internal/platform/store.py
+++ b/src/hyssopvane/_internal/platform/store.py
@@ -31,6 +31,7 @@
     ReplicaFailed,
     ReplicaUnreachable,
 )
+from hyssopvane._internal.utils.logs import log_event
 
 CALL_TIMEOUT_S = 1.0
 """Time for an answer: the store answers in 4 ms, and in 0.3 s when it is slow."""
@@ -53,6 +54,7 @@
 _MAX_BODY_BYTES = 16 * 1024 * 1024
 _JSON = (b"content-type", b"application/json")
 _HOST = (b"host", b"store")
+_ERA_HEADER = b"store-era"
 _MILLISECONDS = 1_000
 _OK = 200
 _NOT_FOUND = 404
@@ -75,6 +77,8 @@
         self.watch_s = watch_s
         self._rest_s = rest_s
         self._client = ReplicaClient()
+        self._era = 0
+        """How often the store has come back from an older copy; 0 where not told."""
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Do nothing: connections are opened when they are needed."""
@@ -100,7 +104,7 @@
                 break
             query["after"] = items[-1].key
         kept = tuple(item for item in items if item.revision >= min_revision)
-        return Snapshot(at, kept)
+        return Snapshot(at, kept, self._era)
 
     async def compare_and_swap(
         self, swaps: Sequence[Swap], *, checks: Sequence[Check] = ()
@@ -225,6 +229,7 @@
                     limit = PartLimit(scope, part_s=CALL_TIMEOUT_S)
                     answer = await response.read(max_bytes=_MAX_BODY_BYTES, limit=limit)
                     status = response.status
+                    self._note_era(response.fields.get(_ERA_HEADER))
         except ReplicaUnreachable as error:
             raise KeyValueUnavailable(
                 "the store can't be reached", context=str(error)
@@ -237,6 +242,12 @@
             ) from error
         return _check_answer(status, answer, target)
 
+    def _note_era(self, header: bytes | None) -> None:
+        if header is None or not header.isdigit() or int(header) == self._era:
+            return
+        log_event("info", "store-era", era=int(header), before=self._era)
+        self._era = int(header)
+
 
 def _check_answer(status: int, answer: bytes, target: str) -> tuple[int, Any]:
     if status in _BUSY:
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -178,6 +178,8 @@
         return not self.leaving and self.feed.is_ready()
 
     def _update(self) -> None:
+        for level, value in self.feed.measure_levels().items():
+            self.metrics.set_level(level, value)
         self.gates.update(self.feed.table, self.feed.replicas)
 
     def _forget_connections(self, address: str) -> None:
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -225,6 +225,8 @@
         await self._store.close()
 
     def _update(self) -> None:
+        for level, value in self.feed.measure_levels().items():
+            self._metrics.set_level(level, value)
         port = self._settings.agent_port
         own = self._settings.messages
         self._zones = {
--- a/src/hyssopvane/_internal/utils/deferred_metrics.py
+++ b/src/hyssopvane/_internal/utils/deferred_metrics.py
@@ -26,6 +26,7 @@
         self._refusals: Counter[str] = Counter()
         self._retries: Counter[str] = Counter()
         self._requests: Counter[tuple[str, str]] = Counter()
+        self._levels: dict[str, int] = {}
         self._durations: dict[str, array[float]] = {}
         """Seconds of each request, by service."""
         self._metrics: Metrics | None = None
@@ -46,6 +47,10 @@
         """Count an answered request."""
         self._requests[service, outcome] += 1
 
+    def set_level(self, level: str, value: int) -> None:
+        """Tell how something stands that goes up and down."""
+        self._levels[level] = value
+
     def record_duration(self, *, service: str, seconds: float) -> None:
         """Record the time of a request from its head to its last byte."""
         kept = self._durations.setdefault(service, array("d"))
@@ -72,6 +77,7 @@
             refusals=self._refusals,
             retries=self._retries,
             requests=self._requests,
+            levels=self._levels,
             durations=self._durations,
         )
         for counted in (self._events, self._refusals, self._retries):
--- a/src/hyssopvane/_internal/utils/metrics.py
+++ b/src/hyssopvane/_internal/utils/metrics.py
@@ -30,6 +30,7 @@
         self._refusals = meter.create_counter("hyssopvane_refusals")
         self._retries = meter.create_counter("hyssopvane_retries")
         self._events = meter.create_counter("hyssopvane_events")
+        self._levels = meter.create_gauge("hyssopvane_level")
         self._duration = meter.create_histogram(
             "hyssopvane_request_seconds",
             explicit_bucket_boundaries_advisory=_DURATION_BUCKETS_S,
@@ -58,6 +59,7 @@
         refusals: Mapping[str, int],
         retries: Mapping[str, int],
         requests: Mapping[tuple[str, str], int],
+        levels: Mapping[str, int],
         durations: Mapping[str, Iterable[float]],
     ) -> None:
         """Count what was gathered elsewhere; requests by service and outcome."""
@@ -70,6 +72,8 @@
         for (service, outcome), amount in requests.items():
             labels = {**self._labels, "service": service, "outcome": outcome}
             self._requests.add(amount, labels)
+        for level, value in levels.items():
+            self._levels.set(value, {**self._labels, "level": level})
         for service, seconds in durations.items():
             for one in seconds:
                 self.record_duration(service=service, seconds=one)
