Show that changes are left out after the store has come back from a copy

The stand-in of the store can now lose what was written since a copy, give its revisions out again and rise its era.

--- a/tests/lib/direct_store.py
+++ b/tests/lib/direct_store.py
@@ -17,11 +17,22 @@
 MAX_PAGE = 3
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """Hold what a store had at one revision."""
+
+    revision: int
+    items: dict[str, tuple[bytes, int]]
+    leases: frozenset[int]
+
+
 @dataclass
 class DirectStore:
     """Serve items by revision; a test changes them and switches faults on."""
 
     revision: int = 10
+    era: int = 0
+    """How often the store has come back from a copy."""
     items: dict[str, tuple[bytes, int]] = field(default_factory=dict)
     history: list[dict[str, Any]] = field(default_factory=list)
     first_known: int = 0
@@ -51,6 +62,21 @@
         self.first_known = self.revision
         self._wake()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to come back from."""
+        return StoreCopy(self.revision, dict(self.items), frozenset(self.leases))
+
+    def come_back(self, copy: StoreCopy) -> None:
+        """Lose what was written since a copy, and give its revisions out again."""
+        self.era += 1
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self.leases = set(copy.leases)
+        self.history = [
+            event for event in self.history if event["revision"] <= copy.revision
+        ]
+        self._wake()
+
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer one call."""
         if scope["type"] == "lifespan":
@@ -60,12 +86,16 @@
         query = dict(parse_qsl(scope.get("query_string", b"").decode()))
         self.calls.append(scope["path"])
         if self.answer_status:
-            await send_json(send, {}, status=self.answer_status)
+            await self._send(send, {}, status=self.answer_status)
             return
         status, answer = await self._answer(scope["path"], query, body)
         if self.lose_answers:
             await trio.sleep_forever()
-        await send_json(send, answer, status=status)
+        await self._send(send, answer, status=status)
+
+    async def _send(self, send: Any, answer: object, *, status: int) -> None:
+        headers = ((b"Store-Era", str(self.era).encode()),)
+        await send_json(send, answer, status=status, headers=headers)
 
     async def _answer(
         self, path: str, query: dict[str, str], body: bytes
@@ -100,7 +130,7 @@
         after = int(query["after"])
         with trio.move_on_after(int(query["wait-ms"]) / 1_000):
             while True:
-                if after < self.first_known:
+                if not self.first_known <= after <= self.revision:
                     return 410, {}
                 events = [
                     event
