Follow a store that has come back from a copy, and order configurations by version

Cause: processes ordered all that they knew of the store by its revision, which is the store's count of its writes and not an order of what was written. A store that comes back from a copy counts from the copy on, and gives revisions out again. A configuration or registration at a revision that a process had seen before was left out as a late answer, and a peer with a higher revision counted as newer though its news were of before the return.

Now the configuration is ordered by its own version, which operators only raise: by the feed, and between peers, whose messages tell the version. So an old answer, a lagging peer and a copy are all left out for the same reason, and what operators confirmed and the store lost stays in force until it is written again. Registrations have no number of their own: they are ordered by era and revision (StoreMark). The adapter reads Store-Era from each answer, drops answers of an earlier era, does not join pages of two eras, and ends every watch at once when an era ends. A list of a new era is taken whole; a replica that was known to leave or to be gone gets nothing new by a registration that only the copy may hold, until it is written again or the store had time to let it lapse.

--- a/src/hyssopvane/_internal/coordination/etcd_key_value.py
+++ b/src/hyssopvane/_internal/coordination/etcd_key_value.py
@@ -112,7 +112,7 @@
 
     @asynccontextmanager
     async def watch(
-        self, prefix: str, start_revision: int
+        self, prefix: str, start_revision: int, *, era: int = 0
     ) -> AsyncIterator[trio.MemoryReceiveChannel[WatchEvent]]:
         send, receive = trio.open_memory_channel[WatchEvent](WATCH_BUFFER)
         request = {
--- a/src/hyssopvane/_internal/coordination/key_value.py
+++ b/src/hyssopvane/_internal/coordination/key_value.py
@@ -126,10 +126,11 @@
 
     @abstractmethod
     def watch(
-        self, prefix: str, start_revision: int
+        self, prefix: str, start_revision: int, *, era: int = 0
     ) -> AbstractAsyncContextManager[trio.MemoryReceiveChannel[WatchEvent]]:
         """Receive the changes under a prefix from a revision on.
 
-        The channel ends when the service closes the watch or no longer has the
-        start revision; the caller then loads the prefix again.
+        The channel ends when the service closes the watch, no longer has the start
+        revision, or has come back from a copy since the era; the caller then loads the
+        prefix again.
         """
--- a/src/hyssopvane/_internal/coordination/routing_feed.py
+++ b/src/hyssopvane/_internal/coordination/routing_feed.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 from random import Random
 
 import trio
@@ -13,7 +14,7 @@
     WatchEvent,
 )
 from hyssopvane._internal.exceptions import ConfigurationError, KeyValueError
-from hyssopvane._internal.state.beliefs import Beliefs, BelievedItem
+from hyssopvane._internal.state.beliefs import Beliefs, BelievedItem, StoreMark
 from hyssopvane._internal.state.routing import Replica, RoutingTable
 from hyssopvane._internal.utils.logs import log_event
 
@@ -24,6 +25,17 @@
 seconds. Dropping them at once would leave nobody to serve.
 """
 
+LAPSE_S = 10.0
+"""Time after the store's return from a copy in which a replica that had left before is
+not believed to be ready by a registration of the copy.
+
+Registrations of replicas that are gone lapse after three heartbeats. One that stays is
+of a living replica, which registered again before it was looked for.
+"""
+
+LEFT_KEPT_S = 60.0
+"""Time for which it is known that a replica has left: copies are some seconds old."""
+
 _FIRST_RETRY_S = 0.1
 _LAST_RETRY_S = 1.0
 """Pause between tries while the store is away.
@@ -48,8 +60,23 @@
         """Return a replica; raise `ConfigurationError`."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Departure:
+    """Tell that one start of a replica is leaving or gone."""
+
+    started_ms: int
+    era: int
+    """Era of the store in which this was learnt."""
+    at: float
+
+
 class RoutingFeed:
-    """Keep the newest configuration and the living replicas, and never go back."""
+    """Keep the newest configuration and the living replicas.
+
+    The configuration never goes back: operators number their versions. Registrations
+    are ordered by the store's revisions, which hold within one era of the store only.
+    When the store comes back from an older copy, what it lists then is followed.
+    """
 
     def __init__(
         self,
@@ -75,7 +102,12 @@
         """Revision of the registrations that can't be read, by their key."""
         self.unreadable = 0
         """Registrations that could not be read, since the start."""
-        self._replicas_revision = 0
+        self.replicas_mark = StoreMark(0, 0)
+        """Point of the store's history up to which the registrations are known."""
+        self._departures: dict[str, _Departure] = {}
+        """Replicas that are leaving or gone, by the keys of their registrations."""
+        self._doubted: set[str] = set()
+        """Keys whose registrations say ready, and may be those of a copy."""
         self._missing: dict[str, float] = {}
         """Times at which replicas that lapsed during an outage are dropped."""
         self.connected_at = -REGAIN_S
@@ -109,27 +141,28 @@
         return Beliefs(
             self._configuration.revision,
             self._configuration.value,
-            self._replicas_revision,
+            self.replicas_mark.revision,
             tuple(
                 BelievedItem(item.key, item.value, item.revision)
                 for item in self._items.values()
             ),
+            self.replicas_mark.era,
         )
 
     def merge(self, beliefs: Beliefs) -> None:
         """Take over what another process knows more newly."""
-        if beliefs.configuration_revision > self._configuration.revision:
+        if beliefs.configuration:
             key = self._format.configuration_key
             self._apply_configuration(
                 KeyValue(key, beliefs.configuration, beliefs.configuration_revision),
                 source="peer",
             )
-        if beliefs.replicas_revision > self._replicas_revision:
+        if beliefs.replicas_mark > self.replicas_mark:
             items = tuple(
                 KeyValue(item.key, item.value, item.revision)
                 for item in beliefs.replicas
             )
-            self._replace_replicas(items, beliefs.replicas_revision, source="peer")
+            self._replace_replicas(items, beliefs.replicas_mark, source="peer")
         self._tell()
 
     def note_return(self, at: float) -> None:
@@ -143,19 +176,19 @@
     def measure_levels(self) -> dict[str, int]:
         """Return what is in force, for the metrics."""
         return {
-            "configuration-version": 0 if self.table is None else self.table.version,
+            "configuration-version": self.configuration_version,
             "replicas": len(self.replicas),
         }
 
     @property
-    def configuration_revision(self) -> int:
-        """Return the revision of the configuration in force."""
-        return self._configuration.revision
+    def configuration_version(self) -> int:
+        """Return the version of the configuration in force, 0 where none is."""
+        return 0 if self.table is None else self.table.version
 
     @property
     def replicas_revision(self) -> int:
         """Return the revision up to which the registrations are known."""
-        return self._replicas_revision
+        return self.replicas_mark.revision
 
     async def _follow(self, prefix: str) -> None:
         retry_s = _FIRST_RETRY_S
@@ -163,19 +196,20 @@
             try:
                 snapshot = await self._store.get_prefix(prefix)
                 self._note_connection(prefix, True, snapshot=snapshot)
-                self._load(prefix, snapshot.items, snapshot.revision)
+                self._load(prefix, snapshot)
                 retry_s = _FIRST_RETRY_S
-                await self._watch(prefix, snapshot.revision + 1)
+                await self._watch(prefix, snapshot)
             except KeyValueError as error:
                 self._note_connection(prefix, False, why=str(error))
                 # Spread over time: after an outage all processes come back at once.
                 await trio.sleep(retry_s * self._random.uniform(0.5, 1.0))
                 retry_s = min(_LAST_RETRY_S, retry_s * 2)
 
-    async def _watch(self, prefix: str, start_revision: int) -> None:
-        async with self._store.watch(prefix, start_revision) as events:
+    async def _watch(self, prefix: str, snapshot: Snapshot) -> None:
+        start_revision, era = snapshot.revision + 1, snapshot.era
+        async with self._store.watch(prefix, start_revision, era=era) as events:
             async for event in events:
-                self._apply_event(prefix, event)
+                self._apply_event(prefix, event, era=era)
 
     def _note_connection(
         self,
@@ -199,36 +233,37 @@
             event,
             prefix=prefix,
             configuration_revision=self._configuration.revision,
-            replicas_revision=self._replicas_revision,
+            replicas_revision=self.replicas_revision,
             store_revision=-1 if snapshot is None else snapshot.revision,
             era=-1 if snapshot is None else snapshot.era,
             why=why,
         )
 
-    def _load(self, prefix: str, items: tuple[KeyValue, ...], revision: int) -> None:
+    def _load(self, prefix: str, snapshot: Snapshot) -> None:
+        mark = StoreMark(snapshot.era, snapshot.revision)
         if prefix == self._format.configuration_key:
-            for item in items:
+            for item in snapshot.items:
                 if item.key == prefix:
                     self._apply_configuration(item, source="store")
-        elif revision >= self._replicas_revision:
-            self._replace_replicas(items, revision, source="store")
+        elif mark >= self.replicas_mark:
+            self._replace_replicas(snapshot.items, mark, source="store")
         self._tell()
 
-    def _apply_event(self, prefix: str, event: WatchEvent) -> None:
+    def _apply_event(self, prefix: str, event: WatchEvent, *, era: int = 0) -> None:
         if prefix == self._format.configuration_key:
             if event.value is not None and event.key == prefix:
                 item = KeyValue(event.key, event.value, event.revision)
                 self._apply_configuration(item, source="store")
-        elif event.revision > self._get_revision(event.key):
+        elif era == self.replicas_mark.era and event.revision > self._get_revision(
+            event.key
+        ):
             self._apply_registration(event)
-            self._replicas_revision = max(self._replicas_revision, event.revision)
+            mark = StoreMark(era, event.revision)
+            self.replicas_mark = max(self.replicas_mark, mark)
         self._tell()
 
     def _apply_configuration(self, item: KeyValue, *, source: str) -> None:
-        # An answer that was on its way for long, or a peer that lags, must not bring
-        # back routes and keys that were removed.
-        if item.revision <= self._configuration.revision:
-            self._note_left_out(item, source=source)
+        if item.value == self._configuration.value:
             return
         try:
             table = self._format.decode_configuration(item.value)
@@ -236,8 +271,11 @@
             self._count("configuration-unreadable")
             log_event("error", "configuration-unreadable", why=error)
             return
-        if self.table is not None and table.version < self.table.version:
-            self._note_left_out(item, source=source)
+        # An answer that was on its way for long, a peer that lags, or a store that has
+        # come back from a copy must not bring back routes and keys that were removed.
+        # Revisions do not tell: after such a return they are given out again.
+        if table.version <= self.configuration_version:
+            self._note_left_out(item, table.version, source=source)
             return
         self._configuration = item
         self.table = table
@@ -251,16 +289,15 @@
             source=source,
         )
 
-    def _note_left_out(self, item: KeyValue, *, source: str) -> None:
-        if item == self._configuration:
-            return
+    def _note_left_out(self, item: KeyValue, version: int, *, source: str) -> None:
         self._count("configuration-left-out")
         log_event(
             "info",
             "configuration-left-out",
+            version=version,
             revision=item.revision,
+            known_version=self.configuration_version,
             known_revision=self._configuration.revision,
-            known_version=-1 if self.table is None else self.table.version,
             source=source,
         )
 
@@ -278,11 +315,15 @@
             self._unreadable.pop(event.key, None)
             self._remove(event.key, why="registration removed")
         else:
+            # It is written anew: what was known before does not hold any longer.
+            self._departures.pop(event.key, None)
             self._put(KeyValue(event.key, event.value, event.revision))
 
     def _replace_replicas(
-        self, items: tuple[KeyValue, ...], revision: int, *, source: str
+        self, items: tuple[KeyValue, ...], mark: StoreMark, *, source: str
     ) -> None:
+        if mark.era > self.replicas_mark.era:
+            self._begin_era(mark.era)
         present = {item.key for item in items}
         for item in items:
             if item.revision > self._get_revision(item.key):
@@ -291,7 +332,17 @@
             del self._unreadable[key]
         for key in self._items.keys() - present:
             self._remove(key, why=f"missing in the list of the {source}")
-        self._replicas_revision = revision
+        self.replicas_mark = mark
+
+    def _begin_era(self, era: int) -> None:
+        """Forget the revisions of an earlier era: they are given out again."""
+        if self.replicas_mark.revision:
+            self.connected_at = self.returned_at = trio.current_time()
+        self.replicas_mark = StoreMark(era, 0)
+        self._items = {
+            key: replace(item, revision=0) for key, item in self._items.items()
+        }
+        self._unreadable = dict.fromkeys(self._unreadable, 0)
 
     def _put(self, item: KeyValue) -> None:
         try:
@@ -302,6 +353,7 @@
         known = self.replicas.get(item.key)
         if self._is_replaced(item.key, replica, item.revision):
             return
+        replica = self._doubt(item.key, replica)
         self._items[item.key] = item
         self._unreadable.pop(item.key, None)
         self._missing.pop(item.key, None)
@@ -318,6 +370,30 @@
                 revision=item.revision,
             )
 
+    def _doubt(self, key: str, replica: Replica) -> Replica:
+        """Return a replica as draining where only a copy may say that it is ready.
+
+        The store may come back from a copy that is older than the replica's word that
+        it leaves, or than the end of its registration. Until it is written again, what
+        was known before holds.
+        """
+        departure = self._departures.get(key)
+        self._doubted.discard(key)
+        if replica.draining:
+            self._note_departure(key, replica)
+        elif departure is not None and departure.started_ms == replica.started_ms:
+            is_first = self._get_revision(key) == 0
+            if is_first and departure.era < self.replicas_mark.era:
+                self._doubted.add(key)
+                return replace(replica, draining=True)
+            del self._departures[key]
+        return replica
+
+    def _note_departure(self, key: str, replica: Replica) -> None:
+        self._departures[key] = _Departure(
+            replica.started_ms, self.replicas_mark.era, trio.current_time()
+        )
+
     def _leave_out(self, item: KeyValue, error: ConfigurationError) -> None:
         """Use no replica of a key whose registration can't be read.
 
@@ -358,8 +434,10 @@
     def _drop(self, key: str, *, why: str) -> None:
         self._items.pop(key, None)
         self._missing.pop(key, None)
+        self._doubted.discard(key)
         replica = self.replicas.pop(key, None)
         if replica is not None:
+            self._note_departure(key, replica)
             log_event("info", "replica-gone", id=replica.id, why=why)
 
     async def _drop_missing(self) -> None:
@@ -369,3 +447,17 @@
             for key in [one for one, at in self._missing.items() if at <= now]:
                 self._drop(key, why="not back after an outage of the store")
                 self._tell()
+            self._forget_departures(now)
+            if self._doubted and now - self.connected_at >= LAPSE_S:
+                self._believe_doubted()
+
+    def _forget_departures(self, now: float) -> None:
+        for key, departure in list(self._departures.items()):
+            if now - departure.at >= LEFT_KEPT_S and key not in self._doubted:
+                del self._departures[key]
+
+    def _believe_doubted(self) -> None:
+        for key in sorted(self._doubted):
+            del self._departures[key]
+            self._put(self._items[key])
+        self._tell()
--- a/src/hyssopvane/_internal/platform/store.py
+++ b/src/hyssopvane/_internal/platform/store.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
 
@@ -55,6 +56,7 @@
 _JSON = (b"content-type", b"application/json")
 _HOST = (b"host", b"store")
 _ERA_HEADER = b"store-era"
+_MAX_ERA_DIGITS = 18
 _MILLISECONDS = 1_000
 _OK = 200
 _NOT_FOUND = 404
@@ -67,6 +69,15 @@
     """Tell that changes since a revision are no longer known."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """Hold an answer of the store."""
+
+    status: int
+    document: Any
+    era: int
+
+
 class PlatformStore(KeyValueStore):
     """Speak to the store over one pool of connections."""
 
@@ -79,6 +90,8 @@
         self._client = ReplicaClient()
         self._era = 0
         """How often the store has come back from an older copy; 0 where not told."""
+        self._waiting: set[trio.CancelScope] = set()
+        """Scopes of the watches that wait for changes."""
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Do nothing: connections are opened when they are needed."""
@@ -87,24 +100,29 @@
         await self._client.close()
 
     async def get(self, key: str) -> KeyValue | None:
-        status, answer = await self._read("/api/kv-key", {"key": key})
-        return None if status == _NOT_FOUND else _read_item(answer)
+        answer = await self._read("/api/kv-key", {"key": key})
+        return None if answer.status == _NOT_FOUND else _read_item(answer.document)
 
     async def get_prefix(self, prefix: str, *, min_revision: int = 0) -> Snapshot:
         items: list[KeyValue] = []
         query: dict[str, object] = {"prefix": prefix}
-        at = 0
+        first: _Answer | None = None
         while True:
-            _, answer = await self._read("/api/kv-range", query)
-            items += [_read_item(item) for item in answer["items"]]
-            # Pages are read one after the other: changes since the first are seen
-            # again by whoever watches from its revision.
-            at = at or int(answer["at"])
-            if not answer.get("has-more") or not answer["items"]:
+            answer = await self._read("/api/kv-range", query)
+            first = first or answer
+            if answer.era != first.era:
+                raise KeyValueUnavailable(
+                    "the store came back from a copy between two pages", context=prefix
+                )
+            page = answer.document
+            items += [_read_item(item) for item in page["items"]]
+            if not page.get("has-more") or not page["items"]:
                 break
             query["after"] = items[-1].key
         kept = tuple(item for item in items if item.revision >= min_revision)
-        return Snapshot(at, kept, self._era)
+        # Pages are read one after the other: changes since the first are seen again by
+        # whoever watches from its revision.
+        return Snapshot(int(first.document["at"]), kept, first.era)
 
     async def compare_and_swap(
         self, swaps: Sequence[Swap], *, checks: Sequence[Check] = ()
@@ -123,39 +141,40 @@
             if swap.value is not None
         ]
         remove = [swap.key for swap in swaps if swap.value is None]
-        status, answer = await self._write(
+        answer = await self._write(
             "POST",
             "/api/kv-txn",
             {"expected": expected, "puts": puts, "remove": remove},
         )
-        if status == _CONFLICT:
-            items = [item for item in answer["items"] if item.get("value") is not None]
+        if answer.status == _CONFLICT:
+            found = answer.document["items"]
+            items = [item for item in found if item.get("value") is not None]
             return SwapLost(tuple(_read_item(item) for item in items))
-        if status == _NOT_FOUND:
+        if answer.status == _NOT_FOUND:
             raise KeyValueRefused(
                 "the lease of a key has ended", hint="take a new lease and try again"
             )
-        return Swapped(int(answer["revision"]))
+        return Swapped(int(answer.document["revision"]))
 
     async def grant_lease(self, ttl_s: int) -> int:
         body = {"ttl-ms": ttl_s * _MILLISECONDS}
-        _, answer = await self._write("POST", "/api/kv-lease", body)
-        return int(answer["lease"])
+        answer = await self._write("POST", "/api/kv-lease", body)
+        return int(answer.document["lease"])
 
     async def keep_lease(self, lease: int) -> bool:
-        status, _ = await self._write("POST", f"/api/kv-keep/{lease}", {})
-        return status != _NOT_FOUND
+        answer = await self._write("POST", f"/api/kv-keep/{lease}", {})
+        return answer.status != _NOT_FOUND
 
     async def revoke_lease(self, lease: int) -> None:
         await self._write("DELETE", f"/api/kv-lease-end/{lease}", None)
 
     @asynccontextmanager
     async def watch(
-        self, prefix: str, start_revision: int
+        self, prefix: str, start_revision: int, *, era: int = 0
     ) -> AsyncIterator[trio.MemoryReceiveChannel[WatchEvent]]:
         send, receive = trio.open_memory_channel[WatchEvent](0)
         async with trio.open_nursery() as nursery, receive:
-            nursery.start_soon(self._follow, prefix, start_revision, send)
+            nursery.start_soon(self._follow, prefix, start_revision, era, send)
             yield receive
             nursery.cancel_scope.cancel()
 
@@ -163,6 +182,7 @@
         self,
         prefix: str,
         start_revision: int,
+        era: int,
         send: trio.MemorySendChannel[WatchEvent],
     ) -> None:
         # The store gives the changes after a revision, the interface those from one on.
@@ -170,7 +190,7 @@
         async with send:
             try:
                 while True:
-                    events, after = await self._wait_for_changes(prefix, after)
+                    events, after = await self._wait_for_changes(prefix, after, era)
                     for event in events:
                         await send.send(event)
                     if events:
@@ -179,20 +199,31 @@
                 return
 
     async def _wait_for_changes(
-        self, prefix: str, after: int
+        self, prefix: str, after: int, era: int
     ) -> tuple[list[WatchEvent], int]:
+        if era != self._era:
+            raise _HistoryGone
         watch_s = self.watch_s
         query = {
             "prefix": prefix,
             "after": after,
             "wait-ms": int(watch_s * _MILLISECONDS),
         }
-        status, answer = await self._read(
-            "/api/kv-watch", query, timeout_s=watch_s + CALL_TIMEOUT_S
-        )
-        if status == _HISTORY_GONE:
+        answer: _Answer | None = None
+        with trio.CancelScope() as scope:
+            self._waiting.add(scope)
+            try:
+                answer = await self._read(
+                    "/api/kv-watch", query, timeout_s=watch_s + CALL_TIMEOUT_S
+                )
+            finally:
+                self._waiting.discard(scope)
+        # Revisions are given out again after a return: the watch may have missed what
+        # was written at those that it has seen in the era before.
+        if answer is None or answer.era != era or answer.status == _HISTORY_GONE:
             raise _HistoryGone
-        return [_read_event(event) for event in answer["events"]], int(answer["at"])
+        events = [_read_event(event) for event in answer.document["events"]]
+        return events, int(answer.document["at"])
 
     async def _read(
         self,
@@ -200,7 +231,7 @@
         query: Mapping[str, object],
         *,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> tuple[int, Any]:
+    ) -> _Answer:
         target = f"{path}?{urlencode(query)}"
         try:
             return await self._call("GET", target, None, timeout_s=timeout_s)
@@ -208,12 +239,12 @@
             # A read changes nothing: without an answer it may just be asked again.
             raise KeyValueUnavailable(error.message, context=target) from error
 
-    async def _write(self, method: str, path: str, body: Any) -> tuple[int, Any]:
+    async def _write(self, method: str, path: str, body: Any) -> _Answer:
         return await self._call(method, path, body, timeout_s=CALL_TIMEOUT_S)
 
     async def _call(
         self, method: str, target: str, document: Any, *, timeout_s: float
-    ) -> tuple[int, Any]:
+    ) -> _Answer:
         body = b"" if document is None else json.dumps(document).encode()
         length = (b"content-length", str(len(body)).encode())
         headers = (_HOST, _JSON, length) if body else (_HOST,)
@@ -229,7 +260,7 @@
                     limit = PartLimit(scope, part_s=CALL_TIMEOUT_S)
                     answer = await response.read(max_bytes=_MAX_BODY_BYTES, limit=limit)
                     status = response.status
-                    self._note_era(response.fields.get(_ERA_HEADER))
+                    era_header = response.fields.get(_ERA_HEADER)
         except ReplicaUnreachable as error:
             raise KeyValueUnavailable(
                 "the store can't be reached", context=str(error)
@@ -240,16 +271,28 @@
                 context=f"{target}: {error!r}",
                 hint="read the keys back before writing them again",
             ) from error
-        return _check_answer(status, answer, target)
-
-    def _note_era(self, header: bytes | None) -> None:
-        if header is None or not header.isdigit() or int(header) == self._era:
-            return
-        log_event("info", "store-era", era=int(header), before=self._era)
-        self._era = int(header)
-
-
-def _check_answer(status: int, answer: bytes, target: str) -> tuple[int, Any]:
+        era = self._note_era(era_header)
+        if era < self._era:
+            raise KeyValueUnknown(
+                "the store has come back from a copy since it answered", context=target
+            )
+        return _Answer(status, _check_answer(status, answer, target), era)
+
+    def _note_era(self, header: bytes | None) -> int:
+        """Return the era of an answer, and end all watches when it is a new one."""
+        if header is None or not header.isdigit() or len(header) > _MAX_ERA_DIGITS:
+            return self._era
+        era = int(header)
+        if era > self._era:
+            log_event("info", "store-era", era=era, before=self._era)
+            self._era = era
+            for scope in self._waiting:
+                scope.cancel()
+        return era
+
+
+def _check_answer(status: int, answer: bytes, target: str) -> Any:
+    """Return the document of an answer; raise where nothing was done or understood."""
     if status in _BUSY:
         raise KeyValueUnavailable(f"the store answered {status}", context=target)
     if status not in {_OK, _NOT_FOUND, _CONFLICT, _HISTORY_GONE}:
@@ -259,7 +302,7 @@
             hint="report this call to the platform's operators",
         )
     try:
-        return status, json.loads(answer) if answer else {}
+        return json.loads(answer) if answer else {}
     except ValueError as error:
         raise KeyValueUnknown(
             "the store's answer is no JSON", context=target
--- a/src/hyssopvane/_internal/protocol/group.capnp
+++ b/src/hyssopvane/_internal/protocol/group.capnp
@@ -17,7 +17,8 @@
 
 struct EntryState {
   address @0 :Text;
-  configurationRevision @1 :UInt64;
+  unusedRevision @1 :UInt64;
+  # Processes of an earlier release compare it; they take 0 for nothing new.
   replicasRevision @2 :UInt64;
   beliefs @3 :Text;
   unheard @4 :Bool;
@@ -25,6 +26,8 @@
   via @6 :Text;
   storeReturnedMs @7 :UInt16;
   # Time since the store's last return, and one more; 0 for none.
+  configurationVersion @8 :UInt64;
+  replicasEra @9 :UInt64;
 }
 
 struct ReplicaLimits {
@@ -54,6 +57,7 @@
   configuration @1 :Data;
   replicasRevision @2 :UInt64;
   replicas @3 :List(Item);
+  replicasEra @4 :UInt64;
 }
 
 struct Item {
--- a/src/hyssopvane/_internal/protocol/group_messages.py
+++ b/src/hyssopvane/_internal/protocol/group_messages.py
@@ -151,6 +151,7 @@
     message.configurationRevision = beliefs.configuration_revision
     message.configuration = beliefs.configuration
     message.replicasRevision = beliefs.replicas_revision
+    message.replicasEra = beliefs.replicas_era
     builders = message.init("replicas", len(beliefs.replicas))
     for builder, item in zip(builders, beliefs.replicas, strict=True):
         builder.key = item.key
@@ -169,6 +170,7 @@
             configuration_revision=message.configurationRevision,
             configuration=bytes(message.configuration),
             replicas_revision=message.replicasRevision,
+            replicas_era=message.replicasEra,
             replicas=tuple(
                 BelievedItem(item.key, bytes(item.value), item.revision)
                 for item in message.replicas
@@ -199,8 +201,9 @@
 def _write_entry(builder: Any, message: EntryState) -> None:
     builder.address = message.address
     builder.beliefs = message.beliefs
-    builder.configurationRevision = message.configuration_revision
+    builder.configurationVersion = message.configuration_version
     builder.replicasRevision = message.replicas_revision
+    builder.replicasEra = message.replicas_era
     builder.unheard = message.unheard
     builder.availabilityZone = message.availability_zone
     builder.via = message.via
@@ -214,8 +217,9 @@
     return EntryState(
         address=one.address,
         beliefs=one.beliefs,
-        configuration_revision=one.configurationRevision,
+        configuration_version=one.configurationVersion,
         replicas_revision=one.replicasRevision,
+        replicas_era=one.replicasEra,
         unheard=one.unheard,
         availability_zone=one.availabilityZone,
         via=one.via,
--- a/src/hyssopvane/_internal/roles/belief_exchange.py
+++ b/src/hyssopvane/_internal/roles/belief_exchange.py
@@ -12,6 +12,7 @@
 from hyssopvane._internal.coordination.routing_feed import RoutingFeed
 from hyssopvane._internal.exceptions import ProtocolError
 from hyssopvane._internal.protocol.group_messages import decode_beliefs, encode_beliefs
+from hyssopvane._internal.state.beliefs import StoreMark
 from hyssopvane._internal.state.group import EntryState
 from hyssopvane._internal.transport.asgi_messages import (
     send_response,
@@ -76,9 +77,10 @@
 
     def _is_newer(self, peer: EntryState) -> bool:
         feed = self._feed
+        known = StoreMark(peer.replicas_era, peer.replicas_revision)
         return (
-            peer.configuration_revision > feed.configuration_revision
-            or peer.replicas_revision > feed.replicas_revision
+            peer.configuration_version > feed.configuration_version
+            or known > feed.replicas_mark
         )
 
     async def _ask_later(self, peer: EntryState) -> None:
@@ -124,4 +126,5 @@
             peer=address,
             configuration_revision=beliefs.configuration_revision,
             replicas_revision=beliefs.replicas_revision,
+            era=beliefs.replicas_era,
         )
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -239,8 +239,9 @@
             state = EntryState(
                 address=self._port.address,
                 beliefs=self.beliefs_address,
-                configuration_revision=self.feed.configuration_revision,
+                configuration_version=self.feed.configuration_version,
                 replicas_revision=self.feed.replicas_revision,
+                replicas_era=self.feed.replicas_mark.era,
                 availability_zone=self.settings.availability_zone,
                 store_returned_s=self._measure_return(now),
             )
--- a/src/hyssopvane/_internal/state/beliefs.py
+++ b/src/hyssopvane/_internal/state/beliefs.py
@@ -3,6 +3,15 @@
 from dataclasses import dataclass
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class StoreMark:
+    """Name a point in the store's history; any point of a later era comes later."""
+
+    era: int
+    """How often the store had come back from an older copy; 0 where not told."""
+    revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class BelievedItem:
     """Hold one key of the store as it was at a revision."""
@@ -21,3 +30,10 @@
     replicas_revision: int
     """Revision of the store up to which the registrations are known."""
     replicas: tuple[BelievedItem, ...]
+    replicas_era: int = 0
+    """Era of the store that the registrations and their revisions belong to."""
+
+    @property
+    def replicas_mark(self) -> StoreMark:
+        """Return the point of the store's history up to which they are known."""
+        return StoreMark(self.replicas_era, self.replicas_revision)
--- a/src/hyssopvane/_internal/state/group.py
+++ b/src/hyssopvane/_internal/state/group.py
@@ -18,8 +18,10 @@
     """Where it takes datagrams."""
     beliefs: str
     """Where it gives what it has learnt from the store."""
-    configuration_revision: int
+    configuration_version: int
+    """Version of the configuration in force; 0 where none is."""
     replicas_revision: int
+    """Revision of the store up to which it knows the registrations."""
     availability_zone: str = ""
     store_returned_s: float | None = None
     """Time since the store's last return from a silence, for some seconds after it."""
@@ -27,6 +29,8 @@
     """Whether it has no fresh load of the group of the agent that gets this."""
     via: str = ""
     """Agent that passes this on to its leader; empty where the entry itself does."""
+    replicas_era: int = 0
+    """Era of the store that the revision belongs to."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/functional/test_direct_path.py
+++ b/tests/functional/test_direct_path.py
@@ -392,7 +392,7 @@
                 EntryState(
                     address="",
                     beliefs=other.beliefs_address,
-                    configuration_revision=other.feed.configuration_revision,
+                    configuration_version=other.feed.configuration_version,
                     replicas_revision=0,
                 )
             )
--- a/tests/lib/fake_key_value.py
+++ b/tests/lib/fake_key_value.py
@@ -104,7 +104,7 @@
 
     @asynccontextmanager
     async def watch(
-        self, prefix: str, start_revision: int
+        self, prefix: str, start_revision: int, *, era: int = 0
     ) -> AsyncIterator[trio.MemoryReceiveChannel[WatchEvent]]:
         fault = await self._begin()
         send, receive = trio.open_memory_channel[WatchEvent](10_000)
--- a/tests/unit/test_table_store.py
+++ b/tests/unit/test_table_store.py
@@ -569,7 +569,7 @@
 
 class _NoWatchStore(FakeKeyValueStore):
     @asynccontextmanager
-    async def watch(self, prefix, start_revision):
+    async def watch(self, prefix, start_revision, *, era=0):
         self.calls += 1
         send, receive = trio.open_memory_channel(0)
         send.close()
