Leave replicas that lapsed out of what peers are told

A process believes a replica whose registration lapsed for 2.2 s after the store's return, and passed it on meanwhile. A peer that had its end behind it learnt it anew, and no later change told it that the replica was gone: callers' requests went to a dead replica until the next full list.

The test fails without the change: the peer has three replicas.

--- a/src/hyssopvane/_internal/coordination/routing_feed.py
+++ b/src/hyssopvane/_internal/coordination/routing_feed.py
@@ -145,6 +145,9 @@
             tuple(
                 BelievedItem(item.key, item.value, item.revision)
                 for item in self._items.values()
+                # A replica that lapsed is believed for a while longer. A peer that has
+                # its end behind it would learn it anew, and nobody would tell it again.
+                if item.key not in self._missing
             ),
             self.replicas_mark.era,
         )
--- a/tests/unit/test_routing_feed.py
+++ b/tests/unit/test_routing_feed.py
@@ -7,7 +7,7 @@
 import trio
 import trio.testing
 
-from hyssopvane._internal.coordination.key_value import KeyValue
+from hyssopvane._internal.coordination.key_value import KeyValue, WatchEvent
 from hyssopvane._internal.coordination.routing_feed import REGAIN_S, RoutingFeed
 from hyssopvane._internal.platform.wire import PlatformFormat
 from hyssopvane._internal.state.beliefs import Beliefs, BelievedItem, StoreMark
@@ -142,3 +142,24 @@
         assert list(feed.replicas) == ["servers/new"]
 
     run(test)
+
+
+def test_replica_that_lapsed_is_not_passed_on_to_peers():
+    """Guards against a peer that learns a replica anew after its registration ended."""
+
+    async def test():
+        feed, peer = make_feed(), make_feed()
+        for one in (feed, peer):
+            beliefs = make_beliefs(1, revision=5, replicas=(1, 2), replicas_revision=9)
+            one.merge(beliefs)
+        await trio.sleep(10)
+        gone = WatchEvent("servers/1", None, 10)
+        peer._apply_event("servers/", gone)
+        assert list(peer.replicas) == ["servers/2"]
+        feed.connected_at = trio.current_time()
+        feed._apply_event("servers/", gone)
+        feed._apply_event("servers/", WatchEvent("servers/3", make_registration(3), 11))
+        peer.merge(feed.export())
+        assert list(peer.replicas) == ["servers/2", "servers/3"]
+
+    run(test)
