Keep what is known of leaving replicas, and end watches of an earlier era

What a replica itself has said now holds for its start; only where its registration had merely ended, a copy's is believed after a while, and only while the store answers; Only a registration that ended, an address that another replica has, or the replica's own word counts; A process that learns of the return from a peer, by a list or by an entry's word, ends its watches.

--- a/src/hyssopvane/_internal/coordination/etcd_key_value.py
+++ b/src/hyssopvane/_internal/coordination/etcd_key_value.py
@@ -110,6 +110,9 @@
     async def revoke_lease(self, lease: int) -> None:
         await self._call("/v3/lease/revoke", {"ID": str(lease)}, writes=True)
 
+    def end_watches(self, era: int) -> None:
+        """Do nothing: this service tells no era."""
+
     @asynccontextmanager
     async def watch(
         self, prefix: str, start_revision: int, *, era: int = 0
--- a/src/hyssopvane/_internal/coordination/key_value.py
+++ b/src/hyssopvane/_internal/coordination/key_value.py
@@ -124,6 +124,10 @@
     async def revoke_lease(self, lease: int) -> None:
         """End a lease and delete its keys."""
 
+    @abstractmethod
+    def end_watches(self, era: int) -> None:
+        """End the watches that were begun before an era."""
+
     @abstractmethod
     def watch(
         self, prefix: str, start_revision: int, *, era: int = 0
--- a/src/hyssopvane/_internal/coordination/routing_feed.py
+++ b/src/hyssopvane/_internal/coordination/routing_feed.py
@@ -26,8 +26,8 @@
 """
 
 LAPSE_S = 10.0
-"""Time after the store's return from a copy in which a replica that had left before is
-not believed to be ready by a registration of the copy.
+"""Time after the store's return from a copy in which a replica whose registration had
+ended before is not believed to be ready by a registration of the copy.
 
 Registrations of replicas that are gone lapse after three heartbeats. One that stays is
 of a living replica, which registered again before it was looked for.
@@ -65,6 +65,8 @@
     """Tell that one start of a replica is leaving or gone."""
 
     started_ms: int
+    announced: bool
+    """Whether the replica itself said so, and not only its registration ended."""
     era: int
     """Era of the store in which this was learnt."""
     at: float
@@ -107,7 +109,7 @@
         self._departures: dict[str, _Departure] = {}
         """Replicas that are leaving or gone, by the keys of their registrations."""
         self._doubted: set[str] = set()
-        """Keys whose registrations say ready, and may be those of a copy."""
+        """Keys whose registrations ended, and are there again in what may be a copy."""
         self._missing: dict[str, float] = {}
         """Times at which replicas that lapsed during an outage are dropped."""
         self.connected_at = -REGAIN_S
@@ -183,6 +185,11 @@
             "replicas": len(self.replicas),
         }
 
+    def note_era(self, era: int) -> None:
+        """Learn from a peer that the store has come back from a copy."""
+        if era > self.replicas_mark.era:
+            self._store.end_watches(era)
+
     @property
     def configuration_version(self) -> int:
         """Return the version of the configuration in force, 0 where none is."""
@@ -342,6 +349,7 @@
         if self.replicas_mark.revision:
             self.connected_at = self.returned_at = trio.current_time()
         self.replicas_mark = StoreMark(era, 0)
+        self._store.end_watches(era)
         self._items = {
             key: replace(item, revision=0) for key, item in self._items.items()
         }
@@ -387,14 +395,18 @@
         elif departure is not None and departure.started_ms == replica.started_ms:
             is_first = self._get_revision(key) == 0
             if is_first and departure.era < self.replicas_mark.era:
-                self._doubted.add(key)
+                if not departure.announced:
+                    self._doubted.add(key)
                 return replace(replica, draining=True)
             del self._departures[key]
         return replica
 
     def _note_departure(self, key: str, replica: Replica) -> None:
         self._departures[key] = _Departure(
-            replica.started_ms, self.replicas_mark.era, trio.current_time()
+            started_ms=replica.started_ms,
+            announced=replica.draining,
+            era=self.replicas_mark.era,
+            at=trio.current_time(),
         )
 
     def _leave_out(self, item: KeyValue, error: ConfigurationError) -> None:
@@ -421,6 +433,7 @@
                 continue
             if self._get_revision(other) > revision:
                 return True
+            self._note_departure(other, found)
             self._drop(other, why=f"its address belongs to {replica.id}")
         return False
 
@@ -432,6 +445,7 @@
         if self.replicas and returned_s < REGAIN_S:
             self._missing[key] = self.connected_at + REGAIN_S
             return
+        self._note_departure(key, self.replicas[key])
         self._drop(key, why=why)
 
     def _drop(self, key: str, *, why: str) -> None:
@@ -440,7 +454,6 @@
         self._doubted.discard(key)
         replica = self.replicas.pop(key, None)
         if replica is not None:
-            self._note_departure(key, replica)
             log_event("info", "replica-gone", id=replica.id, why=why)
 
     async def _drop_missing(self) -> None:
@@ -451,9 +464,13 @@
                 self._drop(key, why="not back after an outage of the store")
                 self._tell()
             self._forget_departures(now)
-            if self._doubted and now - self.connected_at >= LAPSE_S:
+            if self._doubted and self._is_settled(now):
                 self._believe_doubted()
 
+    def _is_settled(self, now: float) -> bool:
+        connected = self._connected.get(self._format.replicas_prefix, False)
+        return connected and now - self.connected_at >= LAPSE_S
+
     def _forget_departures(self, now: float) -> None:
         for key, departure in list(self._departures.items()):
             if now - departure.at >= LEFT_KEPT_S and key not in self._doubted:
--- a/src/hyssopvane/_internal/platform/store.py
+++ b/src/hyssopvane/_internal/platform/store.py
@@ -90,8 +90,8 @@
         self._client = ReplicaClient()
         self._era = 0
         """How often the store has come back from an older copy; 0 where not told."""
-        self._waiting: set[trio.CancelScope] = set()
-        """Scopes of the watches that wait for changes."""
+        self._waiting: dict[trio.CancelScope, int] = {}
+        """Scopes of the watches that wait for changes, and their eras."""
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Do nothing: connections are opened when they are needed."""
@@ -168,6 +168,11 @@
     async def revoke_lease(self, lease: int) -> None:
         await self._write("DELETE", f"/api/kv-lease-end/{lease}", None)
 
+    def end_watches(self, era: int) -> None:
+        for scope, began_in in self._waiting.items():
+            if began_in < era:
+                scope.cancel()
+
     @asynccontextmanager
     async def watch(
         self, prefix: str, start_revision: int, *, era: int = 0
@@ -211,13 +216,13 @@
         }
         answer: _Answer | None = None
         with trio.CancelScope() as scope:
-            self._waiting.add(scope)
+            self._waiting[scope] = era
             try:
                 answer = await self._read(
                     "/api/kv-watch", query, timeout_s=watch_s + CALL_TIMEOUT_S
                 )
             finally:
-                self._waiting.discard(scope)
+                del self._waiting[scope]
         # Revisions are given out again after a return: the watch may have missed what
         # was written at those that it has seen in the era before.
         if answer is None or answer.era != era or answer.status == _HISTORY_GONE:
@@ -286,8 +291,7 @@
         if era > self._era:
             log_event("info", "store-era", era=era, before=self._era)
             self._era = era
-            for scope in self._waiting:
-                scope.cancel()
+            self.end_watches(era)
         return era
 
 
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -277,6 +277,7 @@
         report = self._report
         if self._teller.observe(state, now=now):
             log_event("info", "entry-found", entry=state.address, via=state.via)
+        self.feed.note_era(state.replicas_era)
         if self._follows_store and self.feed.table is None and state.beliefs:
             # The store may turn away this machine alone. Without the layout of the
             # experts an agent that leads changes no map, and all passes stay long.
--- a/tests/functional/test_platform_store.py
+++ b/tests/functional/test_platform_store.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from hyssopvane._internal.coordination.key_value import (
     ABSENT,
@@ -20,7 +21,7 @@
 from hyssopvane._internal.platform import store as platform_store
 from hyssopvane._internal.platform.store import PlatformStore
 from hyssopvane._internal.transport.asgi_server import serve_asgi
-from tests.lib.direct_store import DirectStore
+from tests.lib.direct_store import MAX_PAGE, DirectStore
 
 
 def run(test):
@@ -138,3 +139,66 @@
                 await events.receive()
 
     run(test)
+
+
+@pytest.mark.parametrize("written_since", [0, 1, 3])
+def test_watch_ends_when_the_store_has_come_back_from_a_copy(written_since):
+    """Guards against a watch that waits from a revision of before the return."""
+
+    async def test(stand_in, store):
+        copy = stand_in.copy()
+        stand_in.put("servers/1", 1)
+        first = await store.get_prefix("servers/")
+        async with store.watch("servers/", first.revision + 1, era=0) as events:
+            await trio.testing.wait_all_tasks_blocked()
+            stand_in.come_back(copy)
+            for number in range(written_since):
+                stand_in.put("other/1", number)
+            again = await store.get_prefix("servers/")
+            assert (again.era, again.items) == (1, ())
+            with pytest.raises(trio.EndOfChannel):
+                await events.receive()
+
+    run(test)
+
+
+def test_answer_of_an_earlier_era_is_dropped():
+    """Guards against an answer from before the store's return that arrives late."""
+
+    async def test(stand_in, store):
+        stand_in.era = 3
+        await store.get("a")
+        stand_in.era = 2
+        with pytest.raises(KeyValueUnavailable):
+            await store.get_prefix("servers/")
+        with pytest.raises(KeyValueUnknown):
+            await store.compare_and_swap([Swap("a", b"1", ABSENT)])
+
+    run(test)
+
+
+def test_pages_of_two_eras_are_not_joined():
+    """Guards against a list of which one page is of before the store's return."""
+
+    async def test(stand_in, store):
+        for number in range(MAX_PAGE + 1):
+            stand_in.put(f"servers/{number}", number)
+        copy = stand_in.copy()
+        stand_in.on_call = lambda path: stand_in.come_back(copy)
+        with pytest.raises(KeyValueUnavailable):
+            await store.get_prefix("servers/")
+
+    run(test)
+
+
+@pytest.mark.parametrize("header", [b"", b"x", b"-1", b"1" * 5_000])
+def test_unreadable_era_tells_nothing(header):
+    """Guards against a damaged header that ends the process or drops all answers."""
+
+    async def test(stand_in, store):
+        stand_in.era = 3
+        await store.get("a")
+        stand_in.era_header = header
+        assert (await store.get_prefix("servers/")).era == 3
+
+    run(test)
--- a/tests/lib/direct_store.py
+++ b/tests/lib/direct_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qsl
@@ -33,6 +34,10 @@
     revision: int = 10
     era: int = 0
     """How often the store has come back from a copy."""
+    era_header: bytes | None = None
+    """What the header of the era says, None where it says the era."""
+    on_call: Callable[[str], None] = lambda path: None
+    """Takes the path of each call before it is answered."""
     items: dict[str, tuple[bytes, int]] = field(default_factory=dict)
     history: list[dict[str, Any]] = field(default_factory=list)
     first_known: int = 0
@@ -85,6 +90,7 @@
         body = await read_body(receive, max_bytes=2**24)
         query = dict(parse_qsl(scope.get("query_string", b"").decode()))
         self.calls.append(scope["path"])
+        self.on_call(scope["path"])
         if self.answer_status:
             await self._send(send, {}, status=self.answer_status)
             return
@@ -94,7 +100,8 @@
         await self._send(send, answer, status=status)
 
     async def _send(self, send: Any, answer: object, *, status: int) -> None:
-        headers = ((b"Store-Era", str(self.era).encode()),)
+        era = str(self.era).encode() if self.era_header is None else self.era_header
+        headers = ((b"Store-Era", era),)
         await send_json(send, answer, status=status, headers=headers)
 
     async def _answer(
--- a/tests/lib/fake_key_value.py
+++ b/tests/lib/fake_key_value.py
@@ -102,6 +102,9 @@
     async def revoke_lease(self, lease: int) -> None:
         self.state.revoke_lease(lease)
 
+    def end_watches(self, era: int) -> None:
+        pass
+
     @asynccontextmanager
     async def watch(
         self, prefix: str, start_revision: int, *, era: int = 0
