--- a/tests/functional/test_platform_store.py
+++ b/tests/functional/test_platform_store.py
@@ -202,3 +202,21 @@
         assert (await store.get_prefix("servers/")).era == 3
 
     run(test)
+
+
+def test_changes_of_a_later_era_are_not_given_to_a_watch():
+    """Guards against changes that are counted on from a revision of before a return."""
+
+    async def test(stand_in, store):
+        copy = stand_in.copy()
+        stand_in.put("other/1", 1)
+        first = await store.get_prefix("servers/")
+        async with store.watch("servers/", first.revision + 1, era=0) as events:
+            await trio.testing.wait_all_tasks_blocked()
+            stand_in.come_back(copy)
+            for number in range(3):
+                stand_in.put(f"servers/{number}", number)
+            with pytest.raises(trio.EndOfChannel):
+                await events.receive()
+
+    run(test)
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 import time
+from dataclasses import replace
 
 import pytest
 
@@ -15,6 +16,9 @@
 SEEDS = (1, 2)
 """Seeds that every run of the tests plays."""
 
+RETURN_SEEDS = (1, 2)
+"""Seeds whose store also comes back from older copies."""
+
 FAILED_SEEDS = {
     205: "an agent that was told to reload while it started ended: SIGHUP was not yet "
     "taken, and its default action is to end the process",
@@ -37,6 +41,15 @@
     assert report.served > 50
 
 
+@pytest.mark.parametrize("seed", RETURN_SEEDS)
+def test_promises_hold_while_the_store_comes_back_from_copies(seed, tmp_path):
+    """Guards against beliefs of before the store's return in real processes."""
+    size = replace(SMALL, seconds=10.0, store_returns=True)
+    report = run_seed(tmp_path, seed=seed, size=size)
+    assert report.violations == [], (report.kept_in, report.faults)
+    assert any("store back" in one for one in report.faults), report.faults
+
+
 @pytest.mark.parametrize("seed", FAILED_SEEDS)
 def test_seeds_that_failed_once_stay_mended(seed, tmp_path):
     """Play the seeds again that broke a promise, at the size they were found at."""
--- a/tests/lib/direct_store.py
+++ b/tests/lib/direct_store.py
@@ -57,7 +57,9 @@
         self._note(self._describe(key))
 
     def remove(self, key: str) -> None:
-        """Delete a key."""
+        """Delete a key; do nothing where it is not there."""
+        if key not in self.items:
+            return
         self.revision += 1
         del self.items[key]
         self._note({"key": key, "revision": self.revision, "deleted": True})
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -23,9 +23,15 @@
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--groups", type=int, default=2)
     parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("--store-returns", action="store_true")
     parser.add_argument("--folder", default=tempfile.mkdtemp(prefix="soak-"))
     found = parser.parse_args()
-    size = Size(entries=found.entries, groups=found.groups, seconds=found.seconds)
+    size = Size(
+        entries=found.entries,
+        groups=found.groups,
+        seconds=found.seconds,
+        store_returns=found.store_returns,
+    )
     broken = 0
     print(f"logs in {found.folder}", flush=True)
     with ProcessPoolExecutor(found.jobs) as pool:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -109,6 +109,8 @@
             ("orders", self._harm_orders),
             ("drain", self._drain),
         ]
+        if self._run.size.store_returns:
+            choices += 2 * [("return", self._take_store_back)]
         fitting = [one for one in choices if names is None or one[0] in names]
         while trio.current_time() < end:
             name, fault = self._random.choice(fitting)
@@ -211,6 +213,18 @@
         store.answer_status, store.lose_answers = 0, False
         return f"store {how}"
 
+    async def _take_store_back(self) -> str:
+        store = self._run.store
+        copy = store.copy()
+        await trio.sleep(self._random.uniform(0.3, 4.0))
+        store.answer_status = 503
+        await trio.sleep(self._random.uniform(0.0, 2.0))
+        store.come_back(copy)
+        store.answer_status = 0
+        await trio.sleep(self._random.uniform(0.0, 1.5))
+        self._run.write_again()
+        return f"store back at {copy.revision}"
+
     async def _trouble(self) -> str:
         backend = self._random.choice(self._run.backends)
         backend.trouble_share = self._random.uniform(0.1, 0.9)
@@ -228,7 +242,7 @@
             backend.group.broken = True
         await backend.end()
         await trio.sleep(self._random.uniform(0.1, 1.0))
-        self._run.store.remove(f"servers/{gone}")
+        self._run.unregister(gone)
         await trio.sleep(_ADDRESS_REST_S)
         await backend.begin()
         if backend.group is not None:
@@ -247,7 +261,7 @@
         self._run.register(backend)
         await trio.sleep(3.0)
         await backend.end()
-        self._run.store.remove(f"servers/{gone}")
+        self._run.unregister(gone)
         await trio.sleep(_ADDRESS_REST_S)
         await backend.begin()
         self._run.register(backend)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -63,6 +63,9 @@
     patience: float = 1.0
     """Factor on the times after which something counts as late. A machine that runs a
     whole test suite besides is slow, which is no fault of the system."""
+    store_returns: bool = False
+    """Whether the store also comes back from older copies. Seeds play other faults with
+    it than without."""
 
 
 @dataclass
@@ -103,6 +106,8 @@
         self.groups = [GroupStandIn(f"g-{n}") for n in range(size.groups)]
         self.backends = self._make_backends()
         self.store_links: dict[str, Link] = {}
+        self.written: dict[str, object] = {}
+        """What operators and replicas have written last, by key."""
         self.generation = 1
         self.callers = Callers(
             self.fleet.entries,
@@ -140,7 +145,26 @@
 
     def register(self, backend: Backend) -> None:
         """Write a replica's registration."""
-        self.store.put(f"servers/{backend.id}", backend.describe())
+        self._write(f"servers/{backend.id}", backend.describe())
+
+    def unregister(self, replica_id: str) -> None:
+        """Remove a replica's registration."""
+        key = f"servers/{replica_id}"
+        del self.written[key]
+        self.store.remove(key)
+
+    def write_again(self) -> None:
+        """Write what the store lost, and remove again what it brought back."""
+        for key in self.store.items.keys() - self.written.keys():
+            self.store.remove(key)
+        for key, document in self.written.items():
+            value, _ = self.store.items.get(key, (b"", 0))
+            if value != json.dumps(document).encode():
+                self.store.put(key, document)
+
+    def _write(self, key: str, document: object) -> None:
+        self.written[key] = document
+        self.store.put(key, document)
 
     def configure(self) -> None:
         """Write the next configuration: the newest route replaces the one before."""
@@ -159,7 +183,7 @@
         document["tenants"] = [
             {"name": CUSTOMER, "api-keys": [KEY, f"key-{self.generation}"]}
         ]
-        self.store.put("op/config", document)
+        self._write("op/config", document)
 
     def _make_backends(self) -> list[Backend]:
         found = []
@@ -438,6 +462,8 @@
         f"./dev soak --first {report.seed} --seeds 1 --seconds {size.seconds} "
         f"--entries {size.entries} --groups {size.groups}"
     )
+    if size.store_returns:
+        command += " --store-returns"
     document = asdict(report) | {"size": asdict(size), "command": command}
     (kept / "report.json").write_text(json.dumps(document, indent=1))
     return kept
--- a/tests/unit/test_store_return.py
+++ b/tests/unit/test_store_return.py
@@ -1,5 +1,6 @@
 """Test what processes believe of a store that comes back from older copies."""
 
+import json
 from dataclasses import replace
 from random import Random
 
@@ -99,3 +100,32 @@
         assert ("servers/2" in feed.replicas) == taken
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize("told_by", ["beliefs", "state"])
+def test_return_that_a_peer_tells_ends_the_watch(told_by):
+    """Guards against a watch that waits at a mark which the new era has passed."""
+
+    async def main():
+        stand_in, feed = make_feed_with_store()
+        copy = stand_in.copy()
+        for number in range(3):
+            stand_in.put("other/1", number)
+        async with trio.open_nursery() as nursery:
+            feed.start(nursery)
+            await trio.sleep(1.0)
+            stand_in.come_back(copy)
+            stand_in.put("servers/9", json.loads(make_registration(9)))
+            for number in range(4):
+                stand_in.put("other/1", number)
+            await trio.sleep(0.3)
+            assert not feed.replicas
+            if told_by == "beliefs":
+                feed.merge(Beliefs(0, b"", 1, (), 1))
+            else:
+                feed.note_era(1)
+            await trio.sleep(0.6)
+            assert list(feed.replicas) == ["servers/9"]
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
