Say in explain that the entry of a request is missing

Cause: the entry that is asked knows the others by the platform's list, read each second. One that it does not know yet is not asked, and is not counted among those that did not answer either.

Evidence: with entry-2 taken off the list, explain at entry-1 prints exactly the lines that were recorded, check-1 started and check-1 answered, and no more; the new test fails so on the code before. An entry that is known and does not answer gives another line (1 of 4 processes did not answer).

The wait stays, since only a known entry can be asked; what the operator is told no longer depends on it.

--- a/src/hyssopvane/_internal/commands/explain.py
+++ b/src/hyssopvane/_internal/commands/explain.py
@@ -70,4 +70,9 @@
             self.line(f"{at}  {one['vm']}  {one['decision']}  {one['why']}")
         if answered < asked:
             self.line(f"{asked - answered} of {asked} processes did not answer")
+        if not document["entry_told"]:
+            self.line(
+                "the entry that took the request is missing: it did not answer, or the "
+                "platform's list does not name it yet; ask that entry with --entry"
+            )
         return StatusCode.OK
--- a/src/hyssopvane/_internal/roles/read_back.py
+++ b/src/hyssopvane/_internal/roles/read_back.py
@@ -94,6 +94,9 @@
             "request_id": request_id,
             "asked": len(asks) + 1,
             "answered": len(found),
+            "entry_told": any(
+                one.decisions for one in found if one.vm not in connections
+            ),
             "decisions": _list_by_time(found),
         }
 
--- a/tests/functional/test_in_force.py
+++ b/tests/functional/test_in_force.py
@@ -195,6 +195,20 @@
     assert "check-1" in output
 
 
+def test_explain_says_that_the_entry_of_a_request_is_missing(cluster):
+    """Guards against half of a request's story that is shown as the whole of it."""
+    cluster.unlist_vm("entry-2")
+    unknown = len(ENTRIES)
+    wait_until(lambda: count_reached(cluster, "entry-1") == (unknown, unknown))
+    answer = call(cluster, "entry-2")
+    request_id = answer.headers["hyssopvane-request-id"]
+    output = ask(cluster, "explain", request_id, entry="entry-1")
+    assert "check-1" in output
+    assert "entry-2" not in output
+    assert "the entry that took the request is missing" in output
+    assert "is missing" not in ask(cluster, "explain", request_id, entry="entry-2")
+
+
 @pytest.mark.parametrize(
     ("command", "words"),
     [
