List as red that the table's path does not follow a service that loses changes

The same cause, looked for on the path with a table of its own: TableReader.accept leaves a page out whose revision is not above the known one. Where the service comes back from a copy, an edit that is accepted then is left out like a stale read (weight 5 instead of 7 in the new test).

--- a/tests/unit/test_table_store.py
+++ b/tests/unit/test_table_store.py
@@ -595,3 +595,24 @@
         return store.calls
 
     assert run_mocked(run) < 3600
+
+
+def test_edit_accepted_after_the_service_lost_some_comes_into_force():
+    """Guards against a page that is left out because its revision came before."""
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        async with trio.open_nursery() as nursery:
+            await add_alice(state, nursery)
+            copy = state.copy_items()
+            await make_editor(FakeKeyValueStore(state, nursery)).commit(
+                set_cell(WEIGHT, "5", "lost")
+            )
+            store = FakeKeyValueStore(state, nursery)
+            reader = TableReader(store, random=Random(1))
+            assert (await reader.load()).customers["alice"].weight == 5
+            store.state = copy
+            await make_editor(store).commit(set_cell(WEIGHT, "7", "accepted"))
+            assert (await reader.load()).customers["alice"].weight == 7
+
+    run_mocked(run)
