--- a/tests/unit/test_store_return.py
+++ b/tests/unit/test_store_return.py
@@ -9,7 +9,7 @@
 import trio.testing
 from trio._core import _run as trio_run
 
-from hyssopvane._internal.coordination.key_value import KeyValue, Snapshot
+from hyssopvane._internal.coordination.key_value import KeyValue, Snapshot, WatchEvent
 from hyssopvane._internal.coordination.routing_feed import RoutingFeed
 from hyssopvane._internal.platform.store import PlatformStore
 from hyssopvane._internal.platform.wire import PlatformFormat
@@ -129,3 +129,17 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize(("era", "taken"), [(1, False), (2, True)])
+def test_change_of_an_earlier_era_is_left_out(era, taken):
+    """Guards against a watch of before the return that is read after it."""
+
+    async def main():
+        _, feed = make_feed_with_store()
+        feed._load("servers/", make_snapshot(2, (1, READY)))
+        event = WatchEvent("servers/2", make_registration(2), 30)
+        feed._apply_event("servers/", event, era=era)
+        assert ("servers/2" in feed.replicas) == taken
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
