Move what is known of departed replicas into a module of its own

Read-through: RoutingFeed held the memory of departures, the doubt about a copy's registrations and its end, between the code that applies lists and events. policy/departures has them now, without input and output. A doubted key whose registration was written again at an address of another replica could have ended the feed by a missing key; take_doubted forgets what it returns.

--- a/src/hyssopvane/_internal/coordination/routing_feed.py
+++ b/src/hyssopvane/_internal/coordination/routing_feed.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random
 
 import trio
@@ -14,6 +14,7 @@
     WatchEvent,
 )
 from hyssopvane._internal.exceptions import ConfigurationError, KeyValueError
+from hyssopvane._internal.policy.departures import Departures
 from hyssopvane._internal.state.beliefs import Beliefs, BelievedItem, StoreMark
 from hyssopvane._internal.state.routing import Replica, RoutingTable
 from hyssopvane._internal.utils.logs import log_event
@@ -33,9 +34,6 @@
 of a living replica, which registered again before it was looked for.
 """
 
-LEFT_KEPT_S = 60.0
-"""Time for which it is known that a replica has left: copies are some seconds old."""
-
 _FIRST_RETRY_S = 0.1
 _LAST_RETRY_S = 1.0
 """Pause between tries while the store is away.
@@ -60,18 +58,6 @@
         """Return a replica; raise `ConfigurationError`."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Departure:
-    """Tell that one start of a replica is leaving or gone."""
-
-    started_ms: int
-    announced: bool
-    """Whether the replica itself said so, and not only its registration ended."""
-    era: int
-    """Era of the store in which this was learnt."""
-    at: float
-
-
 class RoutingFeed:
     """Keep the newest configuration and the living replicas.
 
@@ -106,10 +92,7 @@
         """Registrations that could not be read, since the start."""
         self.replicas_mark = StoreMark(0, 0)
         """Point of the store's history up to which the registrations are known."""
-        self._departures: dict[str, _Departure] = {}
-        """Replicas that are leaving or gone, by the keys of their registrations."""
-        self._doubted: set[str] = set()
-        """Keys whose registrations ended, and are there again in what may be a copy."""
+        self._departures = Departures()
         self._missing: dict[str, float] = {}
         """Times at which replicas that lapsed during an outage are dropped."""
         self.connected_at = -REGAIN_S
@@ -284,7 +267,7 @@
         # An answer that was on its way for long, a peer that lags, or a store that has
         # come back from a copy must not bring back routes and keys that were removed.
         # Revisions do not tell: after such a return they are given out again.
-        if table.version <= self.configuration_version:
+        if self.table is not None and table.version <= self.table.version:
             self._note_left_out(item, table.version, source=source)
             return
         self._configuration = item
@@ -325,8 +308,7 @@
             self._unreadable.pop(event.key, None)
             self._remove(event.key, why="registration removed")
         else:
-            # It is written anew: what was known before does not hold any longer.
-            self._departures.pop(event.key, None)
+            self._departures.forget(event.key)
             self._put(KeyValue(event.key, event.value, event.revision))
 
     def _replace_replicas(
@@ -364,7 +346,13 @@
         known = self.replicas.get(item.key)
         if self._is_replaced(item.key, replica, item.revision):
             return
-        replica = self._doubt(item.key, replica)
+        replica = self._departures.correct(
+            item.key,
+            replica,
+            era=self.replicas_mark.era,
+            is_first=self._get_revision(item.key) == 0,
+            now=trio.current_time(),
+        )
         self._items[item.key] = item
         self._unreadable.pop(item.key, None)
         self._missing.pop(item.key, None)
@@ -381,34 +369,6 @@
                 revision=item.revision,
             )
 
-    def _doubt(self, key: str, replica: Replica) -> Replica:
-        """Return a replica as draining where only a copy may say that it is ready.
-
-        The store may come back from a copy that is older than the replica's word that
-        it leaves, or than the end of its registration. Until it is written again, what
-        was known before holds.
-        """
-        departure = self._departures.get(key)
-        self._doubted.discard(key)
-        if replica.draining:
-            self._note_departure(key, replica)
-        elif departure is not None and departure.started_ms == replica.started_ms:
-            is_first = self._get_revision(key) == 0
-            if is_first and departure.era < self.replicas_mark.era:
-                if not departure.announced:
-                    self._doubted.add(key)
-                return replace(replica, draining=True)
-            del self._departures[key]
-        return replica
-
-    def _note_departure(self, key: str, replica: Replica) -> None:
-        self._departures[key] = _Departure(
-            started_ms=replica.started_ms,
-            announced=replica.draining,
-            era=self.replicas_mark.era,
-            at=trio.current_time(),
-        )
-
     def _leave_out(self, item: KeyValue, error: ConfigurationError) -> None:
         """Use no replica of a key whose registration can't be read.
 
@@ -433,7 +393,7 @@
                 continue
             if self._get_revision(other) > revision:
                 return True
-            self._note_departure(other, found)
+            self._note_departure(other)
             self._drop(other, why=f"its address belongs to {replica.id}")
         return False
 
@@ -445,13 +405,21 @@
         if self.replicas and returned_s < REGAIN_S:
             self._missing[key] = self.connected_at + REGAIN_S
             return
-        self._note_departure(key, self.replicas[key])
+        self._note_departure(key)
         self._drop(key, why=why)
 
+    def _note_departure(self, key: str) -> None:
+        self._departures.note(
+            key,
+            self.replicas[key],
+            era=self.replicas_mark.era,
+            now=trio.current_time(),
+        )
+
     def _drop(self, key: str, *, why: str) -> None:
         self._items.pop(key, None)
         self._missing.pop(key, None)
-        self._doubted.discard(key)
+        self._departures.stop_doubting(key)
         replica = self.replicas.pop(key, None)
         if replica is not None:
             log_event("info", "replica-gone", id=replica.id, why=why)
@@ -463,21 +431,15 @@
             for key in [one for one, at in self._missing.items() if at <= now]:
                 self._drop(key, why="not back after an outage of the store")
                 self._tell()
-            self._forget_departures(now)
-            if self._doubted and self._is_settled(now):
+            self._departures.expire(now=now)
+            if self._is_settled(now):
                 self._believe_doubted()
 
     def _is_settled(self, now: float) -> bool:
         connected = self._connected.get(self._format.replicas_prefix, False)
         return connected and now - self.connected_at >= LAPSE_S
 
-    def _forget_departures(self, now: float) -> None:
-        for key, departure in list(self._departures.items()):
-            if now - departure.at >= LEFT_KEPT_S and key not in self._doubted:
-                del self._departures[key]
-
     def _believe_doubted(self) -> None:
-        for key in sorted(self._doubted):
-            del self._departures[key]
+        for key in self._departures.take_doubted():
             self._put(self._items[key])
-        self._tell()
+            self._tell()
