--- a/tests/functional/test_in_force.py
+++ b/tests/functional/test_in_force.py
@@ -197,6 +197,8 @@
 
 def test_explain_says_that_the_entry_of_a_request_is_missing(cluster):
     """Guards against half of a request's story that is shown as the whole of it."""
+    everybody = len(ENTRIES) + 1
+    wait_until(lambda: count_reached(cluster, "entry-1") == (everybody, everybody))
     cluster.unlist_vm("entry-2")
     unknown = len(ENTRIES)
     wait_until(lambda: count_reached(cluster, "entry-1") == (unknown, unknown))
