--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -75,6 +75,8 @@
 _OK = range(200, 300)
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
+_SHOWN_BYTES = 20
+"""Part of a header's value that a log line shows."""
 
 
 @dataclass(slots=True)
@@ -129,11 +131,15 @@
 class _TryAgain(Exception):
     """Tell that an attempt brought nothing, and whether another one may."""
 
-    def __init__(self, why: str, *, not_run: bool, failed: bool = True) -> None:
+    def __init__(
+        self, why: str, *, not_run: bool, failed: bool = True, retry_after: str = "-"
+    ) -> None:
         super().__init__(why)
         self.not_run = not_run
         self.failed = failed
         """Whether the replica is to blame."""
+        self.retry_after = retry_after
+        """What its answer says of when to come back, as received."""
 
 
 class DirectCall:
@@ -180,6 +186,7 @@
                     why=str(failure),
                     not_run=failure.not_run,
                     attempts=request.attempts,
+                    retry_after=failure.retry_after,
                 )
                 request.may_have_run |= not failure.not_run
                 if not self._may_repeat(failure):
@@ -316,7 +323,12 @@
         else:
             now = trio.current_time()
             gate.rest(replica, now=now, until=now + FULL_REST_S)
-        raise _TryAgain(f"refused-{response.status}", not_run=True, failed=False)
+        raise _TryAgain(
+            f"refused-{response.status}",
+            not_run=True,
+            failed=False,
+            retry_after=_show_retry_after(response),
+        )
 
     async def _relay_whole(self, response: ReplicaResponse) -> None:
         body = await response.read(max_bytes=MAX_PLAIN_ANSWER_BYTES)
@@ -324,7 +336,11 @@
         self._last_answer = (response.status, headers, body)
         if response.status >= _SERVER_ERROR:
             self._request.may_have_run = True
-            raise _TryAgain(f"status-{response.status}", not_run=False)
+            raise _TryAgain(
+                f"status-{response.status}",
+                not_run=False,
+                retry_after=_show_retry_after(response),
+            )
         await self._send_last_answer()
 
     async def _send_last_answer(self) -> None:
@@ -435,6 +451,11 @@
         await send_answer(self._send, answer, request_id=self._request.request_id)
 
 
+def _show_retry_after(response: ReplicaResponse) -> str:
+    value = response.fields.get(b"retry-after")
+    return "-" if value is None else value[:_SHOWN_BYTES].decode("latin1")
+
+
 def _is_behind(event_id: bytes, last: bytes) -> bool:
     if not (event_id.isdigit() and last.isdigit()):
         return event_id == last
