--- /dev/null
+++ b/tests/functional/test_replica_rest.py
@@ -0,0 +1,46 @@
+"""Test how replicas fare that ask for rest, over real sockets."""
+
+import pytest
+import trio
+
+from hyssopvane._internal.roles import direct_call
+from tests.lib.direct_installation import HANG_S, open_direct
+from tests.lib.direct_replica import answer_whole, make_answer
+
+CALLS = 24
+NOT_RUN = (("X-Not-Executed", "1"),)
+
+
+def ask_for_rest(value, *, headers=NOT_RUN):
+    async def behave(replica, stream, request):
+        fields = (*headers, ("Retry-After", value))
+        await stream.send_all(
+            make_answer(request, status=503, signed=False, headers=fields)
+        )
+        return True
+
+    return behave
+
+
+def run(test):
+    async def main():
+        with trio.fail_after(2 * HANG_S):
+            async with open_direct(repeat_slack=CALLS) as site:
+                await test(site)
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("headers", [NOT_RUN, ()], ids=["not run", "may have run"])
+def test_replica_that_asks_for_rest_gets_no_more_requests(headers, monkeypatch):
+    """Guards against requests to a replica within the time that it asked for."""
+    monkeypatch.setattr(direct_call, "FULL_REST_S", 0.0)
+
+    async def test(site):
+        resting = await site.add_replica("i-1", ask_for_rest("60", headers=headers))
+        await site.add_replica("i-2", answer_whole)
+        for number in range(CALLS):
+            assert (await site.call(f"/status/{number}")).status == 200
+        assert len(resting.received) <= 1
+
+    run(test)
