Keep to the time without requests that a replica asks for

Cause: the Retry-After of a replica's answer was read nowhere on this path. Each refusal was followed by the same pause of 0.1 s, kept in one field together with the ejection of a failing replica, which could shorten it, and lost with the replica's registration, its address or a start. Why this works: what a replica asked for has a record of its own, by the replica's id, which only time or a new start ends; the longest time wins; every choice of a replica goes through one function that asks it. A rest is neither an ejection nor a refusal of the whole group.

--- a/bench/direct.py
+++ b/bench/direct.py
@@ -36,7 +36,7 @@
         Replica(f"i-{n}", "s", f"10.0.{n // 250}.{n % 250}:80", "a", 6, False)
         for n in range(replicas)
     ]
-    gate.update(found, None)
+    gate.update(found, None, now=0.0)
     loads = [
         RankLoad(
             address=one.address,
--- a/src/hyssopvane/_internal/policy/replica_choice.py
+++ b/src/hyssopvane/_internal/policy/replica_choice.py
@@ -13,6 +13,7 @@
 )
 from hyssopvane._internal.policy.limited_replicas import LimitedReplicas
 from hyssopvane._internal.policy.replica_load import ReplicaLoad
+from hyssopvane._internal.policy.replica_rests import ReplicaRests
 from hyssopvane._internal.state.routing import EngineModel, Incarnation
 
 NEAR_SLACK = 0.5 * REQUEST_COST
@@ -43,11 +44,13 @@
         availability_zone: str,
         homes: HomeReplicas,
         limits: LimitedReplicas,
+        rests: ReplicaRests,
     ) -> None:
         self._random = random
         self._zone = availability_zone
         self._homes = homes
         self._limits = limits
+        self._rests = rests
 
     def order_groups(
         self, groups: list[GroupRoom], engine: EngineModel | None, now: float
@@ -80,7 +83,7 @@
 
         Those in `avoid` come last.
         """
-        usable = list_usable(group.members.values(), now)
+        usable = self.list_usable(group.members.values(), now)
         if len(self._limits):
             usable = [one for one in usable if self._limits.may_send(one.replica, now)]
         # A rank's own requests cost its own time only, and all ranks wait for the
@@ -99,6 +102,19 @@
             return None
         return self._draw(room, group.measure_arrivals(now))
 
+    def list_usable(
+        self, members: Iterable[ReplicaLoad], now: float
+    ) -> list[ReplicaLoad]:
+        """Return the replicas that take requests, as far as known."""
+        usable = [
+            one
+            for one in members
+            if not one.replica.draining and one.takes_requests(now)
+        ]
+        if not len(self._rests):
+            return usable
+        return [one for one in usable if not self._rests.is_resting(one.replica, now)]
+
     def _draw(self, room: list[_Candidate], arrivals: float) -> ReplicaLoad:
         near = [one for one in room if one.load.replica.availability_zone == self._zone]
         # Those of the own zone get about their part of what arrives. Bytes between
@@ -122,15 +138,6 @@
         return room[number].load
 
 
-def list_usable(members: Iterable[ReplicaLoad], now: float) -> list[ReplicaLoad]:
-    """Return the replicas that take requests, as far as known."""
-    return [
-        one
-        for one in members
-        if not one.replica.draining and now >= one.out_until and one.is_open(now)
-    ]
-
-
 def _find_level(room: list[_Candidate], arrivals: float) -> float:
     costs = [one.cost for one in room]
     return find_level(costs, max(1.0, arrivals) * REQUEST_COST)
--- a/src/hyssopvane/_internal/policy/replica_load.py
+++ b/src/hyssopvane/_internal/policy/replica_load.py
@@ -46,7 +46,10 @@
     load: RankLoad | None = None
     heard_at: float = float("-inf")
     failures: float = 0.0
-    out_until: float = float("-inf")
+    full_until: float = float("-inf")
+    """Time until which it gets nothing, as it has just said that it is full."""
+    ejected_until: float = float("-inf")
+    """Time until which it gets nothing, as too many of its requests failed."""
     registered_ms: int = 0
     """Start that the registration named last; loads may know of a newer one."""
 
@@ -66,6 +69,10 @@
         """Tell whether it serves requests, as far as known."""
         return self.load is None or self.load.open or not self.is_heard(now)
 
+    def takes_requests(self, now: float) -> bool:
+        """Tell whether it may get requests, as far as this entry's own ones show."""
+        return now >= max(self.full_until, self.ejected_until) and self.is_open(now)
+
     def is_slow(self, now: float) -> bool:
         """Tell whether the replica works far below its usual pace."""
         if self.load is None or not self.is_heard(now):
@@ -130,7 +137,7 @@
         self.own = 0
         self.sent_at.clear()
         self.failures = 0.0
-        self.out_until = float("-inf")
+        self.full_until = self.ejected_until = float("-inf")
         return True
 
     def start(self, now: float) -> None:
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -13,8 +13,9 @@
 )
 from hyssopvane._internal.policy.opening_times import PATIENCE, OpeningTimes
 from hyssopvane._internal.policy.queueing import FairQueue, QueuedItem
-from hyssopvane._internal.policy.replica_choice import ReplicaChooser, list_usable
+from hyssopvane._internal.policy.replica_choice import ReplicaChooser
 from hyssopvane._internal.policy.replica_load import ReplicaLoad
+from hyssopvane._internal.policy.replica_rests import ReplicaRests
 from hyssopvane._internal.state.limits import LimitNews
 from hyssopvane._internal.state.loads import RankLoad
 from hyssopvane._internal.state.routing import EngineModel, Incarnation, Replica
@@ -95,17 +96,20 @@
         availability_zone: str,
         homes: HomeReplicas | None = None,
         census: EntryCensus | None = None,
+        rests: ReplicaRests | None = None,
     ) -> None:
         self._random = random
         self._homes = HomeReplicas() if homes is None else homes
         if census is None:
             census = EntryCensus(availability_zone=availability_zone)
         self.limits = LimitedReplicas(random=random, census=census)
+        self.rests = ReplicaRests() if rests is None else rests
         self._chooser = ReplicaChooser(
             random=random,
             availability_zone=availability_zone,
             homes=self._homes,
             limits=self.limits,
+            rests=self.rests,
         )
         self._queue = FairQueue()
         self._late = FairQueue()
@@ -128,7 +132,7 @@
         self.opening = OpeningTimes()
 
     def update(
-        self, replicas: Iterable[Replica], engine: EngineModel | None
+        self, replicas: Iterable[Replica], engine: EngineModel | None, *, now: float
     ) -> list[str]:
         """Learn the replicas that may get work; return addresses of new starts."""
         self._engine = engine
@@ -148,6 +152,7 @@
                 continue
             self._drop(replica.id)
             self._put(replica)
+        self._note_starts(self._replicas.values(), now)
         return restarted
 
     def set_pause(self, pause_s: float) -> None:
@@ -168,6 +173,7 @@
                 before = one.group
                 if one.observe(load, now=at):
                     restarted.append(load.address)
+                    self._note_starts([one], at)
                 if one.group != before:
                     self._leave_group(one.replica.id, before)
                     self._join_group(one)
@@ -205,8 +211,8 @@
             return
         one.finish(failed=failed)
         self._groups[one.group].finish(now)
-        if one.failures > _EJECT_ABOVE and self._may_eject(now):
-            one.out_until = now + _EJECT_S
+        if one.failures > _EJECT_ABOVE and self._may_eject(one, now):
+            one.ejected_until = now + _EJECT_S
             one.failures = 0.0
 
     def note_served(self, replica: Replica) -> None:
@@ -221,16 +227,30 @@
         if self._find(replica) is not None:
             self._drop(replica.id)
 
-    def rest(self, replica: Replica, *, now: float, until: float) -> None:
-        """Send nothing to a replica that has just turned work away."""
+    def note_full(self, replica: Replica, *, now: float, until: float) -> None:
+        """Send nothing to a replica that has just turned work away as it is full."""
         one = self._find(replica)
         if one is None:
             return
-        one.out_until = max(one.out_until, until)
+        one.full_until = max(one.full_until, until)
         if self._engine is not None:
             # A rank refuses when its group does.
             self._groups[one.group].note_refusal(now)
 
+    def note_rest(self, replica: Replica, rest_s: float, *, now: float) -> bool:
+        """Take the time without requests that a replica asks for; tell whether new."""
+        one = self._replicas.get(replica.id)
+        # An answer that comes after the news of another start is of that start.
+        present = replica if one is None else one.replica
+        return self.rests.add(present, rest_s, now=now)
+
+    def may_send(self, replica: Replica, now: float) -> bool:
+        """Tell whether a request that was placed at a replica may still be sent."""
+        one = self._replicas.get(replica.id)
+        if one is None or one.replica.draining:
+            return False
+        return not self.rests.is_resting(replica, now)
+
     def note_limit(
         self, replica: Replica, per_s: float | None, *, now: float, age_s: float = 0.0
     ) -> bool:
@@ -395,7 +415,7 @@
         """
         if not len(self.limits) or not self._waiting:
             return {}
-        usable = list_usable(self._replicas.values(), now)
+        usable = self._chooser.list_usable(self._replicas.values(), now)
         shares = [self.limits.get_share(one.replica) for one in usable]
         limited = [share for share in shares if share is not None]
         if not limited or len(limited) < len(shares):
@@ -421,6 +441,17 @@
         # would bring all their prompts at once.
         return after_s * self._random.uniform(1 - _SPREAD, 1 + _SPREAD)
 
-    def _may_eject(self, now: float) -> bool:
-        out = sum(now < one.out_until for one in self._replicas.values())
-        return out + 1 <= _MAX_EJECTED * len(self._replicas)
+    def _may_eject(self, failing: ReplicaLoad, now: float) -> bool:
+        others = [one for one in self._replicas.values() if one is not failing]
+        ejected = [now < one.ejected_until for one in others]
+        if sum(ejected) + 1 > _MAX_EJECTED * len(self._replicas):
+            return False
+        return any(
+            not out and not self.rests.is_resting(one.replica, now)
+            for one, out in zip(others, ejected, strict=True)
+        )
+
+    def _note_starts(self, replicas: Iterable[ReplicaLoad], now: float) -> None:
+        if len(self.rests):
+            for one in replicas:
+                self.rests.note_start(one.replica, now=now)
--- a/src/hyssopvane/_internal/protocol/headers.py
+++ b/src/hyssopvane/_internal/protocol/headers.py
@@ -1,7 +1,9 @@
 """Name the HTTP headers that the system reads and writes."""
 
-from collections.abc import Iterable
+import re
+from collections.abc import Iterable, Mapping
 
+from hyssopvane._internal.exceptions import ProtocolError
 from hyssopvane._internal.protocol.messages import Headers
 
 OUTCOME = b"hyssopvane-outcome"
@@ -10,6 +12,7 @@
 TARGET_REQUEST_ID = b"x-request-id"
 IDEMPOTENCY_KEY = b"idempotency-key"
 DEADLINE_MS = b"hyssopvane-deadline-ms"
+RETRY_AFTER = b"retry-after"
 AUTHORIZATION = b"authorization"
 
 # RFC 9110, 7.6.1: these speak of one connection and are not passed on.
@@ -24,6 +27,7 @@
         b"upgrade",
     }
 )
+_SECONDS = re.compile(rb"[0-9]{1,20}(\.[0-9]{1,9})?")
 # The server in front of the callers writes its own.
 _OF_THE_TARGET_ONLY = frozenset({b"date"})
 _OF_THE_CALLER_ONLY = frozenset({AUTHORIZATION, b"host", b"content-length", b"expect"})
@@ -47,6 +51,22 @@
     return found
 
 
+def read_retry_after(fields: Mapping[bytes, bytes]) -> float | None:
+    """Return the seconds that an answer asks to stay away, None where it names none.
+
+    Raise `ProtocolError` where it names them in a way that can't be read. A time of day
+    is not read: it would need the clock of whoever sent it.
+    """
+    value = fields.get(RETRY_AFTER)
+    if value is None:
+        return None
+    if _SECONDS.fullmatch(value.strip()) is None:
+        raise ProtocolError(
+            "an answer says in no seconds when to come back", context=repr(value[:40])
+        )
+    return float(value)
+
+
 def select_for_target(headers: Headers, *, request_id: str) -> Headers:
     """Return the headers that go on to a target, with the request id."""
     kept = tuple(
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -13,6 +13,7 @@
 from hyssopvane._internal.policy.service_gate import Place, Turned, Waiting
 from hyssopvane._internal.policy.stream_pauses import StreamPauses
 from hyssopvane._internal.protocol.event_stream import EventCutter, StreamEvent
+from hyssopvane._internal.protocol.headers import RETRY_AFTER, read_retry_after
 from hyssopvane._internal.protocol.messages import Headers
 from hyssopvane._internal.protocol.replica_headers import (
     ReplicaHeaders,
@@ -75,6 +76,8 @@
 _OK = range(200, 300)
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
+_TURNED_AWAY = frozenset({429, 503})
+"""Statuses whose Retry-After speaks of the replica, not of one request."""
 _SHOWN_BYTES = 20
 """Part of a header's value that a log line shows."""
 
@@ -285,6 +288,7 @@
         echoed = response.fields.get(names.request_id, b"").decode("latin1")
         if echoed == self._request.request_id:
             self._note_limit(replica, response)
+            self._note_rest(replica, response)
         if names.not_executed in response.fields or response.status == _MISDIRECTED:
             self._note_refusal(replica, response)
         if echoed != self._request.request_id:
@@ -316,13 +320,25 @@
         if per_s is not None or names.signature in response.fields:
             self._tools.gates.observe_answer(self._request.service, replica, per_s)
 
+    def _note_rest(self, replica: Replica, response: ReplicaResponse) -> None:
+        if response.status not in _TURNED_AWAY:
+            return
+        try:
+            rest_s = read_retry_after(response.fields)
+        except ProtocolError as error:
+            self._tools.metrics.count_event("rest-unreadable")
+            log_event("warning", "rest-unreadable", replica=replica.id, why=error)
+            return
+        if rest_s is not None:
+            self._tools.gates.observe_rest(self._request.service, replica, rest_s)
+
     def _note_refusal(self, replica: Replica, response: ReplicaResponse) -> None:
         gate = self._tools.gates.get_gate(self._request.service)
+        now = trio.current_time()
         if response.status == _MISDIRECTED:
             gate.mark_wrong(replica)
-        else:
-            now = trio.current_time()
-            gate.rest(replica, now=now, until=now + FULL_REST_S)
+        elif gate.may_send(replica, now):
+            gate.note_full(replica, now=now, until=now + FULL_REST_S)
         raise _TryAgain(
             f"refused-{response.status}",
             not_run=True,
@@ -452,7 +468,7 @@
 
 
 def _show_retry_after(response: ReplicaResponse) -> str:
-    value = response.fields.get(b"retry-after")
+    value = response.fields.get(RETRY_AFTER)
     return "-" if value is None else value[:_SHOWN_BYTES].decode("latin1")
 
 
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -8,6 +8,7 @@
 
 from hyssopvane._internal.policy.home_replicas import HomeReplicas
 from hyssopvane._internal.policy.limit_shares import EntryCensus
+from hyssopvane._internal.policy.replica_rests import ReplicaRests
 from hyssopvane._internal.policy.service_gate import (
     Place,
     ServiceGate,
@@ -48,12 +49,14 @@
         """Takes the address of a replica that has started anew under its id."""
         self.homes = HomeReplicas()
         self.census = EntryCensus(availability_zone=availability_zone)
+        self._rests = ReplicaRests()
         self._make_gate = partial(
             ServiceGate,
             random=random,
             availability_zone=availability_zone,
             homes=self.homes,
             census=self.census,
+            rests=self._rests,
         )
         self._gates: dict[str, ServiceGate] = {}
         self._waiters: dict[str, _Waiter] = {}
@@ -81,6 +84,7 @@
             restarted = self.get_gate(name).update(
                 by_service.get(name, ()),
                 None if spec is None else spec.engine,
+                now=trio.current_time(),
             )
             for address in restarted:
                 self._observe_restart(address)
@@ -126,6 +130,18 @@
         if gate.note_limit(replica, per_s, now=trio.current_time()):
             _log_limit(replica.address, per_s, gate, source="answer")
 
+    def observe_rest(self, service: str, replica: Replica, rest_s: float) -> None:
+        """Take the time without requests that an answer of a replica asks for."""
+        gate = self.get_gate(service)
+        if gate.note_rest(replica, rest_s, now=trio.current_time()):
+            log_event(
+                "info",
+                "replica-resting",
+                replica=replica.id,
+                rest_s=rest_s,
+                resting=len(self._rests),
+            )
+
     def observe_limits(self, told: ReplicaLimits) -> None:
         """Take what another entry tells of request limits."""
         now = trio.current_time()
@@ -197,6 +213,8 @@
     async def _run(self) -> None:
         while True:
             await trio.sleep(SETTLE_INTERVAL_S)
+            for replica_id in self._rests.expire(trio.current_time()):
+                log_event("info", "replica-rested", replica=replica_id)
             self.settle()
 
 
--- a/tests/functional/test_replica_rest.py
+++ b/tests/functional/test_replica_rest.py
@@ -44,3 +44,17 @@
         assert len(resting.received) <= 1
 
     run(test)
+
+
+@pytest.mark.parametrize("value", ["", "-1", "soon", "Fri, 04 Dec 2026 10:00:00 GMT"])
+def test_rest_that_can_not_be_read_harms_no_caller(value, monkeypatch):
+    monkeypatch.setattr(direct_call, "FULL_REST_S", 0.0)
+
+    async def test(site):
+        refusing = await site.add_replica("i-1", ask_for_rest(value))
+        await site.add_replica("i-2", answer_whole)
+        for number in range(CALLS):
+            assert (await site.call(f"/status/{number}")).status == 200
+        assert refusing.received
+
+    run(test)
--- a/tests/unit/test_level_choice.py
+++ b/tests/unit/test_level_choice.py
@@ -60,7 +60,7 @@
     gates = [make_gate(ranks, engine=ENGINE, seed=seed) for seed in range(entries)]
     names = [f"10.2.0.{number}:7000" for number in range(entries)]
     for gate, name in zip(gates, names, strict=True):
-        gate.update([make_replica(n, **ZONE) for n in range(ranks)], ENGINE)
+        gate.update([make_replica(n, **ZONE) for n in range(ranks)], ENGINE, now=0.0)
         if homes:
             gate._homes.update(name, names)
     random = Random(7)
--- /dev/null
+++ b/tests/unit/test_replica_rests.py
@@ -0,0 +1,185 @@
+"""Test that what replicas ask of an entry is kept, with the clock passed in."""
+
+import pytest
+
+from hyssopvane._internal.exceptions import ProtocolError
+from hyssopvane._internal.policy.replica_rests import (
+    LONGEST_REST_S,
+    START_NEWS_S,
+    ReplicaRests,
+)
+from hyssopvane._internal.protocol.headers import read_retry_after
+from tests.unit.test_service_gate import (
+    add,
+    list_places,
+    make_gate,
+    make_load,
+    make_replica,
+    make_waiting,
+)
+
+
+@pytest.mark.parametrize(
+    ("value", "rest_s"),
+    [
+        (None, None),
+        (b"0", 0.0),
+        (b"3", 3.0),
+        (b" 3 ", 3.0),
+        (b"0.25", 0.25),
+        (b"12345678901234567890", 12345678901234567890.0),
+    ],
+)
+def test_retry_after_is_read_in_seconds(value, rest_s):
+    fields = {} if value is None else {b"retry-after": value}
+    assert read_retry_after(fields) == rest_s
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"-1", b"soon", b"nan", b"inf", b"1e9", b"3, 5", b"9" * 21, b"1."]
+    + [b"Fri, 04 Dec 2026 10:00:00 GMT"],
+)
+def test_retry_after_that_is_no_number_of_seconds_is_an_error(value):
+    with pytest.raises(ProtocolError):
+        read_retry_after({b"retry-after": value})
+
+
+@pytest.mark.parametrize(
+    ("told", "ends_at"),
+    [
+        ([(0.0, 3.0)], 3.0),
+        # Shorter after longer.
+        ([(0.0, 3.0), (0.5, 1.0)], 3.0),
+        ([(0.0, 3.0), (0.5, 0.0)], 3.0),
+        # Longer after shorter, and another one at the end of the first.
+        ([(0.0, 1.0), (0.5, 3.0)], 3.5),
+        ([(0.0, 1.0), (1.0, 1.0)], 2.0),
+        # More than anybody can mean.
+        ([(0.0, 1e19)], LONGEST_REST_S),
+    ],
+)
+def test_longest_time_that_was_asked_for_is_kept(told, ends_at):
+    """Guards against a shorter pause that takes the place of a longer one."""
+    rests = ReplicaRests()
+    for at, rest_s in told:
+        rests.add(make_replica(1), rest_s, now=at)
+    assert rests.is_resting(make_replica(1), ends_at - 0.01)
+    assert not rests.is_resting(make_replica(1), ends_at)
+    assert rests.expire(ends_at) == ["i-1"]
+    assert len(rests) == 0
+
+
+def send(gate, *, now, count=6):
+    """Add some requests and return the ids of the replicas that get them."""
+    add(gate, count, now=now)
+    return {one.replica.id for one in list_places(gate.settle(now))}
+
+
+def lapse(gate, now):
+    gate.update([make_replica(0)], None, now=now)
+    gate.update([make_replica(0), make_replica(1)], None, now=now)
+
+
+def move(gate, now):
+    moved = make_replica(1, address="10.0.0.99:80")
+    gate.update([make_replica(0), moved], None, now=now)
+
+
+def fail(gate, now):
+    for _ in range(9):
+        gate.finish(make_replica(1), failed=True, now=now)
+
+
+def hear(gate, now):
+    gate.observe_load(make_load(1), now=now)
+
+
+def fill(gate, now):
+    gate.note_full(make_replica(1), now=now, until=now + 0.1)
+
+
+@pytest.mark.parametrize("happen", [lapse, move, fail, hear, fill])
+def test_rest_is_kept_whatever_else_becomes_known(happen):
+    """Guards against a rest that is forgotten with other beliefs of the replica."""
+    gate = make_gate(2, engine=None)
+    gate.note_rest(make_replica(1), 10.0, now=0.0)
+    happen(gate, 1.0)
+    assert send(gate, now=5.0) == {"i-0"}
+    assert "i-1" in send(gate, now=10.0)
+
+
+@pytest.mark.parametrize("told_by", ["registration", "load"])
+@pytest.mark.parametrize(
+    ("after_s", "rests"), [(START_NEWS_S, True), (START_NEWS_S + 0.1, False)]
+)
+def test_rest_ends_with_the_start_that_asked_for_it(told_by, after_s, rests):
+    """Guards against a replica that idles for what an earlier start of it asked for.
+
+    An answer of the new start may come before the news of that start.
+    """
+    gate = make_gate(0, engine=None)
+    gate.update([make_replica(0, started_ms=1)], None, now=0.0)
+    gate.note_rest(make_replica(0, started_ms=1), 10.0, now=0.0)
+    if told_by == "load":
+        gate.observe_load(make_load(0, started_ms=2), now=after_s)
+    else:
+        gate.update([make_replica(0, started_ms=2)], None, now=after_s)
+    assert (send(gate, now=5.0) == set()) is rests
+
+
+def test_rest_that_is_told_after_the_news_of_a_start_binds_that_start():
+    """Guards against an answer that is taken for an earlier start's."""
+    gate = make_gate(0, engine=None)
+    gate.update([make_replica(0, started_ms=2)], None, now=0.0)
+    gate.note_rest(make_replica(0, started_ms=1), 10.0, now=0.5)
+    gate.update([make_replica(0, started_ms=2)], None, now=5.0)
+    assert send(gate, now=5.0) == set()
+
+
+def test_callers_wait_for_a_rest_that_ends_in_their_time():
+    gate = make_gate(1, engine=None)
+    gate.note_rest(make_replica(0), 0.1, now=0.0)
+    gate.add(make_waiting(1), weight=1.0)
+    assert gate.settle(0.0) == []
+    assert list_places(gate.settle(0.1))
+
+
+@pytest.mark.parametrize(
+    ("resting", "ejected"),
+    # One of four that fails is left out, though two others rest; the last that is
+    # there for callers isn't.
+    [((0, 1), True), ((0, 1, 2), False)],
+)
+def test_resting_replicas_do_not_keep_a_failing_one_in_use(resting, ejected):
+    """Guards against rests that count as ejections."""
+    gate = make_gate(4, engine=None)
+    for number in resting:
+        gate.note_rest(make_replica(number), 10.0, now=0.0)
+    for _ in range(9):
+        gate.finish(make_replica(3), failed=True, now=0.0)
+    assert ("i-3" not in send(gate, now=0.1)) is ejected
+
+
+def test_rest_of_one_rank_closes_no_group():
+    """Guards against one rank's wish that is taken for a refusal of all its group."""
+    gate = make_gate(12)
+    gate.note_rest(make_replica(1), 10.0, now=0.0)
+    assert len(send(gate, now=0.0)) > 1
+
+
+def test_rest_binds_no_other_replica_at_the_address():
+    """Guards against a rest that the next replica at an address inherits."""
+    gate = make_gate(1, engine=None)
+    gate.note_rest(make_replica(0), 10.0, now=0.0)
+    gate.update([make_replica(0, id="i-next")], None, now=1.0)
+    assert send(gate, now=1.0) == {"i-next"}
+
+
+def test_queue_that_waits_for_a_rest_is_not_sent_in_one_burst():
+    """Guards against a replica that is flooded as its rest ends."""
+    gate = make_gate(1, engine=None)
+    gate.note_rest(make_replica(0), 0.1, now=0.0)
+    add(gate, 50)
+    gate.settle(0.05)
+    assert 1 <= len(list_places(gate.settle(0.1))) <= 6
--- a/tests/unit/test_restarted_replicas.py
+++ b/tests/unit/test_restarted_replicas.py
@@ -24,14 +24,14 @@
 def make_restarted_gate(*, told_by):
     """Return a gate with a full replica that starts anew, and its last places."""
     gate = make_gate(0)
-    gate.update([make_replica(0, started_ms=BEFORE)], None)
+    gate.update([make_replica(0, started_ms=BEFORE)], None, now=0.0)
     alone = {"ranks": 1, "entries": 1}
     gate.observe_load(make_load(0, started_ms=BEFORE, **alone), now=0.0)
     add(gate, 6)
     places = list_places(gate.settle(0.0))
     assert len(places) == 6
     if told_by == "registration":
-        restarted = gate.update([make_replica(0, started_ms=AFTER)], None)
+        restarted = gate.update([make_replica(0, started_ms=AFTER)], None, now=0.0)
         assert restarted == [make_replica(0).address]
     else:
         assert gate.observe_load(make_load(0, started_ms=AFTER, **alone), now=1.0)
@@ -71,10 +71,10 @@
 def test_refusals_and_wrong_addresses_of_an_earlier_start_are_forgotten():
     gate = make_gate(0)
     old, new = make_replica(0, started_ms=BEFORE), make_replica(0, started_ms=AFTER)
-    gate.update([old], None)
+    gate.update([old], None, now=0.0)
     gate.mark_wrong(old)
-    gate.update([new], None)
-    gate.rest(old, now=0.0, until=100.0)
+    gate.update([new], None, now=0.0)
+    gate.note_full(old, now=0.0, until=100.0)
     add(gate, 1)
     assert list_places(gate.settle(0.0))
 
@@ -87,7 +87,7 @@
     gate, _ = make_restarted_gate(told_by="load")
     add(gate, 2, now=1.0)
     gate.settle(1.0)
-    assert gate.update([make_replica(0, started_ms=BEFORE)], None) == []
+    assert gate.update([make_replica(0, started_ms=BEFORE)], None, now=0.0) == []
     for number in range(10, 16):
         gate.add(make_waiting(number, now=1.0), weight=1.0)
     assert len(list_places(gate.settle(1.0))) == 4
@@ -95,7 +95,7 @@
 
 def test_request_is_sent_to_the_next_start_of_a_replica_that_lost_it():
     gate = make_gate(0)
-    gate.update([make_replica(0, started_ms=AFTER)], None)
+    gate.update([make_replica(0, started_ms=AFTER)], None, now=0.0)
     gate.add(make_waiting(1, avoid=(("i-0", BEFORE),)), weight=1.0)
     assert list_places(gate.settle(0.0))
 
--- a/tests/unit/test_service_gate.py
+++ b/tests/unit/test_service_gate.py
@@ -57,7 +57,7 @@
 
 def make_gate(replicas=4, *, engine=ENGINE, seed=1):
     gate = ServiceGate(random=Random(seed), availability_zone="zone-a")
-    gate.update([make_replica(number) for number in range(replicas)], engine)
+    gate.update([make_replica(number) for number in range(replicas)], engine, now=0.0)
     return gate
 
 
@@ -223,7 +223,9 @@
     engine = replace(ENGINE, layout=layout)
     gate = make_gate(engine=engine)
     # Slots beyond what the passes allow, so that these decide.
-    gate.update([make_replica(number, slots=60) for number in range(4)], engine)
+    gate.update(
+        [make_replica(number, slots=60) for number in range(4)], engine, now=0.0
+    )
     for _ in range(60):
         for number in range(4):
             gate.observe_load(make_load(number, active=5, pass_s=0.05), now=0.0)
@@ -345,7 +347,7 @@
     """
     gate = make_gate(2, engine=None)
     gate.mark_wrong(make_replica(0))
-    gate.update([make_replica(number) for number in range(2)], None)
+    gate.update([make_replica(number) for number in range(2)], None, now=0.0)
     add(gate, 3)
     assert {one.replica.id for one in list_places(gate.settle(0.0))} == {"i-1"}
 
@@ -514,7 +516,7 @@
                 turned.append(decision)
                 continue
             sent += 1
-            gate.rest(decision.replica, now=now, until=now + 0.1)
+            gate.note_full(decision.replica, now=now, until=now + 0.1)
             gate.finish(decision.replica, failed=False, now=now)
     assert sent <= 2.0 / 0.25 + 1
     assert len(turned) >= 185
@@ -526,7 +528,7 @@
     gate = make_gate(12)
     add(gate, 1)
     place = list_places(gate.settle(0.0))[0]
-    gate.rest(place.replica, now=0.0, until=0.1)
+    gate.note_full(place.replica, now=0.0, until=0.1)
     gate.add(make_waiting(50, now=0.1), weight=1.0)
     assert list_turned(gate.settle(0.1))
     gate.add(make_waiting(51, now=0.3), weight=1.0)
@@ -536,7 +538,7 @@
 def test_full_rank_of_a_group_that_is_told_of_closes_nobody_else():
     gate = make_groups(1, active=1)
     full = make_replica(0)
-    gate.rest(full, now=0.05, until=0.15)
+    gate.note_full(full, now=0.05, until=0.15)
     add(gate, 1, now=0.05)
     places = list_places(gate.settle(0.05))
     assert places
@@ -550,7 +552,7 @@
     lasts would wait for nothing; it hears at once when its turn may come.
     """
     gate = make_gate(1, engine=None)
-    (replica,) = gate.update([make_replica(1)], None) or [make_replica(1)]
+    (replica,) = gate.update([make_replica(1)], None, now=0.0) or [make_replica(1)]
     gate.note_limit(replica, 160.0, now=0.0)
     add(gate, 50, now=0.1)
     turned = list_turned(gate.settle(0.1))
@@ -569,9 +571,9 @@
 
 def test_limit_of_an_earlier_start_does_not_bind_the_next_one():
     gate = make_gate(1, engine=None)
-    gate.update([make_replica(0, started_ms=1)], None)
+    gate.update([make_replica(0, started_ms=1)], None, now=0.0)
     gate.note_limit(make_replica(0, started_ms=1), 0.0, now=0.0)
-    gate.update([make_replica(0, started_ms=2)], None)
+    gate.update([make_replica(0, started_ms=2)], None, now=0.0)
     add(gate, 3, now=0.1)
     placed = list_places(gate.settle(0.1)) + list_places(gate.settle(0.1))
     assert len(placed) >= 1
@@ -587,7 +589,7 @@
     gate = make_gate(12)
     add(gate, 1)
     (first,) = list_places(gate.settle(0.0))
-    gate.rest(first.replica, now=0.0, until=0.1)
+    gate.note_full(first.replica, now=0.0, until=0.1)
     gate.finish(first.replica, failed=False, now=0.0)
     add(gate, 8, now=0.3)
     decisions = gate.settle(0.3)
