Look once more before a request is sent whether its replica takes it

What callers would see: a request that was placed while no replica had asked for rest, and whose connection opens up to a second later, is sent into the rest and turned away; it has lost one of its attempts. Cause: nothing is looked at between the choice of a replica and the first byte. Evidence: the new test, in which the second of two requests gets its connection after the first one's answer; without this change the replica gets both (2 instead of 1). Why this works: the client asks when the connection is open. Nothing has left by then, so the request goes on to another replica with all its attempts.

--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -32,6 +32,7 @@
     Route,
 )
 from hyssopvane._internal.transport.replica_client import (
+    CallWithdrawn,
     ReplicaClient,
     ReplicaFailed,
     ReplicaResponse,
@@ -145,6 +146,10 @@
         """What its answer says of when to come back, as received."""
 
 
+class _Withdrawn(Exception):
+    """Tell that a request was not sent, as its replica takes none any more."""
+
+
 class DirectCall:
     """Run one request to its end."""
 
@@ -180,6 +185,14 @@
             try:
                 await self._attempt(decision.replica)
                 return
+            except _Withdrawn:
+                self._tools.metrics.count_event("request-withdrawn")
+                log_event(
+                    "info",
+                    "request-withdrawn",
+                    request=request.request_id,
+                    replica=decision.replica.id,
+                )
             except _TryAgain as failure:
                 log_event(
                     "info",
@@ -238,6 +251,9 @@
             request.tried.add(replica.incarnation)
             failed = failure.failed
             raise
+        except _Withdrawn:
+            failed = False
+            raise
         except trio.Cancelled:
             # The caller left or the time is up: no fault of the replica.
             failed = False
@@ -250,6 +266,7 @@
         if request.deadline - trio.current_time() < MIN_SEND_S:
             raise _TryAgain("too-late", not_run=True, failed=False)
         request.attempts += 1
+        gate = self._tools.gates.get_gate(request.service)
         try:
             async with self._tools.client.call(
                 replica.address,
@@ -257,8 +274,14 @@
                 target=request.target,
                 headers=self._make_headers(replica),
                 body=request.body,
+                # Opening a connection takes up to a second, and the replica may have
+                # answered another request meanwhile.
+                may_send=lambda: gate.may_send(replica, trio.current_time()),
             ) as response:
                 await self._relay(replica, response)
+        except CallWithdrawn as error:
+            request.attempts -= 1
+            raise _Withdrawn from error
         except ReplicaUnreachable as error:
             raise _TryAgain(f"unreachable: {error}", not_run=True) from error
         except ReplicaFailed as error:
--- a/src/hyssopvane/_internal/transport/replica_client.py
+++ b/src/hyssopvane/_internal/transport/replica_client.py
@@ -1,6 +1,6 @@
 """Call replicas over kept connections, and tell what a failure proves."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any
@@ -45,6 +45,10 @@
     """Tell that no byte of a request left for the replica."""
 
 
+class CallWithdrawn(Exception):
+    """Tell that a call was given up before a byte of it left."""
+
+
 class ReplicaFailed(Exception):
     """Tell that a request was sent and has no whole answer."""
 
@@ -123,12 +127,17 @@
         target: bytes,
         headers: Headers,
         body: bytes = b"",
+        may_send: Callable[[], bool] = lambda: True,
     ) -> AsyncIterator[ReplicaResponse]:
         """Send a request and give its response; a cancelled call closes the connection.
 
-        Raise `ReplicaUnreachable` or `ReplicaFailed`.
+        Whether it may still be sent is asked once the connection is open. Raise
+        `CallWithdrawn`, `ReplicaUnreachable` or `ReplicaFailed`.
         """
         kept = await self._take(address)
+        if not may_send():
+            await kept.connection.aclose()
+            raise CallWithdrawn(address)
         kept.stream.sent = False
         request = httpcore.Request(
             method,
--- a/tests/functional/test_replica_rest.py
+++ b/tests/functional/test_replica_rest.py
@@ -4,6 +4,7 @@
 import trio
 
 from hyssopvane._internal.roles import direct_call
+from hyssopvane._internal.transport import replica_client
 from tests.lib.direct_installation import HANG_S, open_direct
 from tests.lib.direct_replica import answer_whole, make_answer
 
@@ -58,3 +59,34 @@
         assert refusing.received
 
     run(test)
+
+
+def test_request_whose_connection_opens_after_the_answer_is_not_sent(monkeypatch):
+    """Guards against requests that were placed before a replica asked for rest."""
+    open_stream = replica_client.open_stream
+
+    async def test(site):
+        replica = await site.add_replica("i-1", ask_for_rest("60"))
+        rests = site.entry.gates.get_gate("checks").rests
+        opened = []
+        answers = []
+
+        async def open_slowly(host, port):
+            if replica.address.endswith(f":{port}"):
+                opened.append(port)
+                if len(opened) == 2:
+                    await site.wait_until(lambda: len(rests))
+            return await open_stream(host, port)
+
+        async def call(number):
+            answers.append(await site.call(f"/bids/{number}"))
+
+        monkeypatch.setattr(replica_client, "open_stream", open_slowly)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call, 1)
+            nursery.start_soon(call, 2)
+        assert len(opened) == 2
+        assert [one.status for one in answers] == [503, 503]
+        assert len(replica.received) == 1
+
+    run(test)
