Refuse at once when all replicas rest beyond a request's time

What callers would see: where all replicas of a service have asked for rest, a caller waits until its request would be refused anyway (1.2 s for a stream of 0.5 s), hears 0.5 s or 0.3 s as the time to come back, and is refused again. Cause: who waits was refused by its own patience only, not by what is known of the replicas. Evidence: two new tests, which fail without this change. Why this works: the end of the first rest is known. Who can't be served by then hears it at once, with a part drawn on top so that not all come back in one moment. Who can waits.

--- a/src/hyssopvane/_internal/models/direct_refusals.py
+++ b/src/hyssopvane/_internal/models/direct_refusals.py
@@ -16,6 +16,7 @@
     HEADERS_TOO_LARGE = "headers-too-large"
     OVERLOADED = "overloaded"
     REPLICAS_LIMITED = "replicas-limited"
+    REPLICAS_RESTING = "replicas-resting"
     GROUP_BROKEN = "group-broken"
     NO_REPLICA = "no-replica"
     REPLICA_REFUSED = "replica-refused"
@@ -36,6 +37,7 @@
     DirectRefusal.HEADERS_TOO_LARGE: 431,
     DirectRefusal.OVERLOADED: 503,
     DirectRefusal.REPLICAS_LIMITED: 503,
+    DirectRefusal.REPLICAS_RESTING: 503,
     DirectRefusal.GROUP_BROKEN: 503,
     DirectRefusal.NO_REPLICA: 503,
     DirectRefusal.REPLICA_REFUSED: 503,
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -251,6 +251,23 @@
             return False
         return not self.rests.is_resting(replica, now)
 
+    def measure_rest_s(self, now: float) -> float:
+        """Return the time until a replica takes requests, 0 unless all are away."""
+        if not len(self.rests):
+            return 0.0
+        return min(
+            (
+                max(
+                    self.rests.measure_left_s(one.replica, now),
+                    one.ejected_until - now,
+                    0.0,
+                )
+                for one in self._replicas.values()
+                if not one.replica.draining and one.is_open(now)
+            ),
+            default=0.0,
+        )
+
     def note_limit(
         self, replica: Replica, per_s: float | None, *, now: float, age_s: float = 0.0
     ) -> bool:
@@ -387,12 +404,15 @@
         if closed or True in serve:
             self.opening.observe(is_open=not closed, now=now)
         excess = self._find_excess(now)
+        rest_s = self.measure_rest_s(now)
         for waiting in list(self._waiting.values()):
             request_id = waiting.item.request_id
             if closed:
                 reason, after_s = "group-broken", self._choose_return(waiting, now)
             elif request_id in excess:
                 reason, after_s = "replicas-limited", self._spread(excess[request_id])
+            elif rest_s and now + rest_s > waiting.refuse_at:
+                reason, after_s = "replicas-resting", self._spread_after(rest_s)
             elif now >= waiting.refuse_at:
                 reason, after_s = "overloaded", self._spread(RETRY_AFTER_S)
             else:
@@ -441,6 +461,11 @@
         # would bring all their prompts at once.
         return after_s * self._random.uniform(1 - _SPREAD, 1 + _SPREAD)
 
+    def _spread_after(self, rest_s: float) -> float:
+        # Whoever comes back before the end is refused again.
+        spread_s = max(RETRY_AFTER_S, _SPREAD * rest_s)
+        return rest_s + self._random.uniform(0, spread_s)
+
     def _may_eject(self, failing: ReplicaLoad, now: float) -> bool:
         others = [one for one in self._replicas.values() if one is not failing]
         ejected = [now < one.ejected_until for one in others]
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -466,7 +466,9 @@
     def _describe_failure(self) -> DirectAnswer:
         if self._request.may_have_run:
             return DirectAnswer(DirectRefusal.REPLICA_FAILED)
-        return DirectAnswer(DirectRefusal.REPLICA_REFUSED, NOT_RUN_RETRY_S)
+        gate = self._tools.gates.get_gate(self._request.service)
+        rest_s = gate.measure_rest_s(trio.current_time())
+        return DirectAnswer(DirectRefusal.REPLICA_REFUSED, max(NOT_RUN_RETRY_S, rest_s))
 
     def _decide_timeout(self) -> DirectAnswer:
         request = self._request
--- a/tests/functional/test_replica_rest.py
+++ b/tests/functional/test_replica_rest.py
@@ -57,6 +57,20 @@
         for number in range(CALLS):
             assert (await site.call(f"/status/{number}")).status == 200
         assert refusing.received
+        assert site.entry.gates.get_gate("checks").measure_rest_s(0.0) == 0.0
+
+    run(test)
+
+
+def test_callers_hear_when_the_only_replica_takes_requests_again():
+    """Guards against callers that are asked back before the rest is over."""
+
+    async def test(site):
+        replica = await site.add_replica("i-1", ask_for_rest("60"))
+        answers = [await site.call(f"/status/{number}") for number in range(CALLS)]
+        assert {one.status for one in answers} == {503}
+        assert min(float(one.headers["retry-after"]) for one in answers) > 50
+        assert len(replica.received) == 1
 
     run(test)
 
--- a/tests/unit/test_replica_rests.py
+++ b/tests/unit/test_replica_rests.py
@@ -12,6 +12,7 @@
 from tests.unit.test_service_gate import (
     add,
     list_places,
+    list_turned,
     make_gate,
     make_load,
     make_replica,
@@ -137,6 +138,21 @@
     assert send(gate, now=5.0) == set()
 
 
+def test_callers_hear_at_once_when_all_replicas_rest():
+    """Guards against callers that wait in vain, or come back too early."""
+    gate = make_gate(2, engine=None)
+    gate.note_rest(make_replica(0), 4.0, now=0.0)
+    gate.note_rest(make_replica(1), 3.0, now=0.0)
+    add(gate, 20)
+    turned = list_turned(gate.settle(0.0))
+    assert {one.reason for one in turned} == {"replicas-resting"}
+    times = [one.retry_after_s for one in turned]
+    assert len(turned) == 20
+    assert min(times) >= 3.0
+    # Not all of them in one moment.
+    assert max(times) - min(times) > 0.2
+
+
 def test_callers_wait_for_a_rest_that_ends_in_their_time():
     gate = make_gate(1, engine=None)
     gate.note_rest(make_replica(0), 0.1, now=0.0)
