Send nothing new to a replica once its answers say that it leaves

What callers would see: a replica that says in its answers that it leaves, and is still registered as ready, goes on getting requests until its registration changes; what comes too late is lost with it. Cause: a replica left by its registration alone, and a later one that said ready brought it back. Evidence: twelve new cases over sockets (an answer, an error, a refusal, a stream; with nothing new in the store, a fresh registration, a lapse and a return). Why this works: what a replica says of itself is kept in one place (ReplicaNotices, which held its rests before) by the replica's id, apart from registrations and loads, until it starts anew. Requests that wait for a connection are asked about it, too. The agents' path has no such header: its targets leave by their agent, the list and the table.

--- a/src/hyssopvane/_internal/platform/wire.py
+++ b/src/hyssopvane/_internal/platform/wire.py
@@ -27,6 +27,7 @@
     length_hint=b"x-length-hint",
     priority=b"x-request-priority",
     request_limit=b"server-limit",
+    leaving=b"server-leaving",
 )
 
 
--- a/src/hyssopvane/_internal/policy/replica_choice.py
+++ b/src/hyssopvane/_internal/policy/replica_choice.py
@@ -13,7 +13,7 @@
 )
 from hyssopvane._internal.policy.limited_replicas import LimitedReplicas
 from hyssopvane._internal.policy.replica_load import ReplicaLoad
-from hyssopvane._internal.policy.replica_rests import ReplicaRests
+from hyssopvane._internal.policy.replica_notices import ReplicaNotices
 from hyssopvane._internal.state.routing import EngineModel, Incarnation
 
 NEAR_SLACK = 0.5 * REQUEST_COST
@@ -44,13 +44,13 @@
         availability_zone: str,
         homes: HomeReplicas,
         limits: LimitedReplicas,
-        rests: ReplicaRests,
+        notices: ReplicaNotices,
     ) -> None:
         self._random = random
         self._zone = availability_zone
         self._homes = homes
         self._limits = limits
-        self._rests = rests
+        self._notices = notices
 
     def order_groups(
         self, groups: list[GroupRoom], engine: EngineModel | None, now: float
@@ -111,9 +111,10 @@
             for one in members
             if not one.replica.draining and one.takes_requests(now)
         ]
-        if not len(self._rests):
+        if not len(self._notices):
             return usable
-        return [one for one in usable if not self._rests.is_resting(one.replica, now)]
+        notices = self._notices
+        return [one for one in usable if notices.takes_requests(one.replica, now)]
 
     def _draw(self, room: list[_Candidate], arrivals: float) -> ReplicaLoad:
         near = [one for one in room if one.load.replica.availability_zone == self._zone]
--- /dev/null
+++ b/src/hyssopvane/_internal/policy/replica_notices.py
@@ -0,0 +1,122 @@
+"""Keep what replicas say of themselves in their answers to this entry."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from math import inf
+
+from hyssopvane._internal.state.routing import Replica
+
+LONGEST_REST_S = 3_600.0
+"""Longest time for which an answer may keep requests away from a replica."""
+
+START_NEWS_S = 1.0
+"""Time that the news of a replica's start may take: an answer that came so shortly
+before may be of that start already."""
+
+LEAVING_KEPT_S = 3_600.0
+"""Time without a registration after which it is forgotten that a replica leaves."""
+
+
+@dataclass(slots=True)
+class _Notice:
+    """Hold what one replica has said."""
+
+    started_ms: int
+    told_at: float
+    seen_at: float
+    """Time at which the replica was last known to be registered."""
+    rest_until: float = -inf
+    leaving: bool = False
+
+
+class ReplicaNotices:
+    """Hold which replicas want no requests of this entry, for a time or for good.
+
+    What a replica said holds whatever becomes of its registration, its address or other
+    beliefs. A rest ends with its time, and both end when the replica starts anew.
+    """
+
+    def __init__(self) -> None:
+        self._known: dict[str, _Notice] = {}
+        """By the id of the replica."""
+
+    def note_rest(self, replica: Replica, rest_s: float, *, now: float) -> bool:
+        """Take the time for which a replica wants no requests.
+
+        Tell whether it wanted some before. A shorter time takes nothing back from a
+        longer one.
+        """
+        until = now + min(rest_s, LONGEST_REST_S)
+        if until <= now:
+            return False
+        notice = self._get(replica, now)
+        is_new = notice.rest_until <= now
+        notice.rest_until = max(notice.rest_until, until)
+        return is_new
+
+    def note_leaving(self, replica: Replica, *, now: float) -> bool:
+        """Take note that a replica leaves; tell whether that is new."""
+        notice = self._get(replica, now)
+        is_new = not notice.leaving
+        notice.leaving = True
+        return is_new
+
+    def note_registered(self, replicas: Iterable[Replica], *, now: float) -> None:
+        """Learn which starts of replicas are the present ones."""
+        if not self._known:
+            return
+        for replica in replicas:
+            notice = self._known.get(replica.id)
+            if notice is None:
+                continue
+            notice.seen_at = now
+            if replica.started_ms in (0, notice.started_ms):
+                continue
+            if notice.started_ms and now - notice.told_at > START_NEWS_S:
+                del self._known[replica.id]
+            else:
+                notice.started_ms = replica.started_ms
+
+    def takes_requests(self, replica: Replica, now: float) -> bool:
+        """Tell whether a replica takes requests, as far as it has said."""
+        notice = self._known.get(replica.id)
+        return notice is None or not (notice.leaving or now < notice.rest_until)
+
+    def is_leaving(self, replica: Replica) -> bool:
+        """Tell whether a replica has said that it leaves."""
+        notice = self._known.get(replica.id)
+        return notice is not None and notice.leaving
+
+    def measure_rest_s(self, replica: Replica, now: float) -> float:
+        """Return the time for which a replica still wants no requests."""
+        notice = self._known.get(replica.id)
+        return 0.0 if notice is None else max(0.0, notice.rest_until - now)
+
+    def expire(self, now: float) -> list[str]:
+        """Forget what is over; return the ids of replicas whose rest has ended."""
+        rested = []
+        for key, notice in list(self._known.items()):
+            if -inf < notice.rest_until <= now:
+                notice.rest_until = -inf
+                rested.append(key)
+            resting = now < notice.rest_until
+            leaving = notice.leaving and now - notice.seen_at < LEAVING_KEPT_S
+            if not resting and not leaving:
+                del self._known[key]
+        return rested
+
+    def count_resting(self, now: float) -> int:
+        """Return the number of replicas that want no requests for a time."""
+        return sum(now < notice.rest_until for notice in self._known.values())
+
+    def __len__(self) -> int:
+        """Return the number of replicas of which something is known."""
+        return len(self._known)
+
+    def _get(self, replica: Replica, now: float) -> _Notice:
+        notice = self._known.get(replica.id)
+        if notice is None:
+            notice = _Notice(replica.started_ms, told_at=now, seen_at=now)
+            self._known[replica.id] = notice
+        notice.told_at = now
+        return notice
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -15,7 +15,7 @@
 from hyssopvane._internal.policy.queueing import FairQueue, QueuedItem
 from hyssopvane._internal.policy.replica_choice import ReplicaChooser
 from hyssopvane._internal.policy.replica_load import ReplicaLoad
-from hyssopvane._internal.policy.replica_rests import ReplicaRests
+from hyssopvane._internal.policy.replica_notices import ReplicaNotices
 from hyssopvane._internal.state.limits import LimitNews
 from hyssopvane._internal.state.loads import RankLoad
 from hyssopvane._internal.state.routing import EngineModel, Incarnation, Replica
@@ -96,20 +96,20 @@
         availability_zone: str,
         homes: HomeReplicas | None = None,
         census: EntryCensus | None = None,
-        rests: ReplicaRests | None = None,
+        notices: ReplicaNotices | None = None,
     ) -> None:
         self._random = random
         self._homes = HomeReplicas() if homes is None else homes
         if census is None:
             census = EntryCensus(availability_zone=availability_zone)
         self.limits = LimitedReplicas(random=random, census=census)
-        self.rests = ReplicaRests() if rests is None else rests
+        self.notices = ReplicaNotices() if notices is None else notices
         self._chooser = ReplicaChooser(
             random=random,
             availability_zone=availability_zone,
             homes=self._homes,
             limits=self.limits,
-            rests=self.rests,
+            notices=self.notices,
         )
         self._queue = FairQueue()
         self._late = FairQueue()
@@ -152,7 +152,8 @@
                 continue
             self._drop(replica.id)
             self._put(replica)
-        self._note_starts(self._replicas.values(), now)
+        present = (one.replica for one in self._replicas.values())
+        self.notices.note_registered(present, now=now)
         return restarted
 
     def set_pause(self, pause_s: float) -> None:
@@ -173,7 +174,7 @@
                 before = one.group
                 if one.observe(load, now=at):
                     restarted.append(load.address)
-                    self._note_starts([one], at)
+                    self.notices.note_registered([one.replica], now=at)
                 if one.group != before:
                     self._leave_group(one.replica.id, before)
                     self._join_group(one)
@@ -239,31 +240,32 @@
 
     def note_rest(self, replica: Replica, rest_s: float, *, now: float) -> bool:
         """Take the time without requests that a replica asks for; tell whether new."""
-        one = self._replicas.get(replica.id)
-        # An answer that comes after the news of another start is of that start.
-        present = replica if one is None else one.replica
-        return self.rests.add(present, rest_s, now=now)
+        return self.notices.note_rest(self._get_present(replica), rest_s, now=now)
+
+    def note_leaving(self, replica: Replica, *, now: float) -> bool:
+        """Take note that a replica has said that it leaves; tell whether new."""
+        return self.notices.note_leaving(self._get_present(replica), now=now)
 
     def may_send(self, replica: Replica, now: float) -> bool:
         """Tell whether a request that was placed at a replica may still be sent."""
         one = self._replicas.get(replica.id)
         if one is None or one.replica.draining:
             return False
-        return not self.rests.is_resting(replica, now)
+        return self.notices.takes_requests(replica, now)
 
     def measure_rest_s(self, now: float) -> float:
         """Return the time until a replica takes requests, 0 unless all are away."""
-        if not len(self.rests):
+        if not len(self.notices):
             return 0.0
         return min(
             (
                 max(
-                    self.rests.measure_left_s(one.replica, now),
+                    self.notices.measure_rest_s(one.replica, now),
                     one.ejected_until - now,
                     0.0,
                 )
                 for one in self._replicas.values()
-                if not one.replica.draining and one.is_open(now)
+                if one.is_open(now) and not self._is_leaving(one.replica)
             ),
             default=0.0,
         )
@@ -472,11 +474,17 @@
         if sum(ejected) + 1 > _MAX_EJECTED * len(self._replicas):
             return False
         return any(
-            not out and not self.rests.is_resting(one.replica, now)
+            not out and self.notices.takes_requests(one.replica, now)
             for one, out in zip(others, ejected, strict=True)
         )
 
-    def _note_starts(self, replicas: Iterable[ReplicaLoad], now: float) -> None:
-        if len(self.rests):
-            for one in replicas:
-                self.rests.note_start(one.replica, now=now)
+    def _get_present(self, replica: Replica) -> Replica:
+        """Return the present start of a replica that has answered.
+
+        An answer that comes after the news of another start is of that start.
+        """
+        one = self._replicas.get(replica.id)
+        return replica if one is None else one.replica
+
+    def _is_leaving(self, replica: Replica) -> bool:
+        return replica.draining or self.notices.is_leaving(replica)
--- a/src/hyssopvane/_internal/protocol/replica_headers.py
+++ b/src/hyssopvane/_internal/protocol/replica_headers.py
@@ -36,8 +36,11 @@
     """Rank at the replica, 0 to 9, 0 first."""
     request_limit: bytes
     """Requests a second that a replica in need takes from all entries together."""
+    leaving: bytes
+    """Stands on all answers of a replica that is about to end, with the value 1."""
 
 
+_IS_LEAVING = b"1"
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 _OF_ONE_CONNECTION = HOP_BY_HOP | {b"expect"}
@@ -82,6 +85,11 @@
     return float(value)
 
 
+def says_leaving(fields: Mapping[bytes, bytes], names: ReplicaHeaders) -> bool:
+    """Tell whether an answer says that its replica leaves."""
+    return fields.get(names.leaving, b"").strip() == _IS_LEAVING
+
+
 def _list_named(headers: Headers) -> frozenset[bytes]:
     # RFC 9110, 7.6.1: the names that Connection lists concern that connection only.
     return frozenset(
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -18,6 +18,7 @@
 from hyssopvane._internal.protocol.replica_headers import (
     ReplicaHeaders,
     read_request_limit,
+    says_leaving,
     select_for_caller,
     select_for_replica,
 )
@@ -310,8 +311,7 @@
         names = self._tools.names
         echoed = response.fields.get(names.request_id, b"").decode("latin1")
         if echoed == self._request.request_id:
-            self._note_limit(replica, response)
-            self._note_rest(replica, response)
+            self._note_word(replica, response)
         if names.not_executed in response.fields or response.status == _MISDIRECTED:
             self._note_refusal(replica, response)
         if echoed != self._request.request_id:
@@ -328,10 +328,17 @@
         else:
             await self._relay_whole(response)
 
-    def _note_limit(self, replica: Replica, response: ReplicaResponse) -> None:
+    def _note_word(self, replica: Replica, response: ReplicaResponse) -> None:
+        """Take what an answer says of the replica that made it."""
         if response.status == _MISDIRECTED:
             # Another replica has the address now.
             return
+        self._note_limit(replica, response)
+        self._note_rest(replica, response)
+        if says_leaving(response.fields, self._tools.names):
+            self._tools.gates.observe_leaving(self._request.service, replica)
+
+    def _note_limit(self, replica: Replica, response: ReplicaResponse) -> None:
         names = self._tools.names
         try:
             per_s = read_request_limit(response.fields, names)
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -8,7 +8,7 @@
 
 from hyssopvane._internal.policy.home_replicas import HomeReplicas
 from hyssopvane._internal.policy.limit_shares import EntryCensus
-from hyssopvane._internal.policy.replica_rests import ReplicaRests
+from hyssopvane._internal.policy.replica_notices import ReplicaNotices
 from hyssopvane._internal.policy.service_gate import (
     Place,
     ServiceGate,
@@ -28,6 +28,9 @@
 SETTLE_INTERVAL_S = 0.01
 """Pause between looks at what has waited too long."""
 
+EXPIRE_INTERVAL_S = 0.5
+"""Pause between looks for what replicas said that no longer holds."""
+
 
 class _Waiter:
     def __init__(self) -> None:
@@ -49,14 +52,14 @@
         """Takes the address of a replica that has started anew under its id."""
         self.homes = HomeReplicas()
         self.census = EntryCensus(availability_zone=availability_zone)
-        self._rests = ReplicaRests()
+        self._notices = ReplicaNotices()
         self._make_gate = partial(
             ServiceGate,
             random=random,
             availability_zone=availability_zone,
             homes=self.homes,
             census=self.census,
-            rests=self._rests,
+            notices=self._notices,
         )
         self._gates: dict[str, ServiceGate] = {}
         self._waiters: dict[str, _Waiter] = {}
@@ -66,6 +69,7 @@
     def start(self, nursery: trio.Nursery) -> None:
         """Look at what waits from time to time."""
         nursery.start_soon(self._run)
+        nursery.start_soon(self._expire_notices)
 
     def update(self, table: RoutingTable | None, replicas: dict[str, Replica]) -> None:
         """Learn the services and their replicas."""
@@ -139,9 +143,15 @@
                 "replica-resting",
                 replica=replica.id,
                 rest_s=rest_s,
-                resting=len(self._rests),
+                resting=self._notices.count_resting(trio.current_time()),
             )
 
+    def observe_leaving(self, service: str, replica: Replica) -> None:
+        """Take note that an answer of a replica says that it leaves."""
+        gate = self.get_gate(service)
+        if gate.note_leaving(replica, now=trio.current_time()):
+            log_event("info", "replica-leaving", replica=replica.id)
+
     def observe_limits(self, told: ReplicaLimits) -> None:
         """Take what another entry tells of request limits."""
         now = trio.current_time()
@@ -213,10 +223,14 @@
     async def _run(self) -> None:
         while True:
             await trio.sleep(SETTLE_INTERVAL_S)
-            for replica_id in self._rests.expire(trio.current_time()):
-                log_event("info", "replica-rested", replica=replica_id)
             self.settle()
 
+    async def _expire_notices(self) -> None:
+        while True:
+            await trio.sleep(EXPIRE_INTERVAL_S)
+            for replica_id in self._notices.expire(trio.current_time()):
+                log_event("info", "replica-rested", replica=replica_id)
+
 
 def _log_opening(gate: ServiceGate, *, decided: int) -> None:
     closed = gate.opening.is_closed
--- a/tests/functional/test_replica_rest.py
+++ b/tests/functional/test_replica_notices.py
@@ -1,4 +1,4 @@
-"""Test how replicas fare that ask for rest, over real sockets."""
+"""Test how replicas fare that ask for rest or say that they leave, over sockets."""
 
 import pytest
 import trio
@@ -6,7 +6,13 @@
 from hyssopvane._internal.roles import direct_call
 from hyssopvane._internal.transport import replica_client
 from tests.lib.direct_installation import HANG_S, open_direct
-from tests.lib.direct_replica import answer_whole, make_answer
+from tests.lib.direct_replica import (
+    STREAM_HEAD,
+    answer_whole,
+    chunk,
+    make_answer,
+    make_event,
+)
 
 CALLS = 24
 NOT_RUN = (("X-Not-Executed", "1"),)
@@ -81,7 +87,7 @@
 
     async def test(site):
         replica = await site.add_replica("i-1", ask_for_rest("60"))
-        rests = site.entry.gates.get_gate("checks").rests
+        notices = site.entry.gates.get_gate("checks").notices
         opened = []
         answers = []
 
@@ -89,7 +95,7 @@
             if replica.address.endswith(f":{port}"):
                 opened.append(port)
                 if len(opened) == 2:
-                    await site.wait_until(lambda: len(rests))
+                    await site.wait_until(lambda: len(notices))
             return await open_stream(host, port)
 
         async def call(number):
@@ -104,3 +110,78 @@
         assert len(replica.received) == 1
 
     run(test)
+
+
+LEAVING = (("Server-Leaving", "1"),)
+
+
+async def answer_stream(replica, stream, request):
+    answer = make_answer(request, body=b"", headers=STREAM_HEAD)
+    await stream.send_all(answer + chunk(make_event(1)) + b"0\r\n\r\n")
+    return True
+
+
+def say_leaving(status, *, headers=(), stream=False):
+    async def behave(replica, stream_, request):
+        fields = (*headers, *LEAVING)
+        if stream:
+            answer = make_answer(request, body=b"", headers=(*STREAM_HEAD, *fields))
+            await stream_.send_all(answer + chunk(make_event(1)) + b"0\r\n\r\n")
+        else:
+            await stream_.send_all(make_answer(request, status=status, headers=fields))
+        return True
+
+    return behave
+
+
+@pytest.mark.parametrize("again", ["nothing", "ready", "lapsed"])
+@pytest.mark.parametrize(
+    ("path", "behave"),
+    [
+        ("/status/1", say_leaving(200)),
+        ("/status/1", say_leaving(500)),
+        ("/status/1", say_leaving(503, headers=NOT_RUN)),
+        ("/drafts/1", say_leaving(200, stream=True)),
+    ],
+    ids=["answer", "error", "refusal", "stream"],
+)
+def test_replica_that_says_that_it_leaves_gets_no_more_requests(
+    path, behave, again, monkeypatch
+):
+    """Guards against requests to a leaving replica whose registration says ready."""
+    monkeypatch.setattr(direct_call, "FULL_REST_S", 0.0)
+
+    async def test(site):
+        service = "drafting" if path == "/drafts/1" else "checks"
+        leaving = await site.add_replica("i-1", behave, service=service)
+        await site.call(path)
+        sound = answer_stream if service == "drafting" else answer_whole
+        await site.add_replica("i-2", sound, service=service)
+        received = len(leaving.received)
+        if again == "lapsed":
+            site.store.remove("servers/i-1")
+            await site.wait_until(lambda: "servers/i-1" not in site.entry.feed.replicas)
+        if again != "nothing":
+            site.register(leaving, service=service)
+            await site.wait_until(lambda: "servers/i-1" in site.entry.feed.replicas)
+        for _ in range(CALLS):
+            assert (await site.call(path)).status == 200
+        assert len(leaving.received) == received
+
+    run(test)
+
+
+@pytest.mark.parametrize("value", ["0", "", "yes"])
+def test_only_the_agreed_word_says_that_a_replica_leaves(value):
+    async def behave(replica, stream, request):
+        headers = (("Server-Leaving", value),)
+        await stream.send_all(make_answer(request, headers=headers))
+        return True
+
+    async def test(site):
+        replica = await site.add_replica("i-1", behave)
+        for _ in range(CALLS):
+            assert (await site.call("/status/1")).status == 200
+        assert len(replica.received) == CALLS
+
+    run(test)
--- a/tests/unit/test_replica_rests.py
+++ b/tests/unit/test_replica_notices.py
@@ -3,10 +3,11 @@
 import pytest
 
 from hyssopvane._internal.exceptions import ProtocolError
-from hyssopvane._internal.policy.replica_rests import (
+from hyssopvane._internal.policy.replica_notices import (
+    LEAVING_KEPT_S,
     LONGEST_REST_S,
     START_NEWS_S,
-    ReplicaRests,
+    ReplicaNotices,
 )
 from hyssopvane._internal.protocol.headers import read_retry_after
 from tests.unit.test_service_gate import (
@@ -62,13 +63,13 @@
 )
 def test_longest_time_that_was_asked_for_is_kept(told, ends_at):
     """Guards against a shorter pause that takes the place of a longer one."""
-    rests = ReplicaRests()
+    notices = ReplicaNotices()
     for at, rest_s in told:
-        rests.add(make_replica(1), rest_s, now=at)
-    assert rests.is_resting(make_replica(1), ends_at - 0.01)
-    assert not rests.is_resting(make_replica(1), ends_at)
-    assert rests.expire(ends_at) == ["i-1"]
-    assert len(rests) == 0
+        notices.note_rest(make_replica(1), rest_s, now=at)
+    assert not notices.takes_requests(make_replica(1), ends_at - 0.01)
+    assert notices.takes_requests(make_replica(1), ends_at)
+    assert notices.expire(ends_at) == ["i-1"]
+    assert len(notices) == 0
 
 
 def send(gate, *, now, count=6):
@@ -199,3 +200,45 @@
     add(gate, 50)
     gate.settle(0.05)
     assert 1 <= len(list_places(gate.settle(0.1))) <= 6
+
+
+@pytest.mark.parametrize("happen", [lapse, move, fail, hear, fill])
+def test_replica_that_said_that_it_leaves_stays_out(happen):
+    """Guards against a leaving replica that a registration or a load brings back."""
+    gate = make_gate(2, engine=None)
+    gate.note_leaving(make_replica(1), now=0.0)
+    happen(gate, 1.0)
+    gate.notices.expire(60.0)
+    assert send(gate, now=60.0) == {"i-0"}
+
+
+@pytest.mark.parametrize(
+    ("after_s", "leaving"), [(START_NEWS_S, True), (START_NEWS_S + 0.1, False)]
+)
+def test_leaving_ends_with_the_start_that_said_it(after_s, leaving):
+    """Guards against a replica that idles for what an earlier start of it said."""
+    gate = make_gate(0, engine=None)
+    gate.update([make_replica(0, started_ms=1)], None, now=0.0)
+    gate.note_leaving(make_replica(0, started_ms=1), now=0.0)
+    gate.update([make_replica(0, started_ms=2)], None, now=after_s)
+    assert (send(gate, now=5.0) == set()) is leaving
+
+
+def test_what_replicas_said_is_forgotten_when_it_no_longer_matters():
+    """Guards against a memory that grows with every release of a service."""
+    notices = ReplicaNotices()
+    for number in range(1_000):
+        notices.note_leaving(make_replica(number), now=0.0)
+    notices.note_registered([make_replica(0)], now=10.0)
+    notices.expire(LEAVING_KEPT_S)
+    assert len(notices) == 1
+    assert notices.is_leaving(make_replica(0))
+
+
+def test_resting_replicas_are_told_from_leaving_ones():
+    """Guards against callers that are asked to wait for a replica that leaves."""
+    gate = make_gate(2, engine=None)
+    gate.note_rest(make_replica(0), 4.0, now=0.0)
+    gate.note_rest(make_replica(1), 1.0, now=0.0)
+    gate.note_leaving(make_replica(1), now=0.0)
+    assert gate.measure_rest_s(0.0) == 4.0
