Take no refusal of another request for one of this request

What callers would see: a request that may not be repeated runs twice, or is refused as not run although it has, when a replica sends a late answer at the point where the next one is due and that answer is a refusal. Cause: whether an answer refuses was looked at before whose answer it is. Evidence: a new case among the replicas' faults, which fails before this change ('was said not to have run', in the table's case and in the random plans). Why this works: an answer that names another request is a failure of the replica, whatever else it says. One that names none is judged as before.

--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -310,12 +310,13 @@
     async def _relay(self, replica: Replica, response: ReplicaResponse) -> None:
         names = self._tools.names
         echoed = response.fields.get(names.request_id, b"").decode("latin1")
-        if echoed == self._request.request_id:
-            self._note_word(replica, response)
+        if echoed and echoed != self._request.request_id:
+            raise ReplicaFailed("the answer belongs to another request")
+        self._note_word(replica, response)
         if names.not_executed in response.fields or response.status == _MISDIRECTED:
             self._note_refusal(replica, response)
-        if echoed != self._request.request_id:
-            raise ReplicaFailed("the answer belongs to another request")
+        if not echoed:
+            raise ReplicaFailed("the answer names no request")
         signed = names.signature in response.fields
         if response.status in _OK and not signed:
             raise ReplicaFailed("a success without a signature")
--- a/tests/functional/test_direct_promises.py
+++ b/tests/functional/test_direct_promises.py
@@ -23,6 +23,7 @@
     "nothing",
     "nonsense",
     "another-id",
+    "another-refusal",
     "unsigned",
     "twice",
     "extra-later",
@@ -70,6 +71,14 @@
                 whole = b"no answer\r\n\r\n"
             case "another-id":
                 whole = make_answer(request, body=b"other", request_id="other")
+            case "another-refusal":
+                whole = make_answer(
+                    request,
+                    status=503,
+                    signed=False,
+                    headers=(("X-Not-Executed", "1"), ("Retry-After", "60")),
+                    request_id="other",
+                )
             case "unsigned":
                 whole = make_answer(request, body=body, signed=False)
             case "twice":
@@ -134,6 +143,12 @@
     trio.run(play, plan, paths)
 
 
+@pytest.mark.parametrize("path", PATHS)
+def test_refusal_of_another_request_proves_nothing_of_this_one(path):
+    """Guards against a request that runs twice by a refusal of another one."""
+    trio.run(play, ["another-refusal"] * 4, [path] * 4)
+
+
 def find_break(plan, paths):
     broken = False
     try:
