--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -8,7 +8,9 @@
 
 import pytest
 
+from tests.soak.callers import KINDS, Call
 from tests.soak.fleet import Member, reset_reload_action
+from tests.soak.notices import Notices, Seen
 from tests.soak.run import Size, run_seed
 
 SMALL = Size(entries=2, groups=1, plain=2, callers=6, seconds=6.0, patience=6.0)
@@ -16,6 +18,9 @@
 SEEDS = (1, 2)
 """Seeds that every run of the tests plays."""
 
+NOTICE_SEEDS = (1, 2)
+"""Seeds whose replicas also ask for rest and say in answers alone that they leave."""
+
 RETURN_SEEDS = (1, 2)
 """Seeds whose store also comes back from older copies."""
 
@@ -50,6 +55,52 @@
     assert any("store back" in one for one in report.faults), report.faults
 
 
+@pytest.mark.parametrize("seed", NOTICE_SEEDS)
+def test_promises_hold_while_replicas_ask_for_rest_and_leave(seed, tmp_path):
+    """Guards against requests to replicas that asked for none, in real processes."""
+    size = replace(SMALL, seconds=10.0, notices=True)
+    report = run_seed(tmp_path, seed=seed, size=size)
+    assert report.violations == [], (report.kept_in, report.faults)
+    assert any(" refuse " in one or " leave " in one for one in report.faults)
+
+
+def make_call(request_id, *, entry="entry-0", starts=1, sent_at=0.0):
+    call = Call(request_id, KINDS[0], entry, starts, sent_at)
+    call.whole = True
+    return call
+
+
+@pytest.mark.parametrize(
+    ("into", "others", "excused", "broken"),
+    [
+        # Two are allowed, those of half a second before it, of the next start and of
+        # another entry don't count, nor what an entry sends that was paused.
+        (3, {}, False, True),
+        (2, {}, False, False),
+        (2, {"sent_at": 0.4}, False, False),
+        (2, {"starts": 2}, False, False),
+        (2, {"entry": "entry-1"}, False, False),
+        (3, {}, True, False),
+    ],
+)
+def test_check_sees_requests_into_a_rest(into, others, excused, broken):
+    calls = [make_call(f"r-{number}", sent_at=1.0) for number in range(into)]
+    calls += [make_call("told"), make_call("other", **({"sent_at": 3.5} | others))]
+    notices = Notices([Seen("i-1", call.id, call.sent_at) for call in calls])
+    notices.rests.append(Seen("i-1", "told", 0.0, rest_s=3.0))
+    found = notices.check(calls, is_excused=lambda *span: excused, late_s=0.0)
+    assert bool(found) is broken
+
+
+@pytest.mark.parametrize(("sent_at", "broken"), [(1.9, False), (2.1, True)])
+def test_check_sees_requests_to_a_replica_that_leaves(sent_at, broken):
+    calls = [make_call("told"), make_call("late", sent_at=sent_at)]
+    notices = Notices([Seen("i-1", call.id, call.sent_at) for call in calls])
+    notices.leavings.append(Seen("i-1", "told", 0.0))
+    found = notices.check(calls, is_excused=lambda *span: False, late_s=0.0)
+    assert bool(found) is broken
+
+
 @pytest.mark.parametrize("seed", FAILED_SEEDS)
 def test_seeds_that_failed_once_stay_mended(seed, tmp_path):
     """Play the seeds again that broke a promise, at the size they were found at."""
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -24,6 +24,7 @@
     parser.add_argument("--groups", type=int, default=2)
     parser.add_argument("--jobs", type=int, default=3)
     parser.add_argument("--store-returns", action="store_true")
+    parser.add_argument("--notices", action="store_true")
     parser.add_argument("--folder", default=tempfile.mkdtemp(prefix="soak-"))
     found = parser.parse_args()
     size = Size(
@@ -31,6 +32,7 @@
         groups=found.groups,
         seconds=found.seconds,
         store_returns=found.store_returns,
+        notices=found.notices,
     )
     broken = 0
     print(f"logs in {found.folder}", flush=True)
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -2,7 +2,7 @@
 
 import json
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 import trio
@@ -16,11 +16,16 @@
 )
 from tests.lib.rank_standin import GroupStandIn
 from tests.soak.link import Link
+from tests.soak.notices import LeavingStream, Notices, Seen
 
 EVENTS = 6
 """Events of a stream."""
 
 EVENT_PAUSE_S = 0.03
+
+RESTS_S = (0.0, 0.7, 3.0, 6.0)
+"""Times without requests that a refusing replica asks for; one is drawn each time."""
+
 FULL = "full"
 TROUBLES = ("error", "lost", "half", "extra", "slow", FULL)
 """What a troubled replica does instead of answering."""
@@ -32,6 +37,7 @@
 
     runs: Counter[str] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
+    notices: Notices = field(default_factory=Notices)
 
     def violate(self, what: str) -> None:
         """Note a broken promise."""
@@ -59,6 +65,10 @@
         self.trouble_share = 0.0
         self.orders_lost = 0.0
         self.orders_late = 0.0
+        self.refusing = False
+        """Whether it turns all requests away and asks for rest."""
+        self.leaving = False
+        """Whether it says in its answers that it leaves."""
         self.draining_since = float("inf")
         """Time at which the store accepted that the replica leaves."""
         self._random = random
@@ -87,6 +97,7 @@
         """Start a replica with an id of its own."""
         assert self._nursery is not None
         self._starts += 1
+        self.leaving = False
         self.draining_since = float("inf")
         replica = DirectReplica(self.id, self._behave)
         await self._nursery.start(self._serve, replica)
@@ -124,6 +135,17 @@
         if request.headers.get("x-expect-instance") != replica.id:
             await stream.send_all(make_answer(request, status=421, signed=False))
             return True
+        notices, now = self._journal.notices, trio.current_time()
+        seen = Seen(replica.id, request.headers.get("x-request-id", ""), now)
+        if self.link.is_calm(now):
+            notices.arrivals.append(seen)
+        if self.leaving:
+            stream = LeavingStream(stream)  # type: ignore[assignment]
+            if self.link.is_calm(now):
+                notices.leavings.append(seen)
+        if self.refusing:
+            await self._ask_for_rest(stream, request, seen)
+            return True
         trouble = "whole"
         if self._random.random() < self.trouble_share:
             trouble = self._random.choice(TROUBLES)
@@ -139,6 +161,16 @@
         finally:
             self.running -= 1
 
+    async def _ask_for_rest(
+        self, stream: trio.SocketStream, request: Received, seen: Seen
+    ) -> None:
+        rest_s = self._random.choice(RESTS_S)
+        headers = (("X-Not-Executed", "1"), ("Retry-After", f"{rest_s:g}"))
+        answer = make_answer(request, status=503, signed=False, headers=headers)
+        await stream.send_all(answer)
+        if self.link.is_calm(seen.at):
+            self._journal.notices.rests.append(replace(seen, rest_s=rest_s))
+
     def _note_run(self, request: Received) -> None:
         headers, told = request.headers, self._journal.violate
         self.started += 1
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,6 +20,8 @@
 PLANNED = frozenset({"stop", "configure", "reload"})
 """What must harm nobody."""
 
+_INTERRUPTIONS = frozenset({"stop", "kill", "pause"})
+
 PLANNED_PART = 0.35
 """Part of a run in which only planned work is done."""
 
@@ -27,6 +29,8 @@
 """Requests that every replica fails, spoils or cuts after the planned part."""
 
 _GRACE_S = 6.0
+_SETTLED_S = 1.0
+"""Time after a link's fault in which what it held up may still arrive."""
 _ADDRESS_REST_S = 1.0
 """Time until another replica serves at the address of one that has gone."""
 
@@ -81,6 +85,13 @@
         """Tell whether any unplanned fault fell into a span of time."""
         return any(span.name not in PLANNED for span in self._list(from_s, to_s))
 
+    def interrupted(self, entry: str, from_s: float, to_s: float) -> bool:
+        """Tell whether an entry was stopped, killed or paused in a span of time."""
+        return any(
+            span.name in _INTERRUPTIONS and span.where in (entry, "all")
+            for span in self._list(from_s, to_s)
+        )
+
     def stopped(self, entry: str, from_s: float, to_s: float) -> bool:
         """Tell whether an entry was told to end in a span of time."""
         return any(
@@ -109,6 +120,8 @@
             ("orders", self._harm_orders),
             ("drain", self._drain),
         ]
+        if self._run.size.notices:
+            choices += 4 * [("refuse", self._refuse), ("leave", self._leave)]
         if self._run.size.store_returns:
             choices += 2 * [("return", self._take_store_back)]
         fitting = [one for one in choices if names is None or one[0] in names]
@@ -196,8 +209,10 @@
     async def _hold_state(self, link: Link, state: LinkState) -> None:
         link.delay_s = self._random.uniform(0.02, 0.4)
         link.state = state
+        link.calm_from = float("inf")
         await trio.sleep(self._random.uniform(0.3, 4.0))
         link.state = LinkState.SOUND
+        link.calm_from = trio.current_time() + _SETTLED_S
 
     async def _harm_store(self) -> str:
         store = self._run.store
@@ -268,6 +283,32 @@
         self._busy.discard(backend.name)
         return f"drain {backend.name}"
 
+    async def _refuse(self) -> str:
+        backend = self._random.choice(self._run.backends)
+        backend.refusing = True
+        await trio.sleep(self._random.uniform(0.5, 4.0))
+        backend.refusing = False
+        return f"refuse {backend.name}"
+
+    async def _leave(self) -> str:
+        """Let a replica leave that says so in its answers only."""
+        backend = self._random.choice(self._run.backends)
+        if backend.name in self._busy or backend.group is not None:
+            return "nobody"
+        self._busy.add(backend.name)
+        gone = backend.id
+        backend.leaving = True
+        await trio.sleep(self._random.uniform(0.5, 3.0))
+        self._run.register(backend)
+        await trio.sleep(self._random.uniform(2.0, 4.0))
+        await backend.end()
+        self._run.unregister(gone)
+        await trio.sleep(_ADDRESS_REST_S)
+        await backend.begin()
+        self._run.register(backend)
+        self._busy.discard(backend.name)
+        return f"leave {backend.name}"
+
     async def _harm_orders(self) -> str:
         ranks = [one for one in self._run.backends if one.group is not None]
         for one in ranks:
--- a/tests/soak/link.py
+++ b/tests/soak/link.py
@@ -31,6 +31,8 @@
         self.address = ""
         self.state = LinkState.SOUND
         self.delay_s = 0.0
+        self.calm_from = 0.0
+        """Time from which nothing that a fault held up can still arrive."""
         self._open: set[trio.SocketStream] = set()
         self._forgotten: set[trio.SocketStream] = set()
 
@@ -45,6 +47,10 @@
         task_status.started()
         await trio.serve_listeners(self._serve, listeners)
 
+    def is_calm(self, now: float) -> bool:
+        """Tell whether what arrives now was not held up by a fault."""
+        return now >= self.calm_from
+
     def forget_open(self) -> None:
         """Let the open connections go silent for good, while new ones work."""
         self._forgotten |= self._open
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -38,6 +38,7 @@
 from tests.soak.faults import Faults
 from tests.soak.fleet import Fleet, Member
 from tests.soak.link import Link
+from tests.soak.notices import HEARD_S
 
 KEPT_FOLDER = Path(__file__).parents[2] / ".bench" / "soak-failures"
 
@@ -66,6 +67,8 @@
     store_returns: bool = False
     """Whether the store also comes back from older copies. Seeds play other faults with
     it than without."""
+    notices: bool = False
+    """Whether replicas also ask for rest, and say in answers alone that they leave."""
 
 
 @dataclass
@@ -140,6 +143,7 @@
         finally:
             self.fleet.close()
         self._check_calls()
+        self._check_notices()
         self._fill_report()
         return self.report
 
@@ -386,6 +390,13 @@
         if sum(self.journal.runs.values()) == before:
             self.journal.violate("nothing was served while a replica was leaving")
 
+    def _check_notices(self) -> None:
+        self.journal.violations += self.journal.notices.check(
+            self.callers.calls,
+            is_excused=self.faults.interrupted,
+            late_s=HEARD_S * (self.size.patience - 1),
+        )
+
     def _check_calls(self) -> None:
         for call in self.callers.calls:
             runs = self.journal.runs[call.id]
@@ -464,6 +475,8 @@
     )
     if size.store_returns:
         command += " --store-returns"
+    if size.notices:
+        command += " --notices"
     document = asdict(report) | {"size": asdict(size), "command": command}
     (kept / "report.json").write_text(json.dumps(document, indent=1))
     return kept
