Keep a target's time without requests on the path with agents as well

What callers would see: a model engine or a service beside an agent that answers 503 with Retry-After goes on getting work from all entries. Cause: the answer is passed on and its time is read by nobody; and where an agent names a time, an entry delays that one repeat by it and goes on sending others. Why this works: the agent is the only one that sends to the target, so it keeps the time and refuses new work with a tombstone until it is over (target-full, not used so far); entries take the target out for as long and send the work elsewhere. The wait that an agent names for a request itself is kept as before. Remains: a keyed request's refusal does not tell the entry's placement the time; the agent refuses the next one as well.

--- a/src/hyssopvane/_internal/protocol/headers.py
+++ b/src/hyssopvane/_internal/protocol/headers.py
@@ -27,6 +27,8 @@
         b"upgrade",
     }
 )
+# Statuses whose Retry-After speaks of the server, not of one request.
+_TURNED_AWAY = frozenset({429, 503})
 _SECONDS = re.compile(rb"[0-9]{1,20}(\.[0-9]{1,9})?")
 # The server in front of the callers writes its own.
 _OF_THE_TARGET_ONLY = frozenset({b"date"})
@@ -51,6 +53,14 @@
     return found
 
 
+def read_rest(status: int, fields: Mapping[bytes, bytes]) -> float | None:
+    """Return the seconds for which whoever answers wants no requests, None for none.
+
+    Raise `ProtocolError` where the answer names them in a way that can't be read.
+    """
+    return read_retry_after(fields) if status in _TURNED_AWAY else None
+
+
 def read_retry_after(fields: Mapping[bytes, bytes]) -> float | None:
     """Return the seconds that an answer asks to stay away, None where it names none.
 
--- a/src/hyssopvane/_internal/roles/agent.py
+++ b/src/hyssopvane/_internal/roles/agent.py
@@ -18,12 +18,12 @@
 from hyssopvane._internal.exceptions import HyssopvaneError
 from hyssopvane._internal.models.refusals import AgentRefusal
 from hyssopvane._internal.models.settings import AgentSettings
+from hyssopvane._internal.policy.target_rest import TargetRest
 from hyssopvane._internal.protocol.messages import (
     PROTOCOL_VERSION,
     Heartbeat,
     Hello,
     Open,
-    Refused,
 )
 from hyssopvane._internal.roles.attempt import Attempt
 from hyssopvane._internal.roles.keyed_runs import KeyedRuns
@@ -34,6 +34,7 @@
 )
 from hyssopvane._internal.roles.peer_listener import serve_peers
 from hyssopvane._internal.roles.read_back import add_explain_topic
+from hyssopvane._internal.roles.resting_target import find_refusal, make_refused
 from hyssopvane._internal.roles.topics import TopicRouter
 from hyssopvane._internal.state.attempts import AttemptRegister
 from hyssopvane._internal.transport.asgi_server import serve_until_cancelled
@@ -64,8 +65,12 @@
         self._running: dict[bytes, Attempt] = {}
         self._idle = trio.Event()
         self._register = AttemptRegister(self.incarnation)
+        self._rest = TargetRest()
         self._keyed = KeyedRuns(
-            register=self._register, target=self._target, memory=self.decisions
+            register=self._register,
+            target=self._target,
+            memory=self.decisions,
+            rest=self._rest,
         )
         self._connections: set[PeerConnection] = set()
         self._stop_accepting = trio.Event()
@@ -210,7 +215,7 @@
         refusal = self._accept(opening)
         if refusal is not None:
             self.metrics.count_refusal(refusal.value)
-            stream.send(Refused(refusal.value))
+            stream.send(make_refused(refusal, self._rest))
             return
         attempt = self._running[opening.attempt] = Attempt(
             stream,
@@ -218,6 +223,7 @@
             target=self._target,
             memory=self.decisions,
             register=self._register,
+            rest=self._rest,
         )
         try:
             await attempt.run()
@@ -242,11 +248,12 @@
 
     def _accept(self, opening: Open) -> AgentRefusal | None:
         now = time.time()
-        if self.refuses_work and opening.incarnation == self.incarnation:
+        why = find_refusal(self._rest, leaving=self.refuses_work)
+        if why is not None and opening.incarnation == self.incarnation:
             # The entry goes on to another target on the strength of this answer, so a
             # late copy must find a tombstone.
             told = self._register.lay_tombstone(opening.attempt, owner=None, now=now)
-            return AgentRefusal.LEAVING if told.proves_not_run else told
+            return why if told.proves_not_run else told
         refusal = self._register.accept(
             opening.attempt, incarnation=opening.incarnation, owner=None, now=now
         )
--- a/src/hyssopvane/_internal/roles/attempt.py
+++ b/src/hyssopvane/_internal/roles/attempt.py
@@ -7,6 +7,7 @@
 
 from hyssopvane._internal.exceptions import PeerLost
 from hyssopvane._internal.models.refusals import AgentRefusal
+from hyssopvane._internal.policy.target_rest import TargetRest
 from hyssopvane._internal.protocol import headers
 from hyssopvane._internal.protocol.messages import (
     Broken,
@@ -16,6 +17,7 @@
     Open,
     Refused,
 )
+from hyssopvane._internal.roles.resting_target import observe_rest
 from hyssopvane._internal.state.attempts import AttemptRegister
 from hyssopvane._internal.state.decisions import DecisionMemory, DecisionRecord
 from hyssopvane._internal.transport.peer_connection import PeerStream
@@ -37,12 +39,14 @@
         target: TargetClient,
         memory: DecisionMemory,
         register: AttemptRegister,
+        rest: TargetRest,
     ) -> None:
         self._stream = stream
         self._opening = opening
         self._target = target
         self._memory = memory
         self._register = register
+        self._rest = rest
 
     async def run(self) -> None:
         """Run the attempt; the stream's last message tells how it ended."""
@@ -68,6 +72,7 @@
             self._record("answered", "the target's answer is whole")
 
     async def _relay(self, response: httpcore.Response) -> None:
+        observe_rest(self._rest, response)
         self._stream.send(
             Head(response.status, headers.select_for_caller(tuple(response.headers)))
         )
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -13,7 +13,7 @@
 from hyssopvane._internal.policy.service_gate import Place, Turned, Waiting
 from hyssopvane._internal.policy.stream_pauses import StreamPauses
 from hyssopvane._internal.protocol.event_stream import EventCutter, StreamEvent
-from hyssopvane._internal.protocol.headers import RETRY_AFTER, read_retry_after
+from hyssopvane._internal.protocol.headers import RETRY_AFTER, read_rest
 from hyssopvane._internal.protocol.messages import Headers
 from hyssopvane._internal.protocol.replica_headers import (
     ReplicaHeaders,
@@ -78,8 +78,6 @@
 _OK = range(200, 300)
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
-_TURNED_AWAY = frozenset({429, 503})
-"""Statuses whose Retry-After speaks of the replica, not of one request."""
 _SHOWN_BYTES = 20
 """Part of a header's value that a log line shows."""
 
@@ -352,10 +350,8 @@
             self._tools.gates.observe_answer(self._request.service, replica, per_s)
 
     def _note_rest(self, replica: Replica, response: ReplicaResponse) -> None:
-        if response.status not in _TURNED_AWAY:
-            return
         try:
-            rest_s = read_retry_after(response.fields)
+            rest_s = read_rest(response.status, response.fields)
         except ProtocolError as error:
             self._tools.metrics.count_event("rest-unreadable")
             log_event("warning", "rest-unreadable", replica=replica.id, why=error)
--- a/src/hyssopvane/_internal/roles/dispatcher.py
+++ b/src/hyssopvane/_internal/roles/dispatcher.py
@@ -198,11 +198,13 @@
         report = AttemptReport(AttemptResult.ANSWERED, latency_s=end.latency_s)
         return report, None
     if isinstance(end, NotStarted) and end.reason.proves_not_run:
+        full = end.reason is AgentRefusal.TARGET_FULL
         return (
             AttemptReport(
                 AttemptResult.NOT_STARTED,
                 end.reason.value,
-                retry_after_s=end.retry_after_s,
+                retry_after_s=0.0 if full else end.retry_after_s,
+                rest_s=end.retry_after_s if full else 0.0,
             ),
             Refusal(RefusalReason.NO_TARGET, Outcome.NOT_RUN, _RETRY_AFTER_S),
         )
--- a/src/hyssopvane/_internal/roles/keyed_runs.py
+++ b/src/hyssopvane/_internal/roles/keyed_runs.py
@@ -8,6 +8,7 @@
 
 from hyssopvane._internal.exceptions import PeerLost
 from hyssopvane._internal.models.refusals import AgentRefusal
+from hyssopvane._internal.policy.target_rest import TargetRest
 from hyssopvane._internal.protocol import headers
 from hyssopvane._internal.protocol.idempotency import parse_key
 from hyssopvane._internal.protocol.messages import (
@@ -19,6 +20,11 @@
     Refused,
 )
 from hyssopvane._internal.roles.kept_answer import AnswerBudget, KeptAnswer
+from hyssopvane._internal.roles.resting_target import (
+    find_refusal,
+    make_refused,
+    observe_rest,
+)
 from hyssopvane._internal.state.attempts import AttemptRegister, KeyOwner
 from hyssopvane._internal.state.decisions import DecisionMemory, DecisionRecord
 from hyssopvane._internal.transport.peer_connection import PeerStream
@@ -47,10 +53,12 @@
         register: AttemptRegister,
         target: TargetClient,
         memory: DecisionMemory,
+        rest: TargetRest | None = None,
     ) -> None:
         self._register = register
         self._target = target
         self._memory = memory
+        self._rest = TargetRest() if rest is None else rest
         self._budget = AnswerBudget()
         self._runs: dict[bytes, _Run] = {}
         self._nursery: trio.Nursery | None = None
@@ -87,7 +95,7 @@
                     await self._receive_and_run(stream, opening, owner)
             if refusal is not None:
                 self._record(opening, "refused", refusal.value)
-                stream.send(Refused(refusal.value))
+                stream.send(make_refused(refusal, self._rest))
         finally:
             self._end_work()
 
@@ -95,9 +103,10 @@
         self, opening: Open, owner: KeyOwner, *, leaving: bool
     ) -> AgentRefusal | None:
         now = time.time()
-        if leaving and opening.incarnation == self._register.incarnation:
+        why = find_refusal(self._rest, leaving=leaving)
+        if why is not None and opening.incarnation == self._register.incarnation:
             told = self._register.lay_tombstone(opening.attempt, owner=owner, now=now)
-            return AgentRefusal.LEAVING if told.proves_not_run else told
+            return why if told.proves_not_run else told
         return self._register.accept(
             opening.attempt, incarnation=opening.incarnation, owner=owner, now=now
         )
@@ -172,6 +181,7 @@
             headers=opening.headers,
             body=body,
         ) as response:
+            observe_rest(self._rest, response)
             fields = headers.select_for_caller(tuple(response.headers))
             answer.begin(Head(response.status, fields))
             async for data in response.aiter_stream():
--- a/src/hyssopvane/_internal/standins/plain_service.py
+++ b/src/hyssopvane/_internal/standins/plain_service.py
@@ -141,10 +141,17 @@
         status,
         request.body,
         content_type=request.headers.get("content-type", BYTES_TYPE),
-        headers={"x-echo-method": request.method, "x-echo-path": request.path},
+        headers=_make_echo_headers(request),
     )
 
 
+def _make_echo_headers(request: Request) -> dict[str, str]:
+    headers = {"x-echo-method": request.method, "x-echo-path": request.path}
+    if "retry_after" in request.query:
+        headers["retry-after"] = request.query["retry_after"]
+    return headers
+
+
 def main() -> None:
     """Run a plain service as its own process."""
     options, config = parse_options(PlainServiceConfig)
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -8,6 +8,7 @@
 
 from tests.lib.http import request
 from tests.lib.installation import KEY, OPERATOR, commit_table, wait_for_targets
+from tests.lib.keys import make_key
 from tests.lib.processes import open_cluster
 
 CALLER = {"Authorization": f"Bearer {KEY}"}
@@ -75,6 +76,38 @@
     assert request("GET", address, url, headers=OPERATOR).status == 200
 
 
+@pytest.mark.parametrize("keyed", [False, True], ids=["plain", "keyed"])
+def test_target_that_asks_for_rest_gets_no_more_requests(tmp_path, keyed):
+    """Guards against an agent or an entry that passes Retry-After on and ignores it."""
+    with open_cluster(tmp_path) as cluster:
+        commit_table(cluster.platform)
+        target, _ = cluster.start_standin("plain_service")
+        cluster.start_agent("check-1", service="check", target=target)
+        _, callers = cluster.start_entry("entry-1")
+        wait_for_targets(cluster, "entry-1", 1)
+        url = "/check/busy?status=503&retry_after=600"
+        headers = CALLER | ({"Idempotency-Key": make_key()} if keyed else {})
+        method = "POST" if keyed else "GET"
+        refused = request(method, callers, url, headers=headers)
+        assert (refused.status, refused.headers["retry-after"]) == (503, "600")
+        hasty = CALLER | {"Hyssopvane-Deadline-Ms": "300"}
+        answer = request("GET", callers, "/check/lots/1", headers=hasty)
+        assert answer.headers["hyssopvane-outcome"] == "not-run"
+        assert count_runs(target) == 1
+        other, _ = cluster.start_standin("plain_service")
+        cluster.start_agent("check-2", service="check", target=other)
+        wait_for_targets(cluster, "entry-1", 2)
+        for number in range(8):
+            answer = request("GET", callers, f"/check/lots/{number}", headers=CALLER)
+            assert answer.status == 200
+        assert (count_runs(target), count_runs(other)) == (1, 8)
+
+
+def count_runs(target):
+    entries = json.loads(request("GET", target, "/journal").body)
+    return sum(entry["event"] == "started" for entry in entries)
+
+
 def test_explain_tells_where_a_request_was_placed(path):
     answer = request("GET", path.callers, "/check/lots/7", headers=CALLER)
     request_id = answer.headers["hyssopvane-request-id"]
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -233,6 +233,20 @@
     assert placer.place(make_request(1), now=WARM + UNREACHABLE_S) is not None
 
 
+@pytest.mark.parametrize("also", [None, "target-unreachable"])
+def test_target_gets_nothing_within_the_time_that_it_asked_for(also):
+    """Guards against a pause that binds one repeat only, or a shorter one after it."""
+    placer = make_placer(["t0"])
+    rested = AttemptReport(AttemptResult.NOT_STARTED, "target-full", rest_s=9.0)
+    placer.place(make_request(0), now=WARM)
+    placer.place(make_request(1), now=WARM)
+    placer.release("r0", rested, now=WARM)
+    if also:
+        placer.release("r1", AttemptReport(AttemptResult.NOT_STARTED, also), now=WARM)
+    assert placer.place(make_request(2), now=WARM + 8.9) is None
+    assert placer.place(make_request(2), now=WARM + 9.0) is not None
+
+
 def test_half_of_the_targets_gone_at_once():
     """A rack fails, and half of the targets go in one moment.
 
