Keep a replica's request limit while its registration lapses

What callers would see: a replica in need whose registration lapses and comes back, as after an outage of the store, gets requests without a limit until its next answers name it again. Evidence: the new test, which fails without the change. Why this works: a limit is held by address, id and start already, ends by its own rules and after 30 s without news; only an address that another replica has taken over drops it now.

--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -227,6 +227,7 @@
         self._wrong.add(replica.incarnation)
         if self._find(replica) is not None:
             self._drop(replica.id)
+            self.limits.forget(replica.address)
 
     def note_full(self, replica: Replica, *, now: float, until: float) -> None:
         """Send nothing to a replica that has just turned work away as it is full."""
@@ -334,7 +335,6 @@
         if not same_address:
             del self._by_address[one.replica.address]
         self._homes.forget(one.replica.address)
-        self.limits.forget(one.replica.address)
         self._leave_group(replica_id, one.group)
 
     def _join_group(self, one: ReplicaLoad) -> None:
--- a/tests/unit/test_service_gate.py
+++ b/tests/unit/test_service_gate.py
@@ -569,6 +569,16 @@
     assert [one.replica.id for one in places].count("i-1") <= 1
 
 
+def test_limit_is_kept_while_a_registration_lapses():
+    """Guards against a replica in need that gets all it can hold after each lapse."""
+    gate = make_gate(1, engine=None)
+    gate.note_limit(make_replica(0), 0.0, now=0.0)
+    gate.update([], None, now=0.1)
+    gate.update([make_replica(0)], None, now=0.2)
+    add(gate, 6, now=0.2)
+    assert not list_places(gate.settle(0.2))
+
+
 def test_limit_of_an_earlier_start_does_not_bind_the_next_one():
     gate = make_gate(1, engine=None)
     gate.update([make_replica(0, started_ms=1)], None, now=0.0)
