--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from math import inf
 from random import Random
 
 from hyssopvane._internal.policy.group_room import GroupRoom
@@ -258,18 +259,16 @@
         """Return the time until a replica takes requests, 0 unless all are away."""
         if not len(self.notices):
             return 0.0
-        return min(
-            (
-                max(
-                    self.notices.measure_rest_s(one.replica, now),
-                    one.ejected_until - now,
-                    0.0,
-                )
-                for one in self._replicas.values()
-                if one.is_open(now) and not self._is_leaving(one.replica)
-            ),
-            default=0.0,
-        )
+        soonest_s = inf
+        for one in self._replicas.values():
+            if self._is_leaving(one.replica) or not one.is_open(now):
+                continue
+            rest_s = self.notices.measure_rest_s(one.replica, now)
+            away_s = max(rest_s, one.ejected_until - now)
+            if away_s <= 0:
+                return 0.0
+            soonest_s = min(soonest_s, away_s)
+        return soonest_s if soonest_s < inf else 0.0
 
     def note_limit(
         self, replica: Replica, per_s: float | None, *, now: float, age_s: float = 0.0
