Let a replica's leaving end with its start at once

What callers would see: a replica that says that it leaves in its last answer and is back under its id within a second gets no request until it starts once more. Cause: an answer that comes within a second of the news of a start was taken for the new start's. That is right for a rest, which ends by itself, and not for leaving. Why this works: a new start that leaves says so with its next answer.

--- a/src/hyssopvane/_internal/policy/replica_notices.py
+++ b/src/hyssopvane/_internal/policy/replica_notices.py
@@ -10,7 +10,7 @@
 """Longest time for which an answer may keep requests away from a replica."""
 
 START_NEWS_S = 1.0
-"""Time that the news of a replica's start may take: an answer that came so shortly
+"""Time that the news of a replica's start may take: a rest that was told so shortly
 before may be of that start already."""
 
 LEAVING_KEPT_S = 3_600.0
@@ -22,10 +22,10 @@
     """Hold what one replica has said."""
 
     started_ms: int
-    told_at: float
     seen_at: float
     """Time at which the replica was last known to be registered."""
     rest_until: float = -inf
+    rest_told_at: float = -inf
     leaving: bool = False
 
 
@@ -50,6 +50,7 @@
         if until <= now:
             return False
         notice = self._get(replica, now)
+        notice.rest_told_at = now
         is_new = notice.rest_until <= now
         notice.rest_until = max(notice.rest_until, until)
         return is_new
@@ -70,12 +71,8 @@
             if notice is None:
                 continue
             notice.seen_at = now
-            if replica.started_ms in (0, notice.started_ms):
-                continue
-            if notice.started_ms and now - notice.told_at > START_NEWS_S:
-                del self._known[replica.id]
-            else:
-                notice.started_ms = replica.started_ms
+            if replica.started_ms not in (0, notice.started_ms):
+                _begin(notice, replica.started_ms, now)
 
     def takes_requests(self, replica: Replica, now: float) -> bool:
         """Tell whether a replica takes requests, as far as it has said."""
@@ -116,7 +113,17 @@
     def _get(self, replica: Replica, now: float) -> _Notice:
         notice = self._known.get(replica.id)
         if notice is None:
-            notice = _Notice(replica.started_ms, told_at=now, seen_at=now)
+            notice = _Notice(replica.started_ms, seen_at=now)
             self._known[replica.id] = notice
-        notice.told_at = now
         return notice
+
+
+def _begin(notice: _Notice, started_ms: int, now: float) -> None:
+    """Let what an earlier start of the replica has said end."""
+    if notice.started_ms:
+        # A new start that leaves says so again. One that was taken for leaving by the
+        # last answer of the start before would never get a request.
+        notice.leaving = False
+        if now - notice.rest_told_at > START_NEWS_S:
+            notice.rest_until = -inf
+    notice.started_ms = started_ms
