Let nobody connect between the last look for callers and the listener's close

Cause, as far as shown: at a shutdown the callers that the kernel has taken are accepted, and then the listener is closed. Who connects in between is taken by the kernel and reset by the close. A process that loses its core in that moment leaves it open for long, and at that time each caller of the test opens a connection for each call. Evidence: the new test connects in that moment; the caller gets errno 104, the same reset, without this change. Why this works: the kernel drops what begins a connection before the last look, so nobody can join. Such a caller's system tries again after its first timeout and is refused.

--- a/src/hyssopvane/_internal/transport/http_server.py
+++ b/src/hyssopvane/_internal/transport/http_server.py
@@ -11,6 +11,7 @@
 from hypercorn.typing import ASGIFramework
 
 from hyssopvane._internal.transport.http_connection import HttpConnection, PickApp
+from hyssopvane._internal.transport.listener_filter import drop_new_connections
 from hyssopvane._internal.utils.logs import log_event
 
 REFUSED_CONNECTIONS = 100
@@ -91,7 +92,12 @@
 
     def _accept_pending(self, listener: socket.socket, handlers: trio.Nursery) -> None:
         # The kernel has accepted these callers' connections and closing the listener
-        # would reset them, with the requests they have already sent.
+        # would reset them, with the requests they have already sent. None may join them
+        # after the last look.
+        try:
+            drop_new_connections(listener)
+        except OSError as error:
+            log_event("warning", "listener-unfiltered", why=error)
         listener.setblocking(False)
         while True:
             try:
--- a/tests/unit/test_asgi_server.py
+++ b/tests/unit/test_asgi_server.py
@@ -1,12 +1,17 @@
 """Test serving ASGI applications."""
 
+import os
+import socket
+
 import httpcore
 import pytest
 import trio
+from hypercorn.config import Config
 
 from hyssopvane._internal.exceptions import SettingsError
 from hyssopvane._internal.transport.addresses import parse_address
 from hyssopvane._internal.transport.asgi_server import serve_asgi
+from hyssopvane._internal.transport.http_server import ConnectionPolicy, HttpServer
 
 
 async def answer(scope, receive, send):
@@ -108,3 +113,49 @@
             shutdown.set()
 
     trio.run(run)
+
+
+class LateListener(socket.socket):
+    """Let a caller connect between the last look for callers and the close."""
+
+    late = None
+
+    def dup(self):
+        return socket.socket(fileno=os.dup(self.fileno()))
+
+    def accept(self):
+        try:
+            return super().accept()
+        except BlockingIOError:
+            self.late = socket.socket()
+            self.late.setblocking(False)
+            self.late.connect_ex(self.getsockname())
+            raise
+
+
+def test_no_caller_connects_while_the_listener_closes():
+    """Guards against connections that are taken at a shutdown, and reset at once."""
+
+    async def run():
+        listener = LateListener()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        server = HttpServer(
+            answer,
+            config=Config(),
+            policy=ConnectionPolicy(),
+            leaving=trio.Event(),
+            shutdown=trio.Event(),
+            graceful_timeout_s=0,
+        )
+        async with trio.open_nursery() as nursery:
+            await nursery.start(server.run, listener)
+            server._shutdown.set()
+        return listener.late
+
+    late = trio.run(run)
+    with pytest.raises(OSError, match="not connected"):
+        late.getpeername()
+    # A reset that is still to be told would show here.
+    assert late.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+    late.close()
