Hear what a replica says in an answer that comes as its caller leaves

What callers would see: a replica refuses a request and asks for rest while the request's caller leaves; the entry closes the connection without reading the answer, and goes on sending to the replica within that time. Cause: a call that is given up read nothing more. A new case over sockets fails without the change. Why this works: before the connection of a call that is given up is closed, what has come of its answer, or comes within 0.05 s, is taken and its head read. Only callers' requests do so; reports, orders and the store's calls keep their timeouts.

--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -1,6 +1,7 @@
 """Carry one caller's request to a replica, and its answer back."""
 
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import trio
@@ -33,6 +34,7 @@
     Route,
 )
 from hyssopvane._internal.transport.replica_client import (
+    AnswerHead,
     CallWithdrawn,
     ReplicaClient,
     ReplicaFailed,
@@ -276,6 +278,7 @@
                 # Opening a connection takes up to a second, and the replica may have
                 # answered another request meanwhile.
                 may_send=lambda: gate.may_send(replica, trio.current_time()),
+                observe_late=partial(self._note_late, replica),
             ) as response:
                 await self._relay(replica, response)
         except CallWithdrawn as error:
@@ -327,7 +330,14 @@
         else:
             await self._relay_whole(response)
 
-    def _note_word(self, replica: Replica, response: ReplicaResponse) -> None:
+    def _note_late(self, replica: Replica, head: AnswerHead) -> None:
+        # A replica that has answered takes its word for heard, also where the caller
+        # has left meanwhile.
+        echoed = head.fields.get(self._tools.names.request_id, b"")
+        if echoed.decode("latin1") == self._request.request_id:
+            self._note_word(replica, head)
+
+    def _note_word(self, replica: Replica, response: AnswerHead) -> None:
         """Take what an answer says of the replica that made it."""
         if response.status == _MISDIRECTED:
             # Another replica has the address now.
@@ -337,7 +347,7 @@
         if says_leaving(response.fields, self._tools.names):
             self._tools.gates.observe_leaving(self._request.service, replica)
 
-    def _note_limit(self, replica: Replica, response: ReplicaResponse) -> None:
+    def _note_limit(self, replica: Replica, response: AnswerHead) -> None:
         names = self._tools.names
         try:
             per_s = read_request_limit(response.fields, names)
@@ -349,7 +359,7 @@
         if per_s is not None or names.signature in response.fields:
             self._tools.gates.observe_answer(self._request.service, replica, per_s)
 
-    def _note_rest(self, replica: Replica, response: ReplicaResponse) -> None:
+    def _note_rest(self, replica: Replica, response: AnswerHead) -> None:
         try:
             rest_s = read_rest(response.status, response.fields)
         except ProtocolError as error:
--- a/src/hyssopvane/_internal/transport/raw_stream.py
+++ b/src/hyssopvane/_internal/transport/raw_stream.py
@@ -15,6 +15,11 @@
 take on a link that drops a few in a hundred.
 """
 
+LATE_ANSWER_S = 0.05
+"""Time for which a call that is given up still takes an answer that is on its way: a
+round trip, and some time of a busy machine."""
+
+_MOST_LATE_BYTES = 64 * 1024
 _PROBE_AFTER_S = 1
 _PROBE_INTERVAL_S = 1
 _PROBES = 2
@@ -48,6 +53,10 @@
         self._stream = stream
         self.sent = False
         """Whether any byte of the present request may have left."""
+        self.awaits_answer = False
+        """Whether nothing of the present request's answer has been read."""
+        self.late_answer = b""
+        """What came of an answer that nobody waited for any more."""
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         try:
@@ -71,8 +80,19 @@
             raise httpcore.WriteError(repr(error.__cause__ or error)) from error
 
     async def aclose(self) -> None:
+        if self.sent and self.awaits_answer:
+            self.awaits_answer = False
+            self.late_answer = await self._read_late_answer()
         await self._stream.aclose()
 
+    async def _read_late_answer(self) -> bytes:
+        with trio.move_on_after(LATE_ANSWER_S):
+            try:
+                return bytes(await self._stream.receive_some(_MOST_LATE_BYTES))
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return b""
+        return b""
+
     async def start_tls(
         self,
         ssl_context: ssl.SSLContext,
--- a/src/hyssopvane/_internal/transport/replica_client.py
+++ b/src/hyssopvane/_internal/transport/replica_client.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+import h11
 import httpcore
 import trio
 
@@ -79,14 +80,21 @@
         self._scope.deadline = min(next_at, self._ends_at)
 
 
-class ReplicaResponse:
+class AnswerHead:
+    """Hold the status and the headers of a response."""
+
+    def __init__(self, status: int, headers: Headers) -> None:
+        self.status = status
+        self.headers = headers
+        self.fields = join_headers(headers)
+
+
+class ReplicaResponse(AnswerHead):
     """Read one response."""
 
     def __init__(self, response: httpcore.Response) -> None:
+        super().__init__(response.status, tuple(response.headers))
         self._response = response
-        self.status = response.status
-        self.headers: Headers = tuple(response.headers)
-        self.fields = join_headers(self.headers)
 
     async def iterate(self) -> AsyncIterator[bytes]:
         """Give the parts of the body; raise `ReplicaFailed` when it breaks off."""
@@ -128,10 +136,12 @@
         headers: Headers,
         body: bytes = b"",
         may_send: Callable[[], bool] = lambda: True,
+        observe_late: Callable[[AnswerHead], None] | None = None,
     ) -> AsyncIterator[ReplicaResponse]:
         """Send a request and give its response; a cancelled call closes the connection.
 
-        Whether it may still be sent is asked once the connection is open. Raise
+        Whether it may still be sent is asked once the connection is open. The head of
+        an answer that comes as the call is cancelled goes to `observe_late`. Raise
         `CallWithdrawn`, `ReplicaUnreachable` or `ReplicaFailed`.
         """
         kept = await self._take(address)
@@ -151,14 +161,21 @@
             content=body,
         )
         response: httpcore.Response | None = None
+        kept.stream.awaits_answer = observe_late is not None
         try:
             try:
                 response = await kept.connection.handle_async_request(request)
+            except trio.Cancelled:
+                late = _read_head(kept.stream.late_answer)
+                if observe_late is not None and late is not None:
+                    observe_late(late)
+                raise
             except (httpcore.NetworkError, httpcore.ProtocolError) as error:
                 why = f"{type(error).__name__}: {error}"
                 if kept.stream.sent:
                     raise ReplicaFailed(why) from error
                 raise ReplicaUnreachable(why) from error
+            kept.stream.awaits_answer = False
             wrapped = ReplicaResponse(response)
             yield wrapped
             await response.aclose()
@@ -207,6 +224,21 @@
         idle.append(kept)
 
 
+def _read_head(data: bytes) -> AnswerHead | None:
+    """Return the head of an answer, None where it is not whole or no answer."""
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method="GET", target="/", headers=[("Host", "replica")]))
+    parser.send(h11.EndOfMessage())
+    try:
+        parser.receive_data(data)
+        event = parser.next_event()
+    except h11.RemoteProtocolError:
+        return None
+    if not isinstance(event, h11.Response):
+        return None
+    return AnswerHead(event.status_code, tuple(event.headers))
+
+
 def _has_surplus(kept: _Kept) -> bool:
     # A faulty replica sends bytes behind a whole answer. They would be read as the
     # answer to the next request on this connection, whose caller would get another
--- a/tests/functional/test_replica_notices.py
+++ b/tests/functional/test_replica_notices.py
@@ -4,7 +4,7 @@
 import trio
 
 from hyssopvane._internal.roles import direct_call
-from hyssopvane._internal.transport import replica_client
+from hyssopvane._internal.transport import raw_stream, replica_client
 from tests.lib.direct_installation import HANG_S, open_direct
 from tests.lib.direct_replica import (
     STREAM_HEAD,
@@ -112,6 +112,38 @@
     run(test)
 
 
+@pytest.mark.parametrize(
+    ("request_id", "heard"), [("request-1", True), ("other", False)]
+)
+def test_rest_is_kept_where_the_caller_left_before_the_answer(
+    request_id, heard, monkeypatch
+):
+    """Guards against a replica's word that is lost with its caller."""
+    monkeypatch.setattr(raw_stream, "LATE_ANSWER_S", HANG_S)
+    left = trio.Event()
+
+    async def ask_late(replica, stream, request):
+        await left.wait()
+        fields = (*NOT_RUN, ("Retry-After", "60"))
+        answer = make_answer(
+            request, status=503, signed=False, headers=fields, request_id=request_id
+        )
+        await stream.send_all(answer)
+        return True
+
+    async def test(site):
+        replica = await site.add_replica("i-1", ask_late)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(site.call, "/patient/1")
+            await site.wait_until(lambda: replica.received)
+            nursery.cancel_scope.cancel()
+        left.set()
+        await site.wait_until(lambda: not site.entry.app.running)
+        assert bool(len(site.entry.gates.get_gate("checks").notices)) is heard
+
+    run(test)
+
+
 LEAVING = (("Server-Leaving", "1"),)
 
 
