--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from tests.soak.backends import Backend
 from tests.soak.fleet import Member
 from tests.soak.link import Link, LinkState
 
@@ -275,13 +276,17 @@
         backend.draining_since = trio.current_time()
         self._run.register(backend)
         await trio.sleep(3.0)
+        await self._replace(backend, gone)
+        return f"drain {backend.name}"
+
+    async def _replace(self, backend: Backend, gone: str) -> None:
+        """End a replica that leaves, and start the next one at its address."""
         await backend.end()
         self._run.unregister(gone)
         await trio.sleep(_ADDRESS_REST_S)
         await backend.begin()
         self._run.register(backend)
         self._busy.discard(backend.name)
-        return f"drain {backend.name}"
 
     async def _refuse(self) -> str:
         backend = self._random.choice(self._run.backends)
@@ -301,12 +306,7 @@
         await trio.sleep(self._random.uniform(0.5, 3.0))
         self._run.register(backend)
         await trio.sleep(self._random.uniform(2.0, 4.0))
-        await backend.end()
-        self._run.unregister(gone)
-        await trio.sleep(_ADDRESS_REST_S)
-        await backend.begin()
-        self._run.register(backend)
-        self._busy.discard(backend.name)
+        await self._replace(backend, gone)
         return f"leave {backend.name}"
 
     async def _harm_orders(self) -> str:
