Let each run of the soak with a returning store play a return

The test, which is older than this change, asks for a return; now one comes first after the planned part. Nothing of the check is changed.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -56,6 +56,7 @@
         self.spans: list[Span] = []
         self.told: list[str] = []
         self._due = ["refuse", "leave"] if run.size.notices else []
+        self._due += ["return"] if run.size.store_returns else []
         """Faults that come first after the planned part: a short run draws few."""
 
     async def run(self, seconds: float) -> None:
