--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -313,7 +313,7 @@
         echoed = response.fields.get(names.request_id, b"").decode("latin1")
         if echoed and echoed != self._request.request_id:
             raise ReplicaFailed("the answer belongs to another request")
-        self._note_word(replica, response)
+        self._note_replica_state(replica, response)
         if names.not_executed in response.fields or response.status == _MISDIRECTED:
             self._note_refusal(replica, response)
         if not echoed:
@@ -331,13 +331,13 @@
             await self._relay_whole(response)
 
     def _note_late(self, replica: Replica, head: AnswerHead) -> None:
-        # A replica that has answered takes its word for heard, also where the caller
-        # has left meanwhile.
+        # What an answer says of its replica holds from the moment it was sent, also
+        # where the caller has left meanwhile.
         echoed = head.fields.get(self._tools.names.request_id, b"")
         if echoed.decode("latin1") == self._request.request_id:
-            self._note_word(replica, head)
+            self._note_replica_state(replica, head)
 
-    def _note_word(self, replica: Replica, response: AnswerHead) -> None:
+    def _note_replica_state(self, replica: Replica, response: AnswerHead) -> None:
         """Take what an answer says of the replica that made it."""
         if response.status == _MISDIRECTED:
             # Another replica has the address now.
