Log each connection without requests that a server ends

The listed failure of test_entry_under_load_cuts_off_nothing[http1] (two plain calls reset while an entry stopped) left no line by which its hypotheses could be told apart: an end in the moment in which the caller sends, or a connection that was never accepted. Each end is now noted with its age, the time without a request and the bytes that nobody had read; the closing of the listener is logged with the number of open connections.

--- a/src/hyssopvane/_internal/transport/http_connection.py
+++ b/src/hyssopvane/_internal/transport/http_connection.py
@@ -1,6 +1,11 @@
 """Serve one HTTP connection by hypercorn, and end it without cutting an answer."""
 
+import array
+import fcntl
+import termios
 from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
 from typing import Any
 
 import h2.errors
@@ -42,6 +47,28 @@
 """Return the application for a request; tell it whether it came by HTTP/2."""
 
 
+class EndReason(StrEnum):
+    """Name why the server ends a connection without requests."""
+
+    IDLE = "idle"
+    SHUTDOWN = "shutdown"
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionEnd:
+    """Tell of a connection without requests that the server ended."""
+
+    reason: EndReason
+    age_s: float
+    free_s: float
+    """Time since the last answer, or since the connection was made."""
+    unread_bytes: int
+    """Bytes of the caller that nobody read."""
+
+
+NoteEnd = Callable[[ConnectionEnd], None]
+
+
 class HttpConnection(TCPServer):
     """Run one connection and know which requests are in progress on it."""
 
@@ -53,6 +80,7 @@
         config: Config,
         leaving: trio.Event,
         note_malformed: Callable[[], bytes],
+        note_end: NoteEnd,
     ) -> None:
         super().__init__(
             self._serve,  # type: ignore[arg-type]
@@ -64,6 +92,10 @@
         self._pick_app = pick_app
         self._leaving = leaving
         self._note_malformed = note_malformed
+        self._note_end = note_end
+        self._opened_at = trio.current_time()
+        self._end_reason = EndReason.IDLE
+        self._ended = False
         self._open_requests = 0
         self._open_answers = 0
         self._free_since = trio.current_time()
@@ -118,11 +150,27 @@
         free_s = trio.current_time() - self._free_since
         lingered = free_s >= LINGER_S
         if lingered and (self._told or (closing and self._get_http2() is None)):
+            self._end_reason = EndReason.SHUTDOWN
             await self.context.terminated.set()
             await self._initiate_server_close()
         elif not self._told and (hasty or free_s >= QUIET_S):
             await self._tell_http2()
 
+    async def _initiate_server_close(self) -> None:
+        if self._ended:
+            # The timer of idle connections and a shutdown may both come to it.
+            return
+        self._ended = True
+        now = trio.current_time()
+        end = ConnectionEnd(
+            self._end_reason,
+            age_s=now - self._opened_at,
+            free_s=now - self._free_since,
+            unread_bytes=_count_unread(self.stream),
+        )
+        await super()._initiate_server_close()
+        self._note_end(end)
+
     async def _serve(
         self, scope: Any, receive: Any, send: Any, spawn: Any, call_soon: Any
     ) -> None:
@@ -206,6 +254,17 @@
         return protocol if isinstance(protocol, H2Protocol) else None
 
 
+def _count_unread(stream: Any) -> int:
+    """Return the number of received bytes that wait in the kernel."""
+    count = array.array("i", [0])
+    try:
+        fcntl.ioctl(stream.socket.fileno(), termios.FIONREAD, count)
+    except (OSError, ValueError):
+        # The connection is closed already.
+        return 0
+    return count[0]
+
+
 class _AnsweredStream(HTTPStream):
     def __init__(self) -> None:
         """Hold nothing: the caller already has its answer."""
--- a/src/hyssopvane/_internal/transport/http_server.py
+++ b/src/hyssopvane/_internal/transport/http_server.py
@@ -10,7 +10,12 @@
 from hypercorn.config import Config
 from hypercorn.typing import ASGIFramework
 
-from hyssopvane._internal.transport.http_connection import HttpConnection, PickApp
+from hyssopvane._internal.transport.http_connection import (
+    ConnectionEnd,
+    HttpConnection,
+    NoteEnd,
+    PickApp,
+)
 from hyssopvane._internal.transport.listener_filter import drop_new_connections
 from hyssopvane._internal.utils.logs import log_event
 
@@ -28,6 +33,18 @@
 """
 
 
+def log_connection_end(end: ConnectionEnd) -> None:
+    """Log a connection that the server ended; say so where it lost a request."""
+    log_event(
+        "info" if end.unread_bytes else "debug",
+        "connection-ended",
+        reason=end.reason,
+        age_s=round(end.age_s, 3),
+        free_s=round(end.free_s, 3),
+        unread_bytes=end.unread_bytes,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionPolicy:
     """Decide what a server does beside its application."""
@@ -39,6 +56,8 @@
     """Answers new requests on busy HTTP/2 connections once the listener is closed."""
     note_malformed: Callable[[], bytes] = bytes
     """Counts bytes that are no HTTP and returns header lines for the answer."""
+    note_end: NoteEnd = log_connection_end
+    """Takes each connection without requests that the server ended."""
 
 
 class HttpServer:
@@ -82,6 +101,7 @@
                     accepting.cancel_scope.cancel()
                 self._accept_pending(listener, handlers)
                 listener.close()
+                log_event("info", "listener-closed", open=len(self._connections))
                 now = trio.current_time()
                 handlers.cancel_scope.deadline = now + self._graceful_timeout_s
                 await self._drain()
@@ -152,6 +172,7 @@
             config=config,
             leaving=leaving,
             note_malformed=self._policy.note_malformed,
+            note_end=self._policy.note_end,
         )
 
     def _is_full(self) -> bool:
