Number the eras of the key-value service by the identity that it publishes

The path with a table of its own knew what the service says by revision alone, and the service gives revisions out again when it comes back from a copy. The direct path has an order of era and revision (StoreMark); this path had nothing to name an era by.

Each answer of the service names its cluster, and a cluster restored from a copy has a new name. Names have no order, so a record in the service (service/era) numbers them; it is written with the first change of anything else, and goes past every number that a process remembers. Answers, watches and pages carry the era. An answer from before a return is left out, and a write that was prepared before one is never confirmed: it has to be read back. A service that comes back under its old name is noticed by a lower revision than was known when the call began; as a read may be stale, a write that changes nothing decides.

A swap can name the first bytes of the value that it expects, as an equal revision may belong to another value after a return.

The stand-in publishes cluster_id, member_id, revision and raft_term, and comes back from a copy (POST /copy, POST /return, with or without a new identity). The fake follows eras as the client does; a state that is put in the place of another is a restored cluster.

--- a/src/hyssopvane/_internal/coordination/etcd_key_value.py
+++ b/src/hyssopvane/_internal/coordination/etcd_key_value.py
@@ -1,15 +1,18 @@
 """Speak etcd's JSON gateway to the platform's key-value service."""
 
 import json
+import math
 from base64 import b64decode, b64encode
 from collections.abc import AsyncIterator, Iterator, Sequence
 from contextlib import asynccontextmanager, contextmanager
+from dataclasses import dataclass
 from typing import Any, TypeAlias
 
 import httpcore
 import trio
 
 from hyssopvane._internal.coordination.key_value import (
+    ABSENT,
     NO_LEASE,
     Check,
     KeyValue,
@@ -20,17 +23,34 @@
     Swapped,
     WatchEvent,
 )
+from hyssopvane._internal.coordination.service_era import (
+    ERA_KEY,
+    NO_CLUSTER,
+    EraRecord,
+    ServiceEra,
+    format_record,
+    parse_record,
+    plan_record,
+)
 from hyssopvane._internal.exceptions import (
     KeyValueError,
     KeyValueRefused,
     KeyValueUnavailable,
     KeyValueUnknown,
 )
+from hyssopvane._internal.utils.logs import log_event
 
 JsonObject: TypeAlias = dict[str, Any]
 
 DEFAULT_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 32
+
+MAX_EXPECTED = 64
+"""Keys of one transaction that can each be compared by two bounds of their values."""
+
+LOOK_PAUSE_S = 1.0
+"""Least time between two writes that tell a stale read from a return."""
+
 WATCH_BUFFER = 4096
 """Events that wait for a slow reader; one that falls further behind loads anew."""
 
@@ -54,9 +74,37 @@
 )
 
 
+_NO_END = b"\0"
+"""What etcd takes as the end of a range that goes to the last key."""
+
 _MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
 
 
+@dataclass(frozen=True, slots=True)
+class _Header:
+    """Hold what each answer tells of the service itself."""
+
+    cluster: int
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class _CallStart:
+    """Hold what was known when a call began."""
+
+    record: EraRecord | None
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class _FoundRecord:
+    """Hold the record of an era as a call found it."""
+
+    header: _Header
+    revision: int
+    record: EraRecord | None
+
+
 class EtcdKeyValueStore(KeyValueStore):
     """Call the key-value service at one address."""
 
@@ -65,6 +113,22 @@
         self._timeout_s = timeout_s
         self._pool = httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS)
         self._nursery: trio.Nursery | None = None
+        self._era = ServiceEra()
+        self._era_lock = trio.Lock()
+        self._highest_revision = 0
+        """Highest revision that an answer of the era has told."""
+        self._is_recorded = False
+        """Whether the record of the era is in the service, or none is needed."""
+        self._looked_at = -math.inf
+        self._watches: dict[trio.CancelScope, int] = {}
+        """Scopes of the watches, and the eras in which they were begun."""
+
+    @property
+    def era(self) -> int:
+        return self._era.era
+
+    async def wait_past_era(self, era: int) -> None:
+        await self._era.wait_past(era)
 
     async def start(self, nursery: trio.Nursery) -> None:
         self._nursery = nursery
@@ -73,9 +137,9 @@
         await self._pool.aclose()
 
     async def get(self, key: str) -> KeyValue | None:
-        answer = await self._call("/v3/kv/range", {"key": _encode(key)})
+        answer, era = await self._read({"key": _encode(key)})
         with self._parsing(KeyValueUnavailable):
-            items = _parse_items(answer)
+            items = _parse_items(answer, era)
         return items[0] if items else None
 
     async def get_prefix(self, prefix: str, *, min_revision: int = 0) -> Snapshot:
@@ -84,17 +148,31 @@
             "range_end": _encode_bytes(get_range_end(prefix.encode())),
             "min_mod_revision": str(min_revision),
         }
-        answer = await self._call("/v3/kv/range", request)
+        answer, era = await self._read(request)
         with self._parsing(KeyValueUnavailable):
-            return Snapshot(_parse_revision(answer), _parse_items(answer))
+            return Snapshot(_parse_revision(answer), _parse_items(answer, era), era)
 
     async def compare_and_swap(
         self, swaps: Sequence[Swap], *, checks: Sequence[Check] = ()
     ) -> Swapped | SwapLost:
-        transaction = _make_transaction(swaps, checks)
-        answer = await self._call("/v3/kv/txn", transaction, writes=True)
+        first = [] if self._is_recorded else await self._list_first_record()
+        if first and len(swaps) + len(checks) >= MAX_EXPECTED:
+            await self.compare_and_swap([])
+            first = []
+        start = self._begin_call()
+        transaction = _make_transaction([*swaps, *first], checks)
+        answer = await self._send_transaction(transaction)
+        era = await self._note_header(answer, start, KeyValueUnknown, writes=True)
         with self._parsing(KeyValueUnknown):
-            return _parse_transaction(answer)
+            result = _parse_transaction(answer, era)
+        if isinstance(result, Swapped):
+            self._is_recorded = self._is_recorded or bool(first)
+            return result
+        if any(item.key == ERA_KEY for item in result.current):
+            # Another process was first with the record alone.
+            self._is_recorded = True
+            return await self.compare_and_swap(swaps, checks=checks)
+        return result
 
     async def grant_lease(self, ttl_s: int) -> int:
         answer = await self._call("/v3/lease/grant", {"TTL": str(ttl_s)}, writes=True)
@@ -111,7 +189,10 @@
         await self._call("/v3/lease/revoke", {"ID": str(lease)}, writes=True)
 
     def end_watches(self, era: int) -> None:
-        """Do nothing: this service tells no era."""
+        self._era.note_era(era)
+        for scope, began_in in self._watches.items():
+            if began_in < era:
+                scope.cancel()
 
     @asynccontextmanager
     async def watch(
@@ -128,10 +209,12 @@
         if self._nursery is None:
             raise RuntimeError("start the store before a watch")
         scope = trio.CancelScope()
-        self._nursery.start_soon(self._read_watch, request, send, scope)
+        self._watches[scope] = era
+        self._nursery.start_soon(self._read_watch, request, send, scope, era)
         try:
             yield receive
         finally:
+            del self._watches[scope]
             scope.cancel()
 
     async def _read_watch(
@@ -139,8 +222,12 @@
         request: JsonObject,
         send: trio.MemorySendChannel[WatchEvent],
         scope: trio.CancelScope,
+        era: int,
     ) -> None:
         with scope, send:
+            if era and era != self.era:
+                return
+            cluster = self._era.cluster
             try:
                 async with self._pool.stream(
                     "POST",
@@ -151,7 +238,7 @@
                     if response.status != 200:
                         return
                     async for line in _split_lines(response.aiter_stream()):
-                        if not _send_events(line, send):
+                        if not _send_events(line, send, era=era, cluster=cluster):
                             return
             except (httpcore.NetworkError, httpcore.ProtocolError):
                 # The end of the channel tells the reader that the watch is gone.
@@ -159,6 +246,153 @@
             except httpcore.TimeoutException:
                 return
 
+    async def _read(self, request: JsonObject) -> tuple[JsonObject, int]:
+        """Return the answer of a read, and the era that it belongs to."""
+        start = self._begin_call()
+        answer = await self._call("/v3/kv/range", request)
+        era = await self._note_header(answer, start, KeyValueUnavailable, writes=False)
+        return answer, era
+
+    def _begin_call(self) -> _CallStart:
+        return _CallStart(self._era.record, self._highest_revision)
+
+    async def _send_transaction(self, transaction: JsonObject) -> JsonObject:
+        return await self._call("/v3/kv/txn", transaction, writes=True)
+
+    async def _note_header(
+        self,
+        answer: JsonObject,
+        start: _CallStart,
+        lost: type[KeyValueError],
+        *,
+        writes: bool,
+    ) -> int:
+        """Return the era of an answer; raise where it was given before a return."""
+        with self._parsing(lost):
+            header = _parse_header(answer)
+        if header.cluster == NO_CLUSTER:
+            return 0
+        async with self._era_lock:
+            try:
+                await self._follow_era(header, start, writes=writes)
+            except KeyValueError as error:
+                raise self._describe(lost, "has not told its era") from error
+        if self._era.is_current(header.cluster) and self._is_certain(start, writes):
+            self._highest_revision = max(self._highest_revision, header.revision)
+            return self.era
+        raise self._describe(lost, "has come back from a copy meanwhile")
+
+    def _is_certain(self, start: _CallStart, writes: bool) -> bool:
+        """Tell whether an answer of the present cluster is of the present era."""
+        if start.record is None or start.record == self._era.record:
+            return True
+        # What was written on the ground of an earlier era has to be read back.
+        same_cluster = start.record.cluster == self._era.cluster
+        return not writes and not same_cluster
+
+    async def _follow_era(
+        self, header: _Header, start: _CallStart, *, writes: bool
+    ) -> None:
+        if self._era.is_past(header.cluster):
+            return
+        if not self._era.is_current(header.cluster):
+            await self._find_era(header)
+        elif header.revision < start.revision and start.record == self._era.record:
+            await self._look_for_return(start.revision, is_certain=writes)
+
+    async def _find_era(self, header: _Header) -> None:
+        while not self._era.is_current(header.cluster):
+            found = await self._read_record()
+            header = found.header
+            due = plan_record(found.record, header.cluster, self._era.record)
+            is_first = found.record is None and self._era.record is None
+            if due == found.record or is_first:
+                self._is_recorded = not is_first
+                self._adopt(due, header.revision)
+            elif await self._write_record(due, found.revision):
+                self._adopt(due, header.revision)
+
+    async def _list_first_record(self) -> list[Swap]:
+        """Return the record of the first era where the service has none yet.
+
+        It is written with the first change of anything else. Copies that hold something
+        of this system then name the cluster they are of.
+        """
+        async with self._era_lock:
+            try:
+                found = await self._read_record()
+            except KeyValueError as error:
+                # The next write tries again.
+                log_event("warning", "store-era-unrecorded", why=error)
+                return []
+        cluster = found.header.cluster
+        if cluster == NO_CLUSTER or found.record is not None:
+            self._is_recorded = True
+            return []
+        if self._era.record is not None and not self._era.is_current(cluster):
+            return []
+        record = self._era.record or plan_record(None, cluster, None)
+        return [Swap(ERA_KEY, format_record(record), ABSENT)]
+
+    async def _look_for_return(self, highest: int, *, is_certain: bool) -> None:
+        """Find out whether a lower revision than before means a return.
+
+        A service may come back from a copy under its old name. A read may be stale; a
+        write never is, so one that changes nothing decides.
+        """
+        known = self._era.record
+        assert known is not None
+        found = await self._read_record()
+        if found.record is not None and found.record.era > known.era:
+            self._adopt(found.record, found.header.revision)
+            return
+        if not is_certain and not await self._is_behind(highest, found):
+            return
+        found = await self._read_record()
+        due = EraRecord(known.era + 1, known.cluster)
+        if await self._write_record(due, found.revision):
+            self._adopt(due, found.header.revision)
+
+    async def _is_behind(self, highest: int, found: _FoundRecord) -> bool:
+        now = trio.current_time()
+        if found.record is None or now - self._looked_at < LOOK_PAUSE_S:
+            return False
+        self._looked_at = now
+        swap = Swap(ERA_KEY, format_record(found.record), found.revision)
+        answer = await self._send_transaction(_make_transaction([swap], []))
+        with self._parsing(KeyValueUnknown):
+            result = _parse_transaction(answer, 0)
+        return isinstance(result, Swapped) and result.revision <= highest
+
+    def _adopt(self, record: EraRecord, revision: int) -> None:
+        if record != self._era.record:
+            self._highest_revision = revision
+        self._era.adopt(record)
+        for scope, began_in in self._watches.items():
+            if 0 < began_in < record.era:
+                scope.cancel()
+
+    async def _read_record(self) -> _FoundRecord:
+        answer = await self._call("/v3/kv/range", {"key": _encode(ERA_KEY)})
+        with self._parsing(KeyValueUnavailable):
+            header = _parse_header(answer)
+            items = _parse_items(answer, 0)
+            if not items:
+                return _FoundRecord(header, ABSENT, None)
+            record = parse_record(items[0].value)
+            return _FoundRecord(header, items[0].revision, record)
+
+    async def _write_record(self, record: EraRecord, expected_revision: int) -> bool:
+        """Write a record; return whether it is there as it was meant."""
+        swap = Swap(ERA_KEY, format_record(record), expected_revision)
+        answer = await self._send_transaction(_make_transaction([swap], []))
+        with self._parsing(KeyValueUnknown):
+            header = _parse_header(answer)
+            swapped = isinstance(_parse_transaction(answer, 0), Swapped)
+        is_there = swapped and header.cluster == record.cluster
+        self._is_recorded = self._is_recorded or is_there
+        return is_there
+
     async def _call(
         self, path: str, request: JsonObject, *, writes: bool = False
     ) -> JsonObject:
@@ -229,26 +463,37 @@
     for index in range(len(prefix) - 1, -1, -1):
         if prefix[index] < 0xFF:
             return prefix[:index] + bytes([prefix[index] + 1])
-    return b"\0"
+    return _NO_END
 
 
 def _make_transaction(swaps: Sequence[Swap], checks: Sequence[Check]) -> JsonObject:
-    compared: tuple[Swap | Check, ...] = (*swaps, *checks)
+    expected: tuple[Swap | Check, ...] = (*swaps, *checks)
     return {
-        "compare": [
-            {
-                "key": _encode(item.key),
-                "target": "MOD",
-                "result": "EQUAL",
-                "mod_revision": str(item.expected_revision),
-            }
-            for item in compared
-        ],
+        "compare": [one for item in expected for one in _make_compares(item)],
         "success": [_make_change(swap) for swap in swaps],
-        "failure": [{"request_range": {"key": _encode(item.key)}} for item in compared],
+        "failure": [{"request_range": {"key": _encode(item.key)}} for item in expected],
     }
 
 
+def _make_compares(item: Swap | Check) -> list[JsonObject]:
+    key, prefix = _encode(item.key), item.expected_prefix
+    if not prefix:
+        revision = str(item.expected_revision)
+        return [
+            {"key": key, "target": "MOD", "result": "EQUAL", "mod_revision": revision}
+        ]
+    return [
+        {"key": key, "target": "VALUE", "result": result, "value": _encode_bytes(bound)}
+        for result, bound in list_value_bounds(prefix)
+    ]
+
+
+def list_value_bounds(prefix: bytes) -> list[tuple[str, bytes]]:
+    """Return the comparisons that hold for longer values with a prefix alone."""
+    end = get_range_end(prefix)
+    return [("GREATER", prefix)] + ([("LESS", end)] if end != _NO_END else [])
+
+
 def _make_change(swap: Swap) -> JsonObject:
     if swap.value is None:
         return {"request_delete_range": {"key": _encode(swap.key)}}
@@ -258,7 +503,13 @@
     return {"request_put": put}
 
 
-def _send_events(line: bytes, send: trio.MemorySendChannel[WatchEvent]) -> bool:
+def _send_events(
+    line: bytes,
+    send: trio.MemorySendChannel[WatchEvent],
+    *,
+    era: int,
+    cluster: int,
+) -> bool:
     """Send the events of one line; return False when the watch has ended.
 
     A line holds whole transactions. Its events are sent without giving way, so a
@@ -266,7 +517,9 @@
     """
     try:
         result = json.loads(line)["result"]
-        events = [_parse_event(event) for event in result.get("events", [])]
+        if era and _parse_header(result).cluster != cluster:
+            return False
+        events = [_parse_event(event, era) for event in result.get("events", [])]
         canceled = bool(result.get("canceled", False))
     except _MALFORMED:
         return False
@@ -278,19 +531,19 @@
     return not canceled
 
 
-def _parse_event(event: JsonObject) -> WatchEvent:
-    item = _parse_item(event["kv"])
+def _parse_event(event: JsonObject, era: int) -> WatchEvent:
+    item = _parse_item(event["kv"], era)
     value = None if event.get("type") == "DELETE" else item.value
-    return WatchEvent(item.key, value, item.revision)
+    return WatchEvent(item.key, value, item.revision, era)
 
 
-def _parse_transaction(answer: JsonObject) -> Swapped | SwapLost:
+def _parse_transaction(answer: JsonObject, era: int) -> Swapped | SwapLost:
     if answer.get("succeeded", False):
-        return Swapped(_parse_revision(answer))
+        return Swapped(_parse_revision(answer), era)
     current: list[KeyValue] = []
     for response in answer["responses"]:
-        current.extend(_parse_items(response["response_range"]))
-    return SwapLost(tuple(current))
+        current.extend(_parse_items(response["response_range"], era))
+    return SwapLost(tuple(current), era)
 
 
 async def _split_lines(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
@@ -306,15 +559,21 @@
     return int(answer["header"]["revision"])
 
 
-def _parse_items(answer: JsonObject) -> tuple[KeyValue, ...]:
-    return tuple(_parse_item(item) for item in answer.get("kvs", []))
+def _parse_header(answer: JsonObject) -> _Header:
+    header = answer["header"]
+    return _Header(int(header.get("cluster_id", NO_CLUSTER)), int(header["revision"]))
+
+
+def _parse_items(answer: JsonObject, era: int) -> tuple[KeyValue, ...]:
+    return tuple(_parse_item(item, era) for item in answer.get("kvs", []))
 
 
-def _parse_item(item: JsonObject) -> KeyValue:
+def _parse_item(item: JsonObject, era: int) -> KeyValue:
     return KeyValue(
         key=b64decode(item["key"]).decode(),
         value=b64decode(item.get("value", "")),
         revision=int(item.get("mod_revision", 0)),
+        era=era,
     )
 
 
--- a/src/hyssopvane/_internal/coordination/key_value.py
+++ b/src/hyssopvane/_internal/coordination/key_value.py
@@ -3,10 +3,12 @@
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from contextlib import AbstractAsyncContextManager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 
+from hyssopvane._internal.state.store_mark import StoreMark
+
 ABSENT = 0
 """Revision of a key that does not exist."""
 
@@ -24,6 +26,13 @@
     value: bytes
     revision: int
     """Revision of the service at which this value was written."""
+    era: int = field(default=0, compare=False)
+    """Era of the service in which it was read; 0 where not told."""
+
+    @property
+    def mark(self) -> StoreMark:
+        """Return the point of the service's history that orders the values of a key."""
+        return StoreMark(self.era, self.revision)
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +44,11 @@
     era: int = 0
     """How often the service has come back from an older copy; 0 where not told."""
 
+    @property
+    def mark(self) -> StoreMark:
+        """Return the point of the service's history up to which the keys are known."""
+        return StoreMark(self.era, self.revision)
+
 
 @dataclass(frozen=True, slots=True)
 class Swap:
@@ -45,6 +59,11 @@
     """New value, or None to delete the key."""
     expected_revision: int
     lease: int = NO_LEASE
+    expected_prefix: bytes = b""
+    """First bytes of the expected value, where they name it; never the whole value.
+
+    A service that has come back from a copy gives revisions out again, to other values.
+    """
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +72,7 @@
 
     key: str
     expected_revision: int
+    expected_prefix: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +80,7 @@
     """Tell that every swap of a transaction was carried out."""
 
     revision: int
+    era: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +88,7 @@
     """Tell that no swap was carried out, and show the keys as they are."""
 
     current: tuple[KeyValue, ...]
+    era: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +98,7 @@
     key: str
     value: bytes | None
     revision: int
+    era: int = field(default=0, compare=False)
 
 
 class KeyValueStore(ABC):
@@ -90,6 +113,15 @@
     """Seconds that a watch waits for a change before it is asked again; a service whose
     watches need no asking leaves it unused."""
 
+    @property
+    def era(self) -> int:
+        """Return the era of the last answer; 0 where eras are not told."""
+        return 0
+
+    async def wait_past_era(self, era: int) -> None:
+        """Wait until the service has come back from a copy since an era."""
+        await trio.sleep_forever()
+
     @abstractmethod
     async def start(self, nursery: trio.Nursery) -> None:
         """Make the store ready for calls."""
@@ -126,7 +158,7 @@
 
     @abstractmethod
     def end_watches(self, era: int) -> None:
-        """End the watches that were begun before an era."""
+        """End the watches begun before an era, of which a peer has told."""
 
     @abstractmethod
     def watch(
--- a/src/hyssopvane/_internal/coordination/routing_feed.py
+++ b/src/hyssopvane/_internal/coordination/routing_feed.py
@@ -15,8 +15,9 @@
 )
 from hyssopvane._internal.exceptions import ConfigurationError, KeyValueError
 from hyssopvane._internal.policy.departures import Departures
-from hyssopvane._internal.state.beliefs import Beliefs, BelievedItem, StoreMark
+from hyssopvane._internal.state.beliefs import Beliefs, BelievedItem
 from hyssopvane._internal.state.routing import Replica, RoutingTable
+from hyssopvane._internal.state.store_mark import StoreMark
 from hyssopvane._internal.utils.logs import log_event
 
 REGAIN_S = 2.2
--- a/src/hyssopvane/_internal/roles/belief_exchange.py
+++ b/src/hyssopvane/_internal/roles/belief_exchange.py
@@ -12,8 +12,8 @@
 from hyssopvane._internal.coordination.routing_feed import RoutingFeed
 from hyssopvane._internal.exceptions import ProtocolError
 from hyssopvane._internal.protocol.group_messages import decode_beliefs, encode_beliefs
-from hyssopvane._internal.state.beliefs import StoreMark
 from hyssopvane._internal.state.group import EntryState
+from hyssopvane._internal.state.store_mark import StoreMark
 from hyssopvane._internal.transport.asgi_messages import (
     send_response,
     serve_lifespan,
--- a/src/hyssopvane/_internal/standins/key_value.py
+++ b/src/hyssopvane/_internal/standins/key_value.py
@@ -1,10 +1,11 @@
 """Stand in for the platform's key-value service: a subset of etcd's JSON gateway."""
 
 import json
+import secrets
 from base64 import b64decode, b64encode
 from collections import Counter
 from collections.abc import Callable
-from typing import Any, TypeAlias
+from typing import Any, TypeAlias, TypeVar
 
 import trio
 from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, Scope
@@ -19,6 +20,8 @@
     StoredEvent,
     StoredItem,
     UnknownLease,
+    ValueCompare,
+    ValueResult,
 )
 from hyssopvane._internal.standins.process import parse_bind, run_process
 from hyssopvane._internal.transport.asgi_messages import (
@@ -29,6 +32,7 @@
 from hyssopvane._internal.transport.asgi_server import serve_asgi
 
 JsonObject: TypeAlias = dict[str, Any]
+_Model = TypeVar("_Model", bound=BaseModel)
 
 MAX_REQUEST_VALUE_BYTES = 1024 * 1024
 """Largest value that the service takes."""
@@ -58,6 +62,15 @@
     """Answer reads as of the moment at which this was switched on."""
 
 
+class Return(BaseModel):
+    """Choose how the service comes back from the copy that was kept last."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    new_cluster: bool = True
+    """Take a new identity, as a cluster does that is restored from a snapshot."""
+
+
 class _Refusal(Exception):
     """Carry an error in the form that the gateway gives it."""
 
@@ -72,11 +85,12 @@
     """Serve the state over HTTP, with faults that tests switch on."""
 
     def __init__(self, clock: Callable[[], float] = trio.current_time) -> None:
-        self.state = KeyValueState(clock)
+        self.state = KeyValueState(clock, cluster_id=secrets.randbits(63))
         self.faults = Faults()
         self.calls: Counter[str] = Counter()
         self._clock = clock
         self._stale: KeyValueState | None = None
+        self._copy: KeyValueState | None = None
         self._changed = trio.Event()
         self._calls: dict[str, Callable[[JsonObject], JsonObject]] = {
             "/v3/kv/range": self._range,
@@ -111,6 +125,20 @@
         self.faults = faults
         self._wake_watches()
 
+    def keep_copy(self) -> None:
+        """Keep a copy of all there is, to come back from."""
+        self._copy = self.state.copy_whole()
+
+    def return_from_copy(self, how: Return) -> None:
+        """Lose what was written since the copy was kept, and end the watches."""
+        if self._copy is None:
+            raise _Refusal(400, _GRPC_INVALID_ARGUMENT, "no copy was kept")
+        self.state = self._copy.copy_whole()
+        self._stale = None
+        if how.new_cluster:
+            self.state.begin_cluster()
+        self._wake_watches()
+
     async def _answer(
         self, route: str, receive: ASGIReceiveCallable, send: ASGISendCallable
     ) -> None:
@@ -118,8 +146,14 @@
         if route == "GET /calls":
             await send_json(send, dict(self.calls))
         elif route == "POST /faults":
-            self._set_faults_from(await read_json(receive))
+            self.set_faults(_validate(Faults, await read_json(receive)))
             await send_json(send, self.faults.model_dump())
+        elif route == "POST /copy":
+            self.keep_copy()
+            await send_json(send, {"revision": self.state.revision})
+        elif route == "POST /return":
+            self.return_from_copy(_validate(Return, await read_json(receive)))
+            await send_json(send, {"revision": self.state.revision})
         elif route == "POST /v3/watch":
             await self._watch(await read_json(receive), receive, send)
         elif method == "POST" and path in self._calls:
@@ -127,12 +161,6 @@
         else:
             raise _Refusal(404, _GRPC_NOT_FOUND, "Not Found")
 
-    def _set_faults_from(self, document: JsonObject) -> None:
-        try:
-            self.set_faults(Faults.model_validate(document))
-        except ValidationError as error:
-            raise _Refusal(400, _GRPC_INVALID_ARGUMENT, str(error)) from error
-
     async def _answer_call(
         self, path: str, request: JsonObject, send: ASGISendCallable
     ) -> None:
@@ -169,7 +197,12 @@
             _decode(request.get("range_end", "")),
             int(request.get("min_mod_revision", 0)),
         )
-        return _format_range(items, state.revision)
+        header = _format_header(state)
+        return {
+            "header": header,
+            "kvs": [_format_item(item) for item in items],
+            "count": str(len(items)),
+        }
 
     def _txn(self, request: JsonObject) -> JsonObject:
         for part in ("compare", "success", "failure"):
@@ -179,18 +212,15 @@
                     _GRPC_INVALID_ARGUMENT,
                     "etcdserver: too many operations in txn request",
                 )
-        compares = [
-            Compare(_decode(item["key"]), int(item.get("mod_revision", 0)))
-            for item in request.get("compare", [])
-        ]
+        compares = [_parse_compare(item) for item in request.get("compare", [])]
         changes = [_parse_change(item) for item in request.get("success", [])]
         if self.state.commit(compares, changes):
-            return {"header": _format_header(self.state.revision), "succeeded": True}
+            return {"header": self._format_header(), "succeeded": True}
         responses = [
             {"response_range": self._range(item["request_range"])}
             for item in request.get("failure", [])
         ]
-        return {"header": _format_header(self.state.revision), "responses": responses}
+        return {"header": self._format_header(), "responses": responses}
 
     def _grant(self, request: JsonObject) -> JsonObject:
         ttl_s = int(request["TTL"])
@@ -198,14 +228,14 @@
         # Watches wait for the next lease that lapses, which may be this one.
         self._wake_watches()
         return {
-            "header": _format_header(self.state.revision),
+            "header": self._format_header(),
             "ID": str(lease),
             "TTL": str(ttl_s),
         }
 
     def _keep_alive(self, request: JsonObject) -> JsonObject:
         lease = int(request["ID"])
-        result = {"header": _format_header(self.state.revision), "ID": str(lease)}
+        result = {"header": self._format_header(), "ID": str(lease)}
         ttl_s = self.state.keep_lease(lease)
         if ttl_s > 0:
             result["TTL"] = str(ttl_s)
@@ -213,7 +243,7 @@
 
     def _revoke(self, request: JsonObject) -> JsonObject:
         self.state.revoke_lease(int(request["ID"]))
-        return {"header": _format_header(self.state.revision)}
+        return {"header": self._format_header()}
 
     async def _watch(
         self, request: JsonObject, receive: ASGIReceiveCallable, send: ASGISendCallable
@@ -234,7 +264,8 @@
     ) -> None:
         key, range_end = _decode(create["key"]), _decode(create.get("range_end", ""))
         start = int(create.get("start_revision", 0)) or self.state.revision + 1
-        while not self.faults.down:
+        state = self.state
+        while not self.faults.down and self.state is state:
             if start < self.state.oldest_revision:
                 await _send_line(send, self._make_compacted_result())
                 break
@@ -258,8 +289,11 @@
         oldest = str(self.state.oldest_revision)
         return {**self._make_result(), "canceled": True, "compact_revision": oldest}
 
+    def _format_header(self) -> JsonObject:
+        return _format_header(self.state)
+
     def _make_result(self) -> JsonObject:
-        return {"header": _format_header(self.state.revision), "watch_id": "0"}
+        return {"header": self._format_header(), "watch_id": "0"}
 
     def _wake_watches(self) -> None:
         self._changed.set()
@@ -305,6 +339,21 @@
     await send({"type": "http.response.body", "body": line, "more_body": True})
 
 
+def _validate(model: type[_Model], document: JsonObject) -> _Model:
+    try:
+        return model.model_validate(document)
+    except ValidationError as error:
+        raise _Refusal(400, _GRPC_INVALID_ARGUMENT, str(error)) from error
+
+
+def _parse_compare(item: JsonObject) -> Compare | ValueCompare:
+    key = _decode(item["key"])
+    if item.get("target", "MOD") == "VALUE":
+        result = ValueResult(item.get("result", ValueResult.EQUAL))
+        return ValueCompare(key, result, _decode(item.get("value", "")))
+    return Compare(key, int(item.get("mod_revision", 0)))
+
+
 def _parse_change(item: JsonObject) -> Put | Delete:
     if "request_delete_range" in item:
         return Delete(_decode(item["request_delete_range"]["key"]))
@@ -315,14 +364,6 @@
     return Put(_decode(put["key"]), value, int(put.get("lease", 0)))
 
 
-def _format_range(items: list[StoredItem], revision: int) -> JsonObject:
-    return {
-        "header": _format_header(revision),
-        "kvs": [_format_item(item) for item in items],
-        "count": str(len(items)),
-    }
-
-
 def _format_events(events: list[StoredEvent]) -> list[JsonObject]:
     return [
         {"type": "DELETE" if event.is_delete else "PUT", "kv": _format_item(event.item)}
@@ -341,8 +382,13 @@
     }
 
 
-def _format_header(revision: int) -> JsonObject:
-    return {"revision": str(revision)}
+def _format_header(state: KeyValueState) -> JsonObject:
+    return {
+        "cluster_id": str(state.cluster_id),
+        "member_id": "1",
+        "revision": str(state.revision),
+        "raft_term": "2",
+    }
 
 
 def _format_refusal(refusal: _Refusal) -> JsonObject:
--- a/src/hyssopvane/_internal/standins/key_value_state.py
+++ b/src/hyssopvane/_internal/standins/key_value_state.py
@@ -1,8 +1,11 @@
 """Keep the keys, leases and history of the stand-in key-value service."""
 
+import itertools
+import operator
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from enum import StrEnum
 
 MAX_HISTORY = 100_000
 """Events kept for watches that start in the past."""
@@ -36,6 +39,32 @@
     mod_revision: int
 
 
+class ValueResult(StrEnum):
+    """Name how etcd compares a value with a given one."""
+
+    EQUAL = "EQUAL"
+    GREATER = "GREATER"
+    LESS = "LESS"
+    NOT_EQUAL = "NOT_EQUAL"
+
+
+_VALUE_RESULTS = {
+    ValueResult.EQUAL: operator.eq,
+    ValueResult.GREATER: operator.gt,
+    ValueResult.LESS: operator.lt,
+    ValueResult.NOT_EQUAL: operator.ne,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class ValueCompare:
+    """Expect a key's value to compare in some way with a given one."""
+
+    key: bytes
+    result: ValueResult
+    value: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Put:
     """Write one key."""
@@ -62,11 +91,17 @@
     """Report a lease that never was or has lapsed."""
 
 
+_cluster_ids = itertools.count(1)
+
+
 class KeyValueState:
     """Apply calls one after another, each at its own revision."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, clock: Callable[[], float], *, cluster_id: int | None = None
+    ) -> None:
         self._clock = clock
+        self.cluster_id = next(_cluster_ids) if cluster_id is None else cluster_id
         self._items: dict[bytes, StoredItem] = {}
         self._leases: dict[int, _Lease] = {}
         self._next_lease = 1
@@ -88,7 +123,9 @@
         return [item for item in found if item.mod_revision >= min_mod_revision]
 
     def commit(
-        self, compares: Iterable[Compare], changes: Iterable[Put | Delete]
+        self,
+        compares: Iterable[Compare | ValueCompare],
+        changes: Iterable[Put | Delete],
     ) -> bool:
         """Carry out all changes at one revision if every key is as expected."""
         self.expire_leases()
@@ -159,13 +196,31 @@
 
     def copy_items(self) -> "KeyValueState":
         """Return a copy that later changes do not reach."""
-        copy = KeyValueState(self._clock)
+        copy = KeyValueState(self._clock, cluster_id=self.cluster_id)
         copy._items = dict(self._items)
         copy.revision = self.revision
         return copy
 
-    def _holds(self, compare: Compare) -> bool:
+    def copy_whole(self) -> "KeyValueState":
+        """Return a copy with leases and history, from which the service can go on."""
+        copy = self.copy_items()
+        copy._leases = {
+            lease: _Lease(held.ttl_s, self._clock() + held.ttl_s)
+            for lease, held in self._leases.items()
+        }
+        copy._next_lease = self._next_lease
+        copy._history = self._history.copy()
+        return copy
+
+    def begin_cluster(self) -> None:
+        """Take a new identity, as a cluster does that is restored from a copy."""
+        self.cluster_id += next(_cluster_ids)
+
+    def _holds(self, compare: Compare | ValueCompare) -> bool:
         item = self._items.get(compare.key)
+        if isinstance(compare, ValueCompare):
+            matches = _VALUE_RESULTS[compare.result]
+            return item is not None and bool(matches(item.value, compare.value))
         return (item.mod_revision if item else 0) == compare.mod_revision
 
     def _apply(self, changes: list[Put | Delete]) -> None:
--- a/src/hyssopvane/_internal/state/beliefs.py
+++ b/src/hyssopvane/_internal/state/beliefs.py
@@ -2,14 +2,7 @@
 
 from dataclasses import dataclass
 
-
-@dataclass(frozen=True, slots=True, order=True)
-class StoreMark:
-    """Name a point in the store's history; any point of a later era comes later."""
-
-    era: int
-    """How often the store had come back from an older copy; 0 where not told."""
-    revision: int
+from hyssopvane._internal.state.store_mark import StoreMark
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/hyssopvane/_internal/state/store_mark.py
@@ -0,0 +1,12 @@
+"""Order what a key-value service has said."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class StoreMark:
+    """Name a point in the store's history; any point of a later era comes later."""
+
+    era: int
+    """How often the store had come back from an older copy; 0 where not told."""
+    revision: int
--- a/tests/lib/fake_key_value.py
+++ b/tests/lib/fake_key_value.py
@@ -6,7 +6,10 @@
 
 import trio
 
-from hyssopvane._internal.coordination.etcd_key_value import get_range_end
+from hyssopvane._internal.coordination.etcd_key_value import (
+    get_range_end,
+    list_value_bounds,
+)
 from hyssopvane._internal.coordination.key_value import (
     Check,
     KeyValue,
@@ -17,6 +20,13 @@
     Swapped,
     WatchEvent,
 )
+from hyssopvane._internal.coordination.service_era import (
+    ERA_KEY,
+    ServiceEra,
+    format_record,
+    parse_record,
+    plan_record,
+)
 from hyssopvane._internal.exceptions import KeyValueUnavailable, KeyValueUnknown
 from hyssopvane._internal.standins.key_value_state import (
     Compare,
@@ -24,6 +34,8 @@
     KeyValueState,
     Put,
     StoredItem,
+    ValueCompare,
+    ValueResult,
 )
 
 LATE_S = 0.5
@@ -56,13 +68,34 @@
         choose_delay: Callable[[], float] = lambda: 0.0,
         older: KeyValueState | None = None,
     ) -> None:
-        self.state = state
+        self._state = state
+        self._era = ServiceEra()
+        self._is_recorded = False
         self.calls = 0
         self._nursery = nursery
         self._choose_fault = choose_fault
         self._choose_delay = choose_delay
         self._older = older or state.copy_items()
 
+    @property
+    def state(self) -> KeyValueState:
+        """Return the state that the service is in."""
+        return self._state
+
+    @state.setter
+    def state(self, state: KeyValueState) -> None:
+        """Come back from a copy; the restored cluster has an identity of its own."""
+        if state is not self._state and state.cluster_id == self._state.cluster_id:
+            state.begin_cluster()
+        self._state = state
+
+    @property
+    def era(self) -> int:
+        return self._era.era
+
+    async def wait_past_era(self, era: int) -> None:
+        await self._era.wait_past(era)
+
     async def start(self, nursery: trio.Nursery) -> None:
         pass
 
@@ -70,15 +103,16 @@
         pass
 
     async def get(self, key: str) -> KeyValue | None:
-        state = await self._read()
-        items = [to_key_value(item) for item in state.get_range(key.encode())]
+        state, era = await self._read()
+        items = [to_key_value(item, era) for item in state.get_range(key.encode())]
         return items[0] if items else None
 
     async def get_prefix(self, prefix: str, *, min_revision: int = 0) -> Snapshot:
-        state = await self._read()
+        state, era = await self._read()
         key = prefix.encode()
-        items = state.get_range(key, get_range_end(key), min_revision)
-        return Snapshot(state.revision, tuple(to_key_value(item) for item in items))
+        found = state.get_range(key, get_range_end(key), min_revision)
+        items = tuple(to_key_value(item, era) for item in found)
+        return Snapshot(state.revision, items, era)
 
     async def compare_and_swap(
         self, swaps: Sequence[Swap], *, checks: Sequence[Check] = ()
@@ -87,7 +121,10 @@
         if fault is Fault.LATE_WRITE:
             self._nursery.start_soon(self._swap_late, swaps, checks)
         elif fault is not Fault.LOST_WRITE:
+            before = self.era
             swapped = self._swap(swaps, checks)
+            if before not in {0, self.era}:
+                raise KeyValueUnknown("the service has come back from a copy meanwhile")
             if fault is not Fault.LOST_REPLY:
                 return swapped
         assert fault not in {Fault.NONE, Fault.STALE_READ}, "an answer is due"
@@ -103,7 +140,7 @@
         self.state.revoke_lease(lease)
 
     def end_watches(self, era: int) -> None:
-        pass
+        self._era.note_era(era)
 
     @asynccontextmanager
     async def watch(
@@ -115,7 +152,7 @@
         # A watch with a fault stays open and silent.
         if fault is Fault.NONE:
             arguments = (prefix, start_revision, send, scope)
-            self._nursery.start_soon(self._send_changes, *arguments)
+            self._nursery.start_soon(self._send_changes, *arguments, era)
         try:
             yield receive
         finally:
@@ -127,14 +164,16 @@
         start: int,
         send: trio.MemorySendChannel[WatchEvent],
         scope: trio.CancelScope,
+        era: int,
     ) -> None:
         key = prefix.encode()
-        with scope:
-            while True:
+        state = self.state
+        with scope, send:
+            while self.state is state:
                 for event in self.state.get_events(start, key, get_range_end(key)):
                     item = to_key_value(event.item)
                     value = None if event.is_delete else item.value
-                    send.send_nowait(WatchEvent(item.key, value, item.revision))
+                    send.send_nowait(WatchEvent(item.key, value, item.revision, era))
                 start = max(start, self.state.revision + 1)
                 await trio.sleep(0.01)
 
@@ -146,12 +185,32 @@
             raise KeyValueUnavailable("the service is down")
         return fault
 
-    async def _read(self) -> KeyValueState:
+    async def _read(self) -> tuple[KeyValueState, int]:
         if await self._begin() is Fault.STALE_READ:
-            return self._older
+            if self._era.is_past(self._older.cluster_id):
+                raise KeyValueUnavailable("the service has come back from a copy")
+            return self._older, self._find_era(self._older)
         copy = self.state.copy_items()
         self._older = copy
-        return copy
+        return copy, self._find_era(self.state)
+
+    def _find_era(self, state: KeyValueState, *, writes: bool = False) -> int:
+        """Follow the era as the real client does, by calls that never fail."""
+        is_current = self._era.is_current(state.cluster_id)
+        if is_current and (not writes or self._is_recorded):
+            return self.era
+        items = state.get_range(ERA_KEY.encode())
+        found = parse_record(items[0].value) if items else None
+        known = self._era.record
+        due = known
+        if due is None or not is_current:
+            due = plan_record(found, state.cluster_id, known)
+        if due != found and (writes or found is not None or known is not None):
+            self.state.commit([], [Put(ERA_KEY.encode(), format_record(due))])
+            found = due
+        self._is_recorded = found == due
+        self._era.adopt(due)
+        return self.era
 
     async def _swap_late(self, swaps: Sequence[Swap], checks: Sequence[Check]) -> None:
         await trio.sleep(LATE_S)
@@ -160,8 +219,9 @@
     def _swap(
         self, swaps: Sequence[Swap], checks: Sequence[Check]
     ) -> Swapped | SwapLost:
+        self._find_era(self.state, writes=True)
         compared: tuple[Swap | Check, ...] = (*swaps, *checks)
-        compares = [Compare(c.key.encode(), c.expected_revision) for c in compared]
+        compares = [one for item in compared for one in make_compares(item)]
         changes = [
             Delete(s.key.encode())
             if s.value is None
@@ -169,10 +229,21 @@
             for s in swaps
         ]
         if self.state.commit(compares, changes):
-            return Swapped(self.state.revision)
-        found = [item for c in compares for item in self.state.get_range(c.key)]
-        return SwapLost(tuple(to_key_value(item) for item in found))
+            return Swapped(self.state.revision, self.era)
+        keys = [item.key.encode() for item in compared]
+        found = [item for key in keys for item in self.state.get_range(key)]
+        return SwapLost(tuple(to_key_value(item, self.era) for item in found), self.era)
+
+
+def make_compares(item: Swap | Check) -> list[Compare | ValueCompare]:
+    key, prefix = item.key.encode(), item.expected_prefix
+    if not prefix:
+        return [Compare(key, item.expected_revision)]
+    return [
+        ValueCompare(key, ValueResult(result), bound)
+        for result, bound in list_value_bounds(prefix)
+    ]
 
 
-def to_key_value(item: StoredItem) -> KeyValue:
-    return KeyValue(item.key.decode(), item.value, item.mod_revision)
+def to_key_value(item: StoredItem, era: int = 0) -> KeyValue:
+    return KeyValue(item.key.decode(), item.value, item.mod_revision, era)
