Order the table by the service's era, and keep lost edits in force by cell

What callers and operators saw: after the key-value service had come back from an older copy, an edit that was accepted then was left out wherever a lost one of its revision was known (the listed test_edit_accepted_after_the_service_lost_some_comes_into_force: weight 5 instead of 7), and an edit of one cell could undo another on its page that had been in force.

Cause: readers, editors, deltas, questions between peers, heartbeats, agents' rows and the status knew a page by its revision alone, and the service gives revisions out again.

Now each of them compares StoreMark (era and revision), as the direct path does. A reader keeps the last version of a page of each era while it has edits that the service lost, and joins them cell by cell; peers pass the versions on, and the digest shows who lacks one. An edit that was sent before its editor knew of the return is numbered anew before it counts as accepted.

What it costs: an era (1 to 8 bytes) in a beat, heartbeat, page and row; nothing else before the first return.

--- a/src/hyssopvane/_internal/coordination/etcd_key_value.py
+++ b/src/hyssopvane/_internal/coordination/etcd_key_value.py
@@ -2,8 +2,9 @@
 
 import json
 import math
+import time
 from base64 import b64decode, b64encode
-from collections.abc import AsyncIterator, Iterator, Sequence
+from collections.abc import AsyncIterator, Callable, Iterator, Sequence
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
 from typing import Any, TypeAlias
@@ -25,10 +26,12 @@
 )
 from hyssopvane._internal.coordination.service_era import (
     ERA_KEY,
+    FIRST_ERA,
     NO_CLUSTER,
     EraRecord,
     ServiceEra,
     format_record,
+    make_era,
     parse_record,
     plan_record,
 )
@@ -108,8 +111,15 @@
 class EtcdKeyValueStore(KeyValueStore):
     """Call the key-value service at one address."""
 
-    def __init__(self, address: str, *, timeout_s: float = DEFAULT_TIMEOUT_S) -> None:
+    def __init__(
+        self,
+        address: str,
+        *,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
         self._address = address
+        self._wall_clock = wall_clock
         self._timeout_s = timeout_s
         self._pool = httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS)
         self._nursery: trio.Nursery | None = None
@@ -304,7 +314,9 @@
         while not self._era.is_current(header.cluster):
             found = await self._read_record()
             header = found.header
-            due = plan_record(found.record, header.cluster, self._era.record)
+            due = plan_record(
+                found.record, header.cluster, self._era.record, now=self._wall_clock()
+            )
             is_first = found.record is None and self._era.record is None
             if due == found.record or is_first:
                 self._is_recorded = not is_first
@@ -331,7 +343,7 @@
             return []
         if self._era.record is not None and not self._era.is_current(cluster):
             return []
-        record = self._era.record or plan_record(None, cluster, None)
+        record = self._era.record or EraRecord(FIRST_ERA, cluster)
         return [Swap(ERA_KEY, format_record(record), ABSENT)]
 
     async def _look_for_return(self, highest: int, *, is_certain: bool) -> None:
@@ -349,7 +361,7 @@
         if not is_certain and not await self._is_behind(highest, found):
             return
         found = await self._read_record()
-        due = EraRecord(known.era + 1, known.cluster)
+        due = EraRecord(make_era(known.era, self._wall_clock()), known.cluster)
         if await self._write_record(due, found.revision):
             self._adopt(due, found.header.revision)
 
--- a/src/hyssopvane/_internal/coordination/key_value.py
+++ b/src/hyssopvane/_internal/coordination/key_value.py
@@ -42,7 +42,7 @@
     revision: int
     items: tuple[KeyValue, ...]
     era: int = 0
-    """How often the service has come back from an older copy; 0 where not told."""
+    """Number of the era, higher after each return from a copy; 0 where not told."""
 
     @property
     def mark(self) -> StoreMark:
--- a/src/hyssopvane/_internal/coordination/own_rows.py
+++ b/src/hyssopvane/_internal/coordination/own_rows.py
@@ -1,10 +1,11 @@
 """Give each agent the rows of the table that concern it."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from hyssopvane._internal.coordination.spread_messages import OwnRow, OwnRows
 from hyssopvane._internal.coordination.table_pages import get_page_key
 from hyssopvane._internal.state.columns import COLUMNS, RowId, RowKind
+from hyssopvane._internal.state.store_mark import StoreMark
 from hyssopvane._internal.state.table import (
     Row,
     ServiceRow,
@@ -22,7 +23,11 @@
 
 
 def select_own_rows(
-    table: Table, revisions: Mapping[str, int], *, vm: str, service: str
+    table: Table,
+    marks: Mapping[str, Sequence[StoreMark]],
+    *,
+    vm: str,
+    service: str,
 ) -> OwnRows:
     """Return the rows of an agent's target and service, as of their pages' revisions.
 
@@ -31,14 +36,24 @@
     """
     rows = (RowId(RowKind.TARGET, vm), RowId(RowKind.SERVICE, service))
     return OwnRows(
-        table.revision, tuple(_describe(table, revisions, row) for row in rows)
+        table.revision,
+        tuple(_describe(table, marks, row) for row in rows),
+        table.era,
     )
 
 
-def _describe(table: Table, revisions: Mapping[str, int], row: RowId) -> OwnRow:
+def _describe(
+    table: Table, marks: Mapping[str, Sequence[StoreMark]], row: RowId
+) -> OwnRow:
     found = table.get_rows(row.kind).get(row.name)
-    page_revision = revisions.get(get_page_key(row), 0)
-    return OwnRow(str(row), page_revision, _format_cells(found, row.kind))
+    newest, *lost = marks.get(get_page_key(row), (StoreMark(0, 0),))
+    return OwnRow(
+        str(row),
+        newest.revision,
+        _format_cells(found, row.kind),
+        newest.era,
+        sum(mark.revision for mark in lost),
+    )
 
 
 def _format_cells(row: Row | None, kind: RowKind) -> dict[str, str] | None:
@@ -51,11 +66,16 @@
     """Hold the rows that concern this agent; never go back to older ones."""
 
     def __init__(self, *, vm: str, service: str) -> None:
-        self.revision = 0
-        """Highest revision of the table that an entry told, with these rows of it."""
+        self.mark = StoreMark(0, 0)
+        """Last mark of the table that an entry told, with these rows of it."""
         self.target = TargetRow(vm)
         self.service = ServiceRow(service)
-        self._page_revisions: dict[str, int] = {}
+        self._orders: dict[str, tuple[StoreMark, int]] = {}
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the table's mark."""
+        return self.mark.revision
 
     @property
     def takes_work(self) -> bool:
@@ -67,17 +87,18 @@
         for row in rows.rows:
             # Several entries tell; one of them may lag behind the others. To follow it
             # would take a target into service again that an operator took out.
-            if row.page_revision > self._page_revisions.get(row.row, -1):
+            known = self._orders.get(row.row)
+            if known is None or row.order > known:
                 self._put(row)
-        self.note_revision(rows.table_revision)
+        self.note_mark(StoreMark(rows.table_era, rows.table_revision))
 
-    def note_revision(self, revision: int) -> None:
-        """Take note of the revision that an entry has.
+    def note_mark(self, mark: StoreMark) -> None:
+        """Take note of the mark of the table that an entry has.
 
         An entry sends changed rows before the heartbeat with their revision, on the
         same connection, so that a heartbeat never speaks of rows that are missing here.
         """
-        self.revision = max(self.revision, revision)
+        self.mark = max(self.mark, mark)
 
     def describe(self) -> dict[str, object]:
         """Return the rows in force as texts."""
@@ -101,4 +122,4 @@
             self.target = built
         elif isinstance(built, ServiceRow) and name == self.service.name:
             self.service = built
-        self._page_revisions[row.row] = row.page_revision
+        self._orders[row.row] = row.order
--- a/src/hyssopvane/_internal/coordination/page_delta.py
+++ b/src/hyssopvane/_internal/coordination/page_delta.py
@@ -6,13 +6,14 @@
 """
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import xxhash
 
 from hyssopvane._internal.coordination.key_value import KeyValue
 from hyssopvane._internal.exceptions import ProtocolError
+from hyssopvane._internal.state.store_mark import StoreMark
 
 WHOLE = 0
 """Base of a change that carries the whole page."""
@@ -32,27 +33,26 @@
     digest: int
     """Hash of the page after the change."""
     content: bytes
+    era: int = 0
+    """Era of the service that both revisions belong to."""
 
 
 def make_whole(item: KeyValue) -> PageChange:
     """Return a change that needs no earlier page."""
-    return PageChange(
-        item.key, WHOLE, item.revision, hash_value(item.value), item.value
-    )
+    digest = hash_value(item.value)
+    return PageChange(item.key, WHOLE, item.revision, digest, item.value, item.era)
 
 
 def make_change(before: KeyValue | None, after: KeyValue) -> PageChange:
     """Return the smaller of the changed rows and the whole page."""
     whole = make_whole(after)
-    if before is None:
+    if before is None or before.era != after.era:
         return whole
     try:
         content = _make_delta(json.loads(before.value), json.loads(after.value))
     except (ValueError, KeyError, TypeError, AttributeError):
         return whole
-    change = PageChange(
-        after.key, before.revision, after.revision, whole.digest, content
-    )
+    change = replace(whole, base_revision=before.revision, content=content)
     if len(content) >= len(after.value) or apply_change(before, change) is None:
         return whole
     return change
@@ -62,7 +62,7 @@
     """Return the page after a change, None when the change builds on another page."""
     value = change.content
     if change.base_revision != WHOLE:
-        if before is None or before.revision != change.base_revision:
+        if before is None or before.mark != StoreMark(change.era, change.base_revision):
             return None
         try:
             value = _apply_delta(json.loads(before.value), json.loads(value))
@@ -70,7 +70,7 @@
             raise ProtocolError("a change of a page can't be read") from error
     if hash_value(value) != change.digest:
         return None
-    return KeyValue(change.key, value, change.revision)
+    return KeyValue(change.key, value, change.revision, change.era)
 
 
 def hash_value(value: bytes) -> int:
--- a/src/hyssopvane/_internal/coordination/service_era.py
+++ b/src/hyssopvane/_internal/coordination/service_era.py
@@ -18,6 +18,8 @@
 
 FIRST_ERA = 1
 
+_MILLISECONDS = 1_000
+
 
 @dataclass(frozen=True, slots=True)
 class EraRecord:
@@ -42,12 +44,13 @@
 
 
 def plan_record(
-    found: EraRecord | None, cluster: int, known: EraRecord | None
+    found: EraRecord | None, cluster: int, known: EraRecord | None, *, now: float
 ) -> EraRecord:
     """Return the record that is due for a cluster; any other than found is written.
 
-    `known` is what this process held before it heard of the cluster. A copy may lack
-    the record of the last era, so the number also goes past what processes remember.
+    `known` is what this process held before it heard of the cluster, `now` the time in
+    seconds since 1970. A copy may lack the records of several eras, of which a process
+    that has just started knows nothing; so a later era is numbered by its time.
     """
     if found is None and known is None:
         return EraRecord(FIRST_ERA, cluster)
@@ -55,7 +58,12 @@
         if known is None or known == found or known.era < found.era:
             return found
     highest = max(one.era for one in (found, known) if one is not None)
-    return EraRecord(highest + 1, cluster)
+    return EraRecord(make_era(highest, now), cluster)
+
+
+def make_era(highest: int, now: float) -> int:
+    """Return the number of an era that begins now: milliseconds since 1970."""
+    return max(highest + 1, int(now * _MILLISECONDS))
 
 
 class ServiceEra:
--- a/src/hyssopvane/_internal/coordination/spread.py
+++ b/src/hyssopvane/_internal/coordination/spread.py
@@ -36,6 +36,7 @@
     ProtocolError,
 )
 from hyssopvane._internal.policy.watchers import Duties, plan_duties
+from hyssopvane._internal.state.store_mark import StoreMark
 from hyssopvane._internal.state.table import Table
 
 # Control traffic at the target: 25,000 changes a day are 0.29 a second, a zone has 69
@@ -110,6 +111,7 @@
         get_vms_digest: Callable[[], int] = lambda: 0,
         compare_vms: Callable[[int], None] = lambda digest: None,
     ) -> None:
+        self._store = store
         self._get_vms_digest = get_vms_digest
         self._compare_vms = compare_vms
         self._neighbours = neighbours
@@ -233,6 +235,7 @@
             self.reader.digest,
             in_touch=heard_s <= self.reader.refresh_s + BEAT_S,
             vms_digest=self._get_vms_digest(),
+            era=self.table.era,
         )
 
     def _tell_all(self, beat: Beat) -> None:
@@ -245,7 +248,7 @@
         except ProtocolError as error:
             self._report(error)
             return
-        self.compare(vm, beat.revision, beat.digest)
+        self.compare(vm, beat.mark, beat.digest)
         last = self._last_beats.get(beat.origin)
         if last is not None and last[0] == beat.incarnation:
             if beat.sequence <= last[1]:
@@ -261,6 +264,7 @@
             revision=self.table.revision,
             digest=self.reader.digest,
             vms_digest=self._get_vms_digest(),
+            era=self.table.era,
         )
         self._tell_all(own)
 
@@ -283,35 +287,37 @@
         newer = [
             item
             for item in self.reader.get_pages()
-            if item.revision > held.get(item.key, 0)
+            if item.revision > held.get((item.key, item.era), 0)
         ]
-        chosen = _take_bounded(sorted(newer, key=lambda item: item.revision))
+        chosen = _take_bounded(sorted(newer, key=lambda item: item.mark))
         changes = tuple(make_whole(item) for item in chosen)
         return encode_pages(Pages(changes, more=len(chosen) < len(newer)))
 
-    def compare(self, vm: str, revision: int, digest: int | None = None) -> None:
+    def compare(self, vm: str, mark: StoreMark, digest: int | None = None) -> None:
         """Ask a peer for what it has and this entry lacks, unless that comes by itself.
 
-        The revision alone does not show a page that is missing beneath a newer one;
-        the digest does.
+        The mark alone does not show a page that is missing beneath a newer one, nor one
+        that the service has lost; the digest does.
         """
-        if self._is_behind(revision, digest) and self._nursery is not None:
-            self._nursery.start_soon(self._ask_when_behind, vm, revision, digest)
-
-    def _is_behind(self, revision: int, digest: int | None) -> bool:
-        if revision != self.table.revision:
-            return revision > self.table.revision
+        if mark.era > self.table.era:
+            self._store.end_watches(mark.era)
+        if self._is_behind(mark, digest) and self._nursery is not None:
+            self._nursery.start_soon(self._ask_when_behind, vm, mark, digest)
+
+    def _is_behind(self, mark: StoreMark, digest: int | None) -> bool:
+        if mark != self.table.mark:
+            return mark > self.table.mark
         return digest is not None and digest != self.reader.digest
 
     async def _ask_when_behind(
-        self, vm: str, revision: int, digest: int | None
+        self, vm: str, mark: StoreMark, digest: int | None
     ) -> None:
         if self._asking:
             return
         self._asking = True
         try:
             await trio.sleep(GRACE_S)
-            if self._is_behind(revision, digest):
+            if self._is_behind(mark, digest):
                 await self._catch_up(vm)
         finally:
             self._asking = False
@@ -325,7 +331,7 @@
         try:
             with trio.move_on_after(ASK_TIMEOUT_S):
                 while more:
-                    question = encode_question(self.reader.get_revisions())
+                    question = encode_question(self.reader.get_held_marks())
                     answer = await self._neighbours.ask(vm, QUESTION_TOPIC, question)
                     if not answer:
                         return
@@ -341,7 +347,7 @@
         items: list[KeyValue] = []
         whole = True
         for change in changes:
-            before = self.reader.get_page(change.key)
+            before = self.reader.get_page(change.key, change.era)
             if before is not None and change.revision <= before.revision:
                 continue
             item = apply_change(before, change)
--- a/src/hyssopvane/_internal/coordination/spread_messages.py
+++ b/src/hyssopvane/_internal/coordination/spread_messages.py
@@ -1,6 +1,6 @@
 """Encode what processes tell one another about the table."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeVar
@@ -10,6 +10,7 @@
 from hyssopvane._internal.coordination.vm_list import VmRecord, VmRole, VmState
 from hyssopvane._internal.exceptions import ProtocolError
 from hyssopvane._internal.protocol.codec import load_schema
+from hyssopvane._internal.state.store_mark import StoreMark
 
 _SCHEMA_FILE = Path(protocol.__file__).with_name("spread.capnp")
 _Decoded = TypeVar("_Decoded")
@@ -36,6 +37,13 @@
     """Whether the watcher is in touch with the service."""
     vms_digest: int = 0
     """Hash of the sender's list of VMs."""
+    era: int = 0
+    """Era of the service that the revision belongs to."""
+
+    @property
+    def mark(self) -> StoreMark:
+        """Return the point of the service's history that the sender's table is of."""
+        return StoreMark(self.era, self.revision)
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +62,17 @@
     page_revision: int
     cells: Mapping[str, str] | None
     """None when the table has no such row."""
+    page_era: int = 0
+    lost_revision: int = 0
+    """Sum of the revisions of earlier eras that the sender holds of the page.
+
+    What the service has lost is learnt from peers after the page itself.
+    """
+
+    @property
+    def order(self) -> tuple[StoreMark, int]:
+        """Return what orders the words of several senders on the row."""
+        return StoreMark(self.page_era, self.page_revision), self.lost_revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +81,7 @@
 
     table_revision: int
     rows: tuple[OwnRow, ...]
+    table_era: int = 0
 
 
 def encode_pages(pages: Pages) -> bytes:
@@ -75,6 +95,7 @@
         builder.revision = change.revision
         builder.digest = change.digest
         builder.content = change.content
+        builder.era = change.era
     return _pack(message)
 
 
@@ -89,6 +110,7 @@
                 one.revision,
                 one.digest,
                 bytes(one.content),
+                one.era,
             )
             for one in message.changes
         )
@@ -97,21 +119,25 @@
     return _unpack("Pages", data, read)
 
 
-def encode_question(held: Mapping[str, int]) -> bytes:
-    """Encode the revision of each page that the asker has."""
+def encode_question(held: Mapping[str, Sequence[StoreMark]]) -> bytes:
+    """Encode the marks of the versions of each page that the asker has."""
     message = load_schema(_SCHEMA_FILE).Question.new_message()
-    builders = message.init("held", len(held))
-    for builder, (key, revision) in zip(builders, held.items(), strict=True):
-        builder.key, builder.revision = key, revision
+    states = [(key, mark) for key, marks in held.items() for mark in marks]
+    builders = message.init("held", len(states))
+    for builder, (key, mark) in zip(builders, states, strict=True):
+        builder.key, builder.era, builder.revision = key, mark.era, mark.revision
     return _pack(message)
 
 
-def decode_question(data: bytes) -> dict[str, int]:
-    """Decode the revision of each page that the asker has; raise `ProtocolError`."""
+def decode_question(data: bytes) -> dict[tuple[str, int], int]:
+    """Decode the revision of each page and era that the asker has.
+
+    Raise `ProtocolError` when it is no question.
+    """
     return _unpack(
         "Question",
         data,
-        lambda message: {one.key: one.revision for one in message.held},
+        lambda message: {(one.key, one.era): one.revision for one in message.held},
     )
 
 
@@ -125,6 +151,7 @@
         digest=beat.digest,
         inTouch=beat.in_touch,
         vmsDigest=beat.vms_digest,
+        era=beat.era,
     )
     return _pack(message)
 
@@ -142,6 +169,7 @@
             one.digest,
             one.inTouch,
             one.vmsDigest,
+            one.era,
         ),
     )
 
@@ -187,10 +215,13 @@
     """Encode the rows that concern one agent."""
     message = load_schema(_SCHEMA_FILE).OwnRows.new_message()
     message.tableRevision = rows.table_revision
+    message.tableEra = rows.table_era
     builders = message.init("rows", len(rows.rows))
     for builder, row in zip(builders, rows.rows, strict=True):
         builder.row = row.row
         builder.pageRevision = row.page_revision
+        builder.pageEra = row.page_era
+        builder.lostRevision = row.lost_revision
         builder.present = row.cells is not None
         _write_cells(builder, row.cells or {})
     return _pack(message)
@@ -205,10 +236,12 @@
                 one.row,
                 one.pageRevision,
                 {cell.column: cell.text for cell in one.cells} if one.present else None,
+                one.pageEra,
+                one.lostRevision,
             )
             for one in message.rows
         )
-        return OwnRows(message.tableRevision, rows)
+        return OwnRows(message.tableRevision, rows, message.tableEra)
 
     return _unpack("OwnRows", data, read)
 
--- a/src/hyssopvane/_internal/coordination/table_edit.py
+++ b/src/hyssopvane/_internal/coordination/table_edit.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 
+from hyssopvane._internal.coordination.service_era import FIRST_ERA
 from hyssopvane._internal.coordination.table_pages import (
     Cell,
     Page,
@@ -89,12 +90,14 @@
     )
 
 
-def apply_edit(edit: TableEdit, pages: Pages, base: EditBase) -> dict[str, Page]:
+def apply_edit(
+    edit: TableEdit, pages: Pages, base: EditBase, *, era: int = FIRST_ERA
+) -> dict[str, Page]:
     """Return the pages that the edit changes, or refuse it whole."""
     _check_rows(edit, pages)
     _check_base(edit, pages, base)
     changed = {
-        key: pages[key].begin_edit(edit.edit_id)
+        key: pages[key].begin_edit(edit.edit_id, era=era)
         for key in {get_page_key(row) for row in edit.get_rows()}
     }
     for row in (*edit.added, *edit.ensured):
@@ -107,6 +110,30 @@
     return changed
 
 
+def renumber_edit(edit: TableEdit, pages: Pages, era: int) -> dict[str, Page]:
+    """Return the pages of a committed edit with the revisions of a later era.
+
+    An edit that was sent before its editor knew of the service's return has a revision
+    that a lost edit may have had, and would not come into force where that is known.
+    """
+    changed = {
+        key: pages[key].begin_edit(edit.edit_id, era=era)
+        for key in {get_page_key(row) for row in edit.get_rows()}
+    }
+    for row in {*edit.added, *edit.ensured}:
+        stored = _find_row(changed, row)
+        if stored is not None:
+            key = get_page_key(row)
+            added = replace(stored, revision=changed[key].sequence)
+            changed[key] = changed[key].with_row(row, added)
+    for write in edit.writes:
+        stored = _find_row(changed, write.cell.row)
+        cell = stored.cells.get(write.cell.column) if stored else None
+        if cell is not None and cell.text == _format_text(write):
+            _write_cell(changed, write)
+    return changed
+
+
 def _check_rows(edit: TableEdit, pages: Pages) -> None:
     for row in edit.added:
         if _find_row(pages, row) is not None:
@@ -161,14 +188,18 @@
     row, name = write.cell.row, write.cell.column
     key = get_page_key(row)
     stored = pages[key].rows[row]
-    # The stored text is the canonical one, so equal values read alike everywhere.
-    column = get_column(row.kind, name)
-    text = column.format(column.parse(write.text, row=row))
-    cell = Cell(text, pages[key].sequence)
+    cell = Cell(_format_text(write), pages[key].sequence)
     cells = {**stored.cells, name: cell}
     pages[key] = pages[key].with_row(row, replace(stored, cells=cells))
 
 
+def _format_text(write: CellWrite) -> str:
+    # The stored text is the canonical one, so equal values read alike everywhere.
+    row = write.cell.row
+    column = get_column(row.kind, write.cell.column)
+    return column.format(column.parse(write.text, row=row))
+
+
 def _find_row(pages: Pages, row: RowId) -> StoredRow | None:
     return pages[get_page_key(row)].rows.get(row)
 
--- a/src/hyssopvane/_internal/coordination/table_pages.py
+++ b/src/hyssopvane/_internal/coordination/table_pages.py
@@ -7,8 +7,10 @@
 import xxhash
 
 from hyssopvane._internal.coordination.key_value import MAX_VALUE_BYTES, KeyValue
+from hyssopvane._internal.coordination.service_era import FIRST_ERA
 from hyssopvane._internal.exceptions import TableError
 from hyssopvane._internal.state.columns import COLUMNS, RowId, RowKind
+from hyssopvane._internal.state.store_mark import StoreMark
 from hyssopvane._internal.state.table import (
     CustomerRow,
     Row,
@@ -34,6 +36,13 @@
 MAX_RECENT_EDITS = 32
 """Edit ids that a page remembers, to resolve a reply that was lost."""
 
+SEQUENCES_OF_AN_ERA = 1_000
+"""Sequences between the numbers of two eras, which are a millisecond apart.
+
+A page that comes back from a copy goes on with higher ones, so that whatever is written
+later has a higher revision than an edit that was lost.
+"""
+
 _FORMAT = 1
 
 
@@ -63,6 +72,14 @@
         return {name: cell.text for name, cell in self.cells.items()}
 
 
+@dataclass(frozen=True, slots=True)
+class PageEra:
+    """Say how far a page had come when an era of the service began."""
+
+    era: int
+    copied_sequence: int
+
+
 @dataclass(frozen=True, slots=True)
 class Page:
     """Hold the rows of one page.
@@ -75,11 +92,21 @@
     sequence: int = 0
     recent_edits: tuple[str, ...] = ()
     rows: Mapping[RowId, StoredRow] = field(default_factory=dict)
+    eras: tuple[PageEra, ...] = ()
+    """Later eras of the service in which the page was edited."""
 
-    def begin_edit(self, edit_id: str) -> "Page":
+    def begin_edit(self, edit_id: str, *, era: int = FIRST_ERA) -> "Page":
         """Return the page with its sequence raised and the edit remembered."""
         recent = (*self.recent_edits, edit_id)[-MAX_RECENT_EDITS:]
-        return replace(self, sequence=self.sequence + 1, recent_edits=recent)
+        sequence, eras = self.sequence, self.eras
+        if not self.is_edited_in(era):
+            eras = (*eras, PageEra(era, sequence))
+            sequence = max(sequence, (era - FIRST_ERA) * SEQUENCES_OF_AN_ERA)
+        return replace(self, sequence=sequence + 1, recent_edits=recent, eras=eras)
+
+    def is_edited_in(self, era: int) -> bool:
+        """Tell whether an edit of this era, or of a later one, is in the page."""
+        return era <= max([FIRST_ERA, *(one.era for one in self.eras)])
 
     def with_row(self, row: RowId, stored: StoredRow) -> "Page":
         """Return the page with one row replaced."""
@@ -109,12 +136,14 @@
         ]
         for row, stored in sorted(page.rows.items(), key=lambda item: str(item[0]))
     }
-    document = {
+    document: dict[str, object] = {
         "format": _FORMAT,
         "sequence": page.sequence,
         "recent_edits": list(page.recent_edits),
-        "rows": rows,
     }
+    if page.eras:
+        document["eras"] = [[one.era, one.copied_sequence] for one in page.eras]
+    document["rows"] = rows
     content = json.dumps(document, separators=(",", ":")).encode()
     if len(content) > MAX_PAGE_BYTES:
         raise TableError(
@@ -135,6 +164,7 @@
             sequence=int(document["sequence"]),
             recent_edits=tuple(document["recent_edits"]),
             rows=dict(_parse_row(*pair) for pair in document["rows"].items()),
+            eras=tuple(PageEra(*map(int, one)) for one in document.get("eras", ())),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise TableError(
@@ -144,6 +174,12 @@
         ) from error
 
 
+def read_page_prefix(value: bytes) -> bytes:
+    """Return the first bytes of a page, which name its last edit; none where unread."""
+    head, rows, _ = value.partition(b',"rows":')
+    return head if rows else b""
+
+
 def _parse_row(name: str, document: list[object]) -> tuple[RowId, StoredRow]:
     kind, _, row_name = name.partition("/")
     revision, cells = document
@@ -167,9 +203,10 @@
     services: Mapping[str, ServiceRow]
     targets: Mapping[str, TargetRow]
     revisions: Mapping[RowId, RowRevisions]
+    era: int = 0
 
 
-def build_parsed_page(page: Page, revision: int) -> ParsedPage:
+def build_parsed_page(page: Page, revision: int, *, era: int = 0) -> ParsedPage:
     """Parse each row of a page; raise `TableError` for a bad cell."""
     rows = [_build_known_cells(row, stored) for row, stored in page.rows.items()]
     return ParsedPage(
@@ -184,6 +221,7 @@
             )
             for row, stored in page.rows.items()
         },
+        era=era,
     )
 
 
@@ -196,16 +234,16 @@
 
 
 def build_table(pages: Iterable[ParsedPage]) -> Table:
-    """Join pages to the table; its revision is the highest of theirs."""
-    revision = 0
+    """Join pages to the table; its mark is the last of theirs."""
+    mark = StoreMark(0, 0)
     customers: dict[str, CustomerRow] = {}
     services: dict[str, ServiceRow] = {}
     targets: dict[str, TargetRow] = {}
     revisions: dict[RowId, RowRevisions] = {}
     for page in pages:
-        revision = max(revision, page.revision)
+        mark = max(mark, StoreMark(page.era, page.revision))
         customers.update(page.customers)
         services.update(page.services)
         targets.update(page.targets)
         revisions.update(page.revisions)
-    return Table(revision, customers, services, targets, revisions)
+    return Table(mark.revision, customers, services, targets, revisions, mark.era)
--- a/src/hyssopvane/_internal/coordination/table_store.py
+++ b/src/hyssopvane/_internal/coordination/table_store.py
@@ -17,12 +17,14 @@
     Swapped,
     WatchEvent,
 )
+from hyssopvane._internal.coordination.lost_edits import merge_versions
 from hyssopvane._internal.coordination.table_edit import (
     EditBase,
     Pages,
     TableEdit,
     apply_edit,
     check_edit,
+    renumber_edit,
     take_base,
 )
 from hyssopvane._internal.coordination.table_pages import (
@@ -35,6 +37,7 @@
     format_page,
     get_page_key,
     parse_page,
+    read_page_prefix,
 )
 from hyssopvane._internal.exceptions import (
     HyssopvaneError,
@@ -43,6 +46,7 @@
     KeyValueUnknown,
     TableError,
 )
+from hyssopvane._internal.state.store_mark import StoreMark
 from hyssopvane._internal.state.table import Table, check_references
 from hyssopvane._internal.utils.backoff import Backoff
 
@@ -77,6 +81,9 @@
 
     pages: Pages
     revisions: Mapping[str, int]
+    prefixes: Mapping[str, bytes]
+    """First bytes of the pages that are there."""
+    era: int
 
     def find_edit(self, keys: set[str], edit_id: str) -> int | None:
         """Return the revision of a page that remembers the edit."""
@@ -117,6 +124,8 @@
         self._keys = {get_page_key(row) for row in edit.get_rows()}
         self._base: EditBase | None = None
         self._seen: dict[str, KeyValue] = {}
+        self._sent_in: int | None = None
+        """Era of the service that the last write was prepared in."""
         self._lost_reply: KeyValueUnknown | None = None
 
     async def run(self, give_up_s: float) -> EditAccepted:
@@ -144,10 +153,14 @@
         read = await self._read_pages()
         found = read.find_edit(self._keys, self._edit.edit_id)
         if found is not None:
-            return EditAccepted(found)
+            if self._sent_in in {None, read.era}:
+                return EditAccepted(found)
+            return await self._swap(
+                read, renumber_edit(self._edit, read.pages, read.era)
+            )
         if self._base is None:
             self._base = take_base(self._edit, read.pages)
-        changed = apply_edit(self._edit, read.pages, self._base)
+        changed = apply_edit(self._edit, read.pages, self._base, era=read.era)
         if self._edit.needs_whole_table():
             _check_whole_table(read, changed)
         return await self._swap(read, changed)
@@ -156,10 +169,16 @@
         self, read: _PagesRead, changed: Mapping[str, Page]
     ) -> EditAccepted | None:
         swaps = [
-            Swap(key, format_page(page), read.revisions[key])
+            Swap(
+                key,
+                format_page(page),
+                read.revisions[key],
+                expected_prefix=read.prefixes.get(key, b""),
+            )
             for key, page in sorted(changed.items())
         ]
         _check_size(swaps)
+        self._sent_in = read.era
         result = await self._store.compare_and_swap(
             swaps, checks=self._make_checks(read, changed)
         )
@@ -179,27 +198,42 @@
         if not self._edit.needs_whole_table():
             return []
         others = sorted(read.revisions.keys() - changed.keys())
-        return [Check(key, read.revisions[key]) for key in others]
+        return [
+            Check(key, read.revisions[key], read.prefixes.get(key, b""))
+            for key in others
+        ]
 
     async def _read_pages(self) -> _PagesRead:
-        if self._edit.needs_whole_table():
-            self._remember((await self._store.get_prefix(PAGE_PREFIX)).items)
-        else:
-            for key in sorted(self._keys):
-                item = await self._store.get(key)
-                self._remember([item] if item else [])
+        while True:
+            before = self._store.era
+            await self._load_pages()
+            era = self._store.era
+            if before in {0, era}:
+                break
+            # What was seen before a return orders nothing of what is there now.
+            self._seen.clear()
         keys = {*_get_page_keys(), *self._keys}
         seen = self._seen
         return _PagesRead(
             {key: parse_page(seen[key]) if key in seen else Page() for key in keys},
             {key: seen[key].revision if key in seen else ABSENT for key in keys},
+            {key: read_page_prefix(item.value) for key, item in seen.items()},
+            era,
         )
 
+    async def _load_pages(self) -> None:
+        if self._edit.needs_whole_table():
+            self._remember((await self._store.get_prefix(PAGE_PREFIX)).items)
+            return
+        for key in sorted(self._keys):
+            item = await self._store.get(key)
+            self._remember([item] if item else [])
+
     def _remember(self, items: Sequence[KeyValue]) -> None:
         # A stale read must not hide what a lost swap has already shown.
         for item in items:
             known = self._seen.get(item.key)
-            if known is None or item.revision > known.revision:
+            if known is None or item.mark > known.mark:
                 self._seen[item.key] = item
 
     def _make_give_up_error(self) -> HyssopvaneError:
@@ -289,8 +323,12 @@
         self.refresh_s = refresh_s
         self._observe = observe
         self._pages: dict[str, ParsedPage] = {}
-        self._items: dict[str, KeyValue] = {}
-        self._read_revision = 0
+        self._versions: dict[str, dict[int, KeyValue]] = {}
+        """Last version of each page by the era of the service.
+
+        Those of earlier eras are kept while they have edits that the service lost.
+        """
+        self._read_mark = StoreMark(0, 0)
         self.heard_at = -math.inf
         """Clock value at which the service was last heard."""
         self.digest = 0
@@ -315,8 +353,8 @@
     async def _load_and_watch(self, send: trio.MemorySendChannel[Table]) -> None:
         if await self._load():
             await send.send(self.table)
-        start_revision = self._read_revision + 1
-        async with self._store.watch(PAGE_PREFIX, start_revision) as events:
+        start, era = self._read_mark.revision + 1, self._read_mark.era
+        async with self._store.watch(PAGE_PREFIX, start, era=era) as events:
             while True:
                 items: list[KeyValue] | None = None
                 with trio.move_on_after(self.refresh_s):
@@ -333,13 +371,13 @@
                     # work, or every reader would load the table many times a second.
                     return
                 self._backoff.reset()
-                self._note_read(max(item.revision for item in items))
+                self._note_read(max(item.mark for item in items))
                 if self.accept(items):
                     await send.send(self.table)
 
     async def _load(self) -> bool:
         snapshot = await self._store.get_prefix(PAGE_PREFIX)
-        self._note_read(snapshot.revision)
+        self._note_read(snapshot.mark)
         return self.accept(snapshot.items)
 
     async def refresh(self) -> bool:
@@ -352,57 +390,93 @@
         # never be asked for, and an operator would see one cell in force without the
         # one that was set before it.
         snapshot = await self._store.get_prefix(
-            PAGE_PREFIX, min_revision=self._read_revision + 1
+            PAGE_PREFIX, min_revision=self._read_mark.revision + 1
         )
-        self._note_read(snapshot.revision)
+        if snapshot.era != self._read_mark.era and self._read_mark.era:
+            # The service came back from a copy, in which all revisions may be lower.
+            await self._load()
+            return True
+        self._note_read(snapshot.mark)
         self.accept(snapshot.items)
         return bool(snapshot.items)
 
-    def _note_read(self, revision: int) -> None:
+    def _note_read(self, mark: StoreMark) -> None:
         # A stale read is of an earlier revision than was already read.
-        self._read_revision = max(self._read_revision, revision)
+        self._read_mark = max(self._read_mark, mark)
         self.heard_at = trio.current_time()
 
-    def get_page(self, key: str) -> KeyValue | None:
-        """Return a page in force."""
-        return self._items.get(key)
+    def get_page(self, key: str, era: int) -> KeyValue | None:
+        """Return the last version of a page in an era."""
+        return self._versions.get(key, {}).get(era)
 
     def get_revisions(self) -> dict[str, int]:
         """Return the revision of each page in force."""
-        return {key: item.revision for key, item in self._items.items()}
+        return {key: page.revision for key, page in self._pages.items()}
+
+    def get_held_marks(self) -> dict[str, tuple[StoreMark, ...]]:
+        """Return the marks of all versions of each page, the last one first."""
+        return {
+            key: tuple(sorted((item.mark for item in versions.values()), reverse=True))
+            for key, versions in self._versions.items()
+        }
 
     def get_pages(self, *, min_revision: int = 0) -> tuple[KeyValue, ...]:
-        """Return the pages in force that are at least as new, to pass on to peers."""
-        items = self._items.values()
-        return tuple(item for item in items if item.revision >= min_revision)
+        """Return the versions that are at least as new, to pass them on to peers."""
+        return tuple(
+            item
+            for versions in self._versions.values()
+            for item in versions.values()
+            if item.revision >= min_revision
+        )
 
     def accept(self, items: Sequence[KeyValue]) -> bool:
         """Take newer pages over, also from a peer; return whether there were any."""
         steps: list[PageStep] = []
         for item in items:
-            known = self._pages.get(item.key)
+            known = self.get_page(item.key, item.era)
             # A stale read or a watch that starts in the past shows older pages. To
             # take one over would bring back a limit that an operator has replaced.
             if known is not None and item.revision <= known.revision:
                 continue
+            versions = {**self._versions.get(item.key, {}), item.era: item}
             try:
-                page = build_parsed_page(parse_page(item), item.revision)
+                kept, page = _merge(versions)
             except TableError as error:
                 # The other pages still come into force.
                 self._report(error)
                 continue
-            steps.append(PageStep(self._items.get(item.key), item))
+            if item.era not in kept:
+                # All that it has is in the later versions, too.
+                continue
+            steps.append(PageStep(known, item))
+            self._versions[item.key] = kept
             self._pages[item.key] = page
-            self._items[item.key] = item
         if steps:
             self.table = build_table(self._pages.values())
-            self.digest = _hash_revisions(self.get_revisions())
+            self.digest = _hash_marks(self.get_held_marks())
             self._observe(steps)
         return bool(steps)
 
 
-def _hash_revisions(revisions: Mapping[str, int]) -> int:
-    text = ",".join(f"{key}={revisions[key]}" for key in sorted(revisions))
+def _merge(versions: Mapping[int, KeyValue]) -> tuple[dict[int, KeyValue], ParsedPage]:
+    """Return the versions that are still needed, and the page that is in force."""
+    newest = versions[max(versions)]
+    pages = {era: parse_page(item) for era, item in versions.items()}
+    merged = merge_versions(pages)
+    kept = dict(versions)
+    for era in sorted(versions.keys() - {newest.era}):
+        rest = {other: pages[other] for other in kept if other != era}
+        if merge_versions(rest) == merged:
+            del kept[era]
+    return kept, build_parsed_page(merged, newest.revision, era=newest.era)
+
+
+def _hash_marks(marks: Mapping[str, Sequence[StoreMark]]) -> int:
+    text = ",".join(
+        f"{key}={mark.era}.{mark.revision}"
+        for key in sorted(marks)
+        for mark in marks[key]
+    )
     return xxhash.xxh3_64_intdigest(text.encode())
 
 
@@ -416,7 +490,9 @@
         while True:
             # Pages are never deleted. Should one vanish, its last state stays.
             if event.value is not None:
-                items.append(KeyValue(event.key, event.value, event.revision))
+                items.append(
+                    KeyValue(event.key, event.value, event.revision, event.era)
+                )
             event = events.receive_nowait()
     except (trio.EndOfChannel, trio.WouldBlock):
         return items
--- a/src/hyssopvane/_internal/protocol/codec.py
+++ b/src/hyssopvane/_internal/protocol/codec.py
@@ -110,6 +110,7 @@
     heartbeat.running = message.running
     heartbeat.tokensInFlight = message.tokens_in_flight
     heartbeat.leaving = message.leaving
+    heartbeat.tableEra = message.table_era
 
 
 def _read_heartbeat(reader: Any) -> Heartbeat:
@@ -120,6 +121,7 @@
         running=heartbeat.running,
         tokens_in_flight=heartbeat.tokensInFlight,
         leaving=heartbeat.leaving,
+        table_era=heartbeat.tableEra,
     )
 
 
--- a/src/hyssopvane/_internal/protocol/messages.py
+++ b/src/hyssopvane/_internal/protocol/messages.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from hyssopvane._internal.state.store_mark import StoreMark
+
 PROTOCOL_VERSION = 1
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -30,6 +32,13 @@
     running: int = 0
     tokens_in_flight: int = 0
     leaving: bool = False
+    table_era: int = 0
+    """Era of the key-value service that the table's revision belongs to."""
+
+    @property
+    def table_mark(self) -> StoreMark:
+        """Return the point of the service's history that the table is of."""
+        return StoreMark(self.table_era, self.table_revision)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hyssopvane/_internal/protocol/peer.capnp
+++ b/src/hyssopvane/_internal/protocol/peer.capnp
@@ -44,6 +44,7 @@
   running @2 :UInt32;
   tokensInFlight @3 :UInt64;
   leaving @4 :Bool;
+  tableEra @5 :UInt64;
 }
 
 struct Header {
--- a/src/hyssopvane/_internal/protocol/spread.capnp
+++ b/src/hyssopvane/_internal/protocol/spread.capnp
@@ -4,6 +4,7 @@
 struct PageState {
   key @0 :Text;
   revision @1 :UInt64;
+  era @2 :UInt64;
 }
 
 struct PageChange {
@@ -13,6 +14,8 @@
   revision @2 :UInt64;
   digest @3 :UInt64;
   content @4 :Data;
+  era @5 :UInt64;
+  # Era of the service that both revisions belong to.
 }
 
 struct Pages {
@@ -35,6 +38,7 @@
   # Revision and digest are the sender's own.
   inTouch @5 :Bool;
   vmsDigest @6 :UInt64;
+  era @7 :UInt64;
 }
 
 struct Cell {
@@ -47,11 +51,14 @@
   pageRevision @1 :UInt64;
   present @2 :Bool;
   cells @3 :List(Cell);
+  pageEra @4 :UInt64;
+  lostRevision @5 :UInt64;
 }
 
 struct OwnRows {
   tableRevision @0 :UInt64;
   rows @1 :List(OwnRow);
+  tableEra @2 :UInt64;
 }
 
 struct ListedVm {
--- a/src/hyssopvane/_internal/roles/agent.py
+++ b/src/hyssopvane/_internal/roles/agent.py
@@ -181,6 +181,7 @@
         return Heartbeat(
             sequence=0,
             table_revision=self.rows.revision,
+            table_era=self.rows.mark.era,
             running=self._count_running(),
             leaving=self.refuses_work,
         )
@@ -189,7 +190,7 @@
         """Take note of the table that an entry has."""
         # A heartbeat may overtake the rows on a connection that was just opened.
         if peer in self._tellers:
-            self.rows.note_revision(heartbeat.table_revision)
+            self.rows.note_mark(heartbeat.table_mark)
 
     def _receive_rows(self, peer: PeerConnection, body: bytes) -> None:
         try:
--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -239,6 +239,7 @@
         return Heartbeat(
             sequence=0,
             table_revision=self.sharing.spread.table.revision,
+            table_era=self.sharing.spread.table.era,
             leaving=self.leaving,
         )
 
@@ -249,6 +250,7 @@
             digest=self.sharing.spread.reader.digest,
             leaving=self.leaving,
             running=self.scheduler.count_requests(),
+            era=self.sharing.spread.table.era,
         )
 
     def receive_heartbeat(self, peer: PeerConnection, heartbeat: Heartbeat) -> None:
--- a/src/hyssopvane/_internal/roles/read_back.py
+++ b/src/hyssopvane/_internal/roles/read_back.py
@@ -133,6 +133,7 @@
                     heartbeat.table_revision,
                     leaving=heartbeat.leaving,
                     running=heartbeat.running,
+                    era=heartbeat.table_era,
                 )
 
     async def _answer_status(self, peer: PeerConnection, body: bytes) -> bytes:
--- a/src/hyssopvane/_internal/roles/table_sharing.py
+++ b/src/hyssopvane/_internal/roles/table_sharing.py
@@ -106,7 +106,7 @@
     def receive_heartbeat(self, peer: PeerConnection, heartbeat: Heartbeat) -> None:
         """Notice that another entry has a newer table."""
         if peer.peer is not None:
-            self.spread.compare(peer.peer.vm, heartbeat.table_revision)
+            self.spread.compare(peer.peer.vm, heartbeat.table_mark)
 
     async def _show_table(self, query: Mapping[str, str]) -> object:
         table = self.spread.table
@@ -125,7 +125,7 @@
             return
         rows = select_own_rows(
             self.spread.table,
-            self.spread.reader.get_revisions(),
+            self.spread.reader.get_held_marks(),
             vm=vm,
             service=self._services[vm],
         )
--- a/src/hyssopvane/_internal/state/store_mark.py
+++ b/src/hyssopvane/_internal/state/store_mark.py
@@ -8,5 +8,5 @@
     """Name a point in the store's history; any point of a later era comes later."""
 
     era: int
-    """How often the store had come back from an older copy; 0 where not told."""
+    """Number of the era, higher after each return from a copy; 0 where not told."""
     revision: int
--- a/src/hyssopvane/_internal/state/table.py
+++ b/src/hyssopvane/_internal/state/table.py
@@ -12,6 +12,7 @@
     RowKind,
     get_column,
 )
+from hyssopvane._internal.state.store_mark import StoreMark
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +115,13 @@
     revisions: Mapping[RowId, RowRevisions] = field(
         default_factory=lambda: MappingProxyType({})
     )
+    era: int = 0
+    """Era of the service that the revision belongs to."""
+
+    @property
+    def mark(self) -> StoreMark:
+        """Return the point of the service's history that the table is of."""
+        return StoreMark(self.era, self.revision)
 
     def get_rows(self, kind: RowKind) -> Mapping[str, Row]:
         """Return the rows of one kind by name."""
--- a/src/hyssopvane/_internal/state/vm_status.py
+++ b/src/hyssopvane/_internal/state/vm_status.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from hyssopvane._internal.state.store_mark import StoreMark
+
 
 class InForce(StrEnum):
     """Name how a VM stands to the newest table that any VM has."""
@@ -25,6 +27,13 @@
     """Hash of the revisions of all pages; 0 for an agent, which has no pages."""
     leaving: bool = False
     running: int = 0
+    era: int = 0
+    """Era of the service that the revision belongs to."""
+
+    @property
+    def mark(self) -> StoreMark:
+        """Return the point of the service's history that the table is of."""
+        return StoreMark(self.era, self.revision)
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,12 +75,12 @@
     known: dict[str, VmReport] = {}
     for report in reports:
         other = known.get(report.vm)
-        if other is None or report.revision > other.revision:
+        if other is None or report.mark > other.mark:
             known[report.vm] = report
-    newest = max((report.revision for report in known.values()), default=0)
+    newest = max((report.mark for report in known.values()), default=StoreMark(0, 0))
     digest = _find_usual_digest(known, newest)
     return FleetStatus(
-        newest,
+        newest.revision,
         tuple(
             _build_line(one, known.get(one.vm), newest, digest)
             for one in sorted(vms, key=lambda one: (one.availability_zone, one.vm))
@@ -79,15 +88,15 @@
     )
 
 
-def _find_usual_digest(known: Mapping[str, VmReport], newest: int) -> int:
+def _find_usual_digest(known: Mapping[str, VmReport], newest: StoreMark) -> int:
     digests = [
-        one.digest for one in known.values() if one.revision == newest and one.digest
+        one.digest for one in known.values() if one.mark == newest and one.digest
     ]
     return max(digests, key=digests.count, default=0)
 
 
 def _build_line(
-    listed: ListedVm, report: VmReport | None, newest: int, digest: int
+    listed: ListedVm, report: VmReport | None, newest: StoreMark, digest: int
 ) -> VmStatus:
     revision = report.revision if report else 0
     return VmStatus(
@@ -96,17 +105,18 @@
         availability_zone=listed.availability_zone,
         listed_state=listed.listed_state,
         revision=revision,
-        lag=newest - revision,
+        # Revisions of an earlier era may be higher.
+        lag=max(0, newest.revision - revision),
         in_force=_compare(report, newest, digest),
         leaving=report.leaving if report else False,
         running=report.running if report else 0,
     )
 
 
-def _compare(report: VmReport | None, newest: int, digest: int) -> InForce:
+def _compare(report: VmReport | None, newest: StoreMark, digest: int) -> InForce:
     if report is None:
         return InForce.NO_ANSWER
-    if report.revision < newest:
+    if report.mark < newest:
         return InForce.BEHIND
     if report.digest and report.digest != digest:
         return InForce.INCOMPLETE
--- a/tests/functional/test_service_return.py
+++ b/tests/functional/test_service_return.py
@@ -164,7 +164,8 @@
     run_with_stores(address, run)
 
 
-A1, B2, C2 = EraRecord(1, 11), EraRecord(2, 12), EraRecord(2, 13)
+NOW, NOW_ERA = 7.0, 7_000
+A1, B2, C9 = EraRecord(1, 11), EraRecord(2, 12), EraRecord(9_000, 13)
 
 
 @pytest.mark.parametrize(
@@ -173,13 +174,13 @@
         (None, 11, None, A1),
         (A1, 11, None, A1),
         (A1, 11, A1, A1),
-        (A1, 12, None, B2),
-        (A1, 12, A1, B2),
+        (A1, 12, None, EraRecord(NOW_ERA, 12)),
+        (A1, 12, A1, EraRecord(NOW_ERA, 12)),
         (B2, 12, A1, B2),
-        (None, 12, A1, B2),
-        (A1, 13, B2, EraRecord(3, 13)),
-        (C2, 13, B2, EraRecord(3, 13)),
+        (None, 12, A1, EraRecord(NOW_ERA, 12)),
+        (A1, 12, C9, EraRecord(9_001, 12)),
+        (B2, 12, C9, EraRecord(9_001, 12)),
     ],
 )
 def test_record_goes_past_all_eras_that_are_known(found, cluster, known, due):
-    assert plan_record(found, cluster, known) == due
+    assert plan_record(found, cluster, known, now=NOW) == due
--- a/tests/lib/fake_fleet.py
+++ b/tests/lib/fake_fleet.py
@@ -16,6 +16,7 @@
 from hyssopvane._internal.coordination.table_pages import PAGE_PREFIX
 from hyssopvane._internal.exceptions import PeerLost
 from hyssopvane._internal.standins.key_value_state import KeyValueState
+from hyssopvane._internal.state.store_mark import StoreMark
 from hyssopvane._internal.state.table import Table
 from tests.lib.fake_key_value import FakeKeyValueStore, Fault
 
@@ -35,6 +36,7 @@
     stale: bool = False
     notices_lost: bool = False
     in_force: dict[str, int] = field(default_factory=dict)
+    marks: dict[str, StoreMark] = field(default_factory=dict)
     first_in_force: dict[str, int] | None = None
 
 
@@ -75,6 +77,7 @@
         self._nursery = nursery
         self._seed = seed
         self._started = 0
+        self._stores: list[FakeKeyValueStore] = []
         self._stale_state: KeyValueState | None = None
 
     def keep_stale(self) -> None:
@@ -83,12 +86,21 @@
 
     def make_store(self, member: Member | None = None) -> FakeKeyValueStore:
         """Return a store that has the faults of the service and of one member."""
-        return FakeKeyValueStore(
+        store = FakeKeyValueStore(
             self.state,
             self._nursery,
             choose_fault=partial(self._choose_fault, member),
             older=self._stale_state,
         )
+        self._stores.append(store)
+        return store
+
+    def come_back(self, copy: KeyValueState) -> None:
+        """Let the service come back from a copy, with an identity of its own."""
+        self.state = copy.copy_items()
+        self.state.begin_cluster()
+        for store in self._stores:
+            store.state = self.state
 
     def start(self, zone: str = ZONES[0], *, stale: bool = False) -> Member:
         """Start a new entry and put it into the list of VMs."""
@@ -136,9 +148,11 @@
 
     def _observe(self, member: Member, table: Table) -> None:
         assert member.spread is not None
-        revisions = member.spread.reader.get_revisions()
-        for key, revision in member.in_force.items():
-            assert revisions[key] >= revision, f"{member.name} went back at {key}"
+        reader = member.spread.reader
+        revisions, marks = reader.get_revisions(), reader.get_held_marks()
+        for key, mark in member.marks.items():
+            assert marks[key][0] >= mark, f"{member.name} went back at {key}"
+        member.marks = {key: held[0] for key, held in marks.items()}
         member.in_force = revisions
         if member.first_in_force is None:
             member.first_in_force = revisions
--- a/tests/lib/fake_key_value.py
+++ b/tests/lib/fake_key_value.py
@@ -214,7 +214,8 @@
         known = self._era.record
         due = known
         if due is None or not is_current:
-            due = plan_record(found, state.cluster_id, known)
+            now = trio.current_time()
+            due = plan_record(found, state.cluster_id, known, now=now)
         if due != found and (writes or found is not None or known is not None):
             self.state.commit([], [Put(ERA_KEY.encode(), format_record(due))])
             found = due
