Share quarantined bodies again when the service has come back from a copy

What callers saw: a body that had crashed two targets and was refused was sent to targets again after the service's return, or was refused by one entry and crashed targets by another: what entries wrote since the return was not heard where a lost revision of the page was known.

Cause: the page was ordered by its revision alone, as the table was. Found by looking for that cause elsewhere; test_entries_agree_over_a_return_of_the_service failed on the code before in both cases.

The page is now ordered by era and revision and named by its content when it is written. In a new era an entry drops nothing that it knew to be shared, and shares it again.

--- a/src/hyssopvane/_internal/coordination/quarantine.py
+++ b/src/hyssopvane/_internal/coordination/quarantine.py
@@ -23,6 +23,7 @@
     SuspectBook,
     combine,
 )
+from hyssopvane._internal.state.store_mark import StoreMark
 from hyssopvane._internal.utils.backoff import Backoff
 
 PAGE_PREFIX = "quarantine/"
@@ -64,7 +65,9 @@
         self._report = report
         self._wall_clock = wall_clock
         self._refresh_s = refresh_s
-        self._revision = ABSENT
+        self._mark = StoreMark(0, ABSENT)
+        self._prefix = b""
+        """First bytes of the page at the mark."""
         self._shared: Cases = {}
 
     async def run(self) -> None:
@@ -85,14 +88,17 @@
 
     async def _load_and_watch(self) -> None:
         snapshot = await self._store.get_prefix(PAGE_PREFIX)
+        self._follow_era(snapshot.era)
         for item in snapshot.items:
             self._accept(item)
-        start_revision = snapshot.revision + 1
-        async with self._store.watch(PAGE_PREFIX, start_revision) as events:
+        start, era = snapshot.revision + 1, snapshot.era
+        async with self._store.watch(PAGE_PREFIX, start, era=era) as events:
             with trio.move_on_after(self._refresh_s * self._random.uniform(0.8, 1.2)):
                 async for event in events:
                     if event.value is not None:
-                        self._accept(KeyValue(event.key, event.value, event.revision))
+                        self._accept(
+                            KeyValue(event.key, event.value, event.revision, event.era)
+                        )
 
     async def _flush_changes(self) -> None:
         backoff = Backoff(self._random, first_s=0.02)
@@ -118,22 +124,39 @@
             if cases == self._shared:
                 return
             content = format_page(cases, offset=self._get_offset())
-            result = await self._store.compare_and_swap(
-                [Swap(PAGE_KEY, content, self._revision)]
+            swap = Swap(
+                PAGE_KEY, content, self._mark.revision, expected_prefix=self._prefix
             )
+            result = await self._store.compare_and_swap([swap])
             if isinstance(result, Swapped):
-                self._revision = result.revision
+                self._mark = StoreMark(result.era, result.revision)
+                self._prefix = content[:-1]
                 self._shared = cases
                 return
-            # The answer shows the page as it is, also after a restore to an older one.
-            self._revision = ABSENT
+            # The answer shows the page as it is, also after a return to an older one.
+            self._follow_era(result.era)
+            self._mark = StoreMark(result.era, ABSENT)
+            self._prefix = b""
             for item in result.current:
                 self._accept(item)
+            # What this entry shares again after a return goes with the next try.
+            bodies |= self._book.take_changes()
+
+    def _follow_era(self, era: int) -> None:
+        """Share again what the service may have lost by coming back from a copy."""
+        if era <= self._mark.era:
+            return
+        if self._mark.era:
+            self._book.return_changes(self._shared)
+            self._shared = {}
+        self._mark = StoreMark(era, ABSENT)
+        self._prefix = b""
 
     def _accept(self, item: KeyValue) -> None:
         """Take over a newer page."""
-        if item.key != PAGE_KEY or item.revision <= self._revision:
+        if item.key != PAGE_KEY or item.mark <= self._mark:
             return
+        self._follow_era(item.era)
         now, offset = trio.current_time(), self._get_offset()
         try:
             cases = parse_page(item.value, offset=offset)
@@ -146,7 +169,8 @@
                     hint="nothing to do unless it comes again",
                 )
             )
-            self._revision = item.revision
+            self._mark = item.mark
+            self._prefix = item.value[:-1]
             return
         for body in self._shared.keys() - cases.keys():
             self._book.drop(body)
@@ -154,7 +178,8 @@
             quarantine_s = self._get_quarantine_s(body.service)
             self._book.merge(body, case, quarantine_s=quarantine_s, now=now)
         self._shared = cases
-        self._revision = item.revision
+        self._mark = item.mark
+        self._prefix = item.value[:-1]
 
     def _get_offset(self) -> float:
         """Return what turns clock values of this process into shared times."""
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -40,14 +40,16 @@
 
 
 @asynccontextmanager
-async def share_books(count, *, state=None, choose_fault=choose_no_fault):
+async def share_books(count, *, state=None, choose_fault=choose_no_fault, stores=None):
     """Run some entries' shares; their clocks differ from the wall clock."""
     state = state or KeyValueState(trio.current_time)
     books = [SuspectBook() for _ in range(count)]
+    stores = [] if stores is None else stores
     async with trio.open_nursery() as nursery:
         for number, book in enumerate(books):
+            stores.append(FakeKeyValueStore(state, nursery, choose_fault=choose_fault))
             share = QuarantineShare(
-                FakeKeyValueStore(state, nursery, choose_fault=choose_fault),
+                stores[-1],
                 book,
                 random=Random(number),
                 get_quarantine_s=lambda service: QUARANTINE_S,
@@ -207,3 +209,42 @@
                 assert count_suspecting(books, body) in (0, 3)
 
     run_mocked(run)
+
+
+@pytest.mark.parametrize("lost_first", [True, False])
+def test_entries_agree_over_a_return_of_the_service(lost_first):
+    """Guards against cases that the service lost, or that nobody hears after it."""
+    early = BodyId("draft", b"early")
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        stores = []
+        async with share_books(3, state=state, stores=stores) as books:
+            note_crash(books[0], "t9", early)
+            await trio.sleep(SPREAD_S)
+            copy = state.copy_items()
+            for number in range(4):
+                note_crash(books[1], "t8", BodyId("draft", bytes([number])))
+                await trio.sleep(SPREAD_S)
+            if lost_first:
+                note_crash(books[0], "t0")
+                note_crash(books[0], "t1")
+                await trio.sleep(SPREAD_S)
+                assert count_quarantined(books) == 3
+            copy.begin_cluster()
+            for store in stores:
+                store.state = copy
+            await trio.sleep(2.0)
+            if not lost_first:
+                note_crash(books[1], "t0")
+                note_crash(books[1], "t1")
+                await trio.sleep(SPREAD_S)
+            assert count_quarantined(books) == 3
+            assert count_suspecting(books, early) == 3
+            books[2].clear(early)
+            await trio.sleep(SPREAD_S)
+            assert count_suspecting(books, early) == 0
+        async with share_books(2, state=copy) as books:
+            assert count_quarantined(books) == 2
+
+    run_mocked(run)
