Give out no fence twice, and keep decisions that the service has lost

What the fleet's operators saw: after the key-value service had come back from an older copy, a coordinator that knew a lost record proposed no map any more, and one that had just started gave out fences a second time, by which ranks take an order of one proposal for one of another.

Cause: a group's record was ordered by its revision alone, as the table was, and fences count on from the record that the service has.

Records are now ordered by era and revision and named by their content when they are written. A process that knows a record which the service has lost writes it over the older one, and fences of an era begin above those of all earlier ones.

Not proved: a coordinator without that knowledge that ends an open proposal of the copy before any rank has written the lost decision again; moves are not started by the running entry yet.

--- a/src/hyssopvane/_internal/coordination/map_records.py
+++ b/src/hyssopvane/_internal/coordination/map_records.py
@@ -41,11 +41,15 @@
     return _RECORD.dump_json(record)
 
 
-def parse_record(item: KeyValue | None) -> VersionedRecord:
-    """Read a record; a group that has none has never switched."""
+def parse_record(item: KeyValue | None, *, era: int = 0) -> VersionedRecord:
+    """Read a record; a group that has none has never switched.
+
+    `era` is the era of the service in which none was found.
+    """
     if item is None:
-        return VersionedRecord()
-    return VersionedRecord(_parse(_RECORD, item.value, item.key), item.revision)
+        return VersionedRecord(era=era)
+    record = _parse(_RECORD, item.value, item.key)
+    return VersionedRecord(record, item.revision, item.era, item.value[:-1])
 
 
 def format_map(expert_map: ExpertMap) -> bytes:
--- a/src/hyssopvane/_internal/coordination/map_switch.py
+++ b/src/hyssopvane/_internal/coordination/map_switch.py
@@ -1,6 +1,7 @@
 """Read and change the record of one group in the key-value service."""
 
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 import trio
 
@@ -22,6 +23,7 @@
     parse_map,
     parse_record,
 )
+from hyssopvane._internal.coordination.service_era import FIRST_ERA
 from hyssopvane._internal.exceptions import KeyValueUnknown
 from hyssopvane._internal.policy.expert_maps import ExpertMap
 from hyssopvane._internal.state.map_switch import (
@@ -41,6 +43,9 @@
 times in a switch; more means that the service answers wrongly.
 """
 
+FENCES_OF_AN_ERA = 1_000
+"""Fences between the numbers of two eras, so that none is given out twice."""
+
 Change = Callable[[GroupRecord], GroupRecord | None]
 
 
@@ -54,13 +59,44 @@
         self._key = get_record_key(service, group)
         self._map_prefix = get_map_key(service, group, "")
         self.known = VersionedRecord()
-        """Newest record that was read or written."""
+        """Newest record that was read or written.
+
+        Its mark is of what the service has, which may have lost the record.
+        """
+        self._is_lost = False
 
     async def read(self) -> VersionedRecord:
         """Read the record; an older state than the known one is ignored."""
-        self._learn(parse_record(await self._store.get(self._key)))
+        item = await self._store.get(self._key)
+        self._learn(parse_record(item, era=self._store.era))
+        if self._is_lost:
+            await self._restore()
         return self.known
 
+    async def _restore(self) -> None:
+        """Write a record that the service has lost, over the older one that it has.
+
+        Ranks follow it already; to go on with the older one would decide again what has
+        been decided, and two ranks of one step could use two maps.
+        """
+        result = await self._swap(self.known.record)
+        if not isinstance(result, Swapped):
+            await self._learn_current(result)
+
+    async def _swap(
+        self, record: GroupRecord, others: Sequence[Swap] = ()
+    ) -> Swapped | SwapLost:
+        value = format_record(record)
+        known = self.known
+        swap = Swap(self._key, value, known.revision, expected_prefix=known.prefix)
+        result = await self._store.compare_and_swap([swap, *others])
+        if isinstance(result, Swapped):
+            self.known = VersionedRecord(
+                record, result.revision, result.era, value[:-1]
+            )
+            self._is_lost = False
+        return result
+
     async def read_map(self, name: str) -> ExpertMap | None:
         """Return a map by its engine name."""
         key = get_map_key(self._service, self._group, name)
@@ -74,7 +110,8 @@
         maps = (await self._store.get_prefix(self._map_prefix)).items
 
         def change(record: GroupRecord) -> GroupRecord | None:
-            return propose(record, name, weights_bytes=weights_bytes)
+            least = (self._store.era - FIRST_ERA) * FENCES_OF_AN_ERA
+            return propose(record, name, weights_bytes=weights_bytes, least_fence=least)
 
         def list_swaps(record: GroupRecord) -> list[Swap]:
             assert record.proposal is not None
@@ -139,12 +176,12 @@
         """Send each new record until the watch ends."""
         await self.read()
         await changed.send(self.known)
-        start = self.known.revision + 1
-        async with self._store.watch(self._key, start) as events:
+        start, era = self.known.revision + 1, self.known.era
+        async with self._store.watch(self._key, start, era=era) as events:
             async for event in events:
                 if event.value is None:
                     continue
-                item = KeyValue(event.key, event.value, event.revision)
+                item = KeyValue(event.key, event.value, event.revision, event.era)
                 if self._learn(parse_record(item)):
                     await changed.send(self.known)
 
@@ -163,31 +200,27 @@
         is tied to a fence and a phase.
         """
         for _ in range(MAX_TRIES):
-            before = self.known.revision
+            before = self.known.mark
             changed = change(self.known.record)
             if changed is None:
-                if (await self.read()).revision == before:
+                if (await self.read()).mark == before:
                     return None
                 continue
-            swap = Swap(self._key, format_record(changed), self.known.revision)
             try:
-                result = await self._store.compare_and_swap(
-                    [swap, *list_swaps(changed)]
-                )
+                result = await self._swap(changed, list_swaps(changed))
             except KeyValueUnknown:
                 if await self._find_written(changed) and reads_back:
                     return self.known
                 continue
             if isinstance(result, Swapped):
-                self.known = VersionedRecord(changed, result.revision)
                 return self.known
             await self._learn_current(result)
         return None
 
     async def _find_written(self, changed: GroupRecord) -> bool:
-        before = self.known.revision
+        before = self.known.mark
         read = await self.read()
-        return read.revision > before and read.record == changed
+        return read.mark > before and read.record == changed
 
     async def _learn_current(self, lost: SwapLost) -> None:
         for item in lost.current:
@@ -197,7 +230,13 @@
         await self.read()
 
     def _learn(self, read: VersionedRecord) -> bool:
-        if read.revision <= self.known.revision:
+        if read.mark <= self.known.mark:
+            return False
+        came_back = 0 < self.known.era < read.era
+        if (came_back or self._is_lost) and self.known.record.is_ahead_of(read.record):
+            self._is_lost = True
+            self.known = replace(read, record=self.known.record)
             return False
+        self._is_lost = False
         self.known = read
         return True
--- a/src/hyssopvane/_internal/state/map_switch.py
+++ b/src/hyssopvane/_internal/state/map_switch.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
+from hyssopvane._internal.state.store_mark import StoreMark
+
 INITIAL_MAP = "initial"
 """Map of a group that has never switched."""
 
@@ -98,6 +100,15 @@
         used = [switch for switch in self.switches if switch.step <= step]
         return used[-1] if used else self.switches[0]
 
+    def is_ahead_of(self, other: "GroupRecord") -> bool:
+        """Tell whether the group had come further by this record."""
+        return self._get_progress() > other._get_progress()
+
+    def _get_progress(self) -> tuple[int, int, int]:
+        proposal = self.proposal
+        phase = -1 if proposal is None else list(Phase).index(proposal.phase)
+        return self.fence, self.current.fence, phase
+
     def find_switch(self, name: str) -> Switch | None:
         """Return the decided switch to the map that engines know by a name."""
         return next((one for one in self.switches if one.name == name), None)
@@ -122,7 +133,11 @@
 
 
 def propose(
-    record: GroupRecord, expert_map: str, *, weights_bytes: int = 0
+    record: GroupRecord,
+    expert_map: str,
+    *,
+    weights_bytes: int = 0,
+    least_fence: int = 0,
 ) -> GroupRecord | None:
     """Open a proposal with a new fence, or return None while one is open.
 
@@ -130,7 +145,7 @@
     """
     if record.open_proposal is not None or record.current.map == expert_map:
         return None
-    fence = record.fence + 1
+    fence = max(record.fence + 1, least_fence)
     proposal = Proposal(fence, expert_map, weights_bytes=weights_bytes)
     return replace(record, fence=fence, proposal=proposal)
 
@@ -241,6 +256,15 @@
 
     record: GroupRecord = GroupRecord()
     revision: int = 0
+    era: int = 0
+    """Era of the service in which it was read or written."""
+    prefix: bytes = b""
+    """First bytes of its value in the service."""
+
+    @property
+    def mark(self) -> StoreMark:
+        """Return the point of the service's history that orders records."""
+        return StoreMark(self.era, self.revision)
 
 
 class RankAgent:
@@ -261,7 +285,7 @@
         A read may show an old state of the record. To go back to it would stage and
         arm a proposal that has ended.
         """
-        if read.revision > self.known.revision:
+        if read.mark > self.known.mark:
             self.known = read
 
     def confirm(self, written: VersionedRecord) -> None:
--- a/tests/unit/test_map_switch_store.py
+++ b/tests/unit/test_map_switch_store.py
@@ -394,3 +394,69 @@
             await store.propose("a", MAP)
 
     run_world(run)
+
+
+async def lose_decision(world):
+    """Decide a map, and let the service come back from a copy of before."""
+    store = world.open_store("knows")
+    await store.propose("first", MAP)
+    copy = world.state.copy_items()
+    fence = store.known.record.fence
+    await store.fix_step(fence, 100)
+    await store.decide(fence)
+    world.state = copy
+    for fake in world.fakes.values():
+        fake.state = copy
+    return store
+
+
+def test_decision_that_the_service_lost_is_written_again():
+    """Guards against an older record that ranks or coordinators go back to."""
+
+    async def run(world):
+        knows = await lose_decision(world)
+        decided = (await knows.read()).record
+        assert decided.current.map == "first"
+        assert (await world.open_store("fresh").read()).record == decided
+
+    run_world(run)
+
+
+def test_coordinator_that_knows_a_lost_record_proposes_with_a_new_fence():
+    """Guards against a group that is never moved again, and a fence given out twice."""
+
+    async def run(world):
+        knows = await lose_decision(world)
+        lost_fence = knows.known.record.fence
+        proposed = await knows.propose("second", MAP)
+        assert proposed is not None
+        assert proposed.record.current.map == "first"
+        assert proposed.record.fence > lost_fence
+        fresh = world.open_store("fresh")
+        await fresh.read()
+        assert await fresh.abort(proposed.record.fence, "test") is not None
+        again = await fresh.propose("third", MAP)
+        assert again is not None
+        assert again.record.fence > proposed.record.fence
+
+    run_world(run)
+
+
+def test_coordinator_started_after_a_return_gives_out_no_lost_fence():
+    """Guards against a fence that names two proposals of a group."""
+
+    async def run(world):
+        first = world.open_store("first")
+        await first.propose("first", MAP)
+        await first.abort(first.known.record.fence, "test")
+        copy = world.state.copy_items()
+        await first.propose("lost", MAP)
+        lost_fence = first.known.record.fence
+        world.state = copy
+        for fake in world.fakes.values():
+            fake.state = copy
+        proposed = await world.open_store("fresh").propose("fresh", MAP)
+        assert proposed is not None
+        assert proposed.record.fence > lost_fence
+
+    run_world(run)
