--- a/bench/faults.py
+++ b/bench/faults.py
@@ -16,15 +16,23 @@
     parser.add_argument("--seed", type=int, default=1, help="the first seed")
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds")
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument(
+        "--returns", action="store_true", help="let the service come back from copies"
+    )
     parser.add_argument("--json", type=Path)
     options = parser.parse_args(arguments)
     reports = []
     for seed in range(options.seed, options.seed + options.seeds):
         with tempfile.TemporaryDirectory() as folder:
-            report = run_faults(Path(folder), seed=seed, seconds=options.seconds)
+            report = run_faults(
+                Path(folder),
+                seed=seed,
+                seconds=options.seconds,
+                returns=options.returns,
+            )
         reports.append(asdict(report))
         print(
-            f"seed={seed} faults={len(report.faults)} "
+            f"seed={seed} faults={len(report.faults)} returns={report.returns} "
             f"bids={report.bids_answered}/{report.bids} "
             f"streams={report.streams_whole}/{report.streams} "
             f"violations={len(report.violations)}",
--- a/src/hyssopvane/_internal/roles/agent.py
+++ b/src/hyssopvane/_internal/roles/agent.py
@@ -169,6 +169,7 @@
             "incarnation": self.incarnation,
             "leaving": self.leaving,
             "table_revision": self.rows.revision,
+            "table_era": self.rows.mark.era,
             "takes_work": not self.refuses_work,
             "rows": self.rows.describe(),
             "running": self._count_running(),
--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -231,6 +231,7 @@
             "incarnation": self.incarnation,
             "leaving": self.leaving,
             "table_revision": directory.table.revision if directory else 0,
+            "table_era": directory.table.era if directory else 0,
             "watches": self.sharing.spread.watches,
             "targets": self.scheduler.describe_targets(),
         }
--- a/tests/functional/test_random_faults.py
+++ b/tests/functional/test_random_faults.py
@@ -19,3 +19,12 @@
     assert report.violations == []
     assert report.bids_answered
     assert report.streams_whole
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_random_faults_and_returns_break_no_promise(tmp_path, seed):
+    """Guards against promises broken as the key-value service loses what it had."""
+    report = run_faults(tmp_path, seed=seed, seconds=SECONDS, returns=True)
+    assert report.violations == []
+    assert report.returns
+    assert report.streams_whole
--- a/tests/lib/fault_run.py
+++ b/tests/lib/fault_run.py
@@ -13,11 +13,13 @@
 import trio
 
 from hyssopvane._internal.standins.engine import make_token_text
+from hyssopvane._internal.state.store_mark import StoreMark
 from tests.lib.http import request
 from tests.lib.installation import (
     CHECK,
     DRAFT,
     KEY,
+    OPERATOR,
     commit_cell,
     commit_table,
     read_in_force,
@@ -40,6 +42,7 @@
 TRIES = 6
 CALL_TIMEOUT_S = 8.0
 HEAL_TIMEOUT_S = 30.0
+LAST_DEADLINE_S = 99.0
 _RETRY_PAUSE_S = 0.2
 _TOKENS = 40
 # Some bids take long enough that a kill falls into their run.
@@ -62,6 +65,7 @@
 
     seed: int
     faults: list[str] = field(default_factory=list)
+    returns: int = 0
     bids: int = 0
     bids_answered: int = 0
     streams: int = 0
@@ -72,16 +76,17 @@
 class FaultRun:
     """Run callers and faults side by side."""
 
-    def __init__(self, cluster: Cluster, *, seed: int) -> None:
+    def __init__(self, cluster: Cluster, *, seed: int, returns: bool = False) -> None:
         self._cluster = cluster
+        self._returns = returns
         self._random = Random(seed)
         self.report = FaultReport(seed)
         self._calls: list[KeyedCall] = []
         self._processes: dict[str, Process] = {}
         self._callers: dict[str, str] = {}
         self._targets: dict[str, str] = {}
-        self._revisions: dict[tuple[str, object], int] = {}
-        """Highest revision of each start of a process, noted by several threads."""
+        self._marks: dict[tuple[str, object], StoreMark] = {}
+        """Last mark of each start of a process, noted by several threads."""
         self._noting = Lock()
         self._edits = 0
 
@@ -97,6 +102,8 @@
 
     async def run(self, seconds: float) -> None:
         """Run load and faults for a time, heal everything, then check."""
+        if self._returns:
+            await self._control("/copy", {})
         async with trio.open_nursery() as nursery:
             for number in range(CALLERS):
                 nursery.start_soon(self._send_bids, Random(self.report.seed + number))
@@ -105,6 +112,9 @@
                 )
             nursery.start_soon(self._watch_revisions)
             with trio.move_on_after(seconds):
+                if self._returns:
+                    # Each run has one, whatever it draws.
+                    await self._come_back()
                 while True:
                     await self._do_fault()
             nursery.cancel_scope.cancel()
@@ -121,6 +131,8 @@
             partial(self._set_faults_for, {"stale_reads": True}, 1.0),
             self._edit_table,
         ]
+        if self._returns:
+            faults += [self._keep_copy, self._come_back]
         fault = self._random.choice(faults)
         with trio.CancelScope(shield=True):
             self.report.faults.append(await fault())
@@ -146,10 +158,28 @@
         await self._set_faults({})
         return f"service {json.dumps(faults)}"
 
+    async def _keep_copy(self) -> str:
+        await self._control("/copy", {})
+        return "copy"
+
+    async def _come_back(self) -> str:
+        """Let the service be away, and come back without what was written since."""
+        with trio.CancelScope(shield=True):
+            await trio.sleep(self._random.uniform(0, 2 * OUTAGE_S))
+            await self._set_faults({"down": True})
+            await trio.sleep(self._random.uniform(0, OUTAGE_S))
+            await self._control("/return", {})
+            await self._set_faults({})
+            self.report.returns += 1
+        return "return"
+
     async def _set_faults(self, faults: dict[str, object]) -> None:
-        body = json.dumps(faults).encode()
+        await self._control("/faults", faults)
+
+    async def _control(self, path: str, document: dict[str, object]) -> None:
+        body = json.dumps(document).encode()
         await trio.to_thread.run_sync(
-            partial(request, "POST", self._cluster.platform, "/faults", body=body)
+            partial(request, "POST", self._cluster.platform, path, body=body)
         )
 
     async def _edit_table(self) -> str:
@@ -270,7 +300,7 @@
     def _note_revision(self, vm: str) -> None:
         # A reading that was given up goes on, and may end after newer ones. What was
         # noted before it began is the least that it may show.
-        noted = dict(self._revisions)
+        noted = dict(self._marks)
         try:
             in_force = read_in_force(self._cluster, vm)
         except (
@@ -279,35 +309,42 @@
             httpcore.ProtocolError,
         ):
             return
-        revision = in_force["table_revision"]
-        assert isinstance(revision, int)
+        revision, era = in_force["table_revision"], in_force.get("table_era", 0)
+        assert isinstance(revision, int) and isinstance(era, int)
+        mark = StoreMark(era, revision)
         # A process that was replaced starts anew, from what it finds.
         start = (vm, in_force["incarnation"])
-        if revision < noted.get(start, 0):
+        if mark < noted.get(start, StoreMark(0, 0)):
             self._violate(f"{vm} went back to revision {revision}")
         with self._noting:
-            self._revisions[start] = max(revision, self._revisions.get(start, 0))
+            self._marks[start] = max(mark, self._marks.get(start, mark))
 
     async def _check_table(self) -> None:
         """Check that every entry comes to hold the last accepted edit."""
         newest = await commit_cell(
-            self._cluster.platform, DRAFT, "deadline_s", "99", number=0
+            self._cluster.platform, DRAFT, "deadline_s", str(LAST_DEADLINE_S), number=0
         )
         with trio.move_on_after(HEAL_TIMEOUT_S):
             while True:
-                found = await trio.to_thread.run_sync(self._read_revisions)
-                if all(revision >= newest for revision in found.values()):
+                found = await trio.to_thread.run_sync(self._read_tables)
+                if all(
+                    revision >= newest and float(deadline) == LAST_DEADLINE_S
+                    for revision, deadline in found.values()
+                ):
                     return
                 await trio.sleep(0.2)
         self._violate(f"revision {newest} is not in force everywhere: {found}")
 
-    def _read_revisions(self) -> dict[str, int]:
-        found = {}
-        for vm in ENTRIES:
-            revision = read_in_force(self._cluster, vm)["table_revision"]
-            assert isinstance(revision, int)
-            found[vm] = revision
-        return found
+    def _read_tables(self) -> dict[str, tuple[int, str]]:
+        """Return each entry's revision, and the cell that was edited last."""
+        return {vm: self._read_table(vm) for vm in ENTRIES}
+
+    def _read_table(self, vm: str) -> tuple[int, str]:
+        operators = self._cluster.operators[vm]
+        answer = request("GET", operators, "/table", headers=OPERATOR)
+        table = json.loads(answer.body)
+        row = table["services"][DRAFT.name]
+        return table["revision"], row["deadline_s"]
 
     def _check_bids(self) -> None:
         runs: dict[str, int] = {}
@@ -337,10 +374,15 @@
         self.report.violations.append(what)
 
 
-def run_faults(folder: Path, *, seed: int, seconds: float) -> FaultReport:
-    """Run one seed and return what was seen."""
+def run_faults(
+    folder: Path, *, seed: int, seconds: float, returns: bool = False
+) -> FaultReport:
+    """Run one seed and return what was seen.
+
+    `returns` lets the key-value service come back from copies as well.
+    """
     with open_cluster(folder) as cluster:
-        run = FaultRun(cluster, seed=seed)
+        run = FaultRun(cluster, seed=seed, returns=returns)
         run.start()
         trio.run(run.run, seconds)
         return run.report
