Keep what etcd's gateway says apart from the client that calls it

Messages move to etcd_messages, unchanged. A client that is answered stale for long tells a stale read from a return by one write each 30 s instead of each second: 960 entries would otherwise use up what the service can write.

--- a/src/hyssopvane/_internal/coordination/etcd_key_value.py
+++ b/src/hyssopvane/_internal/coordination/etcd_key_value.py
@@ -3,18 +3,28 @@
 import json
 import math
 import time
-from base64 import b64decode, b64encode
 from collections.abc import AsyncIterator, Callable, Iterator, Sequence
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
-from typing import Any, TypeAlias
 
 import httpcore
 import trio
 
+from hyssopvane._internal.coordination.etcd_messages import (
+    JsonObject,
+    ServiceHeader,
+    encode_bytes,
+    encode_text,
+    get_range_end,
+    make_transaction,
+    parse_event,
+    parse_header,
+    parse_items,
+    parse_revision,
+    parse_transaction,
+)
 from hyssopvane._internal.coordination.key_value import (
     ABSENT,
-    NO_LEASE,
     Check,
     KeyValue,
     KeyValueStore,
@@ -43,15 +53,13 @@
 )
 from hyssopvane._internal.utils.logs import log_event
 
-JsonObject: TypeAlias = dict[str, Any]
-
 DEFAULT_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 32
 
 MAX_EXPECTED = 64
 """Keys of one transaction that can each be compared by two bounds of their values."""
 
-LOOK_PAUSE_S = 1.0
+LOOK_PAUSE_S = 30.0
 """Least time between two writes that tell a stale read from a return."""
 
 WATCH_BUFFER = 4096
@@ -77,20 +85,9 @@
 )
 
 
-_NO_END = b"\0"
-"""What etcd takes as the end of a range that goes to the last key."""
-
 _MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
 
 
-@dataclass(frozen=True, slots=True)
-class _Header:
-    """Hold what each answer tells of the service itself."""
-
-    cluster: int
-    revision: int
-
-
 @dataclass(frozen=True, slots=True)
 class _CallStart:
     """Hold what was known when a call began."""
@@ -103,7 +100,7 @@
 class _FoundRecord:
     """Hold the record of an era as a call found it."""
 
-    header: _Header
+    header: ServiceHeader
     revision: int
     record: EraRecord | None
 
@@ -147,20 +144,20 @@
         await self._pool.aclose()
 
     async def get(self, key: str) -> KeyValue | None:
-        answer, era = await self._read({"key": _encode(key)})
+        answer, era = await self._read({"key": encode_text(key)})
         with self._parsing(KeyValueUnavailable):
-            items = _parse_items(answer, era)
+            items = parse_items(answer, era)
         return items[0] if items else None
 
     async def get_prefix(self, prefix: str, *, min_revision: int = 0) -> Snapshot:
         request = {
-            "key": _encode(prefix),
-            "range_end": _encode_bytes(get_range_end(prefix.encode())),
+            "key": encode_text(prefix),
+            "range_end": encode_bytes(get_range_end(prefix.encode())),
             "min_mod_revision": str(min_revision),
         }
         answer, era = await self._read(request)
         with self._parsing(KeyValueUnavailable):
-            return Snapshot(_parse_revision(answer), _parse_items(answer, era), era)
+            return Snapshot(parse_revision(answer), parse_items(answer, era), era)
 
     async def compare_and_swap(
         self, swaps: Sequence[Swap], *, checks: Sequence[Check] = ()
@@ -170,11 +167,11 @@
             await self.compare_and_swap([])
             first = []
         start = self._begin_call()
-        transaction = _make_transaction([*swaps, *first], checks)
+        transaction = make_transaction([*swaps, *first], checks)
         answer = await self._send_transaction(transaction)
         era = await self._note_header(answer, start, KeyValueUnknown, writes=True)
         with self._parsing(KeyValueUnknown):
-            result = _parse_transaction(answer, era)
+            result = parse_transaction(answer, era)
         if isinstance(result, Swapped):
             self._is_recorded = self._is_recorded or bool(first)
             return result
@@ -211,8 +208,8 @@
         send, receive = trio.open_memory_channel[WatchEvent](WATCH_BUFFER)
         request = {
             "create_request": {
-                "key": _encode(prefix),
-                "range_end": _encode_bytes(get_range_end(prefix.encode())),
+                "key": encode_text(prefix),
+                "range_end": encode_bytes(get_range_end(prefix.encode())),
                 "start_revision": str(start_revision),
             }
         }
@@ -279,7 +276,7 @@
     ) -> int:
         """Return the era of an answer; raise where it was given before a return."""
         with self._parsing(lost):
-            header = _parse_header(answer)
+            header = parse_header(answer)
         if header.cluster == NO_CLUSTER:
             return 0
         async with self._era_lock:
@@ -301,7 +298,7 @@
         return not writes and not same_cluster
 
     async def _follow_era(
-        self, header: _Header, start: _CallStart, *, writes: bool
+        self, header: ServiceHeader, start: _CallStart, *, writes: bool
     ) -> None:
         if self._era.is_past(header.cluster):
             return
@@ -310,7 +307,7 @@
         elif header.revision < start.revision and start.record == self._era.record:
             await self._look_for_return(start.revision, is_certain=writes)
 
-    async def _find_era(self, header: _Header) -> None:
+    async def _find_era(self, header: ServiceHeader) -> None:
         while not self._era.is_current(header.cluster):
             found = await self._read_record()
             header = found.header
@@ -371,9 +368,9 @@
             return False
         self._looked_at = now
         swap = Swap(ERA_KEY, format_record(found.record), found.revision)
-        answer = await self._send_transaction(_make_transaction([swap], []))
+        answer = await self._send_transaction(make_transaction([swap], []))
         with self._parsing(KeyValueUnknown):
-            result = _parse_transaction(answer, 0)
+            result = parse_transaction(answer, 0)
         return isinstance(result, Swapped) and result.revision <= highest
 
     def _adopt(self, record: EraRecord, revision: int) -> None:
@@ -385,10 +382,10 @@
                 scope.cancel()
 
     async def _read_record(self) -> _FoundRecord:
-        answer = await self._call("/v3/kv/range", {"key": _encode(ERA_KEY)})
+        answer = await self._call("/v3/kv/range", {"key": encode_text(ERA_KEY)})
         with self._parsing(KeyValueUnavailable):
-            header = _parse_header(answer)
-            items = _parse_items(answer, 0)
+            header = parse_header(answer)
+            items = parse_items(answer, 0)
             if not items:
                 return _FoundRecord(header, ABSENT, None)
             record = parse_record(items[0].value)
@@ -397,10 +394,10 @@
     async def _write_record(self, record: EraRecord, expected_revision: int) -> bool:
         """Write a record; return whether it is there as it was meant."""
         swap = Swap(ERA_KEY, format_record(record), expected_revision)
-        answer = await self._send_transaction(_make_transaction([swap], []))
+        answer = await self._send_transaction(make_transaction([swap], []))
         with self._parsing(KeyValueUnknown):
-            header = _parse_header(answer)
-            swapped = isinstance(_parse_transaction(answer, 0), Swapped)
+            header = parse_header(answer)
+            swapped = isinstance(parse_transaction(answer, 0), Swapped)
         is_there = swapped and header.cluster == record.cluster
         self._is_recorded = self._is_recorded or is_there
         return is_there
@@ -470,51 +467,6 @@
 }
 
 
-def get_range_end(prefix: bytes) -> bytes:
-    """Return the first key after every key with the prefix."""
-    for index in range(len(prefix) - 1, -1, -1):
-        if prefix[index] < 0xFF:
-            return prefix[:index] + bytes([prefix[index] + 1])
-    return _NO_END
-
-
-def _make_transaction(swaps: Sequence[Swap], checks: Sequence[Check]) -> JsonObject:
-    expected: tuple[Swap | Check, ...] = (*swaps, *checks)
-    return {
-        "compare": [one for item in expected for one in _make_compares(item)],
-        "success": [_make_change(swap) for swap in swaps],
-        "failure": [{"request_range": {"key": _encode(item.key)}} for item in expected],
-    }
-
-
-def _make_compares(item: Swap | Check) -> list[JsonObject]:
-    key, prefix = _encode(item.key), item.expected_prefix
-    if not prefix:
-        revision = str(item.expected_revision)
-        return [
-            {"key": key, "target": "MOD", "result": "EQUAL", "mod_revision": revision}
-        ]
-    return [
-        {"key": key, "target": "VALUE", "result": result, "value": _encode_bytes(bound)}
-        for result, bound in list_value_bounds(prefix)
-    ]
-
-
-def list_value_bounds(prefix: bytes) -> list[tuple[str, bytes]]:
-    """Return the comparisons that hold for longer values with a prefix alone."""
-    end = get_range_end(prefix)
-    return [("GREATER", prefix)] + ([("LESS", end)] if end != _NO_END else [])
-
-
-def _make_change(swap: Swap) -> JsonObject:
-    if swap.value is None:
-        return {"request_delete_range": {"key": _encode(swap.key)}}
-    put = {"key": _encode(swap.key), "value": _encode_bytes(swap.value)}
-    if swap.lease != NO_LEASE:
-        put["lease"] = str(swap.lease)
-    return {"request_put": put}
-
-
 def _send_events(
     line: bytes,
     send: trio.MemorySendChannel[WatchEvent],
@@ -529,9 +481,9 @@
     """
     try:
         result = json.loads(line)["result"]
-        if era and _parse_header(result).cluster != cluster:
+        if era and parse_header(result).cluster != cluster:
             return False
-        events = [_parse_event(event, era) for event in result.get("events", [])]
+        events = [parse_event(event, era) for event in result.get("events", [])]
         canceled = bool(result.get("canceled", False))
     except _MALFORMED:
         return False
@@ -543,21 +495,6 @@
     return not canceled
 
 
-def _parse_event(event: JsonObject, era: int) -> WatchEvent:
-    item = _parse_item(event["kv"], era)
-    value = None if event.get("type") == "DELETE" else item.value
-    return WatchEvent(item.key, value, item.revision, era)
-
-
-def _parse_transaction(answer: JsonObject, era: int) -> Swapped | SwapLost:
-    if answer.get("succeeded", False):
-        return Swapped(_parse_revision(answer), era)
-    current: list[KeyValue] = []
-    for response in answer["responses"]:
-        current.extend(_parse_items(response["response_range"], era))
-    return SwapLost(tuple(current), era)
-
-
 async def _split_lines(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
     rest = b""
     async for chunk in chunks:
@@ -565,33 +502,3 @@
         for line in lines:
             if line.strip():
                 yield line
-
-
-def _parse_revision(answer: JsonObject) -> int:
-    return int(answer["header"]["revision"])
-
-
-def _parse_header(answer: JsonObject) -> _Header:
-    header = answer["header"]
-    return _Header(int(header.get("cluster_id", NO_CLUSTER)), int(header["revision"]))
-
-
-def _parse_items(answer: JsonObject, era: int) -> tuple[KeyValue, ...]:
-    return tuple(_parse_item(item, era) for item in answer.get("kvs", []))
-
-
-def _parse_item(item: JsonObject, era: int) -> KeyValue:
-    return KeyValue(
-        key=b64decode(item["key"]).decode(),
-        value=b64decode(item.get("value", "")),
-        revision=int(item.get("mod_revision", 0)),
-        era=era,
-    )
-
-
-def _encode(text: str) -> str:
-    return _encode_bytes(text.encode())
-
-
-def _encode_bytes(value: bytes) -> str:
-    return b64encode(value).decode()
--- a/tests/lib/fake_key_value.py
+++ b/tests/lib/fake_key_value.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from hyssopvane._internal.coordination.etcd_key_value import (
+from hyssopvane._internal.coordination.etcd_messages import (
     get_range_end,
     list_value_bounds,
 )
