Restore no page of claims that has been deleted

After a return an entry wrote the pages again that it knew and the service lacked, also those that had been deleted with the floor raised above them: nobody would delete them a second time. They are left out now. The new test failed before (a page of an expired slice was back).

--- a/src/hyssopvane/_internal/coordination/claims.py
+++ b/src/hyssopvane/_internal/coordination/claims.py
@@ -274,7 +274,11 @@
         if not key:
             return True
         stored = await self._load(key, fenced)
-        if stored.restored and self._store.era == era:
+        floor = await self._load_floor()
+        if stored.revision == ABSENT and get_page_slice(key) < floor.slice:
+            # Nobody would delete it again.
+            self._lost.pop(key, None)
+        elif stored.restored and self._store.era == era:
             swap = self._make_swap(key, stored, stored.page)
             result = await self._store.compare_and_swap([swap])
             if isinstance(result, Swapped):
--- a/tests/unit/test_claims_after_return.py
+++ b/tests/unit/test_claims_after_return.py
@@ -152,6 +152,27 @@
     run_mocked(run)
 
 
+def test_page_that_was_deleted_is_not_restored():
+    """Guards against pages of expired keys that nobody deletes after a return."""
+
+    async def run():
+        async with open_service() as site:
+            first, second = site.writers
+            await first.change(make_change(make_key(1), 1))
+            await trio.sleep(700)
+            for _ in range(20):
+                await second.sweep()
+            store = site.service.stores[1]
+            assert (await store.get_prefix("claims/page/")).items == ()
+            site.service.keep_copy()
+            site.service.come_back()
+            await first.find(make_key(2))
+            await trio.sleep(5)
+            assert (await store.get_prefix("claims/page/")).items == ()
+
+    run_mocked(run)
+
+
 def test_entry_started_after_a_return_claims_no_older_key():
     """Guards against a process that knows only the restored cluster."""
 
