Keep a timer on idle connections of which half a request has come

Found in the last reading of the diff: an idle connection was not ended where bytes had come that nobody had read. If they were no whole request no timer ran any more, and a caller who sends half a head in that moment kept its connection for ever. After GOAWAY what has come is dropped anyway and holds no end.

Two new tests; on the code before the first waits for an end that never comes.

--- a/src/hyssopvane/_internal/transport/http_connection.py
+++ b/src/hyssopvane/_internal/transport/http_connection.py
@@ -203,13 +203,20 @@
             # whether it ran.
             await self._tell_http2()
             await trio.sleep(LINGER_S)
+        free_since = self._free_since
         await self._end(EndReason.IDLE)
+        while self._is_reading and not self._ended and self._is_free():
+            # What had come was no whole request, and no timer runs any more.
+            await trio.sleep(LINGER_S)
+            if self._free_since != free_since:
+                return
+            await self._end(EndReason.IDLE)
 
     async def _end(self, reason: EndReason) -> None:
         """End a connection without requests; what the caller still sends is dropped."""
         if self._ended or not self._is_reading or not self._is_free():
             return
-        if _count_unread(self.stream):
+        if not self._told and _count_unread(self.stream):
             # A request has come that is not read yet.
             return
         self._end_reason = reason
--- a/tests/unit/test_connection_end.py
+++ b/tests/unit/test_connection_end.py
@@ -12,6 +12,7 @@
 import trio.testing
 from hypercorn.config import Config
 
+from hyssopvane._internal.transport import http_connection
 from hyssopvane._internal.transport.http_connection import LINGER_S
 from hyssopvane._internal.transport.http_server import ConnectionPolicy, HttpServer
 
@@ -161,6 +162,49 @@
     run(check)
 
 
+@pytest.fixture
+def come_late(monkeypatch):
+    """Let a caller's bytes wait in the kernel when an end is first looked at."""
+    counts = iter([len(REQUEST)])
+    monkeypatch.setattr(
+        http_connection, "_count_unread", lambda stream: next(counts, 0)
+    )
+
+
+def test_half_a_request_does_not_keep_an_idle_connection(come_late):
+    """Guards against a connection without a timer, as half a head came at its end."""
+
+    async def check(site):
+        await call(site.stream)
+        (connection,) = site.server._connections
+        await site.stream.send_all(REQUEST[:9])
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection._initiate_server_close)
+            await settle()
+            assert not connection._ended
+            site.clock.jump(LINGER_S)
+        assert (await receive(site.stream)).startswith(b"HTTP/1.1 408 ")
+
+    run(check)
+
+
+def test_request_after_a_refused_end_keeps_its_connection(come_late):
+    """Guards against an idle timer that ends a connection which was used meanwhile."""
+
+    async def check(site):
+        await call(site.stream)
+        (connection,) = site.server._connections
+        site.clock.jump(1.0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection._initiate_server_close)
+            await settle()
+            assert (await call(site.stream)).startswith(b"HTTP/1.1 200")
+            site.clock.jump(LINGER_S)
+        assert (await call(site.stream)).startswith(b"HTTP/1.1 200")
+
+    run(check)
+
+
 def test_ended_connection_is_closed_when_its_caller_does_not():
     """Guards against a shutdown that waits for callers who keep ended connections."""
 
