Say once how eras number, what a swap expects, and what an absent page is

- Sequences of the table and fences of groups began anew by the same rule in two places, with two constants: get_first_number and NUMBERS_OF_AN_ERA beside the eras.
- What a swap expects of a JSON value stood in four places: take_prefix; the page of quarantined bodies is noted by one method instead of in pairs of lines.
- An absent page of claims was told from one that is there in three places: _parse does it.
- Watches were cancelled by two loops that differed for watches of no era.
- etcd's messages have doc comments; the one of a connection's end said what it did before the 408.

--- a/src/hyssopvane/_internal/coordination/claims.py
+++ b/src/hyssopvane/_internal/coordination/claims.py
@@ -157,8 +157,7 @@
             raise KeyValueUnavailable("the key-value service is out")
         page_key = get_page_key(key.slice, key.bucket)
         item = await self._store.get(page_key)
-        found = ClaimPage() if item is None else _parse(item).page
-        claim = found.claims.get(key.key_hash)
+        claim = _parse(item).page.claims.get(key.key_hash)
         return claim or self._buckets[key.bucket].find_lost(page_key, key.key_hash)
 
     async def change(self, change: ClaimChange) -> ChangeResult:
@@ -430,13 +429,8 @@
         found = {item.key: item for item in current}
         self._floor = None
         for swap in swaps:
-            item = found.get(swap.key)
-            if swap.key == FLOOR_KEY:
-                continue
-            if item is None:
-                self._keep(swap.key, _Stored(ABSENT, ClaimPage()))
-            else:
-                self._keep(swap.key, _parse(item))
+            if swap.key != FLOOR_KEY:
+                self._keep(swap.key, _parse(found.get(swap.key)))
 
     async def _load(self, key: str, fenced: int) -> _Stored:
         """Return a page, with the claims that this entry knows to be lost of it."""
@@ -444,8 +438,7 @@
         if key not in self._cache:
             item = await self._store.get(key)
             self._follow_era()
-            stored = _Stored(ABSENT, ClaimPage()) if item is None else _parse(item)
-            self._keep(key, stored)
+            self._keep(key, _parse(item))
         stored = self._cache[key]
         lost = self._lost.get(key)
         if lost is None:
@@ -517,6 +510,8 @@
     return _Floor(ABSENT, 0) if item is None else _Floor(item.revision, int(item.value))
 
 
-def _parse(item: KeyValue) -> _Stored:
+def _parse(item: KeyValue | None) -> _Stored:
+    if item is None:
+        return _Stored(ABSENT, ClaimPage())
     value = item.value
     return _Stored(item.revision, decode_page(value), read_page_prefix(value))
--- a/src/hyssopvane/_internal/coordination/etcd_key_value.py
+++ b/src/hyssopvane/_internal/coordination/etcd_key_value.py
@@ -197,8 +197,11 @@
 
     def end_watches(self, era: int) -> None:
         self._era.note_era(era)
+        self._cancel_watches(era)
+
+    def _cancel_watches(self, era: int) -> None:
         for scope, began_in in self._watches.items():
-            if began_in < era:
+            if 0 < began_in < era:
                 scope.cancel()
 
     @asynccontextmanager
@@ -377,9 +380,7 @@
         if record != self._era.record:
             self._highest_revision = revision
         self._era.adopt(record)
-        for scope, began_in in self._watches.items():
-            if 0 < began_in < record.era:
-                scope.cancel()
+        self._cancel_watches(record.era)
 
     async def _read_record(self) -> _FoundRecord:
         answer = await self._call("/v3/kv/range", {"key": encode_text(ERA_KEY)})
--- a/src/hyssopvane/_internal/coordination/etcd_messages.py
+++ b/src/hyssopvane/_internal/coordination/etcd_messages.py
@@ -39,6 +39,7 @@
 
 
 def make_transaction(swaps: Sequence[Swap], checks: Sequence[Check]) -> JsonObject:
+    """Return the call that carries out swaps if they and the checks hold."""
     expected: tuple[Swap | Check, ...] = (*swaps, *checks)
     return {
         "compare": [one for item in expected for one in _make_compares(item)],
@@ -78,12 +79,14 @@
 
 
 def parse_event(event: JsonObject, era: int) -> WatchEvent:
+    """Read one change of a watch."""
     item = _parse_item(event["kv"], era)
     value = None if event.get("type") == "DELETE" else item.value
     return WatchEvent(item.key, value, item.revision, era)
 
 
 def parse_transaction(answer: JsonObject, era: int) -> Swapped | SwapLost:
+    """Read how a transaction ended."""
     if answer.get("succeeded", False):
         return Swapped(parse_revision(answer), era)
     current: list[KeyValue] = []
@@ -93,10 +96,12 @@
 
 
 def parse_revision(answer: JsonObject) -> int:
+    """Return the service's revision at an answer."""
     return int(answer["header"]["revision"])
 
 
 def parse_header(answer: JsonObject) -> ServiceHeader:
+    """Read what an answer tells of the service itself."""
     header = answer["header"]
     return ServiceHeader(
         int(header.get("cluster_id", NO_CLUSTER)), int(header["revision"])
@@ -104,6 +109,7 @@
 
 
 def parse_items(answer: JsonObject, era: int) -> tuple[KeyValue, ...]:
+    """Read the keys of an answer."""
     return tuple(_parse_item(item, era) for item in answer.get("kvs", []))
 
 
@@ -117,8 +123,10 @@
 
 
 def encode_text(text: str) -> str:
+    """Return a key in base64."""
     return encode_bytes(text.encode())
 
 
 def encode_bytes(value: bytes) -> str:
+    """Return a value in base64."""
     return b64encode(value).decode()
--- a/src/hyssopvane/_internal/coordination/key_value.py
+++ b/src/hyssopvane/_internal/coordination/key_value.py
@@ -75,6 +75,11 @@
     expected_prefix: bytes = b""
 
 
+def take_prefix(value: bytes) -> bytes:
+    """Return the first bytes that a swap expects of a JSON value and of no other."""
+    return value[:-1]
+
+
 @dataclass(frozen=True, slots=True)
 class Swapped:
     """Tell that every swap of a transaction was carried out."""
--- a/src/hyssopvane/_internal/coordination/map_switch.py
+++ b/src/hyssopvane/_internal/coordination/map_switch.py
@@ -13,6 +13,7 @@
     Swap,
     SwapLost,
     Swapped,
+    take_prefix,
 )
 from hyssopvane._internal.coordination.map_records import (
     format_map,
@@ -23,7 +24,7 @@
     parse_map,
     parse_record,
 )
-from hyssopvane._internal.coordination.service_era import FIRST_ERA
+from hyssopvane._internal.coordination.service_era import get_first_number
 from hyssopvane._internal.exceptions import KeyValueUnknown
 from hyssopvane._internal.policy.expert_maps import ExpertMap
 from hyssopvane._internal.state.map_switch import (
@@ -43,9 +44,6 @@
 times in a switch; more means that the service answers wrongly.
 """
 
-FENCES_OF_AN_ERA = 1_000
-"""Fences between the numbers of two eras, so that none is given out twice."""
-
 Change = Callable[[GroupRecord], GroupRecord | None]
 
 
@@ -92,7 +90,7 @@
         result = await self._store.compare_and_swap([swap, *others])
         if isinstance(result, Swapped):
             self.known = VersionedRecord(
-                record, result.revision, result.era, value[:-1]
+                record, result.revision, result.era, take_prefix(value)
             )
             self._is_lost = False
         return result
@@ -110,7 +108,7 @@
         maps = (await self._store.get_prefix(self._map_prefix)).items
 
         def change(record: GroupRecord) -> GroupRecord | None:
-            least = (self._store.era - FIRST_ERA) * FENCES_OF_AN_ERA
+            least = get_first_number(self._store.era)
             return propose(record, name, weights_bytes=weights_bytes, least_fence=least)
 
         def list_swaps(record: GroupRecord) -> list[Swap]:
--- a/src/hyssopvane/_internal/coordination/quarantine.py
+++ b/src/hyssopvane/_internal/coordination/quarantine.py
@@ -13,6 +13,7 @@
     KeyValueStore,
     Swap,
     Swapped,
+    take_prefix,
 )
 from hyssopvane._internal.exceptions import HyssopvaneError, KeyValueError
 from hyssopvane._internal.policy.suspects import (
@@ -129,14 +130,12 @@
             )
             result = await self._store.compare_and_swap([swap])
             if isinstance(result, Swapped):
-                self._mark = StoreMark(result.era, result.revision)
-                self._prefix = content[:-1]
+                self._note_page(StoreMark(result.era, result.revision), content)
                 self._shared = cases
                 return
             # The answer shows the page as it is, also after a return to an older one.
             self._follow_era(result.era)
-            self._mark = StoreMark(result.era, ABSENT)
-            self._prefix = b""
+            self._note_page(StoreMark(result.era, ABSENT))
             for item in result.current:
                 self._accept(item)
             # What this entry shares again after a return goes with the next try.
@@ -149,8 +148,11 @@
         if self._mark.era:
             self._book.return_changes(self._shared)
             self._shared = {}
-        self._mark = StoreMark(era, ABSENT)
-        self._prefix = b""
+        self._note_page(StoreMark(era, ABSENT))
+
+    def _note_page(self, mark: StoreMark, value: bytes = b"") -> None:
+        self._mark = mark
+        self._prefix = take_prefix(value)
 
     def _accept(self, item: KeyValue) -> None:
         """Take over a newer page."""
@@ -169,8 +171,7 @@
                     hint="nothing to do unless it comes again",
                 )
             )
-            self._mark = item.mark
-            self._prefix = item.value[:-1]
+            self._note_page(item.mark, item.value)
             return
         for body in self._shared.keys() - cases.keys():
             self._book.drop(body)
@@ -178,8 +179,7 @@
             quarantine_s = self._get_quarantine_s(body.service)
             self._book.merge(body, case, quarantine_s=quarantine_s, now=now)
         self._shared = cases
-        self._mark = item.mark
-        self._prefix = item.value[:-1]
+        self._note_page(item.mark, item.value)
 
     def _get_offset(self) -> float:
         """Return what turns clock values of this process into shared times."""
--- a/src/hyssopvane/_internal/coordination/routing_feed.py
+++ b/src/hyssopvane/_internal/coordination/routing_feed.py
@@ -234,7 +234,7 @@
         )
 
     def _load(self, prefix: str, snapshot: Snapshot) -> None:
-        mark = StoreMark(snapshot.era, snapshot.revision)
+        mark = snapshot.mark
         if prefix == self._format.configuration_key:
             for item in snapshot.items:
                 if item.key == prefix:
--- a/src/hyssopvane/_internal/coordination/service_era.py
+++ b/src/hyssopvane/_internal/coordination/service_era.py
@@ -18,6 +18,9 @@
 
 FIRST_ERA = 1
 
+NUMBERS_OF_AN_ERA = 1_000
+"""Numbers between those that two eras begin with, which are a millisecond apart."""
+
 _MILLISECONDS = 1_000
 
 
@@ -66,6 +69,14 @@
     return max(highest + 1, int(now * _MILLISECONDS))
 
 
+def get_first_number(era: int) -> int:
+    """Return the number above which an era counts what must not be given out twice.
+
+    Whatever is numbered in an era is then higher than all that an earlier one has lost.
+    """
+    return max(0, era - FIRST_ERA) * NUMBERS_OF_AN_ERA
+
+
 class ServiceEra:
     """Hold the era that a process knows its service to be in."""
 
--- a/src/hyssopvane/_internal/coordination/table_pages.py
+++ b/src/hyssopvane/_internal/coordination/table_pages.py
@@ -7,7 +7,10 @@
 import xxhash
 
 from hyssopvane._internal.coordination.key_value import MAX_VALUE_BYTES, KeyValue
-from hyssopvane._internal.coordination.service_era import FIRST_ERA
+from hyssopvane._internal.coordination.service_era import (
+    FIRST_ERA,
+    get_first_number,
+)
 from hyssopvane._internal.exceptions import TableError
 from hyssopvane._internal.state.columns import COLUMNS, RowId, RowKind
 from hyssopvane._internal.state.store_mark import StoreMark
@@ -36,13 +39,6 @@
 MAX_RECENT_EDITS = 32
 """Edit ids that a page remembers, to resolve a reply that was lost."""
 
-SEQUENCES_OF_AN_ERA = 1_000
-"""Sequences between the numbers of two eras, which are a millisecond apart.
-
-A page that comes back from a copy goes on with higher ones, so that whatever is written
-later has a higher revision than an edit that was lost.
-"""
-
 _FORMAT = 1
 
 
@@ -101,7 +97,7 @@
         sequence, eras = self.sequence, self.eras
         if not self.is_edited_in(era):
             eras = (*eras, PageEra(era, sequence))
-            sequence = max(sequence, (era - FIRST_ERA) * SEQUENCES_OF_AN_ERA)
+            sequence = max(sequence, get_first_number(era))
         return replace(self, sequence=sequence + 1, recent_edits=recent, eras=eras)
 
     def is_edited_in(self, era: int) -> bool:
--- a/src/hyssopvane/_internal/transport/http_server.py
+++ b/src/hyssopvane/_internal/transport/http_server.py
@@ -34,7 +34,7 @@
 
 
 def log_connection_end(end: ConnectionEnd) -> None:
-    """Log a connection that the server ended; say so where it lost a request."""
+    """Log a connection that the server ended, louder where a request came too late."""
     log_event(
         "info" if end.unread_bytes else "debug",
         "connection-ended",
