Log when an entry notices that a caller left, and connections that are not read

The logs could not tell the hypotheses on GONE apart: a request of a caller that left had one line at the end of all work. Now event=caller-left tells when the entry noticed and how far the request had got, its last line when the work had ended, and event=connection-unread that a connection was not read, so that a close or a cancel on it could not be noticed. No behaviour changes.

--- a/src/hyssopvane/_internal/roles/direct_app.py
+++ b/src/hyssopvane/_internal/roles/direct_app.py
@@ -1,5 +1,6 @@
 """Serve callers on the direct path: find route and customer, then run the request."""
 
+import math
 import zlib
 from itertools import count
 from random import Random
@@ -44,6 +45,9 @@
 _LEAVING_RETRY_AFTER_S = 0.05
 """Short, since a new connection reaches another entry at once."""
 
+MAX_WORK_AFTER_LEAVING_S = 0.5
+"""Time after which no work may be in progress for a caller that has left."""
+
 
 class DirectApp:
     """Answer the HTTP requests of callers."""
@@ -104,18 +108,25 @@
     async def _run(
         self, request: DirectRequest, call: DirectCall, receive: Any
     ) -> None:
+        left_at = math.inf
+
         async def wait() -> None:
+            nonlocal left_at
             await wait_for_disconnect(receive)
             if call.ended:
                 # The server reports the caller as disconnected while the last part is
                 # being sent; cancelling then would truncate the answer.
                 await trio.sleep_forever()
+            left_at = trio.current_time()
+            self._record_departure(request, call)
 
         cut = False
         try:
             await run_until_disconnect(call.run, wait)
             if not call.ended:
                 call.outcome = "caller-gone"
+            if trio.current_time() - left_at > MAX_WORK_AFTER_LEAVING_S:
+                self._dependencies.metrics.count_event("caller-left-late")
         except* AnswerCut:
             cut = True
         finally:
@@ -124,6 +135,19 @@
         if cut:
             raise AnswerCut(request.request_id)
 
+    def _record_departure(self, request: DirectRequest, call: DirectCall) -> None:
+        self._dependencies.metrics.count_event("caller-left")
+        log_event(
+            "info",
+            "caller-left",
+            request=request.request_id,
+            service=request.service,
+            phase=call.phase,
+            replica=call.replica_id or "-",
+            attempts=request.attempts,
+            after_ms=_to_ms(trio.current_time(), request.arrived_at),
+        )
+
     def _record_end(self, request: DirectRequest, call: DirectCall) -> None:
         now = trio.current_time()
         metrics = self._dependencies.metrics
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -1,6 +1,7 @@
 """Forward one request to a replica and its answer to the caller."""
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 from functools import partial
 from typing import Any
 
@@ -88,6 +89,17 @@
 """Maximum length of a header value in a log line."""
 
 
+class CallPhase(StrEnum):
+    """Name how far a request has got."""
+
+    WAITING = "waiting"
+    """Waits for a replica, also before a retry."""
+    CONNECTING = "connecting"
+    SENT = "sent"
+    """Sent to a replica, which may be working on it."""
+    ANSWERING = "answering"
+
+
 @dataclass(slots=True)
 class DirectRequest:
     """Hold a request whose body is complete and whose route and customer are known."""
@@ -168,6 +180,7 @@
         self._last_event_id: bytes | None = None
         self._last_answer: tuple[int, Headers, bytes] | None = None
         self.outcome = "cut"
+        self.phase = CallPhase.WAITING
         self.replica_id = ""
         self.status = 0
         self.first_byte_at: float | None = None
@@ -219,6 +232,7 @@
 
     async def _wait_for_assignment(self) -> Assignment | Rejection:
         request = self._request
+        self.phase = CallPhase.WAITING
         now = trio.current_time()
         if self._dependencies.suspects.is_banned(request.fingerprint, now=now):
             return Rejection(
@@ -275,7 +289,7 @@
         if request.deadline - trio.current_time() < MIN_SEND_S:
             raise _AttemptFailed("too-late", not_run=True, failed=False)
         request.attempts += 1
-        gate = self._dependencies.gates.get_gate(request.service)
+        self.phase = CallPhase.CONNECTING
         try:
             async with self._dependencies.client.call(
                 replica.address,
@@ -285,9 +299,10 @@
                 body=request.body,
                 # Opening a connection takes up to a second. In that time an answer to
                 # another request may have changed whether the replica accepts any.
-                may_send=lambda: gate.may_send(replica, trio.current_time()),
+                may_send=partial(self._may_send, replica),
                 observe_late=partial(self._record_late_answer, replica),
             ) as response:
+                self.phase = CallPhase.ANSWERING
                 await self._relay(replica, response)
         except CallWithdrawn as error:
             request.attempts -= 1
@@ -300,6 +315,13 @@
             )
             raise _AttemptFailed(f"failed: {error}", not_run=False) from error
 
+    def _may_send(self, replica: Replica) -> bool:
+        gate = self._dependencies.gates.get_gate(self._request.service)
+        allowed = gate.may_send(replica, trio.current_time())
+        if allowed:
+            self.phase = CallPhase.SENT
+        return allowed
+
     def _make_headers(self, replica: Replica) -> Headers:
         request, names = self._request, self._dependencies.names
         left_ms = int((request.caller_deadline - trio.current_time()) * 1_000)
--- a/src/hyssopvane/_internal/transport/http_connection.py
+++ b/src/hyssopvane/_internal/transport/http_connection.py
@@ -23,6 +23,8 @@
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ASGIFramework, ConnectionState
 
+from hyssopvane._internal.utils.logs import log_event
+
 LINGER_S = 1.0
 """Time that an idle connection stays open at a shutdown, and time for which bytes that
 arrive after its end are read.
@@ -41,6 +43,10 @@
 follows it directly; half a second is enough to read it.
 """
 
+MAX_UNREAD_S = 0.5
+"""Time after which a connection that is not read is logged: a caller that leaves is
+noticed no sooner than its connection is read."""
+
 _HTTP2 = "2"
 _CLIENT_ERROR_START = b"HTTP/1.1 4"
 _LINE_END = b"\r\n"
@@ -173,10 +179,23 @@
                 # lose data that was sent to it before.
                 self._unread_bytes += len(data)
             else:
-                await self.protocol.handle(RawData(bytes(data)))
+                await self._handle_data(bytes(data))
             if not data:
                 return
 
+    async def _handle_data(self, data: bytes) -> None:
+        received_at = trio.current_time()
+        await self.protocol.handle(RawData(data))
+        unread_s = trio.current_time() - received_at
+        if unread_s > MAX_UNREAD_S:
+            log_event(
+                "info",
+                "connection-unread",
+                unread_s=round(unread_s, 3),
+                unread_bytes=_count_unread(self.stream),
+                http2=self._get_http2() is not None,
+            )
+
     async def end_if_idle(
         self, *, closed_at: float | None, skip_idle_wait: bool = False
     ) -> None:
