Read on while bytes wait behind a running request, and notice a close behind them

Callers saw nothing; replicas worked on until the deadline for callers that had closed an HTTP/1.1 connection, when bytes stood behind the running request. Cause: the task that reads a connection handles what it read, and hypercorn's HTTP/1.1 protocol waits in there for the end of the answer before it parses more. Nobody read the connection meanwhile. Class of the fault: a reader that waits for anything but its connection hides what comes next on it, the end included.

Without bytes behind the request nothing is different. A connection with bytes behind its last answer also ends now; its reader waited forever.

--- a/src/hyssopvane/_internal/transport/http_connection.py
+++ b/src/hyssopvane/_internal/transport/http_connection.py
@@ -4,6 +4,7 @@
 import fcntl
 import termios
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any
@@ -17,12 +18,18 @@
 from hypercorn.events import Closed, Event, RawData, Updated
 from hypercorn.protocol.events import Event as StreamEvent
 from hypercorn.protocol.h2 import H2Protocol
+from hypercorn.protocol.h11 import H11Protocol
 from hypercorn.protocol.http_stream import HTTPStream
 from hypercorn.protocol.ws_stream import WSStream
 from hypercorn.trio.tcp_server import MAX_RECV, TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ASGIFramework, ConnectionState
 
+from hyssopvane._internal.transport.read_ahead import (
+    CallerLeft,
+    ReadAhead,
+    ReadingEnded,
+)
 from hyssopvane._internal.utils.logs import log_event
 
 LINGER_S = 1.0
@@ -117,6 +124,7 @@
         self._idle_since = trio.current_time()
         self._goaway_sent = False
         self._prepared_http2 = False
+        self._read_ahead = ReadAhead(stream, is_ended=lambda: self._ended)
 
     async def protocol_send(self, event: Event) -> None:
         if (
@@ -145,9 +153,12 @@
             await super().protocol_send(Updated(idle=True))
 
     async def _read_data(self) -> None:
+        self._prepare_http1()
         self._is_reading = True
         try:
             await self._receive()
+        except CallerLeft:
+            pass
         finally:
             self._is_reading = False
         await self.protocol.handle(Closed())
@@ -163,17 +174,23 @@
         if self._end_reason is not None:
             self._record_end(self._describe_end(self._end_reason))
 
+    def _prepare_http1(self) -> None:
+        protocol = self.protocol.protocol
+        if isinstance(protocol, H11Protocol):
+            protocol.can_read = self._read_ahead  # type: ignore[assignment]
+
     async def _receive(self) -> None:
-        data: bytes | bytearray = b""
         while True:
-            try:
-                with self._receiving:
-                    data = await self.stream.receive_some(MAX_RECV)
-            except (trio.ClosedResourceError, trio.BrokenResourceError):
-                return
-            if self._receiving.cancelled_caught:
-                return
-            self._receiving = trio.CancelScope(deadline=self._receiving.deadline)
+            data: bytes | bytearray = self._read_ahead.take()
+            if not data:
+                try:
+                    with self._receiving:
+                        data = await self.stream.receive_some(MAX_RECV)
+                except (trio.ClosedResourceError, trio.BrokenResourceError):
+                    return
+                if self._receiving.cancelled_caught:
+                    return
+                self._receiving = trio.CancelScope(deadline=self._receiving.deadline)
             if self._ended:
                 # Closing a socket with unread bytes sends a reset, and the caller would
                 # lose data that was sent to it before.
@@ -185,8 +202,10 @@
 
     async def _handle_data(self, data: bytes) -> None:
         received_at = trio.current_time()
-        await self.protocol.handle(RawData(data))
-        unread_s = trio.current_time() - received_at
+        read_s = self._read_ahead.read_s
+        with suppress(ReadingEnded):
+            await self.protocol.handle(RawData(data))
+        unread_s = trio.current_time() - received_at - self._read_ahead.read_s + read_s
         if unread_s > MAX_UNREAD_S:
             log_event(
                 "info",
@@ -237,7 +256,8 @@
         """End an idle connection; bytes that the caller still sends are dropped."""
         if self._ended or not self._is_reading or not self._is_idle():
             return
-        if not self._goaway_sent and _count_unread(self.stream):
+        unread = _count_unread(self.stream) or len(self._read_ahead)
+        if not self._goaway_sent and unread:
             # A request has been received but not read yet.
             return
         self._end_reason = reason
