Let a caller that does not read hide neither a cancelled request nor its own end

Callers over HTTP/2 that do not read one answer, and callers over HTTP/1.1 that close their sending side in the middle of a stream that they do not read, left work behind: a cancelled request ran until its deadline. Two causes of one class. The task that reads a connection also sent what HTTP/2 requires of it, such as the acknowledgement of a ping, and waited until the caller took it. And each send ran in a shielded scope, so that a request could not be cancelled in it, a shutdown's time limit included.

Now the bytes of a connection go through one SendQueue. The reader adds to it and does not wait. A task that is cancelled in a send leaves its bytes to a task of the queue, so the next frame still starts at its boundary, which the shield was for. A caller with 1 MiB of unsent bytes that asks for more acknowledgements loses its connection. The usual send makes one system call, without a lock and a scope.

--- a/src/hyssopvane/_internal/transport/http_connection.py
+++ b/src/hyssopvane/_internal/transport/http_connection.py
@@ -30,6 +30,7 @@
     ReadAhead,
     ReadingEnded,
 )
+from hyssopvane._internal.transport.send_queue import SendQueue
 from hyssopvane._internal.utils.logs import log_event
 
 LINGER_S = 1.0
@@ -54,6 +55,10 @@
 """Time after which a connection that is not read is logged: a caller that leaves is
 noticed no sooner than its connection is read."""
 
+MAX_UNSENT_BYTES = 1024 * 1024
+"""Unsent bytes at which a connection is ended whose caller requests acknowledgements
+but does not read them. A thousand answers' heads have less."""
+
 _HTTP2 = "2"
 _CLIENT_ERROR_START = b"HTTP/1.1 4"
 _LINE_END = b"\r\n"
@@ -123,8 +128,10 @@
         self._open_answers = 0
         self._idle_since = trio.current_time()
         self._goaway_sent = False
-        self._prepared_http2 = False
+        self._sends = SendQueue(stream)
         self._read_ahead = ReadAhead(stream, is_ended=lambda: self._ended)
+        self._prepared_http2 = False
+        self._reader: trio.lowlevel.Task | None = None
 
     async def protocol_send(self, event: Event) -> None:
         if (
@@ -136,24 +143,52 @@
             # application. The added headers tell the caller that nothing ran.
             line, _, rest = event.data.partition(_LINE_END)
             event = RawData(line + _LINE_END + self._record_malformed() + rest)
-        # The protocol returns these bytes only once, so a request that is cancelled
-        # while it waits to send must not lose them. On HTTP/2 they may belong to
-        # another request's answer or to the flow control of another's upload, whose
-        # caller would wait forever. On HTTP/1.1 they belong to the cancelled request,
-        # and a late 500 from hypercorn would look like the target's answer.
-        shared = isinstance(event, RawData) and self._get_http2() is not None
-        with trio.CancelScope(shield=shared):
+        if isinstance(event, RawData):
+            await self._send_bytes(event.data)
+        elif isinstance(event, Closed):
+            await self.protocol.handle(event)
+            await self._close()
+        else:
             await super().protocol_send(event)
         protocol = self._get_http2()
         if protocol is not None and not self._prepared_http2:
             self._prepared_http2 = True
-            protocol.streams = _StreamTable()
-            # Hypercorn counts the HTTP/2 preface as a request. Without this event, a
-            # connection that never sends a request would stay open forever.
-            await super().protocol_send(Updated(idle=True))
+            await self._prepare_http2(protocol)
+
+    async def _send_bytes(self, data: bytes) -> None:
+        if trio.lowlevel.current_task() is self._reader:
+            # The reader must not wait for a caller that does not read, as it could not
+            # notice that the caller cancels a request or leaves.
+            self._put_bytes(data)
+            return
+        if self._get_http2() is None:
+            # The bytes belong to the request of this task. If it is cancelled, a late
+            # 500 from hypercorn would look like the target's answer. On HTTP/2 they may
+            # belong to another request's answer or to the flow control of another's
+            # upload, whose caller would wait forever.
+            await trio.lowlevel.checkpoint_if_cancelled()
+        try:
+            await self._sends.send(data)
+        except trio.BrokenResourceError:
+            await self.protocol.handle(Closed())
+
+    def _put_bytes(self, data: bytes) -> None:
+        self._sends.put(data)
+        if self._sends.unsent_bytes > MAX_UNSENT_BYTES:
+            raise CallerLeft
+
+    async def _prepare_http2(self, protocol: H2Protocol) -> None:
+        protocol.streams = _StreamTable()
+        # Hypercorn counts the HTTP/2 preface as a request. Without this event, a
+        # connection that never sends a request would stay open forever.
+        await super().protocol_send(Updated(idle=True))
 
     async def _read_data(self) -> None:
+        nursery = self._task_group._nursery
+        assert nursery is not None
+        self._sends.start(nursery)
         self._prepare_http1()
+        self._reader = trio.lowlevel.current_task()
         self._is_reading = True
         try:
             await self._receive()
@@ -161,11 +196,13 @@
             pass
         finally:
             self._is_reading = False
+            self._reader = None
         await self.protocol.handle(Closed())
         protocol = self._get_http2()
         if protocol is not None:
             # Nothing is sent any more, and an application that waits for its data to
             # be sent would wait forever.
+            self._sends.close()
             for buffer in protocol.stream_buffers.values():
                 await buffer.close()
         # Stop hypercorn's idle timer. Otherwise it would continue after the caller
@@ -289,6 +326,8 @@
         self._ended = True
         self._receiving.deadline = trio.current_time() + LINGER_S
         try:
+            with trio.move_on_after(LINGER_S):
+                await self._sends.flush()
             await self.stream.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The caller has already disconnected, and the reader ends by itself.
@@ -320,6 +359,9 @@
             self._idle_since = trio.current_time()
             if answer.open:
                 self._open_answers -= 1
+                if not self._is_reading:
+                    # The caller has left, and the rest of its answer is not sent.
+                    self._sends.close()
                 await self._reset_http2_stream(stream)
 
     def _track_answer(self, answer: "_Answer") -> Callable[[Any], Any]:
--- a/tests/functional/test_caller_departure.py
+++ b/tests/functional/test_caller_departure.py
@@ -30,6 +30,7 @@
 CASES = [(Http1Caller, one) for one in CLOSES]
 CASES += [(Http2Caller, one) for one in HTTP2_DEPARTURES]
 STREAM = ("/drafts/7", "drafting")
+LARGE_EVENT = b"data: " + 65_536 * b"x" + b"\n\n"
 
 
 def make_headers(request_id="request-1"):
@@ -61,6 +62,25 @@
         await trio.sleep(0.01)
 
 
+class EndlessStream:
+    """Send events as fast as they are taken."""
+
+    def __init__(self):
+        self.sent = 0
+
+    async def __call__(self, replica, stream, request):
+        await stream.send_all(make_answer(request, body=b"", headers=STREAM_HEAD))
+        while True:
+            await stream.send_all(chunk(LARGE_EVENT))
+            self.sent += 1
+
+    async def wait_until_unread(self):
+        """Wait until all buffers on the way to the caller are full."""
+        before = 0
+        while before != (before := self.sent) or not before:
+            await trio.sleep(0.3)
+
+
 class Site:
     """Run an entry with replicas, and open connections of callers to it."""
 
@@ -183,6 +203,51 @@
     run(test)
 
 
+@pytest.mark.parametrize("departure", HTTP2_DEPARTURES)
+@pytest.mark.parametrize("pinged", [False, True], ids=["quiet", "pinged"])
+def test_unread_answer_does_not_hide_that_a_caller_leaves(pinged, departure):
+    """Guard against a reader that waits until its caller reads what is sent to it."""
+
+    async def test(site):
+        endless = EndlessStream()
+        await site.add_replica(endless, service="drafting")
+        replica = await site.add_replica(hang)
+        caller = await site.open_caller(Http2Caller)
+        await caller.send_request("/drafts/7", headers=make_headers("request-1"))
+        await endless.wait_until_unread()
+        await caller.send_request("/status/7", headers=make_headers("request-2"))
+        await site.wait_until(lambda: replica.running)
+        if pinged:
+            await caller.ping()
+            await site.let_entry_read()
+        await caller.leave(departure)
+        left_at = trio.current_time()
+        async with LagMeter() as meter:
+            await site.wait_until(lambda: not replica.running)
+        assert trio.current_time() - left_at < BOUND_S + meter.lag_s
+        if departure is not Departure.CANCEL:
+            await site.check_work_ends()
+
+    run(test)
+
+
+@pytest.mark.parametrize(("kind", "departure"), CASES)
+def test_unread_stream_is_cancelled_when_its_caller_leaves(kind, departure):
+    """Guard against a send that can't be cancelled while its caller does not read."""
+
+    async def test(site):
+        endless = EndlessStream()
+        replica = await site.add_replica(endless, service="drafting")
+        caller = await site.open_caller(kind)
+        await caller.send_request("/drafts/7", headers=make_headers())
+        await endless.wait_until_unread()
+        assert replica.running
+        await caller.leave(departure)
+        await site.check_work_ends()
+
+    run(test)
+
+
 @pytest.mark.parametrize(("kind", "departure"), CASES)
 @pytest.mark.parametrize(
     ("path", "service", "behave"),
--- a/tests/unit/test_connection_reading.py
+++ b/tests/unit/test_connection_reading.py
@@ -8,13 +8,14 @@
 import trio
 from hypercorn.config import Config
 
+from hyssopvane._internal.transport import http_connection
 from hyssopvane._internal.transport.asgi_messages import (
     read_body,
     send_response,
     wait_for_disconnect,
 )
 from hyssopvane._internal.transport.http_server import ConnectionPolicy, HttpServer
-from tests.lib.leaving_callers import Departure, Http1Caller, make_head
+from tests.lib.leaving_callers import Departure, Http1Caller, Http2Caller, make_head
 
 HANG_S = 20.0
 HEADERS = (("Host", "x"),)
@@ -99,6 +100,25 @@
         await trio.lowlevel.checkpoint()
 
 
+def test_unread_acknowledgements_end_the_connection(monkeypatch):
+    """Guard against a caller that exhausts the memory with frames to acknowledge."""
+    monkeypatch.setattr(http_connection, "MAX_UNSENT_BYTES", 1_000)
+
+    async def test(site):
+        caller = site.caller
+        await caller.send_request("/hang", headers=HEADERS)
+        await wait_until(lambda: site.app.running)
+        (connection,) = site.server._connections
+        connection._sends._writing = True  # The kernel takes nothing more.
+        with pytest.raises(trio.BrokenResourceError):
+            while True:
+                await caller.ping()
+                await let_server_read()
+        assert site.app.disconnected == ["/hang"]
+
+    run(Http2Caller, test)
+
+
 @pytest.mark.parametrize("behind", [b"\r\n", b"GET /next HTTP/1.1\r\n\r\n", b"\x00"])
 @pytest.mark.parametrize("at_once", [False, True], ids=["later", "at-once"])
 def test_bytes_behind_the_last_request_do_not_cut_its_answer(at_once, behind):
