Let an upload that its application does not take hide no cancelled request

Over HTTP/2 an application that takes no part of an upload for a while held up the reader of its connection once ten parts were queued: what other requests of the connection sent, a cancel included, was not read. Applications of the product take uploads at once, but for half a second after an entry's start and while a refusal is sent to a caller that does not read it.

Now uploaded bytes are acknowledged when the application takes them, so that the flow control of HTTP/2 bounds the memory stream by stream, and the queue needs no limit. HTTP/1.1 keeps its queue: an upload there belongs to the only request of its connection, and that has not been sent to a replica.

test_upload_that_is_not_taken_does_not_hide_a_cancelled_request failed before (a cancelled request was not told within 20 s) and passes; an upload of four windows arrives whole, taken late or at once.

--- a/src/hyssopvane/_internal/transport/http_connection.py
+++ b/src/hyssopvane/_internal/transport/http_connection.py
@@ -5,8 +5,11 @@
 import termios
 from collections.abc import Callable
 from contextlib import suppress
+from copy import copy
 from dataclasses import dataclass
 from enum import StrEnum
+from functools import partial
+from math import inf
 from typing import Any
 
 import h2.errors
@@ -31,6 +34,7 @@
     ReadingEnded,
 )
 from hyssopvane._internal.transport.send_queue import SendQueue
+from hyssopvane._internal.transport.upload_windows import UploadWindows
 from hyssopvane._internal.utils.logs import log_event
 
 LINGER_S = 1.0
@@ -130,7 +134,7 @@
         self._goaway_sent = False
         self._sends = SendQueue(stream)
         self._read_ahead = ReadAhead(stream, is_ended=lambda: self._ended)
-        self._prepared_http2 = False
+        self._uploads: UploadWindows | None = None
         self._reader: trio.lowlevel.Task | None = None
 
     async def protocol_send(self, event: Event) -> None:
@@ -151,8 +155,7 @@
         else:
             await super().protocol_send(event)
         protocol = self._get_http2()
-        if protocol is not None and not self._prepared_http2:
-            self._prepared_http2 = True
+        if protocol is not None and self._uploads is None:
             await self._prepare_http2(protocol)
 
     async def _send_bytes(self, data: bytes) -> None:
@@ -178,6 +181,10 @@
             raise CallerLeft
 
     async def _prepare_http2(self, protocol: H2Protocol) -> None:
+        self._uploads = UploadWindows(protocol)
+        self._uploads.start()
+        protocol.config = copy(self.config)
+        protocol.config.max_app_queue_size = inf  # type: ignore[assignment]
         protocol.streams = _StreamTable()
         # Hypercorn counts the HTTP/2 preface as a request. Without this event, a
         # connection that never sends a request would stay open forever.
@@ -347,7 +354,13 @@
     ) -> None:
         # Read the number first: the answer may close the stream.
         stream: int = send.__self__.stream_id
-        answer = _Answer(receive, send, scope, self._leaving)
+        answer = _Answer(
+            partial(self._receive_message, receive, stream),
+            send,
+            scope,
+            self._leaving,
+            close_queue=receive.__self__.close,
+        )
         self._open_requests += 1
         await self.idle_task.stop()
         try:
@@ -357,6 +370,9 @@
         finally:
             self._open_requests -= 1
             self._idle_since = trio.current_time()
+            if self._uploads is not None:
+                self._uploads.close(stream)
+                self._flush_acknowledgements()
             if answer.open:
                 self._open_answers -= 1
                 if not self._is_reading:
@@ -364,6 +380,18 @@
                     self._sends.close()
                 await self._reset_http2_stream(stream)
 
+    async def _receive_message(self, receive: Any, stream: int) -> Any:
+        message = await receive()
+        if self._uploads is not None and message.get("more_body", False):
+            self._uploads.take(stream)
+            self._flush_acknowledgements()
+        return message
+
+    def _flush_acknowledgements(self) -> None:
+        protocol = self._get_http2()
+        if protocol is not None and (data := protocol.connection.data_to_send()):
+            self._sends.put(data)
+
     def _track_answer(self, answer: "_Answer") -> Callable[[Any], Any]:
         async def send(message: Any) -> None:
             was_open = answer.open
@@ -476,10 +504,17 @@
 
 class _Answer:
     def __init__(
-        self, receive: Any, send: Any, scope: Any, leaving: trio.Event
+        self,
+        receive: Any,
+        send: Any,
+        scope: Any,
+        leaving: trio.Event,
+        *,
+        close_queue: Callable[[], None],
     ) -> None:
         self._receive = receive
         self._send = send
+        self._close_queue = close_queue
         self._body_ended = False
         self.http2 = scope["http_version"] == _HTTP2
         self._leaving = leaving
@@ -510,4 +545,4 @@
             while not self._body_ended:
                 await self.receive()
         if scope.cancelled_caught:
-            self._receive.__self__.close()
+            self._close_queue()
--- a/tests/unit/test_connection_reading.py
+++ b/tests/unit/test_connection_reading.py
@@ -20,6 +20,8 @@
 HANG_S = 20.0
 HEADERS = (("Host", "x"),)
 LAST = (*HEADERS, ("Connection", "close"))
+PART = 1_000 * b"x"
+DEFAULT_WINDOW_BYTES = 65_535
 
 
 class Application:
@@ -100,6 +102,61 @@
         await trio.lowlevel.checkpoint()
 
 
+def test_upload_that_is_not_taken_does_not_hide_a_cancelled_request():
+    """Guard against a reader that waits until an application takes an upload."""
+
+    async def test(site):
+        caller = site.caller
+        await caller.send_request("/hang", headers=HEADERS)
+        hanging = caller.number
+        await caller.send_request("/unread", headers=HEADERS, body=PART, sent_bytes=1)
+        await wait_until(lambda: len(site.app.running) == 2)
+        for _ in range(40):
+            caller.connection.send_data(caller.number, PART)
+            await caller.flush()
+            await let_server_read()
+        caller.connection.reset_stream(hanging)
+        await caller.flush()
+        await wait_until(lambda: site.app.disconnected == ["/hang"])
+
+    run(Http2Caller, test)
+
+
+@pytest.mark.parametrize("path", ["/unread", "/plain"])
+def test_upload_larger_than_the_window_arrives_whole(path):
+    """Guard against an upload whose window is never opened again."""
+
+    async def test(site):
+        caller = site.caller
+        await caller.send_request(path, headers=HEADERS, body=PART, sent_bytes=0)
+        await wait_until(lambda: site.app.running)
+        if path == "/unread":
+            for _ in range(60):
+                caller.connection.send_data(caller.number, PART)
+            await caller.flush()
+            await let_server_read()
+        left = 4 * DEFAULT_WINDOW_BYTES
+        site.app.released.set()
+        while left:
+            size = min(
+                left,
+                caller.connection.local_flow_control_window(caller.number),
+                caller.connection.max_outbound_frame_size,
+            )
+            if not size:
+                await caller.receive_frames()
+                continue
+            caller.connection.send_data(caller.number, size * b"y")
+            left -= size
+            await caller.flush()
+        caller.connection.end_stream(caller.number)
+        await caller.flush()
+        await wait_until(lambda: path in site.app.bodies)
+        assert site.app.bodies[path].count(b"y") == 4 * DEFAULT_WINDOW_BYTES
+
+    run(Http2Caller, test)
+
+
 def test_unread_acknowledgements_end_the_connection(monkeypatch):
     """Guard against a caller that exhausts the memory with frames to acknowledge."""
     monkeypatch.setattr(http_connection, "MAX_UNSENT_BYTES", 1_000)
