Send a cancellation before what is queued for an agent, and drop what is unsent of its request

On the path with agents an entry queued Cancel behind all frames of its connection: a caller's leaving reached the agent only after the uploads of others that a full connection had not taken yet, and an attempt that had not been sent at all was sent, started, and then cancelled. Class of the fault as on the callers' side: the end of one request waits behind the data of others.

Now a cancellation drops the queued frames of its stream and goes first; nothing is sent for an attempt whose opening was still queued. Streams are independent of each other, so it may overtake their frames. With a cancel() that queues as before, both new tests fail (1 MiB of another upload goes first; the attempt reaches the peer); now they pass.

--- a/src/hyssopvane/_internal/roles/exchange.py
+++ b/src/hyssopvane/_internal/roles/exchange.py
@@ -9,7 +9,6 @@
 from hyssopvane._internal.models.refusals import AgentRefusal
 from hyssopvane._internal.protocol.messages import (
     Broken,
-    Cancel,
     Chunk,
     End,
     Head,
@@ -96,7 +95,7 @@
         return TooLate()
     finally:
         if not finished:
-            stream.send(Cancel())
+            stream.cancel()
         stream.close()
 
 
--- a/src/hyssopvane/_internal/transport/peer_connection.py
+++ b/src/hyssopvane/_internal/transport/peer_connection.py
@@ -122,6 +122,11 @@
             self._grant_credit(len(message.data))
         return message
 
+    def cancel(self) -> None:
+        """Make the peer stop its work on this stream; drop what is not sent yet."""
+        if self._lost is None:
+            self.connection.cancel_stream(self.number)
+
     def close(self) -> None:
         """Remove the stream from the connection, which drops its further frames."""
         self.connection.remove_stream(self.number)
@@ -311,6 +316,20 @@
         self._outbox.append(frame)
         self._outbox_filled.set()
 
+    def cancel_stream(self, number: int) -> None:
+        """Drop the queued frames of a stream, and cancel it before all other frames.
+
+        Behind the queue, a cancellation would wait until a slow connection has taken
+        the bodies of other requests. Streams are independent, so it may overtake them.
+        """
+        unsent = [one for one in self._outbox if one.stream == number]
+        if unsent:
+            kept = (one for one in self._outbox if one.stream != number)
+            self._outbox = deque(kept)
+        if not any(isinstance(one.message, Open) for one in unsent):
+            self._outbox.appendleft(Frame(number, Cancel()))
+        self._outbox_filled.set()
+
     def remove_stream(self, number: int) -> None:
         """Remove a stream; frames that still arrive for it are dropped."""
         self._streams.pop(number, None)
--- a/tests/unit/test_peer_connection.py
+++ b/tests/unit/test_peer_connection.py
@@ -19,6 +19,8 @@
 from hyssopvane._internal.roles.call import ReplyWriter
 from hyssopvane._internal.roles.exchange import NotStarted, exchange
 from hyssopvane._internal.transport.peer_connection import (
+    MAX_BATCH_BYTES,
+    MAX_CHUNK_BYTES,
     STREAM_WINDOW_BYTES,
     PeerConnection,
 )
@@ -141,6 +143,60 @@
     return connection
 
 
+def test_cancellation_overtakes_the_queue_of_a_full_connection():
+    """Guard against work that goes on until the peer has taken other uploads."""
+
+    async def main():
+        received = {"upload": 0, "before-cancel": -1}
+
+        async def serve(stream, opening):
+            try:
+                while True:
+                    message = await stream.receive()
+                    received[opening.request_id] += len(message.data)
+            except trio.Cancelled:
+                received["before-cancel"] = received["upload"]
+                raise
+
+        async with connect_pair(serve) as pair:
+            received["cancelled"] = 0
+            cancelled = pair.opener.open_stream(make_opening(request_id="cancelled"))
+            cancelled.send(Chunk(b"x"))
+            upload = pair.opener.open_stream(make_opening(request_id="upload"))
+            await trio.testing.wait_all_tasks_blocked()
+            assert received["cancelled"] == 1
+            for _ in range(4 * MAX_BATCH_BYTES // MAX_CHUNK_BYTES):
+                upload.send(Chunk(MAX_CHUNK_BYTES * b"x"))
+            cancelled.cancel()
+            cancelled.close()
+            await trio.testing.wait_all_tasks_blocked()
+            assert received["upload"] == 4 * MAX_BATCH_BYTES
+            assert 0 <= received["before-cancel"] <= MAX_BATCH_BYTES
+
+    run(main)
+
+
+def test_attempt_cancelled_before_it_is_sent_does_not_reach_the_peer():
+    """Guard against a start of work whose caller has already left."""
+
+    async def main():
+        served = []
+
+        async def serve(stream, opening):
+            served.append(opening.request_id)
+
+        async with connect_pair(serve) as pair:
+            cancelled = pair.opener.open_stream(make_opening(request_id="cancelled"))
+            cancelled.send(Chunk(b"x"))
+            pair.opener.open_stream(make_opening(request_id="kept"))
+            cancelled.cancel()
+            cancelled.close()
+            await trio.testing.wait_all_tasks_blocked()
+            assert served == ["kept"]
+
+    run(main)
+
+
 def test_silent_connection_is_closed():
     """Guard against an open connection whose state a firewall between two VMs lost.
 
