--- a/tests/functional/test_caller_departure.py
+++ b/tests/functional/test_caller_departure.py
@@ -289,20 +289,20 @@
 
 @pytest.mark.parametrize(("kind", "departure"), CASES)
 def test_second_attempt_is_cancelled_when_its_caller_leaves(kind, departure):
+    refused = []
+
+    async def refuse_once(replica, stream, request):
+        if refused:
+            await trio.sleep_forever()
+        refused.append(replica)
+        return await refuse(replica, stream, request)
+
     async def test(site):
-        first = await site.add_replica(refuse)
+        replicas = [await site.add_replica(refuse_once) for _ in range(2)]
         caller = await site.open_caller(kind)
-        for number in range(20):
-            second = await site.add_replica(hang)
-            await caller.send_request("/status/7", headers=make_headers(f"r-{number}"))
-            await site.wait_until(lambda: any(one.running for one in site.replicas))
-            if first.received:
-                break
-            await caller.leave(Departure.RESET)
-            await site.check_work_ends()
-            caller = await site.open_caller(kind)
-        assert first.received
-        assert second.received or site.replicas[1].received
+        await caller.send_request("/status/7", headers=make_headers())
+        await site.wait_until(lambda: refused and any(one.running for one in replicas))
+        await site.wait_until(lambda: sum(len(one.received) for one in replicas) == 2)
         await caller.leave(departure)
         await site.check_work_ends()
 
--- /dev/null
+++ b/tests/functional/test_stalled_vm.py
@@ -0,0 +1,132 @@
+"""Test what becomes of requests at a replica whose VM no longer answers."""
+
+from dataclasses import replace
+
+import pytest
+import trio
+
+from hyssopvane._internal.policy.repeat_budget import RepeatBudget
+from hyssopvane._internal.state.loads import RankLoad
+from tests.lib.direct_installation import HANG_S, open_direct
+from tests.lib.direct_replica import STREAM_HEAD, chunk, make_answer, make_event
+
+EVENTS = 6
+LOAD = RankLoad(
+    address="",
+    group="group",
+    ranks=2,
+    open=True,
+    active=1,
+    queued=0,
+    step=1,
+    pass_s=0.05,
+    entries=1,
+)
+
+
+class Vms:
+    """Run two replicas, of which the first one that gets a request stalls."""
+
+    def __init__(self, *, before=2, agent_stalls=True, resumes=False):
+        self.before = before
+        """Number of events that are sent before the stall."""
+        self.agent_stalls = agent_stalls
+        self.resumes = resumes
+        self.stalled = None
+        self.moved = trio.Event()
+
+    async def serve(self, replica, stream, request):
+        if self.stalled is None:
+            self.stalled = replica
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        stalls = replica is self.stalled
+        if stalls and not self.before:
+            await trio.sleep_forever()
+        await stream.send_all(make_answer(request, body=b"", headers=STREAM_HEAD))
+        for number in range(first, EVENTS + 1):
+            if stalls and number > self.before:
+                await self.wait_while_stalled()
+                stalls = False
+            await stream.send_all(chunk(make_event(number)))
+        await stream.send_all(b"0\r\n\r\n")
+        return True
+
+    async def wait_while_stalled(self):
+        if not self.resumes:
+            await trio.sleep_forever()
+        await trio.sleep(1.5)
+
+    async def report(self, site, replicas):
+        """Report loads like the agents of a group, but for that of a stalled VM."""
+        gate = site.entry.gates.get_gate("drafting")
+        while True:
+            now = trio.current_time()
+            loads = [
+                (replace(LOAD, address=one.address), now)
+                for one in replicas
+                if one is not self.stalled or not self.agent_stalls
+            ]
+            gate.observe_loads(loads)
+            await trio.sleep(0.05)
+
+
+def run(vms, test):
+    async def main():
+        with trio.fail_after(HANG_S):
+            async with open_direct() as site:
+                replicas = [
+                    await site.add_replica(f"i-{n}", vms.serve, service="drafting")
+                    for n in range(2)
+                ]
+                site.nursery.start_soon(vms.report, site, replicas)
+                gate = site.entry.gates.get_gate("drafting")
+                await site.wait_until(lambda: "group" in gate._groups)
+                await test(site, replicas)
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("before", [0, 1, 3])
+def test_stream_moves_away_from_a_stalled_vm(before):
+    """Guard against callers that leave a stream which another replica could continue.
+
+    The replica on the stalled VM notices the end of its connection only when the VM
+    resumes, and works on for callers that have left.
+    """
+    vms = Vms(before=before)
+
+    async def test(site, replicas):
+        answer = await site.call("/drafts/7", deadline_ms=6_000)
+        assert answer.status == 200
+        assert answer.body == b"".join(make_event(n) for n in range(1, EVENTS + 1))
+        await site.wait_until(lambda: not vms.stalled.running)
+        assert sorted(len(one.received) for one in replicas) == [1, 1]
+        (other,) = [one for one in replicas if one is not vms.stalled]
+        resumed = other.received[0].headers.get("last-event-id", "0")
+        assert int(resumed) == before
+
+    run(vms, test)
+
+
+@pytest.mark.parametrize(
+    ("path", "vms", "spent"),
+    [
+        ("/once/7", Vms(resumes=True), False),
+        ("/drafts/7", Vms(resumes=True), True),
+        ("/drafts/7", Vms(resumes=True, agent_stalls=False), False),
+    ],
+    ids=["not-repeatable", "budget-spent", "slow-replica"],
+)
+def test_stream_that_can_not_move_waits_for_its_replica(path, vms, spent):
+    """Guard against an answer that is cut although its replica would complete it."""
+
+    async def test(site, replicas):
+        if spent:
+            budget = RepeatBudget(share=0.0, slack=0)
+            dependencies = replace(site.entry.app._dependencies, budget=budget)
+            site.entry.app._dependencies = dependencies
+        answer = await site.call(path)
+        assert answer.body == b"".join(make_event(n) for n in range(1, EVENTS + 1))
+        assert sorted(len(one.received) for one in replicas) == [0, 1]
+
+    run(vms, test)
