Move a stream to another replica when the VM of its replica stands still

What callers saw: a stream without an event for two seconds, which they left, although eleven other ranks could have continued it. Cause: an entry waits for a silent replica until the deadline, whatever else it knows. Class of the fault: one silent end of a connection is taken for a slow one, as nobody compares it with what others report of the same VM.

Now an attempt counts as stalled when neither its replica has sent a byte nor the agent on the replica's VM has been heard of for 0.8 s, while the group is heard. It moves like one whose connection broke: only if it may be repeated, within max-attempts and the budget for repeats, at the next event. A silent agent alone, a slow replica, a silent group and a plain service move nothing, so an answer is never ended for a replica's silence alone. The replica gets nothing new until its agent is heard.

Nothing is added to a message; an attempt costs a set entry, an event two assignments.

--- a/src/hyssopvane/_internal/policy/replica_load.py
+++ b/src/hyssopvane/_internal/policy/replica_load.py
@@ -55,6 +55,8 @@
     """
     ejected_until: float = float("-inf")
     """Time until which it gets no requests because too many of them failed."""
+    stalled_at: float = float("-inf")
+    """Time at which the replica's VM was last found to be stalled."""
     registered_ms: int = 0
     """Start time in the last registration; loads may name a newer one."""
 
@@ -78,7 +80,14 @@
         """Return whether the replica may get requests, including this entry's own
         observations.
         """
-        return now >= max(self.full_until, self.ejected_until) and self.is_open(now)
+        if self.is_stalled or now < max(self.full_until, self.ejected_until):
+            return False
+        return self.is_open(now)
+
+    @property
+    def is_stalled(self) -> bool:
+        """Return whether the agent has reported nothing since its VM stalled."""
+        return self.observed_at < self.stalled_at
 
     def is_slow(self, now: float) -> bool:
         """Return whether the replica works far below its usual pace."""
@@ -144,7 +153,7 @@
         self.own = 0
         self.sent_at.clear()
         self.failures = 0.0
-        self.full_until = self.ejected_until = float("-inf")
+        self.full_until = self.ejected_until = self.stalled_at = float("-inf")
         return True
 
     def start(self, now: float) -> None:
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -15,8 +15,9 @@
 from hyssopvane._internal.policy.outage_tracker import MAX_WAIT_SHARE, OutageTracker
 from hyssopvane._internal.policy.queueing import FairQueue, QueuedItem
 from hyssopvane._internal.policy.replica_choice import ReplicaChooser
-from hyssopvane._internal.policy.replica_load import ReplicaLoad
+from hyssopvane._internal.policy.replica_load import FRESH_S, ReplicaLoad
 from hyssopvane._internal.policy.replica_notices import ReplicaNotices
+from hyssopvane._internal.policy.running_attempts import MAX_SILENCE_S, RunningAttempts
 from hyssopvane._internal.state.limits import LimitReport
 from hyssopvane._internal.state.loads import RankLoad
 from hyssopvane._internal.state.routing import EngineModel, Incarnation, Replica
@@ -132,6 +133,7 @@
         self._engine: EngineModel | None = None
         self._pause_s = 0.0
         self.outages = OutageTracker()
+        self.attempts = RunningAttempts()
 
     def update(
         self, replicas: Iterable[Replica], engine: EngineModel | None, *, now: float
@@ -258,6 +260,22 @@
             return False
         return self.notices.takes_requests(replica, now)
 
+    def is_vm_silent(self, replica: Replica, now: float) -> bool:
+        """Return whether a replica's agent is silent while its group is heard."""
+        one = self._find(replica)
+        if one is None or not -inf < one.observed_at < now - MAX_SILENCE_S:
+            return False
+        members = self._groups[one.group].members.values()
+        return now - max(member.observed_at for member in members) < FRESH_S
+
+    def record_stall(self, replica: Replica, *, now: float) -> bool:
+        """Send nothing to a replica until its agent is heard; return whether new."""
+        one = self._find(replica)
+        if one is None or one.is_stalled:
+            return False
+        one.stalled_at = now
+        return True
+
     def measure_backoff_s(self, now: float) -> float:
         """Return the seconds until a replica takes requests, 0 unless all are away."""
         if not len(self.notices):
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -1,8 +1,10 @@
 """Forward one request to a replica and its answer to the caller."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 from functools import partial
+from math import inf
 from typing import Any
 
 import trio
@@ -12,6 +14,7 @@
 from hyssopvane._internal.policy.crash_suspects import CrashSuspects
 from hyssopvane._internal.policy.queueing import QueuedItem
 from hyssopvane._internal.policy.repeat_budget import RepeatBudget
+from hyssopvane._internal.policy.running_attempts import RunningAttempt
 from hyssopvane._internal.policy.service_gate import (
     Assignment,
     QueuedRequest,
@@ -179,6 +182,9 @@
         self._stream_started = False
         self._last_event_id: bytes | None = None
         self._last_answer: tuple[int, Headers, bytes] | None = None
+        self._running: RunningAttempt | None = None
+        self._is_moving = False
+        """Whether the attempt was ended to send the request to another replica."""
         self.outcome = "cut"
         self.phase = CallPhase.WAITING
         self.replica_id = ""
@@ -282,8 +288,32 @@
             failed = False
             raise
         finally:
+            self._forget_running()
             self._dependencies.gates.finish(request.service, replica, failed=failed)
 
+    def _track_running(self, replica: Replica, abort: Callable[[], None]) -> None:
+        """Let the gate move the request when the replica's VM no longer answers."""
+        gate = self._dependencies.gates.get_gate(self._request.service)
+        self._running = RunningAttempt(
+            replica, trio.current_time(), partial(self._move, abort)
+        )
+        gate.attempts.add(self._running)
+
+    def _forget_running(self) -> None:
+        if self._running is not None:
+            gate = self._dependencies.gates.get_gate(self._request.service)
+            gate.attempts.discard(self._running)
+            self._running = None
+
+    def _move(self, abort: Callable[[], None]) -> None:
+        # A request that may not be repeated keeps waiting: the VM may resume in time.
+        repeatable = self._request.route.repeatable
+        if self.ended or not repeatable or not self._take_repeat():
+            return
+        self._forget_running()
+        self._is_moving = True
+        abort()
+
     async def _exchange(self, replica: Replica) -> None:
         request = self._request
         if request.deadline - trio.current_time() < MIN_SEND_S:
@@ -303,6 +333,7 @@
                 observe_late=partial(self._record_late_answer, replica),
             ) as response:
                 self.phase = CallPhase.ANSWERING
+                self._record_heard(trio.current_time())
                 await self._relay(replica, response)
         except CallWithdrawn as error:
             request.attempts -= 1
@@ -310,16 +341,21 @@
         except ReplicaUnreachable as error:
             raise _AttemptFailed(f"unreachable: {error}", not_run=True) from error
         except ReplicaFailed as error:
+            if self._is_moving:
+                raise _AttemptFailed(
+                    "stalled: the VM is silent", not_run=False
+                ) from error
             self._dependencies.suspects.record_loss(
                 request.fingerprint, replica.incarnation, now=trio.current_time()
             )
             raise _AttemptFailed(f"failed: {error}", not_run=False) from error
 
-    def _may_send(self, replica: Replica) -> bool:
+    def _may_send(self, replica: Replica, abort: Callable[[], None]) -> bool:
         gate = self._dependencies.gates.get_gate(self._request.service)
         allowed = gate.may_send(replica, trio.current_time())
         if allowed:
             self.phase = CallPhase.SENT
+            self._track_running(replica, abort)
         return allowed
 
     def _make_headers(self, replica: Replica) -> Headers:
@@ -451,11 +487,13 @@
     async def _relay_stream(self, response: ReplicaResponse) -> None:
         splitter = EventSplitter()
         async for part in response.iterate():
+            self._record_heard(inf)
             for event in splitter.feed(part):
                 self._check_event(event)
                 self.pauses.observe(trio.current_time())
                 await self._start_stream(response)
                 await self._send_part(event.data)
+            self._record_heard(trio.current_time())
         if splitter.remainder.strip():
             raise ReplicaFailed("the stream ended within an event")
         await self._start_stream(response)
@@ -463,6 +501,10 @@
         self.outcome = "answered"
         await self._send({"type": "http.response.body", "body": b""})
 
+    def _record_heard(self, at: float) -> None:
+        if self._running is not None:
+            self._running.heard_at = at
+
     def _check_event(self, event: StreamEvent) -> None:
         if event.id is None:
             return
@@ -497,14 +539,22 @@
         )
 
     def _may_repeat(self, failure: _AttemptFailed) -> bool:
-        request = self._request
-        if not failure.not_run and not request.route.repeatable:
+        if self._is_moving:
+            # Already counted against the budget.
+            self._is_moving = False
+            return True
+        if not failure.not_run and not self._request.route.repeatable:
             return False
+        return self._take_repeat()
+
+    def _take_repeat(self) -> bool:
+        """Return whether one more attempt is allowed, and count it if so."""
+        request, now = self._request, trio.current_time()
         if request.attempts >= request.route.max_attempts:
             return False
-        if trio.current_time() + MIN_SEND_S >= request.deadline:
+        if now + MIN_SEND_S >= request.deadline:
             return False
-        return self._dependencies.budget.take(request.service, now=trio.current_time())
+        return self._dependencies.budget.take(request.service, now=now)
 
     def _describe_rejection(self, rejection: Rejection) -> DirectAnswer:
         if self._request.may_have_run:
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -31,6 +31,9 @@
 EXPIRE_INTERVAL_S = 0.5
 """Pause between two checks for expired notices of replicas."""
 
+STALL_INTERVAL_S = 0.1
+"""Pause between two checks for attempts at VMs that no longer answer."""
+
 
 class _Waiter:
     def __init__(self) -> None:
@@ -67,8 +70,9 @@
         """Service by the address of its replica."""
 
     def start(self, nursery: trio.Nursery) -> None:
-        """Start the regular dispatch and the expiry of notices."""
+        """Start the dispatch, the expiry of notices and the check for stalled VMs."""
         nursery.start_soon(self._dispatch_regularly)
+        nursery.start_soon(self._move_stalled_attempts)
         nursery.start_soon(self._expire_notices)
 
     def update(self, table: RoutingTable | None, replicas: dict[str, Replica]) -> None:
@@ -229,6 +233,17 @@
             await trio.sleep(DISPATCH_INTERVAL_S)
             self.dispatch()
 
+    async def _move_stalled_attempts(self) -> None:
+        while True:
+            await trio.sleep(STALL_INTERVAL_S)
+            now = trio.current_time()
+            for gate in self._gates.values():
+                is_vm_silent = partial(gate.is_vm_silent, now=now)
+                for attempt in gate.attempts.find_stalled(is_vm_silent, now=now):
+                    if gate.record_stall(attempt.replica, now=now):
+                        log_event("warning", "vm-stalled", replica=attempt.replica.id)
+                    attempt.move()
+
     async def _expire_notices(self) -> None:
         while True:
             await trio.sleep(EXPIRE_INTERVAL_S)
--- a/src/hyssopvane/_internal/transport/raw_stream.py
+++ b/src/hyssopvane/_internal/transport/raw_stream.py
@@ -83,6 +83,10 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise httpcore.WriteError(repr(error.__cause__ or error)) from error
 
+    def abort(self) -> None:
+        """Close the connection at once; a task that uses it gets an error."""
+        self._stream.socket.close()
+
     async def aclose(self) -> None:
         if self.sent and self.awaits_answer:
             self.awaits_answer = False
--- a/src/hyssopvane/_internal/transport/replica_client.py
+++ b/src/hyssopvane/_internal/transport/replica_client.py
@@ -135,17 +135,18 @@
         target: bytes,
         headers: Headers,
         body: bytes = b"",
-        may_send: Callable[[], bool] = lambda: True,
+        may_send: Callable[[Callable[[], None]], bool] = lambda abort: True,
         observe_late: Callable[[AnswerHead], None] | None = None,
     ) -> AsyncIterator[ReplicaResponse]:
         """Send a request and yield its response; close the connection when cancelled.
 
-        `may_send` is called once the connection is open. `observe_late` gets the head
-        of an answer that arrives as the call is cancelled. Raise `CallWithdrawn`,
-        `ReplicaUnreachable` or `ReplicaFailed`.
+        `may_send` is called once the connection is open, with a function by which
+        another task may end the call as if the connection had broken. `observe_late`
+        gets the head of an answer that arrives as the call is cancelled. Raise
+        `CallWithdrawn`, `ReplicaUnreachable` or `ReplicaFailed`.
         """
         pooled = await self._acquire(address)
-        if not may_send():
+        if not may_send(pooled.stream.abort):
             await pooled.connection.aclose()
             raise CallWithdrawn(address)
         pooled.stream.sent = False
--- /dev/null
+++ b/tests/unit/test_running_attempts.py
@@ -0,0 +1,119 @@
+"""Test which attempts count as waiting for a VM that no longer answers."""
+
+from random import Random
+
+import pytest
+
+from hyssopvane._internal.policy.running_attempts import (
+    MAX_SILENCE_S,
+    RunningAttempt,
+    RunningAttempts,
+)
+from hyssopvane._internal.policy.service_gate import ServiceGate
+from hyssopvane._internal.state.loads import RankLoad
+from hyssopvane._internal.state.routing import Replica
+
+NOW = 100.0
+LONG_AGO = NOW - MAX_SILENCE_S - 0.1
+JUST_NOW = NOW - 0.1
+NEVER = float("-inf")
+
+
+def make_replica(number):
+    return Replica(
+        id=f"i-{number}",
+        service="drafting",
+        address=f"10.0.0.{number}:80",
+        availability_zone="zone-a",
+        slots=6,
+        draining=False,
+    )
+
+
+def make_load(number, **changes):
+    values = {"group": "group", "ranks": 2, "open": True, "active": 1, "queued": 0}
+    values |= {"step": 1, "pass_s": 0.05, "entries": 4} | changes
+    return RankLoad(address=f"10.0.0.{number}:80", **values)
+
+
+def make_gate(reported_at):
+    """Return a gate that heard the agents of its replicas at the given times."""
+    gate = ServiceGate(random=Random(1), availability_zone="zone-a")
+    gate.update([make_replica(n) for n in range(len(reported_at))], None, now=0.0)
+    for number, at in enumerate(reported_at):
+        if at is not None:
+            gate.observe_loads([(make_load(number), at)])
+    return gate
+
+
+def make_attempt(number, heard_at, sent_at=LONG_AGO):
+    return RunningAttempt(make_replica(number), sent_at, lambda: None, heard_at)
+
+
+@pytest.mark.parametrize(
+    ("reported_at", "attempts", "found"),
+    [
+        ((LONG_AGO, JUST_NOW), [(0, LONG_AGO)], [0]),
+        ((LONG_AGO, JUST_NOW), [(0, LONG_AGO), (0, LONG_AGO), (1, JUST_NOW)], [0, 1]),
+        # Nothing was heard of the replica since the first of these was sent.
+        ((LONG_AGO, JUST_NOW), [(0, NEVER), (0, NEVER, JUST_NOW)], [0, 1]),
+        # The replica has had no time to answer.
+        ((LONG_AGO, JUST_NOW), [(0, NEVER, JUST_NOW)], []),
+        # The agent is heard: the replica is only slow.
+        ((JUST_NOW, JUST_NOW), [(0, LONG_AGO)], []),
+        # The replica is heard: only its agent has failed.
+        ((LONG_AGO, JUST_NOW), [(0, LONG_AGO), (0, JUST_NOW)], []),
+        # Nobody of the group is heard: this entry may be cut off itself.
+        ((LONG_AGO, LONG_AGO), [(0, LONG_AGO), (1, LONG_AGO)], []),
+        # A plain service has no agents.
+        ((None, None), [(0, LONG_AGO)], []),
+        # The entry passes on what it received to a slow caller.
+        ((LONG_AGO, JUST_NOW), [(0, float("inf"))], []),
+    ],
+    ids=[
+        "stalled",
+        "several",
+        "unanswered",
+        "just-sent",
+        "slow",
+        "agent-failed",
+        "all-silent",
+        "no-agents",
+        "slow-caller",
+    ],
+)
+def test_attempt_is_stalled_when_its_replica_and_agent_are_silent(
+    reported_at, attempts, found
+):
+    """Guard against streams that wait for a stalled VM until their callers leave."""
+    gate = make_gate(reported_at)
+    running = [make_attempt(*one) for one in attempts]
+    all_attempts = RunningAttempts()
+    for one in running:
+        all_attempts.add(one)
+    stalled = all_attempts.find_stalled(
+        lambda replica: gate.is_vm_silent(replica, NOW), now=NOW
+    )
+    assert {running.index(one) for one in stalled} == set(found)
+
+
+def test_ended_attempt_is_not_found():
+    attempts = RunningAttempts()
+    attempt = make_attempt(0, LONG_AGO)
+    attempts.add(attempt)
+    attempts.discard(attempt)
+    attempts.discard(attempt)
+    assert not attempts.find_stalled(lambda replica: True, now=NOW)
+
+
+def test_stalled_replica_gets_nothing_until_its_agent_is_heard():
+    gate = make_gate((LONG_AGO, JUST_NOW))
+    one = gate._replicas["i-0"]
+    assert one.takes_requests(NOW)
+    assert gate.record_stall(one.replica, now=NOW)
+    assert not gate.record_stall(one.replica, now=NOW)
+    assert not one.takes_requests(NOW)
+    gate.observe_loads([(make_load(0), LONG_AGO + 0.01)])
+    assert not one.takes_requests(NOW)
+    gate.observe_loads([(make_load(0), NOW + 1.0)])
+    assert one.takes_requests(NOW + 1.0)
