Reset the connection of a cancelled call, so that a replica does not get the rest of it later

Class of the fault: an end that waits behind data, here in the kernel.

Now a connection whose exchange is not complete is reset. Connections with a complete exchange still end in order. The test failed before (the replica read the whole cancelled request) and passes.

--- a/src/hyssopvane/_internal/transport/raw_stream.py
+++ b/src/hyssopvane/_internal/transport/raw_stream.py
@@ -2,6 +2,8 @@
 
 import socket
 import ssl
+import struct
+from contextlib import suppress
 from typing import Any
 
 import httpcore
@@ -55,6 +57,8 @@
         self._stream = stream
         self.sent = False
         """Whether any byte of the current request may have been sent."""
+        self.exchanging = False
+        """Whether a request was sent and its answer is not complete yet."""
         self.awaits_answer = False
         """Whether no byte of the answer to the current request has been read."""
         self.late_answer = b""
@@ -84,15 +88,25 @@
             raise httpcore.WriteError(repr(error.__cause__ or error)) from error
 
     def abort(self) -> None:
-        """Close the connection at once; a task that uses it gets an error."""
+        """Reset the connection at once; a task that uses it gets an error."""
+        self._discard_unsent()
         self._stream.socket.close()
 
     async def aclose(self) -> None:
         if self.sent and self.awaits_answer:
             self.awaits_answer = False
             self.late_answer = await self._read_late_answer()
+        if self.exchanging:
+            self._discard_unsent()
         await self._stream.aclose()
 
+    def _discard_unsent(self) -> None:
+        # After an orderly close the kernel goes on to send what it holds, and the
+        # request would still arrive when a stalled VM resumes or a full link recovers.
+        linger = struct.pack("ii", 1, 0)
+        with suppress(OSError):
+            self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     async def _read_late_answer(self) -> bytes:
         with trio.move_on_after(LATE_ANSWER_S):
             try:
--- a/src/hyssopvane/_internal/transport/replica_client.py
+++ b/src/hyssopvane/_internal/transport/replica_client.py
@@ -150,6 +150,7 @@
             await pooled.connection.aclose()
             raise CallWithdrawn(address)
         pooled.stream.sent = False
+        pooled.stream.exchanging = True
         request = httpcore.Request(
             method,
             httpcore.URL(
@@ -180,6 +181,7 @@
             wrapped = ReplicaResponse(response)
             yield wrapped
             await response.aclose()
+            pooled.stream.exchanging = False
             self._release(address, pooled, wrapped)
             pooled = None  # type: ignore[assignment]
         finally:
