Let callers of the soak leave in all ways, in series and overlapping, and check that work ends

A quarter as many callers as there are others send requests that a replica never ends, or whose answer is endless and unread, over HTTP/1.1 with bytes behind them and over HTTP/2 in series of overlapping streams; they cancel, close, reset or close their sending side. A replica that works on for 0.5 s and the tolerance of a busy machine is a violation, unless a fault of the entry or of a link is near; a planned stop excuses nothing. They draw from random numbers of their own, so a seed keeps its faults.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -26,16 +26,34 @@
 BACKOFFS_S = (0.0, 0.7, 3.0, 6.0)
 """Back-off times that a refusing replica requests; each refusal draws one."""
 
+HANGING = "hang"
+"""Last part of the path of requests that are never answered."""
+
+LARGE = "large"
+"""Last part of the path of requests whose answers fill the connection."""
+
+_LARGE_EVENT = b"data: " + 65_536 * b"x" + b"\n\n"
+
 FULL = "full"
 ANSWER_FAULTS = ("error", "lost", "half", "extra", "slow", FULL)
 """Faults with which a faulty replica replaces its answer."""
 
 
+@dataclass
+class Work:
+    """Record one run of a request."""
+
+    began_at: float
+    ended_at: float = float("inf")
+
+
 @dataclass
 class Journal:
     """Record the runs of each request, and violations of what must hold."""
 
     runs: Counter[str] = field(default_factory=Counter)
+    work: dict[str, list[Work]] = field(default_factory=dict)
+    """Runs of the requests whose callers leave."""
     violations: list[str] = field(default_factory=list)
     notices: Notices = field(default_factory=Notices)
 
@@ -157,10 +175,29 @@
         self._record_run(request)
         self.running += 1
         try:
+            last = request.target.rpartition("/")[2]
+            if last in (HANGING, LARGE):
+                return await self._work_until_cancelled(last, stream, request)
             return await self._answer(fault, stream, request)
         finally:
             self.running -= 1
 
+    async def _work_until_cancelled(
+        self, last: str, stream: trio.SocketStream, request: Received
+    ) -> bool:
+        work = Work(trio.current_time())
+        request_id = request.headers["x-request-id"]
+        self._journal.work.setdefault(request_id, []).append(work)
+        try:
+            if last == HANGING:
+                await trio.sleep_forever()
+            await stream.send_all(make_answer(request, body=b"", headers=STREAM_HEAD))
+            while True:
+                await stream.send_all(chunk(_LARGE_EVENT))
+                await trio.sleep(EVENT_PAUSE_S)
+        finally:
+            work.ended_at = trio.current_time()
+
     async def _request_backoff(
         self, stream: trio.SocketStream, request: Received, seen: Observation
     ) -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -35,6 +35,7 @@
     Callers,
     Kind,
 )
+from tests.soak.departures import LeavingCallers
 from tests.soak.faults import Faults
 from tests.soak.fleet import Fleet, Member
 from tests.soak.link import Link
@@ -80,6 +81,8 @@
     served: int = 0
     refused: int = 0
     left: int = 0
+    judged: int = 0
+    """Number of runs of requests whose callers left in other ways."""
     changes: int = 0
     """Number of times that an expert map came into force at an agent."""
     kept_in: str = ""
@@ -91,7 +94,8 @@
         """Return the report as one line."""
         return (
             f"seed={self.seed} calls={self.calls} served={self.served} "
-            f"refused={self.refused} left={self.left} maps={self.changes} "
+            f"refused={self.refused} left={self.left} "
+            f"left-working={self.judged} maps={self.changes} "
             f"faults={len(self.faults)} violations={len(self.violations)}"
         )
 
@@ -118,6 +122,12 @@
             Random(self.random.random()),
             late_tolerance_s=LATE_TOLERANCE_S * size.patience,
         )
+        # Not drawn from the run's own random numbers: each seed keeps its faults.
+        self.leaving = LeavingCallers(
+            self.fleet.entries, self.journal, Random(f"departures {seed}")
+        )
+        self.ended_at = float("inf")
+        """Time at which the callers were stopped."""
         self.faults = Faults(self)
 
     async def run(self) -> Report:
@@ -128,11 +138,14 @@
                 async with trio.open_nursery() as load:
                     for _ in range(self.size.callers):
                         load.start_soon(self.callers.run)
+                    for _ in range(max(1, self.size.callers // 4)):
+                        load.start_soon(self.leaving.run)
                     load.start_soon(self._watch_members)
                     load.start_soon(self._probe_generations)
                     await trio.sleep(1.0)
                     await self.faults.run(self.size.seconds)
                     await trio.sleep(TIMEOUT_S)
+                    self.ended_at = trio.current_time()
                     load.cancel_scope.cancel()
                 await self._check_recovery()
                 await self._check_drain()
@@ -143,6 +156,7 @@
         finally:
             self.fleet.close()
         self._check_calls()
+        self._check_departures()
         self._check_notices()
         self._fill_report()
         return self.report
@@ -398,6 +412,16 @@
                 "no request was served while a replica was draining"
             )
 
+    def _check_departures(self) -> None:
+        self.report.judged = sum(
+            one.request_id in self.journal.work for one in self.leaving.left
+        )
+        self.journal.violations += self.leaving.check(
+            self.faults,
+            ended_at=self.ended_at,
+            late_tolerance_s=self.callers.late_tolerance_s,
+        )
+
     def _check_notices(self) -> None:
         self.journal.violations += self.journal.notices.check(
             self.callers.calls,
