Tell all requests of an HTTP/2 connection that it has ended, also when one answer's send fails

Cause: the task of an answer whose send failed told all requests of the connection. The message to its own request cancels that task, so the requests after it were taken off the list and not told. Now such a task wakes the reader, and the reader tells them.

The test failed before and passes.

--- a/src/hyssopvane/_internal/transport/http_connection.py
+++ b/src/hyssopvane/_internal/transport/http_connection.py
@@ -173,7 +173,9 @@
         try:
             await self._sends.send(data)
         except trio.BrokenResourceError:
-            await self.protocol.handle(Closed())
+            # The reader tells all requests of the connection that it has ended. This
+            # task may be cancelled as soon as its own request is told.
+            self._receiving.cancel()
 
     def _put_bytes(self, data: bytes) -> None:
         self._sends.put(data)
--- a/tests/unit/test_connection_reading.py
+++ b/tests/unit/test_connection_reading.py
@@ -44,6 +44,9 @@
             raise
 
     async def _serve(self, path, receive, send):
+        if path == "/watched":
+            await self._answer_until_disconnect(receive, send)
+            return
         if path == "/unread":
             await self.released.wait()
         self.bodies[path] = await read_body(receive, max_bytes=2**24)
@@ -54,6 +57,17 @@
         await self.released.wait()
         await send_response(send, status=200, headers=(), body=b"whole answer")
 
+    async def _answer_until_disconnect(self, receive, send):
+        async def answer():
+            await self.released.wait()
+            await send_response(send, status=200, headers=(), body=b"whole answer")
+
+        await read_body(receive, max_bytes=2**24)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(answer)
+            await wait_for_disconnect(receive)
+            nursery.cancel_scope.cancel()
+
 
 @asynccontextmanager
 async def open_server(kind):
@@ -122,6 +136,25 @@
     run(Http2Caller, test)
 
 
+def test_failed_send_of_one_answer_does_not_hide_the_end_from_other_requests():
+    """Guard against a request that is not told the end of its connection.
+
+    The task whose send failed told the other requests, and was itself cancelled by the
+    first of these messages.
+    """
+
+    async def test(site):
+        for path in ("/watched", "/hang", "/hang", "/hang"):
+            await site.caller.send_request(path, headers=HEADERS)
+        await wait_until(lambda: len(site.app.running) == 4)
+        (connection,) = site.server._connections
+        connection._sends.close()  # As if the kernel had reported a reset.
+        site.app.released.set()
+        await wait_until(lambda: site.app.disconnected == 3 * ["/hang"])
+
+    run(Http2Caller, test)
+
+
 @pytest.mark.parametrize("path", ["/unread", "/plain"])
 def test_upload_larger_than_the_window_arrives_whole(path):
     """Guard against an upload whose window is never opened again."""
