Allow for the lateness of the soak's own process when it judges departures

The entries' logs show that each departure was noticed, and all work ended 52 to 65 ms later: the links and replicas, which run in the soak's process, were late. The process now measures by how much its timers are late, and only that is added to the bound.

--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -24,6 +24,7 @@
 """Time without faults before a departure after which the work must end in time."""
 
 _DEADLINE_MS = 8_000
+_LAG_INTERVAL_S = 0.02
 _MAX_OVERLAPPING = 4
 _MAX_SERIES = 5
 _CLOSES = (Departure.CLOSE, Departure.RESET, Departure.HALF_CLOSE)
@@ -48,6 +49,9 @@
     journal: Journal
     random: Random
     left: list[Left] = field(default_factory=list)
+    lags: list[tuple[float, float]] = field(default_factory=list)
+    """Times at which this process was late, and by how much: it also runs the replicas
+    and the links to them."""
     number: int = 0
 
     async def run(self) -> None:
@@ -65,13 +69,23 @@
                     pass
             await trio.sleep(self.random.uniform(0.0, 0.1))
 
+    async def measure_lags(self) -> None:
+        """Record by how much this process is late until cancelled."""
+        while True:
+            due_at = trio.current_time() + _LAG_INTERVAL_S
+            await trio.sleep_until(due_at)
+            now = trio.current_time()
+            if now - due_at > _LAG_INTERVAL_S:
+                self.lags.append((now, now - due_at))
+
     def check(
         self, faults: Faults, *, ended_at: float, late_tolerance_s: float
     ) -> list[str]:
         """Return the requests on which a replica worked too long."""
-        bound_s = BOUND_S + late_tolerance_s
         found = []
         for one in self.left:
+            bound_s = BOUND_S + late_tolerance_s
+            bound_s += self._sum_lags(one.at, one.at + bound_s)
             due_at = one.at + bound_s
             if due_at > ended_at or faults.overlaps_departure(
                 one.entry, one.at - SETTLE_S, due_at
@@ -86,6 +100,9 @@
                     )
         return found
 
+    def _sum_lags(self, from_s: float, to_s: float) -> float:
+        return sum(lag_s for at, lag_s in self.lags if from_s <= at <= to_s)
+
     async def _leave_http1(self, member: Member) -> None:
         caller = await Http1Caller.open(member.callers)
         path = self._draw_path()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -140,6 +140,7 @@
                         load.start_soon(self.callers.run)
                     for _ in range(max(1, self.size.callers // 4)):
                         load.start_soon(self.leaving.run)
+                    load.start_soon(self.leaving.measure_lags)
                     load.start_soon(self._watch_members)
                     load.start_soon(self._probe_generations)
                     await trio.sleep(1.0)
