Look for a place before a stalled stream moves, and move none while its group stands still

Causes: the attempt was ended first, and in a full group no other replica took the stream; and the whole group was held for a part of the time, in which a move gains nothing.

Now the attempt goes on until another replica has a place for the request; if its own replica is heard of meanwhile, the place is given back. Nothing moves unless another replica has sent a byte within 0.3 s.

--- a/src/hyssopvane/_internal/policy/running_attempts.py
+++ b/src/hyssopvane/_internal/policy/running_attempts.py
@@ -14,6 +14,13 @@
 """
 
 
+MAX_PROGRESS_AGE_S = 0.3
+"""Age of the last byte of any other replica up to which their group makes passes.
+
+A group that stands still as a whole gains nothing from moving its requests.
+"""
+
+
 @dataclass(slots=True, eq=False)
 class RunningAttempt:
     """Track an attempt from the first byte that is sent to its replica."""
@@ -21,7 +28,7 @@
     replica: Replica
     sent_at: float
     move: Callable[[], None]
-    """Moves the request to another replica, if it may be sent to one."""
+    """Starts to look for another replica for the request, if it may be sent to one."""
     heard_at: float = float("-inf")
     """Time of the last byte from the replica; infinite while it is passed on."""
 
@@ -53,7 +60,7 @@
             for one in self._attempts
             if max(one.sent_at, one.heard_at) < silent_since
         }
-        if not waiting:
+        if not waiting or not self._makes_progress(now):
             return []
         heard = {
             one.replica.incarnation
@@ -66,3 +73,7 @@
             if replica.incarnation not in heard and is_vm_silent(replica)
         }
         return [one for one in self._attempts if one.replica.incarnation in silent]
+
+    def _makes_progress(self, now: float) -> bool:
+        progress_since = now - MAX_PROGRESS_AGE_S
+        return any(one.heard_at >= progress_since for one in self._attempts)
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -183,8 +183,11 @@
         self._last_event_id: bytes | None = None
         self._last_answer: tuple[int, Headers, bytes] | None = None
         self._running: RunningAttempt | None = None
-        self._is_moving = False
-        """Whether the attempt was ended to send the request to another replica."""
+        self._search = trio.CancelScope()
+        """Scope of the search for a replica to which a stalled request can move."""
+        self._is_searching = False
+        self._next_place: Assignment | None = None
+        """Place at the replica to which the request moves."""
         self.outcome = "cut"
         self.phase = CallPhase.WAITING
         self.replica_id = ""
@@ -196,15 +199,19 @@
 
     async def run(self) -> None:
         """Answer the caller; raise `AnswerCut` if a started answer breaks off."""
-        with trio.move_on_at(self._request.deadline):
-            await self._run()
-            return
+        try:
+            with trio.move_on_at(self._request.deadline):
+                await self._run()
+                return
+        finally:
+            self._release_next_place()
         await self._give_up(self._decide_timeout())
 
     async def _run(self) -> None:
         request = self._request
         while True:
-            decision = await self._wait_for_assignment()
+            self.phase = CallPhase.WAITING
+            decision = self._take_next_place() or await self._wait_for_assignment()
             if isinstance(decision, Rejection):
                 await self._give_up(self._describe_rejection(decision))
                 return
@@ -238,7 +245,6 @@
 
     async def _wait_for_assignment(self) -> Assignment | Rejection:
         request = self._request
-        self.phase = CallPhase.WAITING
         now = trio.current_time()
         if self._dependencies.suspects.is_banned(request.fingerprint, now=now):
             return Rejection(
@@ -300,6 +306,7 @@
         gate.attempts.add(self._running)
 
     def _forget_running(self) -> None:
+        self._search.cancel()
         if self._running is not None:
             gate = self._dependencies.gates.get_gate(self._request.service)
             gate.attempts.discard(self._running)
@@ -307,12 +314,43 @@
 
     def _move(self, abort: Callable[[], None]) -> None:
         # A request that may not be repeated keeps waiting: the VM may resume in time.
-        repeatable = self._request.route.repeatable
-        if self.ended or not repeatable or not self._take_repeat():
+        request, running = self._request, self._running
+        if running is None or self._is_searching or not request.route.repeatable:
             return
-        self._forget_running()
-        self._is_moving = True
-        abort()
+        if request.attempts < request.route.max_attempts:
+            self._is_searching = True
+            self._search = trio.CancelScope()
+            request.tried.add(running.replica.incarnation)
+            search = partial(self._find_next_place, running, abort)
+            self._dependencies.gates.start_task(search)
+
+    async def _find_next_place(
+        self, running: RunningAttempt, abort: Callable[[], None]
+    ) -> None:
+        # The attempt goes on until there is a place elsewhere. Ended before, a stream
+        # that no other replica takes would be cut although its replica may resume.
+        heard_at = running.heard_at
+        with self._search:
+            decision = await self._wait_for_assignment()
+            if isinstance(decision, Assignment):
+                self._next_place = decision
+                stalled = self._running is running and running.heard_at == heard_at
+                if stalled and not self.ended and self._take_repeat():
+                    abort()
+                else:
+                    self._release_next_place()
+        self._is_searching = False
+
+    def _take_next_place(self) -> Assignment | None:
+        place, self._next_place = self._next_place, None
+        return place
+
+    def _release_next_place(self) -> None:
+        place = self._take_next_place()
+        if place is not None:
+            self._dependencies.gates.finish(
+                self._request.service, place.replica, failed=False
+            )
 
     async def _exchange(self, replica: Replica) -> None:
         request = self._request
@@ -341,7 +379,7 @@
         except ReplicaUnreachable as error:
             raise _AttemptFailed(f"unreachable: {error}", not_run=True) from error
         except ReplicaFailed as error:
-            if self._is_moving:
+            if self._next_place is not None:
                 raise _AttemptFailed(
                     "stalled: the VM is silent", not_run=False
                 ) from error
@@ -539,9 +577,8 @@
         )
 
     def _may_repeat(self, failure: _AttemptFailed) -> bool:
-        if self._is_moving:
+        if self._next_place is not None:
             # Already counted against the budget.
-            self._is_moving = False
             return True
         if not failure.not_run and not self._request.route.repeatable:
             return False
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -1,6 +1,6 @@
 """Queue requests at the gate of their service until it assigns or rejects them."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from functools import partial
 from random import Random
 
@@ -68,9 +68,11 @@
         self._waiters: dict[str, _Waiter] = {}
         self._services: dict[str, str] = {}
         """Service by the address of its replica."""
+        self._nursery: trio.Nursery | None = None
 
     def start(self, nursery: trio.Nursery) -> None:
         """Start the dispatch, the expiry of notices and the check for stalled VMs."""
+        self._nursery = nursery
         nursery.start_soon(self._dispatch_regularly)
         nursery.start_soon(self._move_stalled_attempts)
         nursery.start_soon(self._expire_notices)
@@ -205,6 +207,11 @@
         assert waiter.decision is not None
         return waiter.decision
 
+    def start_task(self, function: Callable[[], Awaitable[None]]) -> None:
+        """Run a function beside the call that needs its result."""
+        assert self._nursery is not None
+        self._nursery.start_soon(function)
+
     def finish(self, service: str, replica: Replica, *, failed: bool) -> None:
         """Release the place of a request at a replica."""
         gate = self.get_gate(service)
--- a/src/hyssopvane/_internal/transport/http_connection.py
+++ b/src/hyssopvane/_internal/transport/http_connection.py
@@ -60,8 +60,10 @@
 noticed no sooner than its connection is read."""
 
 MAX_UNSENT_BYTES = 1024 * 1024
-"""Unsent bytes at which a connection is ended whose caller requests acknowledgements
-but does not read them. A thousand answers' heads have less."""
+"""Unsent bytes at which a connection ends if its caller demands more acknowledgements.
+
+It has not read what was sent before. The heads of a thousand answers have fewer bytes.
+"""
 
 _HTTP2 = "2"
 _CLIENT_ERROR_START = b"HTTP/1.1 4"
@@ -472,7 +474,7 @@
 
 
 class _Http1Parser(h11.Connection):
-    """Wait for the end of the last answer of a connection, too, to read on.
+    """Pause at bytes behind the last request of a connection, as behind any other.
 
     h11 takes bytes behind a request with `Connection: close` for an error. Hypercorn
     then sends 400 and closes the connection while the request is running.
--- a/src/hyssopvane/_internal/transport/read_ahead.py
+++ b/src/hyssopvane/_internal/transport/read_ahead.py
@@ -25,9 +25,9 @@
 class ReadAhead:
     """Wait for the end of an answer, and notice meanwhile when the caller leaves.
 
-    Takes the place of the event on which hypercorn's HTTP/1.1 protocol waits, in the
-    task that reads the connection, when more bytes have come than belong to the running
-    request. While that task only waited, nobody noticed the end of the connection.
+    Hypercorn's HTTP/1.1 protocol waits for an event when more bytes have arrived than
+    belong to the running request. It does so in the task that reads the connection, so
+    that its end would not be noticed. This class replaces the event.
     """
 
     def __init__(
@@ -39,7 +39,7 @@
         self._answered = False
         self._scope = trio.CancelScope()
         self.read_s = 0.0
-        """Time for which an answer's end was waited for while reading on."""
+        """Total time for which `wait` has read."""
 
     def __len__(self) -> int:
         return len(self._data)
