Give a stalled request its turn, and count what a stalled VM holds as no load of its group

Each request of a replica whose agent is silent counts for as many as there are entries, and a stream that has begun stood behind all requests that could still be on time.

Now the requests of a stalled replica count for nothing, as they take part in no pass, and a moving request keeps its turn.

--- a/src/hyssopvane/_internal/policy/replica_load.py
+++ b/src/hyssopvane/_internal/policy/replica_load.py
@@ -97,6 +97,9 @@
 
     def count(self, now: float, entries: int) -> int:
         """Return the estimated number of requests of the replica."""
+        if self.is_stalled:
+            # These take part in no pass, and are moved to other replicas.
+            return 0
         if self.load is None or not self.is_fresh(now):
             return self.own * entries
         return self.load.active + self.load.queued + len(self.sent_at)
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -243,7 +243,9 @@
                     return
                 self._dependencies.metrics.count_retry(str(failure).split(":")[0])
 
-    async def _wait_for_assignment(self) -> Assignment | Rejection:
+    async def _wait_for_assignment(
+        self, *, moving: bool = False
+    ) -> Assignment | Rejection:
         request = self._request
         now = trio.current_time()
         if self._dependencies.suspects.is_banned(request.fingerprint, now=now):
@@ -255,6 +257,10 @@
         refuse_at = request.arrived_at + objective_s * MAX_WAIT_SHARE
         if request.attempts or self._stream_started:
             refuse_at = max(refuse_at, now + RESUME_WAIT_S)
+        if moving:
+            # Behind all requests that can still be on time, a stream would hardly move
+            # before its caller leaves, and what was generated for it would be lost.
+            late_at = refuse_at
         item = QueuedItem(
             request_id=str(request.number),
             customer="" if request.customer is None else request.customer.name,
@@ -331,7 +337,7 @@
         # that no other replica takes would be cut although its replica may resume.
         heard_at = running.heard_at
         with self._search:
-            decision = await self._wait_for_assignment()
+            decision = await self._wait_for_assignment(moving=True)
             if isinstance(decision, Assignment):
                 self._next_place = decision
                 stalled = self._running is running and running.heard_at == heard_at
--- a/tests/unit/test_running_attempts.py
+++ b/tests/unit/test_running_attempts.py
@@ -124,3 +124,15 @@
     assert not one.takes_requests(NOW)
     gate.observe_loads([(make_load(0), NOW + 1.0)])
     assert one.takes_requests(NOW + 1.0)
+
+
+def test_requests_of_a_stalled_replica_take_no_place_of_their_group():
+    """Guard against a group that seems too full for its stalled requests to move."""
+    gate = make_gate((LONG_AGO, JUST_NOW))
+    one = gate._replicas["i-0"]
+    for _ in range(6):
+        one.start(LONG_AGO)
+    group = gate._groups["group"]
+    before = group.count(NOW)
+    assert gate.record_stall(one.replica, now=NOW)
+    assert group.count(NOW) == before - 6 * group.entries
