Send new requests to replicas whose agents are heard, while they have room

A request that moved away from a stalled VM went to the next one, whose stall this entry had not found yet. A replica whose agent is silent may stand still; one whose agent was only killed serves as before, so that it is used when no other has room.

test_replica_with_a_silent_agent_is_chosen_last: new.

--- a/src/hyssopvane/_internal/policy/replica_choice.py
+++ b/src/hyssopvane/_internal/policy/replica_choice.py
@@ -90,6 +90,20 @@
         # slowest: one request at a rank that runs at a twelfth of its pace costs as
         # much as twelve.
         usable = [one for one in usable if not one.is_slow(now)] or usable
+        # The VM of a replica whose agent is silent may stand still.
+        heard = [one for one in usable if one.is_fresh(now)]
+        found = self._choose_among(heard, group, avoid, now)
+        if found is None and len(heard) < len(usable):
+            found = self._choose_among(usable, group, avoid, now)
+        return found
+
+    def _choose_among(
+        self,
+        usable: list[ReplicaLoad],
+        group: GroupCapacity,
+        avoid: frozenset[Incarnation],
+        now: float,
+    ) -> ReplicaLoad | None:
         fresh = [one for one in usable if one.replica.incarnation not in avoid]
         counts = [(one.count(now, group.entries), one) for one in fresh or usable]
         # A rank reads prompts one after the other. Of two ranks with the same number of
--- a/tests/unit/test_running_attempts.py
+++ b/tests/unit/test_running_attempts.py
@@ -4,12 +4,17 @@
 
 import pytest
 
+from hyssopvane._internal.policy.queueing import QueuedItem
 from hyssopvane._internal.policy.running_attempts import (
     MAX_SILENCE_S,
     RunningAttempt,
     RunningAttempts,
 )
-from hyssopvane._internal.policy.service_gate import ServiceGate
+from hyssopvane._internal.policy.service_gate import (
+    Assignment,
+    QueuedRequest,
+    ServiceGate,
+)
 from hyssopvane._internal.state.loads import RankLoad
 from hyssopvane._internal.state.routing import Replica
 
@@ -136,3 +141,19 @@
     before = group.count(NOW)
     assert gate.record_stall(one.replica, now=NOW)
     assert group.count(NOW) == before - 6 * group.entries
+
+
+def test_replica_with_a_silent_agent_is_chosen_last():
+    """Guard against requests that move from one stalled VM to the next."""
+    gate = make_gate((LONG_AGO, JUST_NOW))
+    chosen = []
+    for number in range(40):
+        item = QueuedItem(f"r-{number}", "registry", 1, 1_000, NOW + 8.0, NOW)
+        waiting = QueuedRequest(item, late_at=NOW + 1.0, refuse_at=NOW + 1.0)
+        gate.add(waiting, weight=1.0)
+        for decision in gate.dispatch(NOW):
+            assert isinstance(decision, Assignment)
+            chosen.append(decision.replica.id)
+    first_silent = chosen.index("i-0")
+    assert set(chosen[:first_silent]) == {"i-1"}
+    assert first_silent == 5  # One of six slots was taken.
