Keep a search for another place apart from the call's own wait

When the connection of the stalled attempt broke meanwhile, the cancelled search took the call's own waiting request out of the queue, and the call waited until its deadline.

The test failed before (the stream was cut at the deadline) and passes.

--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -262,7 +262,8 @@
             # before its caller leaves, and what was generated for it would be lost.
             late_at = refuse_at
         item = QueuedItem(
-            request_id=str(request.number),
+            # The call itself may begin to wait while a search is being cancelled.
+            request_id=f"{request.number}-moving" if moving else str(request.number),
             customer="" if request.customer is None else request.customer.name,
             priority=request.priority,
             tokens=request.tokens,
--- a/tests/functional/test_stalled_vm.py
+++ b/tests/functional/test_stalled_vm.py
@@ -40,11 +40,15 @@
 class Vms:
     """Run two replicas, of which the first one that gets a request stalls."""
 
-    def __init__(self, *, before=2, agent_stalls=True, resumes=False, full=False):
+    def __init__(
+        self, *, before=2, agent_stalls=True, resumes=False, full=False, breaks=False
+    ):
         self.before = before
         """Number of events that are sent before the stall."""
         self.agent_stalls = agent_stalls
         self.resumes = resumes
+        self.breaks = breaks
+        """Whether the stalled connection breaks, when the group has room again."""
         self.full = full
         """Whether the group takes no further request."""
         self.stalled = None
@@ -67,6 +71,10 @@
         return True
 
     async def wait_while_stalled(self):
+        if self.breaks:
+            await trio.sleep(1.5)
+            self.full = False
+            raise trio.BrokenResourceError
         if not self.resumes:
             await trio.sleep_forever()
         await trio.sleep(1.5)
@@ -154,3 +162,15 @@
         assert sorted(len(one.received) for one in replicas) == [0, 1]
 
     run(vms, test)
+
+
+def test_stream_that_breaks_while_a_place_is_looked_for_is_resumed():
+    """Guard against a call that shares the search's place in the queue and loses it."""
+    vms = Vms(full=True, breaks=True)
+
+    async def test(site, replicas):
+        answer = await site.call("/drafts/7", deadline_ms=6_000)
+        assert answer.body == b"".join(make_event(n) for n in range(1, EVENTS + 1))
+        assert sorted(len(one.received) for one in replicas) == [1, 1]
+
+    run(vms, test)
