Move an entry's only stalled request, too, and restore the regression test

Found in reading the diff: moved nothing unless another request of the entry had been heard of, and gave the stand-in of the committed regression test such a request.

Now only evidence against a move holds it back: another request that waits and is not heard of, none being heard of. Without other requests the stalled ones move.

--- a/src/hyssopvane/_internal/policy/running_attempts.py
+++ b/src/hyssopvane/_internal/policy/running_attempts.py
@@ -13,11 +13,11 @@
 after two seconds without an event, and another replica needs some tenths of a second.
 """
 
-
 MAX_PROGRESS_AGE_S = 0.3
-"""Age of the last byte of any other replica up to which their group makes passes.
+"""Time without a byte of any other replica after which the service stands still.
 
-A group that stands still as a whole gains nothing from moving its requests.
+Moving a request gains nothing then. An entry without other requests can't tell, and
+moves the ones that wait.
 """
 
 
@@ -60,7 +60,7 @@
             for one in self._attempts
             if max(one.sent_at, one.heard_at) < silent_since
         }
-        if not waiting or not self._makes_progress(now):
+        if not waiting:
             return []
         heard = {
             one.replica.incarnation
@@ -72,8 +72,17 @@
             for replica in waiting
             if replica.incarnation not in heard and is_vm_silent(replica)
         }
+        others = [
+            one for one in self._attempts if one.replica.incarnation not in silent
+        ]
+        if _have_stopped(others, now):
+            return []
         return [one for one in self._attempts if one.replica.incarnation in silent]
 
-    def _makes_progress(self, now: float) -> bool:
-        progress_since = now - MAX_PROGRESS_AGE_S
-        return any(one.heard_at >= progress_since for one in self._attempts)
+
+def _have_stopped(attempts: list[RunningAttempt], now: float) -> bool:
+    """Return whether no replica sends anything to requests that wait for it."""
+    progress_since = now - MAX_PROGRESS_AGE_S
+    if any(one.heard_at >= progress_since for one in attempts):
+        return False
+    return any(one.sent_at < progress_since for one in attempts)
--- a/tests/functional/test_stalled_vm.py
+++ b/tests/functional/test_stalled_vm.py
@@ -6,9 +6,7 @@
 import trio
 
 from hyssopvane._internal.policy.repeat_budget import RepeatBudget
-from hyssopvane._internal.policy.running_attempts import RunningAttempt
 from hyssopvane._internal.state.loads import RankLoad
-from hyssopvane._internal.state.routing import Replica
 from tests.lib.direct_installation import HANG_S, open_direct
 from tests.lib.direct_replica import STREAM_HEAD, chunk, make_answer, make_event
 
@@ -26,17 +24,6 @@
 )
 
 
-def make_replica(address):
-    return Replica(
-        id="i-other",
-        service="drafting",
-        address=address,
-        availability_zone="zone-a",
-        slots=6,
-        draining=False,
-    )
-
-
 class Vms:
     """Run two replicas, of which the first one that gets a request stalls."""
 
@@ -80,16 +67,10 @@
         await trio.sleep(1.5)
 
     async def report(self, site, replicas):
-        """Report loads like the agents of a group, but for that of a stalled VM.
-
-        Another request of the entry shows that the group makes passes.
-        """
+        """Report loads like the agents of a group, but for that of a stalled VM."""
         gate = site.entry.gates.get_gate("drafting")
-        other = make_replica(replicas[0].address)
-        running = RunningAttempt(other, 0.0, lambda: None)
-        gate.attempts.add(running)
         while True:
-            now = running.heard_at = trio.current_time()
+            now = trio.current_time()
             full = self.full and self.stalled is not None
             active = 6 if full else 1
             loads = [
--- a/tests/unit/test_running_attempts.py
+++ b/tests/unit/test_running_attempts.py
@@ -76,6 +76,10 @@
         ((LONG_AGO, LONG_AGO), [(0, LONG_AGO), (1, JUST_NOW)], []),
         # The group makes no passes, so no other rank could go on.
         ((LONG_AGO, JUST_NOW), [(0, LONG_AGO), (1, NOW - 0.5)], []),
+        ((LONG_AGO, JUST_NOW), [(0, LONG_AGO), (1, NEVER, NOW - 0.5)], []),
+        # The entry has no other request, or none that could have been heard of.
+        ((LONG_AGO, JUST_NOW), [(0, LONG_AGO)], [0]),
+        ((LONG_AGO, JUST_NOW), [(0, LONG_AGO), (1, NEVER, JUST_NOW)], [0]),
         # A plain service has no agents.
         ((None, None), [(0, LONG_AGO), (1, JUST_NOW)], []),
         # The entry passes on what it received to a slow caller.
@@ -90,6 +94,9 @@
         "agent-failed",
         "agents-silent",
         "no-passes",
+        "no-first-byte",
+        "only-request",
+        "other-just-sent",
         "no-agents",
         "slow-caller",
     ],
