Test that a caller that leaves a joined run ends only its own part

Looked at as a place of the same cause, on the path with agents: two callers of one key, one leaves. Its relay ends, the run goes on by the promise of its key, and the other gets the whole answer, whichever leaves. Nothing was found; the test passes on the code of before.

--- a/tests/unit/test_keyed_runs.py
+++ b/tests/unit/test_keyed_runs.py
@@ -136,6 +136,34 @@
     run_test(run)
 
 
+@pytest.mark.parametrize("leaver", ["joined", "first"])
+def test_caller_that_leaves_a_joined_run_ends_only_its_own_part(leaver):
+    """Guard against a relay that goes on, or a run that ends, after one of two left."""
+
+    async def run():
+        key = make_key()
+        async with run_agent() as (target, connect), connect() as pair:
+            first = await open_run(pair, make_keyed_opening(key, FIRST))
+            assert isinstance(await first.receive(), Head)
+            opening = make_keyed_opening(key, FIRST, join=True)
+            joined = pair.opener.open_stream(opening)
+            assert isinstance(await joined.receive(), Head)
+            await trio.testing.wait_all_tasks_blocked()
+            assert len(pair.accepter._serving) == 2
+            leaving, staying = (
+                (joined, first) if leaver == "joined" else (first, joined)
+            )
+            leaving.cancel()
+            leaving.close()
+            await trio.testing.wait_all_tasks_blocked()
+            assert len(pair.accepter._serving) == 1
+            target.may_continue.set()
+            assert await receive_all(staying) == [Chunk(b"first, second"), End()]
+            assert target.calls == [BODY]
+
+    run_test(run)
+
+
 def test_late_copy_of_an_attempt_with_a_tombstone_is_refused():
     """Guard against a bid that is made twice.
 
