Log which entry knows of how many replicas lost under a request

No log told the identity of a request, nor how many ends of replicas an entry counts for it, so the hypotheses of the incident could not be told apart. The line crash-suspect has both, and whether the entry refuses the request from then on.

--- a/src/hyssopvane/_internal/policy/crash_suspects.py
+++ b/src/hyssopvane/_internal/policy/crash_suspects.py
@@ -36,8 +36,8 @@
     def __init__(self) -> None:
         self._losses: OrderedDict[int, _Losses] = OrderedDict()
 
-    def record_loss(self, fingerprint: int, lost: Incarnation, *, now: float) -> None:
-        """Record that a replica was lost while it ran a request.
+    def record_loss(self, fingerprint: int, lost: Incarnation, *, now: float) -> int:
+        """Record that a replica was lost while it ran a request; return the count.
 
         A replica that restarts under the same id and is lost again counts again.
         """
@@ -51,6 +51,7 @@
         losses.replicas[lost] = now
         if len(losses.replicas) >= BAN_AFTER:
             losses.banned_until = now + BAN_S
+        return len(losses.replicas)
 
     def is_banned(self, fingerprint: int, *, now: float) -> bool:
         """Return whether a request is refused."""
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -11,7 +11,7 @@
 
 from hyssopvane._internal.exceptions import ProtocolError
 from hyssopvane._internal.models.direct_refusals import DirectAnswer, DirectRefusal
-from hyssopvane._internal.policy.crash_suspects import CrashSuspects
+from hyssopvane._internal.policy.crash_suspects import BAN_AFTER, CrashSuspects
 from hyssopvane._internal.policy.queueing import QueuedItem
 from hyssopvane._internal.policy.repeat_budget import RepeatBudget
 from hyssopvane._internal.policy.running_attempts import RunningAttempt
@@ -390,9 +390,19 @@
                 raise _AttemptFailed(
                     "stalled: the VM is silent", not_run=False
                 ) from error
-            self._dependencies.suspects.record_loss(
+            crashes = self._dependencies.suspects.record_loss(
                 request.fingerprint, replica.incarnation, now=trio.current_time()
             )
+            self._dependencies.metrics.count_event("crash-suspect")
+            log_event(
+                "warning",
+                "crash-suspect",
+                request=request.request_id,
+                body=f"{request.fingerprint:08x}",
+                replica=replica.id,
+                crashes=crashes,
+                refused=crashes >= BAN_AFTER,
+            )
             raise _AttemptFailed(f"failed: {error}", not_run=False) from error
 
     def _may_send(self, replica: Replica, abort: Callable[[], None]) -> bool:
