--- a/src/hyssopvane/_internal/roles/direct_app.py
+++ b/src/hyssopvane/_internal/roles/direct_app.py
@@ -14,11 +14,8 @@
 from hyssopvane._internal.protocol.messages import Headers
 from hyssopvane._internal.roles.call import AnswerCut, run_until_disconnect
 from hyssopvane._internal.roles.direct_answer import send_answer
-from hyssopvane._internal.roles.direct_call import (
-    CallDependencies,
-    DirectCall,
-    DirectRequest,
-)
+from hyssopvane._internal.roles.direct_call import DirectCall
+from hyssopvane._internal.roles.direct_request import CallDependencies, DirectRequest
 from hyssopvane._internal.state.routing import Customer, Route, RoutingTable
 from hyssopvane._internal.transport.asgi_messages import (
     BodyTooLarge,
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -1,20 +1,15 @@
 """Forward one request to a replica and its answer to the caller."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import StrEnum
 from functools import partial
 from math import inf
 from typing import Any
 
 import trio
 
-from hyssopvane._internal.exceptions import ProtocolError
 from hyssopvane._internal.models.direct_refusals import DirectAnswer, DirectRefusal
-from hyssopvane._internal.policy.crash_suspects import BAN_AFTER, CrashSuspects
+from hyssopvane._internal.policy.crash_suspects import BAN_AFTER
 from hyssopvane._internal.policy.queueing import QueuedItem
-from hyssopvane._internal.policy.repeat_budget import RepeatBudget
-from hyssopvane._internal.policy.running_attempts import RunningAttempt
 from hyssopvane._internal.policy.service_gate import (
     Assignment,
     QueuedRequest,
@@ -22,34 +17,31 @@
 )
 from hyssopvane._internal.policy.stream_pauses import StreamPauses
 from hyssopvane._internal.protocol.event_stream import EventSplitter, StreamEvent
-from hyssopvane._internal.protocol.headers import RETRY_AFTER, read_backoff_s
+from hyssopvane._internal.protocol.headers import RETRY_AFTER
 from hyssopvane._internal.protocol.messages import Headers
 from hyssopvane._internal.protocol.replica_headers import (
-    ReplicaHeaders,
-    indicates_leaving,
-    read_request_limit,
     select_for_caller,
     select_for_replica,
 )
 from hyssopvane._internal.roles.call import AnswerCut
 from hyssopvane._internal.roles.direct_answer import send_answer
-from hyssopvane._internal.roles.gate_keeper import GateKeeper
+from hyssopvane._internal.roles.direct_request import (
+    CallDependencies,
+    CallPhase,
+    DirectRequest,
+)
+from hyssopvane._internal.roles.replica_reports import MISDIRECTED, ReplicaReports
+from hyssopvane._internal.roles.stalled_request import StalledRequestMover
 from hyssopvane._internal.state.routing import (
-    Customer,
-    Incarnation,
     Replica,
     RequestKind,
-    Route,
 )
 from hyssopvane._internal.transport.replica_client import (
-    AnswerHead,
     CallWithdrawn,
-    ReplicaClient,
     ReplicaFailed,
     ReplicaResponse,
     ReplicaUnreachable,
 )
-from hyssopvane._internal.utils.deferred_metrics import DeferredMetrics
 from hyssopvane._internal.utils.logs import log_event
 
 MAX_PLAIN_ANSWER_BYTES = 16 * 1024 * 1024
@@ -87,71 +79,10 @@
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 _OK = range(200, 300)
 _SERVER_ERROR = 500
-_MISDIRECTED = 421
 _MAX_LOGGED_BYTES = 20
 """Maximum length of a header value in a log line."""
 
 
-class CallPhase(StrEnum):
-    """Name how far a request has got."""
-
-    WAITING = "waiting"
-    """Waits for a replica, also before a retry."""
-    CONNECTING = "connecting"
-    SENT = "sent"
-    """Sent to a replica, which may be working on it."""
-    ANSWERING = "answering"
-
-
-@dataclass(slots=True)
-class DirectRequest:
-    """Hold a request whose body is complete and whose route and customer are known."""
-
-    request_id: str
-    """Set by the caller; not unique."""
-    number: int
-    """Unique in this process."""
-    method: str
-    target: bytes
-    headers: Headers
-    body: bytes
-    route: Route
-    service: str
-    customer: Customer | None
-    arrived_at: float
-    deadline: float
-    """Time by which the answer must end."""
-    caller_deadline: float
-    """Time until which the caller waits."""
-    tokens: int
-    """Prompt tokens plus maximum output tokens."""
-    prompt_tokens: int
-    fingerprint: int
-    """Equal for requests with the same path, customer and body."""
-    attempts: int = 0
-    may_have_run: bool = False
-    tried: set[Incarnation] = field(default_factory=set)
-
-    @property
-    def priority(self) -> int:
-        """Return the priority of the request; 0 is the highest."""
-        if self.customer is not None and self.customer.priority is not None:
-            return self.customer.priority
-        return self.route.priority
-
-
-@dataclass(frozen=True, slots=True)
-class CallDependencies:
-    """Hold the objects that all calls of one entry share."""
-
-    names: ReplicaHeaders
-    gates: GateKeeper
-    client: ReplicaClient
-    metrics: DeferredMetrics
-    suspects: CrashSuspects
-    budget: RepeatBudget
-
-
 class _AttemptFailed(Exception):
     """Report that an attempt failed, and whether the request may have run."""
 
@@ -179,15 +110,16 @@
         self._request = request
         self._dependencies = dependencies
         self._send = send
+        self._reports = ReplicaReports(request, dependencies)
         self._stream_started = False
         self._last_event_id: bytes | None = None
         self._last_answer: tuple[int, Headers, bytes] | None = None
-        self._running: RunningAttempt | None = None
-        self._search = trio.CancelScope()
-        """Scope of the search for a replica to which a stalled request can move."""
-        self._is_searching = False
-        self._next_place: Assignment | None = None
-        """Place at the replica to which the request moves."""
+        self._mover = StalledRequestMover(
+            request,
+            dependencies,
+            wait_for_place=partial(self._wait_for_assignment, moving=True),
+            take_repeat=self._take_repeat_for_move,
+        )
         self.outcome = "cut"
         self.phase = CallPhase.WAITING
         self.replica_id = ""
@@ -204,14 +136,16 @@
                 await self._run()
                 return
         finally:
-            self._release_next_place()
+            self._mover.release_next_place()
         await self._give_up(self._decide_timeout())
 
     async def _run(self) -> None:
         request = self._request
         while True:
             self.phase = CallPhase.WAITING
-            decision = self._take_next_place() or await self._wait_for_assignment()
+            decision = (
+                self._mover.take_next_place() or await self._wait_for_assignment()
+            )
             if isinstance(decision, Rejection):
                 await self._give_up(self._describe_rejection(decision))
                 return
@@ -301,64 +235,9 @@
             failed = False
             raise
         finally:
-            self._forget_running()
+            self._mover.forget()
             self._dependencies.gates.finish(request.service, replica, failed=failed)
 
-    def _track_running(self, replica: Replica, abort: Callable[[], None]) -> None:
-        """Let the gate move the request when the replica's VM no longer answers."""
-        gate = self._dependencies.gates.get_gate(self._request.service)
-        self._running = RunningAttempt(
-            replica, trio.current_time(), partial(self._move, abort)
-        )
-        gate.attempts.add(self._running)
-
-    def _forget_running(self) -> None:
-        self._search.cancel()
-        if self._running is not None:
-            gate = self._dependencies.gates.get_gate(self._request.service)
-            gate.attempts.discard(self._running)
-            self._running = None
-
-    def _move(self, abort: Callable[[], None]) -> None:
-        # A request that may not be repeated keeps waiting: the VM may resume in time.
-        request, running = self._request, self._running
-        if running is None or self._is_searching or not request.route.repeatable:
-            return
-        if request.attempts < request.route.max_attempts:
-            self._is_searching = True
-            self._search = trio.CancelScope()
-            request.tried.add(running.replica.incarnation)
-            search = partial(self._find_next_place, running, abort)
-            self._dependencies.gates.start_task(search)
-
-    async def _find_next_place(
-        self, running: RunningAttempt, abort: Callable[[], None]
-    ) -> None:
-        # The attempt goes on until there is a place elsewhere. Ended before, a stream
-        # that no other replica takes would be cut although its replica may resume.
-        heard_at = running.heard_at
-        with self._search:
-            decision = await self._wait_for_assignment(moving=True)
-            if isinstance(decision, Assignment):
-                self._next_place = decision
-                stalled = self._running is running and running.heard_at == heard_at
-                if stalled and not self.ended and self._take_repeat():
-                    abort()
-                else:
-                    self._release_next_place()
-        self._is_searching = False
-
-    def _take_next_place(self) -> Assignment | None:
-        place, self._next_place = self._next_place, None
-        return place
-
-    def _release_next_place(self) -> None:
-        place = self._take_next_place()
-        if place is not None:
-            self._dependencies.gates.finish(
-                self._request.service, place.replica, failed=False
-            )
-
     async def _exchange(self, replica: Replica) -> None:
         request = self._request
         if request.deadline - trio.current_time() < MIN_SEND_S:
@@ -375,10 +254,10 @@
                 # Opening a connection takes up to a second. In that time an answer to
                 # another request may have changed whether the replica accepts any.
                 may_send=partial(self._may_send, replica),
-                observe_late=partial(self._record_late_answer, replica),
+                observe_late=partial(self._reports.record_late, replica),
             ) as response:
                 self.phase = CallPhase.ANSWERING
-                self._record_heard(trio.current_time())
+                self._mover.record_heard(trio.current_time())
                 await self._relay(replica, response)
         except CallWithdrawn as error:
             request.attempts -= 1
@@ -386,7 +265,7 @@
         except ReplicaUnreachable as error:
             raise _AttemptFailed(f"unreachable: {error}", not_run=True) from error
         except ReplicaFailed as error:
-            if self._next_place is not None:
+            if self._mover.is_moving:
                 raise _AttemptFailed(
                     "stalled: the VM is silent", not_run=False
                 ) from error
@@ -410,7 +289,7 @@
         allowed = gate.may_send(replica, trio.current_time())
         if allowed:
             self.phase = CallPhase.SENT
-            self._track_running(replica, abort)
+            self._mover.track(replica, abort)
         return allowed
 
     def _make_headers(self, replica: Replica) -> Headers:
@@ -434,8 +313,8 @@
         echoed = response.fields.get(names.request_id, b"").decode("latin1")
         if echoed and echoed != self._request.request_id:
             raise ReplicaFailed("the answer belongs to another request")
-        self._record_replica_state(replica, response)
-        if names.not_executed in response.fields or response.status == _MISDIRECTED:
+        self._reports.record(replica, response)
+        if names.not_executed in response.fields or response.status == MISDIRECTED:
             self._handle_refusal(replica, response)
         if not echoed:
             raise ReplicaFailed("the answer has no request ID")
@@ -451,53 +330,10 @@
         else:
             await self._relay_whole(response)
 
-    def _record_late_answer(self, replica: Replica, head: AnswerHead) -> None:
-        # The state that a replica reports in an answer is valid even if the caller has
-        # left in the meantime.
-        echoed = head.fields.get(self._dependencies.names.request_id, b"")
-        if echoed.decode("latin1") == self._request.request_id:
-            self._record_replica_state(replica, head)
-
-    def _record_replica_state(self, replica: Replica, response: AnswerHead) -> None:
-        """Record limit, back-off and leaving that an answer reports of its replica."""
-        if response.status == _MISDIRECTED:
-            # The address now belongs to another replica.
-            return
-        self._record_limit(replica, response)
-        self._record_backoff(replica, response)
-        if indicates_leaving(response.fields, self._dependencies.names):
-            self._dependencies.gates.observe_leaving(self._request.service, replica)
-
-    def _record_limit(self, replica: Replica, response: AnswerHead) -> None:
-        names = self._dependencies.names
-        try:
-            per_s = read_request_limit(response.fields, names)
-        except ProtocolError as error:
-            # The previous limit stays; the caller still gets its answer.
-            self._dependencies.metrics.count_event("limit-unreadable")
-            log_event("warning", "limit-unreadable", replica=replica.id, why=error)
-            return
-        if per_s is not None or names.signature in response.fields:
-            self._dependencies.gates.observe_answer(
-                self._request.service, replica, per_s
-            )
-
-    def _record_backoff(self, replica: Replica, response: AnswerHead) -> None:
-        try:
-            backoff_s = read_backoff_s(response.status, response.fields)
-        except ProtocolError as error:
-            self._dependencies.metrics.count_event("rest-unreadable")
-            log_event("warning", "rest-unreadable", replica=replica.id, why=error)
-            return
-        if backoff_s is not None:
-            self._dependencies.gates.observe_backoff(
-                self._request.service, replica, backoff_s
-            )
-
     def _handle_refusal(self, replica: Replica, response: ReplicaResponse) -> None:
         gate = self._dependencies.gates.get_gate(self._request.service)
         now = trio.current_time()
-        if response.status == _MISDIRECTED:
+        if response.status == MISDIRECTED:
             gate.mark_replaced(replica)
         elif gate.may_send(replica, now):
             gate.record_full(replica, now=now, until=now + FULL_REST_S)
@@ -542,13 +378,13 @@
     async def _relay_stream(self, response: ReplicaResponse) -> None:
         splitter = EventSplitter()
         async for part in response.iterate():
-            self._record_heard(inf)
+            self._mover.record_heard(inf)
             for event in splitter.feed(part):
                 self._check_event(event)
                 self.pauses.observe(trio.current_time())
                 await self._start_stream(response)
                 await self._send_part(event.data)
-            self._record_heard(trio.current_time())
+            self._mover.record_heard(trio.current_time())
         if splitter.remainder.strip():
             raise ReplicaFailed("the stream ended within an event")
         await self._start_stream(response)
@@ -556,10 +392,6 @@
         self.outcome = "answered"
         await self._send({"type": "http.response.body", "body": b""})
 
-    def _record_heard(self, at: float) -> None:
-        if self._running is not None:
-            self._running.heard_at = at
-
     def _check_event(self, event: StreamEvent) -> None:
         if event.id is None:
             return
@@ -594,13 +426,16 @@
         )
 
     def _may_repeat(self, failure: _AttemptFailed) -> bool:
-        if self._next_place is not None:
+        if self._mover.is_moving:
             # Already counted against the budget.
             return True
         if not failure.not_run and not self._request.route.repeatable:
             return False
         return self._take_repeat()
 
+    def _take_repeat_for_move(self) -> bool:
+        return not self.ended and self._take_repeat()
+
     def _take_repeat(self) -> bool:
         """Return whether one more attempt is allowed, and count it if so."""
         request, now = self._request, trio.current_time()
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -18,7 +18,7 @@
 from hyssopvane._internal.protocol.group_messages import GroupMessage
 from hyssopvane._internal.protocol.replica_headers import ReplicaHeaders
 from hyssopvane._internal.roles.direct_app import DirectApp
-from hyssopvane._internal.roles.direct_call import CallDependencies
+from hyssopvane._internal.roles.direct_request import CallDependencies
 from hyssopvane._internal.roles.gate_keeper import GateKeeper
 from hyssopvane._internal.roles.metrics_app import MetricsApp
 from hyssopvane._internal.roles.process import Role
