Identify a request on the direct path by a digest that can not be forged

Cause: the identity was CRC-32 over customer, path and body joined by zero bytes; four bytes at the end of a body give it any value, and a zero byte in a path moves the boundary. Now BLAKE2b of 16 bytes over the parts with their lengths.

--- a/src/hyssopvane/_internal/policy/crash_suspects.py
+++ b/src/hyssopvane/_internal/policy/crash_suspects.py
@@ -34,9 +34,9 @@
     """
 
     def __init__(self) -> None:
-        self._losses: OrderedDict[int, _Losses] = OrderedDict()
+        self._losses: OrderedDict[bytes, _Losses] = OrderedDict()
 
-    def record_loss(self, fingerprint: int, lost: Incarnation, *, now: float) -> int:
+    def record_loss(self, fingerprint: bytes, lost: Incarnation, *, now: float) -> int:
         """Record that a replica was lost while it ran a request; return the count.
 
         A replica that restarts under the same id and is lost again counts again.
@@ -53,7 +53,7 @@
             losses.banned_until = now + BAN_S
         return len(losses.replicas)
 
-    def is_banned(self, fingerprint: int, *, now: float) -> bool:
+    def is_banned(self, fingerprint: bytes, *, now: float) -> bool:
         """Return whether a request is refused."""
         losses = self._losses.get(fingerprint)
         return losses is not None and now < losses.banned_until
--- a/src/hyssopvane/_internal/roles/direct_app.py
+++ b/src/hyssopvane/_internal/roles/direct_app.py
@@ -1,7 +1,6 @@
 """Serve callers on the direct path: find route and customer, then run the request."""
 
 import math
-import zlib
 from itertools import count
 from random import Random
 from typing import Any
@@ -10,6 +9,7 @@
 
 from hyssopvane._internal.coordination.routing_feed import RoutingFeed
 from hyssopvane._internal.models.direct_refusals import DirectAnswer, DirectRefusal
+from hyssopvane._internal.policy.request_digest import make_request_digest
 from hyssopvane._internal.protocol.headers import index_headers
 from hyssopvane._internal.protocol.messages import Headers
 from hyssopvane._internal.roles.call import AnswerCut, run_until_disconnect
@@ -262,7 +262,7 @@
             caller_deadline=caller_deadline,
             tokens=max(_DEFAULT_TOKENS, sum(tokens)),
             prompt_tokens=tokens[0],
-            fingerprint=zlib.crc32(b"\0".join((name.encode(), target, body))),
+            fingerprint=make_request_digest(name.encode(), target, body),
         )
 
     def _choose_service(self, route: Route) -> str:
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -277,7 +277,7 @@
                 "warning",
                 "crash-suspect",
                 request=request.request_id,
-                body=f"{request.fingerprint:08x}",
+                body=request.fingerprint.hex(),
                 replica=replica.id,
                 crashes=crashes,
                 refused=crashes >= BAN_AFTER,
--- a/src/hyssopvane/_internal/roles/direct_request.py
+++ b/src/hyssopvane/_internal/roles/direct_request.py
@@ -47,8 +47,8 @@
     tokens: int
     """Prompt tokens plus maximum output tokens."""
     prompt_tokens: int
-    fingerprint: int
-    """Equal for requests with the same path, customer and body."""
+    fingerprint: bytes
+    """Equal only for requests with the same path, customer and body."""
     attempts: int = 0
     may_have_run: bool = False
     tried: set[Incarnation] = field(default_factory=set)
--- a/tests/unit/test_restarted_replicas.py
+++ b/tests/unit/test_restarted_replicas.py
@@ -106,8 +106,8 @@
     """A request crashes its replica, which returns under its id each time."""
     suspects = CrashSuspects()
     for number in range(BAN_AFTER):
-        suspects.record_loss(1, ("i-1", BEFORE + number), now=float(number))
-    assert suspects.is_banned(1, now=float(BAN_AFTER))
+        suspects.record_loss(b"1", ("i-1", BEFORE + number), now=float(number))
+    assert suspects.is_banned(b"1", now=float(BAN_AFTER))
 
 
 def make_arming_model():
