Refuse only what nothing else explains, not each request that ran on three lost replicas

Cause: a bare count of ends per request, which nothing cleared. Class: a correlation taken for a cause.

The direct path now uses the account of the path with agents (policy/suspects.py) under rules of its own; policy/crash_suspects.py is gone. An end counts while the request has not finished since; not if the replica answers something that was sent later, or was leaving anyway; ends at the same moment count as one step; a request that was taken down twice is blamed before those beside it; a rival that was there each time keeps both from being refused until five. A proven cause clears what it explains. A lost connection is told apart from an answer that can't be used. Records are dropped by customer, the largest first.

--- a/src/hyssopvane/_internal/coordination/quarantine.py
+++ b/src/hyssopvane/_internal/coordination/quarantine.py
@@ -1,8 +1,8 @@
 """Share crash suspects and quarantined bodies on a page of the key-value service."""
 
-import json
 import time
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from random import Random
 
 import trio
@@ -16,26 +16,35 @@
     get_value_prefix,
 )
 from hyssopvane._internal.exceptions import HyssopvaneError, KeyValueError
+from hyssopvane._internal.policy.suspect_rules import (
+    SuspectRules,
+    choose_evicted,
+    combine,
+)
 from hyssopvane._internal.policy.suspects import (
+    MAX_QUARANTINE_S,
     MAX_RECORDS,
-    BodyId,
-    Crash,
-    SuspectRecord,
+    SUSPECT_S,
     SuspectTracker,
-    combine,
 )
+from hyssopvane._internal.protocol.suspect_pages import format_page, parse_page
 from hyssopvane._internal.state.store_position import StorePosition
+from hyssopvane._internal.state.suspects import BodyId, SuspectRecord
 from hyssopvane._internal.utils.backoff import Backoff
 
 PAGE_PREFIX = "quarantine/"
 PAGE_KEY = "quarantine/page"
 # A crash must be published before the caller's next try, which follows a backoff of at
 # least tens of milliseconds. Nothing is written while nothing crashes.
-_FLUSH_INTERVAL_S = 0.02
+FLUSH_INTERVAL_S = 0.02
 # The page is also read at this interval because a watch may silently stop. 960 entries
 # then cause 32 reads a second, of the 2000 that the service handles.
 REFRESH_S = 30.0
-_FORMAT = 1
+MIN_EXPIRY_S = 30.0
+"""Least time for which a record of another entry is kept.
+
+The clocks of VMs may be hours apart, and the page has times of day.
+"""
 
 SuspectRecords = Mapping[BodyId, SuspectRecord]
 
@@ -58,6 +67,8 @@
         report: Callable[[HyssopvaneError], None],
         wall_clock: Callable[[], float] = time.time,
         refresh_s: float = REFRESH_S,
+        flush_interval_s: float = FLUSH_INTERVAL_S,
+        observe: Callable[[BodyId], None] = lambda body: None,
     ) -> None:
         self._store = store
         self._tracker = tracker
@@ -66,6 +77,11 @@
         self._report = report
         self._wall_clock = wall_clock
         self._refresh_s = refresh_s
+        self._flush_interval_s = flush_interval_s
+        self._observe = observe
+        """Called with a body of which another entry reports further crashes."""
+        self.is_connected = False
+        """Whether the last read and the last write of the page succeeded."""
         self._position = StorePosition(0, ABSENT)
         self._prefix = b""
         """First bytes of the page at this position."""
@@ -84,6 +100,7 @@
                 await self._load_and_watch()
                 backoff.reset()
             except KeyValueError as error:
+                self.is_connected = False
                 self._report(error)
             await trio.sleep(backoff.get_next_delay())
 
@@ -92,6 +109,7 @@
         self._handle_era_change(snapshot.era)
         for item in snapshot.items:
             self._accept(item)
+        self.is_connected = True
         start, era = snapshot.revision + 1, snapshot.era
         async with self._store.watch(PAGE_PREFIX, start, era=era) as events:
             with trio.move_on_after(self._refresh_s * self._random.uniform(0.8, 1.2)):
@@ -104,24 +122,31 @@
     async def _flush_changes(self) -> None:
         backoff = Backoff(self._random, first_s=0.02)
         while True:
-            await trio.sleep(_FLUSH_INTERVAL_S)
+            await trio.sleep(self._flush_interval_s)
             changes = self._tracker.take_changes()
             if not changes:
                 continue
             try:
                 await self._write(changes)
+                self.is_connected = True
                 backoff.reset()
             except KeyValueError as error:
                 # A write whose reply was lost is repeated. Adding the same crash or
                 # removing the same record twice changes nothing.
                 self._tracker.return_changes(changes)
+                self.is_connected = False
                 self._report(error)
                 await trio.sleep(backoff.get_next_delay())
 
     async def _write(self, bodies: frozenset[BodyId]) -> None:
         while True:
             changes = {body: self._tracker.get_record(body) for body in bodies}
-            records = _merge_changes(self._shared, changes, now=trio.current_time())
+            records = _merge_changes(
+                self._shared,
+                changes,
+                rules=self._tracker.rules,
+                now=trio.current_time(),
+            )
             if records == self._shared:
                 return
             content = format_page(records, offset=self._get_offset())
@@ -174,14 +199,32 @@
             )
             self._record_page(item.position, item.value)
             return
+        records = {
+            body: self._limit_expiry(body, record, now)
+            for body, record in records.items()
+        }
         for body in self._shared.keys() - records.keys():
             self._tracker.drop(body)
         for body, record in records.items():
             quarantine_s = self._get_quarantine_s(body.service)
-            self._tracker.merge(body, record, quarantine_s=quarantine_s, now=now)
+            if self._tracker.merge(body, record, quarantine_s=quarantine_s, now=now):
+                self._observe(body)
         self._shared = records
         self._record_page(item.position, item.value)
 
+    def _limit_expiry(
+        self, body: BodyId, record: SuspectRecord, now: float
+    ) -> SuspectRecord:
+        """Return a record with an expiry that a wrong clock can't have shifted far."""
+        known = self._shared.get(body)
+        if known is not None and replace(record, until=known.until) == known:
+            return known
+        most_s = SUSPECT_S
+        if record.quarantined:
+            most_s = max(self._get_quarantine_s(body.service), MAX_QUARANTINE_S)
+        until = min(max(record.until, now + MIN_EXPIRY_S), now + most_s)
+        return replace(record, until=until)
+
     def _get_offset(self) -> float:
         """Return the offset from this process's clock to the wall clock, in seconds."""
         return self._wall_clock() - trio.current_time()
@@ -191,69 +234,24 @@
     shared: SuspectRecords,
     changes: Mapping[BodyId, SuspectRecord | None],
     *,
+    rules: SuspectRules,
     now: float,
 ) -> dict[BodyId, SuspectRecord]:
-    records = {body: record for body, record in shared.items() if record.until > now}
+    records = {
+        body: record
+        for body, record in shared.items()
+        if record.until + (rules.probation_s if record.quarantined else 0.0) > now
+    }
     for body, record in changes.items():
         known = records.get(body)
         if record is None:
             if known is not None and not known.quarantined:
                 del records[body]
-        else:
-            records[body] = combine(known, record) if known else record
-    # The page must fit the maximum value size of the service. Suspects are dropped
-    # before quarantined bodies, and records that expire soonest are dropped first.
-    kept = sorted(
-        records, key=lambda body: (records[body].quarantined, records[body].until)
-    )
-    return {body: records[body] for body in kept[-MAX_RECORDS:]}
-
-
-def format_page(records: SuspectRecords, *, offset: float) -> bytes:
-    """Encode records as JSON with times of the wall clock."""
-    document = {
-        "format": _FORMAT,
-        "cases": [
-            {
-                "service": body.service,
-                "digest": body.digest.hex(),
-                "crashes": [
-                    [crash.target, crash.incarnation, round(crash.at + offset, 3)]
-                    for crash in record.crashes
-                ],
-                "quarantined": record.quarantined,
-                "until": round(record.until + offset, 3),
-            }
-            for body, record in records.items()
-        ],
-    }
-    return json.dumps(document, separators=(",", ":")).encode()
-
-
-def parse_page(content: bytes, *, offset: float) -> dict[BodyId, SuspectRecord]:
-    """Decode records; raise `ValueError` when the page is malformed."""
-    try:
-        document = json.loads(content)
-        if document["format"] != _FORMAT:
-            raise ValueError(f"unknown format {document['format']}")
-        return dict(_parse_record(one, offset) for one in document["cases"])
-    except (KeyError, TypeError, AttributeError) as error:
-        raise ValueError(f"unreadable page: {error!r}") from error
-
-
-def _parse_record(
-    document: dict[str, object], offset: float
-) -> tuple[BodyId, SuspectRecord]:
-    crashes = document["crashes"]
-    until = document["until"]
-    if not isinstance(crashes, list) or not isinstance(until, int | float):
-        raise TypeError("crashes must be a list and until a number")
-    body = BodyId(str(document["service"]), bytes.fromhex(str(document["digest"])))
-    return body, SuspectRecord(
-        crashes=tuple(
-            Crash(str(target), int(incarnation), float(at) - offset)
-            for target, incarnation, at in crashes
-        ),
-        quarantined=bool(document["quarantined"]),
-        until=until - offset,
-    )
+        elif known is not None:
+            records[body] = combine(known, record, rules)
+        elif record.crashes:
+            records[body] = record
+    # The page must fit the maximum value size of the service.
+    for body in choose_evicted(records, MAX_RECORDS):
+        del records[body]
+    return records
--- a/src/hyssopvane/_internal/policy/attempts.py
+++ b/src/hyssopvane/_internal/policy/attempts.py
@@ -7,7 +7,8 @@
 from hyssopvane._internal.models.refusals import Outcome, Refusal, RefusalReason
 from hyssopvane._internal.policy.placement import Placer
 from hyssopvane._internal.policy.retries import Retrier, RetryAt, RetryDenial
-from hyssopvane._internal.policy.suspects import BodyId, Crash, SuspectTracker
+from hyssopvane._internal.policy.suspects import SuspectTracker
+from hyssopvane._internal.state.suspects import BodyId, Crash
 from hyssopvane._internal.state.table import ServiceRow, Table
 from hyssopvane._internal.state.work import (
     AttemptReport,
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -21,6 +21,7 @@
 from hyssopvane._internal.state.limits import LimitReport
 from hyssopvane._internal.state.loads import RankLoad
 from hyssopvane._internal.state.routing import EngineModel, Incarnation, Replica
+from hyssopvane._internal.state.suspects import BodyId
 
 OVERLOADED_RETRY_AFTER_S = 0.5
 """Retry-After while a service is overloaded, in seconds.
@@ -63,7 +64,9 @@
     prompt_tokens: int = 0
     """Tokens that a replica reads before the first token of its answer."""
     avoid: frozenset[Incarnation] = frozenset()
-    """Incarnations of replicas that it was already sent to."""
+    """Incarnations of replicas that it was already sent to, or should not share."""
+    body: BodyId | None = None
+    """Identity of the request; None if nothing is held against repeats of it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -260,6 +263,24 @@
             return False
         return self.notices.takes_requests(replica, now)
 
+    def is_departing(self, replica: Replica) -> bool:
+        """Return whether a replica is expected to end, or is not listed any more."""
+        one = self._find(replica)
+        return one is None or self._is_leaving(one.replica)
+
+    def list_incarnations(self, ids: Iterable[str]) -> frozenset[Incarnation]:
+        """Return the present incarnations of replicas, given their ids."""
+        found = (self._replicas.get(replica_id) for replica_id in ids)
+        return frozenset(one.replica.incarnation for one in found if one is not None)
+
+    def list_waiting(self, body: BodyId) -> list[str]:
+        """Return the ids of the waiting requests that are repeats of one."""
+        return [
+            request_id
+            for request_id, waiting in self._waiting.items()
+            if waiting.body == body
+        ]
+
     def is_vm_silent(self, replica: Replica, now: float) -> bool:
         """Return whether a replica's agent is silent while its group is heard."""
         one = self._find(replica)
--- a/src/hyssopvane/_internal/policy/suspects.py
+++ b/src/hyssopvane/_internal/policy/suspects.py
@@ -1,13 +1,26 @@
 """Find requests that crash their targets, and keep them from other targets."""
 
 from collections import Counter, OrderedDict
-from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+from hyssopvane._internal.policy.suspect_rules import (
+    AGENT_REPORTS,
+    SuspectRules,
+    add_crash,
+    choose_evicted,
+    combine,
+    limit_voided,
+    list_keys,
+    tells_more,
+)
+from hyssopvane._internal.state.suspects import (
+    BodyId,
+    Crash,
+    CrashKey,
+    SuspectRecord,
+)
 
-# Crashes after which a body is refused. After the first crash, every request that ran
-# at the target may be the cause; a second crash with the same suspect is unlikely to be
-# a coincidence.
-CRASHES_TO_QUARANTINE = 2
 # Seconds for which a body that was running in a crash is a suspect. Callers that repeat
 # a request do so within minutes; an unrelated crash after this time must not count
 # against the body.
@@ -16,66 +29,50 @@
 # a tenth of a second; three entries that retried at once would crash three more targets
 # to learn what the first three crashes had shown.
 SUSPECT_BACKOFF_S = 0.25
-# Two entries detect one crash within milliseconds of each other, and a target that
-# crashed is not back within this time. So reports within it are of the same crash.
-SAME_CRASH_S = 2.0
+# Time for which a cleared body's crashes are remembered as void. The reports of other
+# entries arrive within seconds.
+VOID_S = 60.0
+# Each further crash of a body doubles its quarantine, up to this.
+MAX_QUARANTINE_S = 86_400.0
 # Maximum number of crashes attributed to a known suspect. They are kept while reports
 # about other requests that ran at the same target still arrive.
 _MAX_ATTRIBUTED = 256
+# Maximum number of targets whose answers showed that they had not crashed. They are
+# kept for late reports, too.
+_MAX_ALIVE = 256
 # 32 suspects a crash and 140 crashes on an ordinary day stay far below this. A caller
-# that varies its body on each attempt can fill it; then the oldest suspects are removed
-# first.
+# that varies its body on each attempt can fill it; then its own suspects are removed.
 MAX_RECORDS = 2_048
 
 
-@dataclass(frozen=True, slots=True)
-class BodyId:
-    """Identify a body by its service and digest."""
-
-    service: str
-    digest: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Crash:
-    """Identify one crash of a target."""
-
-    target: str
-    incarnation: int
-    at: float
-
-    def is_same(self, other: "Crash") -> bool:
-        """Return whether two reports are of the same crash."""
-        return (
-            self.target == other.target
-            and self.incarnation == other.incarnation
-            and abs(self.at - other.at) < SAME_CRASH_S
-        )
-
-
-@dataclass(frozen=True, slots=True)
-class SuspectRecord:
-    """Hold the crashes that count against one body, and whether it is quarantined."""
-
-    crashes: tuple[Crash, ...]
-    quarantined: bool
-    until: float
-    """Clock value at which the record expires."""
-
-
 class SuspectTracker:
     """Track suspect and quarantined bodies, as known to one entry.
 
-    A body can crash these targets, in the whole fleet, while its caller keeps sending
-    it: the copies that run when the report of the first crash arrives, and at most one
-    more for each entry that gets the body before the report of the second crash
-    arrives. A copy through one entry crashes two targets, copies through three entries
-    at once crash three, and six at most when the key-value service is unavailable.
+    With reports of agents, a body can crash these targets, in the whole fleet, while
+    its caller keeps sending it: the copies that run when the report of the first crash
+    arrives, and at most one more for each entry that gets the body before the report of
+    the second crash arrives. A copy through one entry crashes two targets, copies
+    through three entries at once crash three, and six at most when the key-value
+    service is unavailable. With lost connections, it is one more than that.
     """
 
-    def __init__(self, *, max_records: int = MAX_RECORDS) -> None:
+    def __init__(
+        self,
+        *,
+        max_records: int = MAX_RECORDS,
+        rules: SuspectRules = AGENT_REPORTS,
+        observe_quarantine: Callable[[BodyId], None] = lambda body: None,
+    ) -> None:
+        self.rules = rules
         self._max_records = max_records
+        self._observe_quarantine = observe_quarantine
+        """Called with a body that has to be refused from now on."""
         self._records: OrderedDict[BodyId, SuspectRecord] = OrderedDict()
+        self._bodies: dict[CrashKey, set[BodyId]] = {}
+        """Bodies by the crashes that count against them."""
+        self._learnt_at: dict[CrashKey, float] = {}
+        """Times at which this entry learnt of these crashes."""
+        self._alive: OrderedDict[CrashKey, None] = OrderedDict()
         self._running: dict[str, Counter[BodyId]] = {}
         self._changed: set[BodyId] = set()
         self._attributed: OrderedDict[Crash, None] = OrderedDict()
@@ -86,12 +83,26 @@
     def is_quarantined(self, body: BodyId, *, now: float) -> bool:
         """Return whether a body must be refused."""
         record = self._find(body, now)
-        return record is not None and record.quarantined
+        return record is not None and _is_refused(record, now)
+
+    def measure_quarantine_s(self, body: BodyId, *, now: float) -> float:
+        """Return the seconds until a body is no longer refused."""
+        record = self._find(body, now)
+        if record is None or not record.quarantined:
+            return 0.0
+        return max(0.0, record.until - now)
 
     def is_suspect(self, body: BodyId, *, now: float) -> bool:
         """Return whether a body was running in a crash and has not finished since."""
         record = self._find(body, now)
-        return record is not None and not record.quarantined
+        return record is not None and _is_suspect(record, now)
+
+    def count_generations(self, body: BodyId) -> int:
+        """Return the number of a body's crashes that followed each other."""
+        record = self._records.get(body)
+        if record is None:
+            return 0
+        return max((crash.generation for crash in record.crashes), default=0)
 
     def find_excluded(self, body: BodyId, *, now: float) -> frozenset[str] | None:
         """Return the targets that must not run a body now, None for all targets.
@@ -107,10 +118,18 @@
         )
         if now < retry_at or any(body in one for one in self._running.values()):
             return None
+        return self.list_targets_of_others(body, now=now)
+
+    def list_targets_of_others(self, body: BodyId, *, now: float) -> frozenset[str]:
+        """Return the targets at which this entry runs suspects other than a body."""
+        if not self._records:
+            return frozenset()
         return frozenset(
             target
             for target, bodies in self._running.items()
-            if any(self.is_suspect(other, now=now) for other in bodies)
+            if any(
+                other != body and self.is_suspect(other, now=now) for other in bodies
+            )
         )
 
     def start(self, body: BodyId, target: str) -> None:
@@ -128,11 +147,31 @@
         if not bodies:
             del self._running[target]
 
-    def clear(self, body: BodyId) -> None:
-        """Remove the record of a suspect body that finished."""
+    def clear(self, body: BodyId, *, now: float = 0.0) -> None:
+        """Count the crashes of a body that finished no longer."""
         record = self._records.get(body)
-        if record is not None and not record.quarantined:
-            del self._records[body]
+        if record is None or not record.crashes:
+            return
+        if self.rules.crash_ends_incarnation:
+            voided = limit_voided(record.voided | list_keys(record.crashes))
+            self._keep(body, SuspectRecord((), False, now + VOID_S, voided))
+        elif not record.quarantined:
+            self._put(body, None)
+        else:
+            return
+        self._changed.add(body)
+
+    def record_answer(self, target: CrashKey, *, sent_at: float, now: float) -> None:
+        """Count no crash of a target that answers a request which was sent after it."""
+        if not self._bodies or sent_at <= self._learnt_at.get(target, now):
+            return
+        self._alive[target] = None
+        if len(self._alive) > _MAX_ALIVE:
+            self._alive.popitem(last=False)
+        for body in list(self._bodies.get(target, ())):
+            record = self._records[body]
+            crashes = tuple(one for one in record.crashes if one.key != target)
+            self._keep(body, self._weaken(record, crashes, {target}, now))
             self._changed.add(body)
 
     def record_crash(
@@ -140,43 +179,77 @@
     ) -> None:
         """Record a crash of a target at which a body was running."""
         known = self._find(body, now)
-        if known is not None:
+        voided: frozenset[CrashKey] = frozenset() if known is None else known.voided
+        if crash.key in voided or crash.key in self._alive:
+            return
+        count = 0 if known is None else len(known.crashes)
+        if count >= self.rules.crashes_to_attribute:
             self._mark_attributed(crash)
-        elif self._is_attributed(crash, now):
+        elif not count and self._is_attributed(crash, now):
             # The suspect that ran at the same target is the likelier cause. Otherwise
             # the requests next to it would become suspects at each crash that it
             # causes.
             return
-        crashes = _add_crash(known.crashes if known else (), crash)
+        crashes = add_crash(known.crashes if known else (), crash, self.rules)
         if known is not None and crashes == known.crashes:
             return
-        self._keep(body, _make_record(crashes, quarantine_s, now))
+        self._learnt_at.setdefault(crash.key, now)
+        quarantined = self._is_proven(body, crashes, last=crash)
+        until = now + SUSPECT_S
+        if quarantined:
+            until = now + self._measure_duration_s(len(crashes), quarantine_s)
+        self._keep(body, SuspectRecord(crashes, quarantined, until, voided))
         self._changed.add(body)
+        if quarantined:
+            self._clear_explained(body, now)
+            self._observe_quarantine(body)
 
     def merge(
         self, body: BodyId, record: SuspectRecord, *, quarantine_s: float, now: float
-    ) -> None:
-        """Merge what other entries recorded about a body."""
+    ) -> bool:
+        """Merge what other entries recorded; return whether crashes were new here."""
         known = self._find(body, now)
-        merged = combine(record, known) if known is not None else record
+        merged = record
+        if known is not None:
+            merged = combine(record, known, self.rules)
+        alive = list_keys(merged.crashes) & self._alive.keys()
+        if alive:
+            crashes = tuple(one for one in merged.crashes if one.key not in alive)
+            merged = self._weaken(merged, crashes, alive, now)
+        if not merged.quarantined and self._is_proven(body, merged.crashes):
+            merged = replace(merged, quarantined=True)
         if merged.quarantined and not (
             record.quarantined or (known and known.quarantined)
         ):
-            merged = replace(merged, until=now + quarantine_s)
+            duration_s = self._measure_duration_s(len(merged.crashes), quarantine_s)
+            merged = replace(merged, until=now + duration_s)
+        for key in list_keys(merged.crashes):
+            self._learnt_at.setdefault(key, now)
+        was_refused = known is not None and _is_refused(known, now)
         if merged != known:
             self._keep(body, merged)
-        if merged != record:
+        if tells_more(merged, record):
             self._changed.add(body)
+        if _is_refused(merged, now) and not was_refused:
+            self._clear_explained(body, now)
+            self._observe_quarantine(body)
+        return len(merged.crashes) > (0 if known is None else len(known.crashes))
 
     def drop(self, body: BodyId) -> None:
         """Remove a record that another entry has cleared."""
         if body not in self._changed:
-            self._records.pop(body, None)
+            self._put(body, None)
 
     def get_record(self, body: BodyId) -> SuspectRecord | None:
         """Return the record of a body."""
         return self._records.get(body)
 
+    def list_records(self, *, now: float) -> dict[BodyId, SuspectRecord]:
+        """Return all records that have not expired."""
+        for body in list(self._records):
+            self._find(body, now)
+        return dict(self._records)
+
     def take_changes(self) -> frozenset[BodyId]:
         """Return the bodies whose records changed here since the last call."""
         changed = frozenset(self._changed)
@@ -187,53 +260,124 @@
         """Put back changes that could not be shared, for the next attempt."""
         self._changed.update(bodies)
 
+    def _is_proven(
+        self, body: BodyId, crashes: tuple[Crash, ...], *, last: Crash | None = None
+    ) -> bool:
+        """Return whether nothing but a body explains its crashes.
+
+        The last crash may not be recorded yet for all bodies that ran there.
+        """
+        rules = self.rules
+        if len(crashes) < rules.crashes_to_quarantine:
+            return False
+        if max(crash.generation for crash in crashes) < rules.min_generations:
+            return False
+        if len(crashes) >= rules.crashes_with_rival:
+            return True
+        return not self._has_rival(body, list_keys(crashes), last)
+
+    def _has_rival(
+        self, body: BodyId, keys: frozenset[CrashKey], last: Crash | None
+    ) -> bool:
+        """Return whether another body was running in all crashes of a body."""
+        running = set() if last is None else set(self._running.get(last.target, ()))
+        sets = []
+        for key in keys:
+            bodies = self._bodies.get(key, set())
+            sets.append(bodies | running if last and key == last.key else bodies)
+        return bool(set.intersection(*sets) - {body})
+
+    def _clear_explained(self, cause: BodyId, now: float) -> None:
+        """Hold crashes of a proven cause against no body that explains fewer of them.
+
+        Such a body ran beside the cause; or it was taken for the cause before, and the
+        crashes have gone on without it.
+        """
+        if not self.rules.crash_ends_incarnation:
+            return
+        keys = list_keys(self._records[cause].crashes)
+        beside = set().union(*(self._bodies.get(key, set()) for key in keys))
+        for body in beside - {cause}:
+            if list_keys(self._records[body].crashes) < keys:
+                self.clear(body, now=now)
+
+    def _weaken(
+        self,
+        record: SuspectRecord,
+        crashes: tuple[Crash, ...],
+        voided: Iterable[CrashKey],
+        now: float,
+    ) -> SuspectRecord:
+        """Return a record with fewer crashes."""
+        quarantined = (
+            record.quarantined and len(crashes) >= self.rules.crashes_to_quarantine
+        )
+        until = record.until
+        if record.quarantined and not quarantined:
+            until = now + SUSPECT_S
+        known = limit_voided(record.voided | frozenset(voided))
+        return SuspectRecord(crashes, quarantined, until, known)
+
+    def _measure_duration_s(self, crashes: int, quarantine_s: float) -> float:
+        """Return how long a body is refused after its last crash."""
+        excess = crashes - self.rules.crashes_to_quarantine
+        return min(quarantine_s * 2.0**excess, max(quarantine_s, MAX_QUARANTINE_S))
+
     def _mark_attributed(self, crash: Crash) -> None:
         self._attributed[crash] = None
         if len(self._attributed) > _MAX_ATTRIBUTED:
             self._attributed.popitem(last=False)
 
     def _is_attributed(self, crash: Crash, now: float) -> bool:
-        if any(crash.is_same(other) for other in self._attributed):
+        if any(self.rules.is_same(crash, other) for other in self._attributed):
             return True
-        running = self._running.get(crash.target, ())
-        return any(self._find(other, now) is not None for other in running)
+        for other in self._running.get(crash.target, ()):
+            record = self._find(other, now)
+            crashes = 0 if record is None else len(record.crashes)
+            if crashes >= self.rules.crashes_to_attribute:
+                return True
+        return False
 
     def _keep(self, body: BodyId, record: SuspectRecord) -> None:
+        self._put(body, record)
+        for evicted in choose_evicted(self._records, self._max_records):
+            self._put(evicted, None)
+
+    def _put(self, body: BodyId, record: SuspectRecord | None) -> None:
+        """Replace the record of a body; None removes it."""
+        before = self._records.pop(body, None)
+        for key in list_keys(before.crashes) if before is not None else ():
+            bodies = self._bodies[key]
+            bodies.discard(body)
+            if not bodies:
+                del self._bodies[key]
+        if record is None:
+            self._forget_unused(before)
+            return
         self._records[body] = record
-        self._records.move_to_end(body)
-        while len(self._records) > self._max_records:
-            self._records.popitem(last=False)
+        for key in list_keys(record.crashes):
+            self._bodies.setdefault(key, set()).add(body)
+        self._forget_unused(before)
+
+    def _forget_unused(self, before: SuspectRecord | None) -> None:
+        for crash in before.crashes if before is not None else ():
+            if crash.key not in self._bodies:
+                self._learnt_at.pop(crash.key, None)
 
     def _find(self, body: BodyId, now: float) -> SuspectRecord | None:
         record = self._records.get(body)
-        if record is not None and record.until <= now:
-            del self._records[body]
+        if record is None:
+            return None
+        kept_s = self.rules.probation_s if record.quarantined else 0.0
+        if record.until + kept_s <= now:
+            self._put(body, None)
             return None
         return record
 
 
-def combine(first: SuspectRecord, second: SuspectRecord) -> SuspectRecord:
-    """Combine two records of a body; the first one's expiry applies if both agree."""
-    crashes = first.crashes
-    for crash in second.crashes:
-        crashes = _add_crash(crashes, crash)
-    if first.quarantined:
-        return replace(first, crashes=crashes)
-    if second.quarantined:
-        return replace(second, crashes=crashes)
-    quarantined = len(crashes) >= CRASHES_TO_QUARANTINE
-    return SuspectRecord(crashes, quarantined, first.until)
-
-
-def _add_crash(crashes: tuple[Crash, ...], crash: Crash) -> tuple[Crash, ...]:
-    if any(crash.is_same(other) for other in crashes):
-        return crashes
-    return (*crashes, crash)[:CRASHES_TO_QUARANTINE]
+def _is_refused(record: SuspectRecord, now: float) -> bool:
+    return record.quarantined and now < record.until
 
 
-def _make_record(
-    crashes: tuple[Crash, ...], quarantine_s: float, now: float
-) -> SuspectRecord:
-    if len(crashes) >= CRASHES_TO_QUARANTINE:
-        return SuspectRecord(crashes, True, now + quarantine_s)
-    return SuspectRecord(crashes, False, now + SUSPECT_S)
+def _is_suspect(record: SuspectRecord, now: float) -> bool:
+    return bool(record.crashes) and not _is_refused(record, now)
--- a/src/hyssopvane/_internal/roles/direct_app.py
+++ b/src/hyssopvane/_internal/roles/direct_app.py
@@ -17,6 +17,7 @@
 from hyssopvane._internal.roles.direct_call import DirectCall
 from hyssopvane._internal.roles.direct_request import CallDependencies, DirectRequest
 from hyssopvane._internal.state.routing import Customer, Route, RoutingTable
+from hyssopvane._internal.state.suspects import BodyId
 from hyssopvane._internal.transport.asgi_messages import (
     BodyTooLarge,
     CallerGone,
@@ -246,6 +247,8 @@
         query: bytes = scope.get("query_string", b"")
         target = path + (b"?" + query if query else b"")
         name = "" if customer is None else customer.name
+        service = self._choose_service(route)
+        digest = make_request_digest(name.encode(), target, body)
         tokens = _read_tokens(fields.get(self._dependencies.names.token_counts))
         return DirectRequest(
             request_id=request_id,
@@ -255,14 +258,14 @@
             headers=headers,
             body=body,
             route=route,
-            service=self._choose_service(route),
+            service=service,
             customer=customer,
             arrived_at=arrived_at,
             deadline=deadline,
             caller_deadline=caller_deadline,
             tokens=max(_DEFAULT_TOKENS, sum(tokens)),
             prompt_tokens=tokens[0],
-            fingerprint=make_request_digest(name.encode(), target, body),
+            body_id=BodyId(service, digest, name),
         )
 
     def _choose_service(self, route: Route) -> str:
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -8,7 +8,6 @@
 import trio
 
 from hyssopvane._internal.models.direct_refusals import DirectAnswer, DirectRefusal
-from hyssopvane._internal.policy.crash_suspects import BAN_AFTER
 from hyssopvane._internal.policy.queueing import QueuedItem
 from hyssopvane._internal.policy.service_gate import (
     Assignment,
@@ -24,6 +23,7 @@
     select_for_replica,
 )
 from hyssopvane._internal.roles.call import AnswerCut
+from hyssopvane._internal.roles.crash_evidence import CrashEvidence
 from hyssopvane._internal.roles.direct_answer import send_answer
 from hyssopvane._internal.roles.direct_request import (
     CallDependencies,
@@ -39,6 +39,7 @@
 from hyssopvane._internal.transport.replica_client import (
     CallWithdrawn,
     ReplicaFailed,
+    ReplicaLost,
     ReplicaResponse,
     ReplicaUnreachable,
 )
@@ -73,9 +74,6 @@
 NOT_RUN_RETRY_AFTER_S = 0.3
 """Retry-After for a request that no replica accepted."""
 
-BANNED_RETRY_AFTER_S = 5.0
-"""Retry-After for a request that has crashed replicas."""
-
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 _OK = range(200, 300)
 _SERVER_ERROR = 500
@@ -111,6 +109,13 @@
         self._dependencies = dependencies
         self._send = send
         self._reports = ReplicaReports(request, dependencies)
+        self._evidence = CrashEvidence(
+            request.body_id,
+            request_id=request.request_id,
+            tracker=dependencies.suspects,
+            gates=dependencies.gates,
+            metrics=dependencies.metrics,
+        )
         self._stream_started = False
         self._last_event_id: bytes | None = None
         self._last_answer: tuple[int, Headers, bytes] | None = None
@@ -182,10 +187,8 @@
     ) -> Assignment | Rejection:
         request = self._request
         now = trio.current_time()
-        if self._dependencies.suspects.is_banned(request.fingerprint, now=now):
-            return Rejection(
-                request.request_id, DirectRefusal.CRASHING, BANNED_RETRY_AFTER_S
-            )
+        if self._evidence.is_refused():
+            return self._reject_as_crashing()
         objective_s = request.route.objective_s
         late_at = request.arrived_at + objective_s * ON_TIME_WAIT_SHARE
         refuse_at = request.arrived_at + objective_s * MAX_WAIT_SHARE
@@ -209,12 +212,17 @@
             late_at=late_at,
             refuse_at=min(refuse_at, request.deadline),
             prompt_tokens=request.prompt_tokens,
-            avoid=frozenset(request.tried),
+            avoid=self._evidence.list_avoided() | request.tried,
+            body=request.body_id,
         )
         return await self._dependencies.gates.wait_for_assignment(
             request.service, waiting, weight=1.0
         )
 
+    def _reject_as_crashing(self) -> Rejection:
+        after_s = self._evidence.measure_refusal_s()
+        return Rejection(self._request.request_id, DirectRefusal.CRASHING, after_s)
+
     async def _attempt(self, replica: Replica) -> None:
         request = self._request
         self.placed_at = self.placed_at or trio.current_time()
@@ -235,6 +243,7 @@
             failed = False
             raise
         finally:
+            self._evidence.end()
             self._mover.forget()
             self._dependencies.gates.finish(request.service, replica, failed=failed)
 
@@ -269,26 +278,18 @@
                 raise _AttemptFailed(
                     "stalled: the VM is silent", not_run=False
                 ) from error
-            crashes = self._dependencies.suspects.record_loss(
-                request.fingerprint, replica.incarnation, now=trio.current_time()
-            )
-            self._dependencies.metrics.count_event("crash-suspect")
-            log_event(
-                "warning",
-                "crash-suspect",
-                request=request.request_id,
-                body=request.fingerprint.hex(),
-                replica=replica.id,
-                crashes=crashes,
-                refused=crashes >= BAN_AFTER,
-            )
+            if isinstance(error, ReplicaLost):
+                self._evidence.record_loss(replica)
             raise _AttemptFailed(f"failed: {error}", not_run=False) from error
 
     def _may_send(self, replica: Replica, abort: Callable[[], None]) -> bool:
         gate = self._dependencies.gates.get_gate(self._request.service)
         allowed = gate.may_send(replica, trio.current_time())
+        # Another entry may have reported meanwhile that the request crashes replicas.
+        allowed = allowed and not self._evidence.is_refused()
         if allowed:
             self.phase = CallPhase.SENT
+            self._evidence.begin(replica)
             self._mover.track(replica, abort)
         return allowed
 
@@ -314,6 +315,8 @@
         if echoed and echoed != self._request.request_id:
             raise ReplicaFailed("the answer belongs to another request")
         self._reports.record(replica, response)
+        if echoed and response.status != MISDIRECTED:
+            self._evidence.record_answer(replica)
         if names.not_executed in response.fields or response.status == MISDIRECTED:
             self._handle_refusal(replica, response)
         if not echoed:
@@ -346,6 +349,7 @@
 
     async def _relay_whole(self, response: ReplicaResponse) -> None:
         body = await response.read(max_bytes=MAX_PLAIN_ANSWER_BYTES)
+        self._evidence.record_finish()
         headers = select_for_caller(response.headers)
         self._last_answer = (response.status, headers, body)
         if response.status >= _SERVER_ERROR:
@@ -387,6 +391,7 @@
             self._mover.record_heard(trio.current_time())
         if splitter.remainder.strip():
             raise ReplicaFailed("the stream ended within an event")
+        self._evidence.record_finish()
         await self._start_stream(response)
         self.ended = True
         self.outcome = "answered"
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -11,10 +11,11 @@
 from hyssopvane._internal.coordination.key_value import KeyValueStore
 from hyssopvane._internal.coordination.routing_feed import RoutingFeed, RoutingFormat
 from hyssopvane._internal.models.settings import DirectEntrySettings
-from hyssopvane._internal.policy.crash_suspects import CrashSuspects
 from hyssopvane._internal.policy.load_inbox import LoadInbox
 from hyssopvane._internal.policy.repeat_budget import RepeatBudget
 from hyssopvane._internal.policy.store_watch import choose_watch_s
+from hyssopvane._internal.policy.suspect_rules import LOST_CONNECTIONS
+from hyssopvane._internal.policy.suspects import SuspectTracker
 from hyssopvane._internal.protocol.group_messages import GroupMessage
 from hyssopvane._internal.protocol.replica_headers import ReplicaHeaders
 from hyssopvane._internal.roles.direct_app import DirectApp
@@ -119,7 +120,7 @@
                 gates=self.gates,
                 client=self._client,
                 metrics=self.metrics,
-                suspects=CrashSuspects(),
+                suspects=SuspectTracker(rules=LOST_CONNECTIONS),
                 budget=RepeatBudget(
                     share=settings.repeat_share, slack=settings.repeat_slack
                 ),
--- a/src/hyssopvane/_internal/roles/direct_request.py
+++ b/src/hyssopvane/_internal/roles/direct_request.py
@@ -3,12 +3,13 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from hyssopvane._internal.policy.crash_suspects import CrashSuspects
 from hyssopvane._internal.policy.repeat_budget import RepeatBudget
+from hyssopvane._internal.policy.suspects import SuspectTracker
 from hyssopvane._internal.protocol.messages import Headers
 from hyssopvane._internal.protocol.replica_headers import ReplicaHeaders
 from hyssopvane._internal.roles.gate_keeper import GateKeeper
 from hyssopvane._internal.state.routing import Customer, Incarnation, Route
+from hyssopvane._internal.state.suspects import BodyId
 from hyssopvane._internal.transport.replica_client import ReplicaClient
 from hyssopvane._internal.utils.deferred_metrics import DeferredMetrics
 
@@ -47,7 +48,7 @@
     tokens: int
     """Prompt tokens plus maximum output tokens."""
     prompt_tokens: int
-    fingerprint: bytes
+    body_id: BodyId
     """Equal only for requests with the same path, customer and body."""
     attempts: int = 0
     may_have_run: bool = False
@@ -69,5 +70,5 @@
     gates: GateKeeper
     client: ReplicaClient
     metrics: DeferredMetrics
-    suspects: CrashSuspects
+    suspects: SuspectTracker
     budget: RepeatBudget
--- a/src/hyssopvane/_internal/transport/raw_stream.py
+++ b/src/hyssopvane/_internal/transport/raw_stream.py
@@ -63,14 +63,19 @@
         """Whether no byte of the answer to the current request has been read."""
         self.late_answer = b""
         """Bytes of an answer that were received after its call was cancelled."""
+        self.has_ended = False
+        """Whether the remote end has closed or reset the connection, or is silent."""
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         try:
             with trio.fail_after(_get_timeout(timeout)):
-                return bytes(await self._stream.receive_some(max_bytes))
+                data = bytes(await self._stream.receive_some(max_bytes))
+            self.has_ended = not data
+            return data
         except trio.TooSlowError as error:
             raise httpcore.ReadTimeout("no data was received in time") from error
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            self.has_ended = True
             raise httpcore.ReadError(repr(error.__cause__ or error)) from error
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
@@ -85,6 +90,7 @@
                 "the remote end accepted no data in time"
             ) from error
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            self.has_ended = True
             raise httpcore.WriteError(repr(error.__cause__ or error)) from error
 
     def abort(self) -> None:
--- a/src/hyssopvane/_internal/transport/replica_client.py
+++ b/src/hyssopvane/_internal/transport/replica_client.py
@@ -54,6 +54,10 @@
     """Report that a request was sent and has no complete answer."""
 
 
+class ReplicaLost(ReplicaFailed):
+    """Report that the connection ended before the answer was complete."""
+
+
 @dataclass(slots=True)
 class _PooledConnection:
     connection: httpcore.AsyncHTTP11Connection
@@ -92,9 +96,10 @@
 class ReplicaResponse(AnswerHead):
     """Hold a response whose body is still to be read."""
 
-    def __init__(self, response: httpcore.Response) -> None:
+    def __init__(self, response: httpcore.Response, stream: RawStream) -> None:
         super().__init__(response.status, tuple(response.headers))
         self._response = response
+        self._stream = stream
 
     async def iterate(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body; raise `ReplicaFailed` when it is incomplete."""
@@ -102,7 +107,7 @@
             async for part in self._response.aiter_stream():
                 yield part
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            raise ReplicaFailed(f"{type(error).__name__}: {error}") from error
+            raise _make_failure(error, self._stream) from error
 
     async def read(self, *, max_bytes: int, limit: "PartLimit | None" = None) -> bytes:
         """Return the body; raise `ReplicaFailed` when it exceeds `max_bytes`."""
@@ -173,12 +178,11 @@
                     observe_late(late)
                 raise
             except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-                why = f"{type(error).__name__}: {error}"
                 if pooled.stream.sent:
-                    raise ReplicaFailed(why) from error
-                raise ReplicaUnreachable(why) from error
+                    raise _make_failure(error, pooled.stream) from error
+                raise ReplicaUnreachable(_describe(error)) from error
             pooled.stream.awaits_answer = False
-            wrapped = ReplicaResponse(response)
+            wrapped = ReplicaResponse(response, pooled.stream)
             yield wrapped
             await response.aclose()
             pooled.stream.exchanging = False
@@ -233,6 +237,14 @@
         idle.append(pooled)
 
 
+def _make_failure(error: Exception, stream: RawStream) -> ReplicaFailed:
+    return (ReplicaLost if stream.has_ended else ReplicaFailed)(_describe(error))
+
+
+def _describe(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"
+
+
 def _read_head(data: bytes) -> AnswerHead | None:
     """Return the head of an answer, None when it is incomplete or malformed."""
     parser = h11.Connection(h11.CLIENT)
