Share what one entry knows of a crashing request with the fleet

Cause: each entry counted alone and started from zero, so four entries allow twelve ends. Class: a bound that is promised for the fleet and kept by each process for itself.

Entries now share records by a page of the store, as those of the path with agents do, and exchange them directly (HTTP, seeds and heard entries) while they can't read or write it. Records say which crashes count and which are void, so that merging needs no order of clocks. Pages from other VMs are checked field by field.

--- a/src/hyssopvane/_internal/assembly.py
+++ b/src/hyssopvane/_internal/assembly.py
@@ -70,7 +70,11 @@
 
 
 def _make_direct_entry(settings: DirectEntrySettings) -> Role:
-    from hyssopvane._internal.platform.store import PlatformStore
+    from hyssopvane._internal.platform.store import (
+        SUSPECTS_WATCH_PAUSE_S,
+        SUSPECTS_WATCH_S,
+        PlatformStore,
+    )
     from hyssopvane._internal.platform.wire import (
         HEADERS,
         READY_PATH,
@@ -81,6 +85,11 @@
     return DirectEntry(
         settings,
         store=PlatformStore(address=settings.store),
+        suspects_store=PlatformStore(
+            address=settings.store,
+            watch_s=SUSPECTS_WATCH_S,
+            pause_s=SUSPECTS_WATCH_PAUSE_S,
+        ),
         format=PlatformFormat(),
         names=HEADERS,
         ready_path=READY_PATH,
--- a/src/hyssopvane/_internal/coordination/quarantine.py
+++ b/src/hyssopvane/_internal/coordination/quarantine.py
@@ -22,9 +22,7 @@
     combine,
 )
 from hyssopvane._internal.policy.suspects import (
-    MAX_QUARANTINE_S,
     MAX_RECORDS,
-    SUSPECT_S,
     SuspectTracker,
 )
 from hyssopvane._internal.protocol.suspect_pages import format_page, parse_page
@@ -40,11 +38,6 @@
 # The page is also read at this interval because a watch may silently stop. 960 entries
 # then cause 32 reads a second, of the 2000 that the service handles.
 REFRESH_S = 30.0
-MIN_EXPIRY_S = 30.0
-"""Least time for which a record of another entry is kept.
-
-The clocks of VMs may be hours apart, and the page has times of day.
-"""
 
 SuspectRecords = Mapping[BodyId, SuspectRecord]
 
@@ -80,13 +73,18 @@
         self._flush_interval_s = flush_interval_s
         self._observe = observe
         """Called with a body of which another entry reports further crashes."""
-        self.is_connected = False
-        """Whether the last read and the last write of the page succeeded."""
+        self._can_read = False
+        self._can_write = True
         self._position = StorePosition(0, ABSENT)
         self._prefix = b""
         """First bytes of the page at this position."""
         self._shared: SuspectRecords = {}
 
+    @property
+    def is_connected(self) -> bool:
+        """Return whether the last read and the last write of the page succeeded."""
+        return self._can_read and self._can_write
+
     async def run(self) -> None:
         """Read and write the page until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -100,7 +98,7 @@
                 await self._load_and_watch()
                 backoff.reset()
             except KeyValueError as error:
-                self.is_connected = False
+                self._can_read = False
                 self._report(error)
             await trio.sleep(backoff.get_next_delay())
 
@@ -109,7 +107,7 @@
         self._handle_era_change(snapshot.era)
         for item in snapshot.items:
             self._accept(item)
-        self.is_connected = True
+        self._can_read = True
         start, era = snapshot.revision + 1, snapshot.era
         async with self._store.watch(PAGE_PREFIX, start, era=era) as events:
             with trio.move_on_after(self._refresh_s * self._random.uniform(0.8, 1.2)):
@@ -128,13 +126,13 @@
                 continue
             try:
                 await self._write(changes)
-                self.is_connected = True
+                self._can_write = True
                 backoff.reset()
             except KeyValueError as error:
                 # A write whose reply was lost is repeated. Adding the same crash or
                 # removing the same record twice changes nothing.
                 self._tracker.return_changes(changes)
-                self.is_connected = False
+                self._can_write = False
                 self._report(error)
                 await trio.sleep(backoff.get_next_delay())
 
@@ -215,15 +213,12 @@
     def _limit_expiry(
         self, body: BodyId, record: SuspectRecord, now: float
     ) -> SuspectRecord:
-        """Return a record with an expiry that a wrong clock can't have shifted far."""
+        """Return a record of the page with the expiry that it is believed to have."""
         known = self._shared.get(body)
         if known is not None and replace(record, until=known.until) == known:
             return known
-        most_s = SUSPECT_S
-        if record.quarantined:
-            most_s = max(self._get_quarantine_s(body.service), MAX_QUARANTINE_S)
-        until = min(max(record.until, now + MIN_EXPIRY_S), now + most_s)
-        return replace(record, until=until)
+        quarantine_s = self._get_quarantine_s(body.service)
+        return self._tracker.limit_expiry(record, quarantine_s=quarantine_s, now=now)
 
     def _get_offset(self) -> float:
         """Return the offset from this process's clock to the wall clock, in seconds."""
--- a/src/hyssopvane/_internal/platform/store.py
+++ b/src/hyssopvane/_internal/platform/store.py
@@ -55,6 +55,14 @@
 AGENT_WATCH_PAUSE_S = 5.0
 """Pause of an agent's watch: agents need the store only to find each other."""
 
+SUSPECTS_WATCH_S = 15.0
+"""Time that the watch of crashing requests waits for a change; each call has a cost."""
+
+SUSPECTS_WATCH_PAUSE_S = 0.05
+"""Pause of that watch after a change: callers repeat a request within tenths of a
+second.
+"""
+
 _MAX_BODY_BYTES = 16 * 1024 * 1024
 _JSON = (b"content-type", b"application/json")
 _HOST = (b"host", b"store")
--- a/src/hyssopvane/_internal/policy/suspects.py
+++ b/src/hyssopvane/_internal/policy/suspects.py
@@ -32,6 +32,8 @@
 # Time for which a cleared body's crashes are remembered as void. The reports of other
 # entries arrive within seconds.
 VOID_S = 60.0
+# Least time for which a record of another entry is kept.
+MIN_EXPIRY_S = 30.0
 # Each further crash of a body doubles its quarantine, up to this.
 MAX_QUARANTINE_S = 86_400.0
 # Maximum number of crashes attributed to a known suspect. They are kept while reports
@@ -76,6 +78,8 @@
         self._running: dict[str, Counter[BodyId]] = {}
         self._changed: set[BodyId] = set()
         self._attributed: OrderedDict[Crash, None] = OrderedDict()
+        self.revision = 0
+        """Number of changes of the records."""
 
     def __len__(self) -> int:
         return len(self._records)
@@ -211,7 +215,7 @@
         known = self._find(body, now)
         merged = record
         if known is not None:
-            merged = combine(record, known, self.rules)
+            merged = self._combine(record, known)
         alive = list_keys(merged.crashes) & self._alive.keys()
         if alive:
             crashes = tuple(one for one in merged.crashes if one.key not in alive)
@@ -235,6 +239,19 @@
             self._observe_quarantine(body)
         return len(merged.crashes) > (0 if known is None else len(known.crashes))
 
+    def limit_expiry(
+        self, record: SuspectRecord, *, quarantine_s: float, now: float
+    ) -> SuspectRecord:
+        """Return a record with an expiry that a wrong clock can't have shifted far.
+
+        The clocks of VMs may be hours apart, and entries exchange times of day.
+        """
+        most_s = SUSPECT_S
+        if record.quarantined:
+            most_s = self._measure_duration_s(len(record.crashes), quarantine_s)
+        until = min(max(record.until, now + MIN_EXPIRY_S), now + most_s)
+        return replace(record, until=until)
+
     def drop(self, body: BodyId) -> None:
         """Remove a record that another entry has cleared."""
         if body not in self._changed:
@@ -260,6 +277,17 @@
         """Put back changes that could not be shared, for the next attempt."""
         self._changed.update(bodies)
 
+    def _combine(self, record: SuspectRecord, known: SuspectRecord) -> SuspectRecord:
+        merged = combine(record, known, self.rules)
+        if (
+            self.rules.crash_ends_incarnation
+            and merged.quarantined == known.quarantined
+            and list_keys(merged.crashes) == list_keys(known.crashes)
+        ):
+            # Otherwise entries would extend each other's records for ever.
+            return replace(merged, until=known.until)
+        return merged
+
     def _is_proven(
         self, body: BodyId, crashes: tuple[Crash, ...], *, last: Crash | None = None
     ) -> bool:
@@ -320,7 +348,7 @@
 
     def _measure_duration_s(self, crashes: int, quarantine_s: float) -> float:
         """Return how long a body is refused after its last crash."""
-        excess = crashes - self.rules.crashes_to_quarantine
+        excess = max(0, crashes - self.rules.crashes_to_quarantine)
         return min(quarantine_s * 2.0**excess, max(quarantine_s, MAX_QUARANTINE_S))
 
     def _mark_attributed(self, crash: Crash) -> None:
@@ -345,6 +373,7 @@
 
     def _put(self, body: BodyId, record: SuspectRecord | None) -> None:
         """Replace the record of a body; None removes it."""
+        self.revision += 1
         before = self._records.pop(body, None)
         for key in list_keys(before.crashes) if before is not None else ():
             bodies = self._bodies[key]
--- a/src/hyssopvane/_internal/roles/direct_app.py
+++ b/src/hyssopvane/_internal/roles/direct_app.py
@@ -154,6 +154,7 @@
             service=request.service, seconds=now - request.arrived_at
         )
         gate = self._dependencies.gates.get_gate(request.service)
+        is_refused = call.outcome == DirectRefusal.CRASHING
         log_event(
             "info",
             "request",
@@ -175,6 +176,7 @@
             allowed_ms=round(request.route.pause_s * 1_000),
             left_ms=_to_ms(request.caller_deadline, now),
             version=self._get_version(),
+            **({"body": request.body_id.digest.hex()} if is_refused else {}),
             **gate.describe(now),
         )
 
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -24,6 +24,8 @@
 from hyssopvane._internal.roles.metrics_app import MetricsApp
 from hyssopvane._internal.roles.process import Role
 from hyssopvane._internal.roles.snapshot_exchange import SnapshotExchange
+from hyssopvane._internal.roles.suspect_exchange import SUSPECTS_PATH
+from hyssopvane._internal.roles.suspect_sharing import SuspectSharing
 from hyssopvane._internal.state.group import EntryState
 from hyssopvane._internal.state.limits import ReplicaLimits
 from hyssopvane._internal.state.loads import GroupLoad, Roster
@@ -75,6 +77,7 @@
         settings: DirectEntrySettings,
         *,
         store: KeyValueStore,
+        suspects_store: KeyValueStore,
         format: RoutingFormat,
         names: ReplicaHeaders,
         ready_path: str,
@@ -105,6 +108,10 @@
             count=self.metrics.count_event,
         )
         self.exchange = SnapshotExchange(self.feed, seeds=settings.seeds)
+        tracker = SuspectTracker(rules=LOST_CONNECTIONS)
+        self._suspects = SuspectSharing(
+            tracker, suspects_store, random=random, seeds=settings.seeds
+        )
         self._client = ReplicaClient()
         self._nursery: trio.Nursery | None = None
         self._port = DatagramPort(settings.messages, count=self.metrics.count_event)
@@ -120,7 +127,7 @@
                 gates=self.gates,
                 client=self._client,
                 metrics=self.metrics,
-                suspects=SuspectTracker(rules=LOST_CONNECTIONS),
+                suspects=tracker,
                 budget=RepeatBudget(
                     share=settings.repeat_share, slack=settings.repeat_slack
                 ),
@@ -137,9 +144,10 @@
             self.feed.start(nursery)
             self.gates.start(nursery)
             self.beliefs_address = await nursery.start(
-                serve_until_cancelled, self.exchange.answer, self.settings.beliefs
+                serve_until_cancelled, self._answer_entry, self.settings.beliefs
             )
             self.exchange.start(nursery)
+            self._suspects.start(nursery, own_address=self.beliefs_address)
             await self._port.start(nursery, self._receive)
             nursery.start_soon(self._send_state)
             self.readiness_address = await nursery.start(
@@ -177,6 +185,7 @@
         """Close all connections."""
         self._port.close()
         await self.exchange.close()
+        await self._suspects.close()
         await self._client.close()
         await self._store.close()
         self.metrics.close()
@@ -209,6 +218,7 @@
                         trio.current_time() - message.store_returned_s
                     )
                 self.exchange.observe(message)
+                self._suspects.observe(message)
             case Roster():
                 self._inbox.add_roster(message, now=trio.current_time())
                 if message.relay:
@@ -346,6 +356,12 @@
         )
         self._callers_closed.set()
 
+    async def _answer_entry(self, scope: Any, receive: Any, send: Any) -> None:
+        if scope["type"] == "http" and scope["path"] == SUSPECTS_PATH:
+            await self._suspects.answer(scope, receive, send)
+        else:
+            await self.exchange.answer(scope, receive, send)
+
     async def _answer_balancer(self, scope: Any, receive: Any, send: Any) -> None:
         if scope["type"] == "lifespan":
             await serve_lifespan(receive, send)
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -56,6 +56,71 @@
     run(tmp_path, test)
 
 
+async def restart(entry):
+    entry.kill()
+    await entry.start()
+
+
+async def restart_all(site, number):
+    """Restart all entries after the third end."""
+    if number == 3:
+        for entry in site.entries:
+            await restart(entry)
+
+
+async def kill_witness(site, number):
+    """Kill the only entry that saw the third end, a second after it."""
+    if len(site.crashed) == PERMITTED_CRASHES and not site.killed:
+        await trio.sleep(1.0)
+        site.entries[number % len(site.entries)].kill()
+        site.killed = True
+
+
+async def take_store_away(site, number):
+    if number == 0:
+        site.store.answer_status = 503
+
+
+async def restart_all_without_store(site, number):
+    await take_store_away(site, number)
+    await restart_all(site, number)
+
+
+async def return_store(site, number):
+    """Restart all entries once the store that was away is back."""
+    site.store.answer_status = 503 if number < 6 else 0
+    if number == 8:
+        for entry in site.entries:
+            await restart(entry)
+
+
+@pytest.mark.parametrize(
+    "disturb",
+    [
+        restart_all,
+        kill_witness,
+        take_store_away,
+        restart_all_without_store,
+        return_store,
+    ],
+)
+def test_what_one_entry_learns_about_a_request_outlives_it(tmp_path, disturb):
+    """Guard against a request that ends more replicas when entries or the store fail.
+
+    No agent runs, so no leader of a group names the entries to each other.
+    """
+
+    async def test(site):
+        async def disturb_site(number):
+            await disturb(site, number)
+
+        await repeat_crash(site, "/bids/7", times=14, disturb=disturb_site)
+        assert len(site.crashed) <= PERMITTED_CRASHES + PERMITTED_LATE
+        assert site.count_late(LATE_S) <= PERMITTED_LATE
+
+    run(tmp_path, test)
+
+
 class Callers:
     """Send different bodies all the time, and count the answers."""
 
--- a/tests/lib/crash_fleet.py
+++ b/tests/lib/crash_fleet.py
@@ -48,6 +48,8 @@
     crashed: list[float] = field(default_factory=list)
     """Times at which replicas ended because of a request."""
     starts: int = 0
+    killed: bool = False
+    """Whether the test has killed an entry."""
     scopes: dict[str, trio.CancelScope] = field(default_factory=dict)
     """Scopes of the running replicas, by id."""
 
