Refuse waiting repeats of a request at once when it is found to crash replicas

What callers saw: a request that waited for a place got one, and ended one replica more, although another entry had reported meanwhile that it crashes them; or it waited until its time was over. Cause: the account was asked only before a request was queued.

--- a/src/hyssopvane/_internal/policy/suspects.py
+++ b/src/hyssopvane/_internal/policy/suspects.py
@@ -63,12 +63,12 @@
         *,
         max_records: int = MAX_RECORDS,
         rules: SuspectRules = AGENT_REPORTS,
-        observe_quarantine: Callable[[BodyId], None] = lambda body: None,
+        observe_quarantine: Callable[[BodyId, float], None] = lambda body, left_s: None,
     ) -> None:
         self.rules = rules
         self._max_records = max_records
         self._observe_quarantine = observe_quarantine
-        """Called with a body that has to be refused from now on."""
+        """Called with a body that is refused from now on, and for how many seconds."""
         self._records: OrderedDict[BodyId, SuspectRecord] = OrderedDict()
         self._bodies: dict[CrashKey, set[BodyId]] = {}
         """Bodies by the crashes that count against them."""
@@ -206,7 +206,7 @@
         self._changed.add(body)
         if quarantined:
             self._clear_explained(body, now)
-            self._observe_quarantine(body)
+            self._observe_quarantine(body, until - now)
 
     def merge(
         self, body: BodyId, record: SuspectRecord, *, quarantine_s: float, now: float
@@ -236,7 +236,7 @@
             self._changed.add(body)
         if _is_refused(merged, now) and not was_refused:
             self._clear_explained(body, now)
-            self._observe_quarantine(body)
+            self._observe_quarantine(body, merged.until - now)
         return len(merged.crashes) > (0 if known is None else len(known.crashes))
 
     def limit_expiry(
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -10,6 +10,7 @@
 
 from hyssopvane._internal.coordination.key_value import KeyValueStore
 from hyssopvane._internal.coordination.routing_feed import RoutingFeed, RoutingFormat
+from hyssopvane._internal.models.direct_refusals import DirectRefusal
 from hyssopvane._internal.models.settings import DirectEntrySettings
 from hyssopvane._internal.policy.load_inbox import LoadInbox
 from hyssopvane._internal.policy.repeat_budget import RepeatBudget
@@ -29,6 +30,7 @@
 from hyssopvane._internal.state.group import EntryState
 from hyssopvane._internal.state.limits import ReplicaLimits
 from hyssopvane._internal.state.loads import GroupLoad, Roster
+from hyssopvane._internal.state.suspects import BodyId
 from hyssopvane._internal.transport.addresses import replace_port
 from hyssopvane._internal.transport.asgi_messages import (
     TEXT_TYPE,
@@ -108,7 +110,9 @@
             count=self.metrics.count_event,
         )
         self.exchange = SnapshotExchange(self.feed, seeds=settings.seeds)
-        tracker = SuspectTracker(rules=LOST_CONNECTIONS)
+        tracker = SuspectTracker(
+            rules=LOST_CONNECTIONS, observe_quarantine=self._refuse_waiting
+        )
         self._suspects = SuspectSharing(
             tracker, suspects_store, random=random, seeds=settings.seeds
         )
@@ -199,6 +203,9 @@
             self.metrics.set_level(level, value)
         self.gates.update(self.feed.table, self.feed.replicas)
 
+    def _refuse_waiting(self, body: BodyId, quarantine_s: float) -> None:
+        self.gates.reject_waiting(body, DirectRefusal.CRASHING, quarantine_s)
+
     def _close_idle_connections(self, address: str) -> None:
         """Close the idle connections to a replica that has restarted.
 
