Test the shared account where the removed one was tested, as strictly

Both tests of policy/crash_suspects.py are kept for the account that replaces it: three replicas, no other request, the end of the refusal, and one replica lost twenty times.

--- a/tests/unit/test_direct_parts.py
+++ b/tests/unit/test_direct_parts.py
@@ -6,11 +6,14 @@
 import pytest
 
 from hyssopvane._internal.policy.count_meter import CountMeter
-from hyssopvane._internal.policy.crash_suspects import BAN_AFTER, BAN_S, CrashSuspects
 from hyssopvane._internal.policy.demand_window import WINDOW_S, DemandWindow
 from hyssopvane._internal.policy.pass_meter import PassMeter
 from hyssopvane._internal.policy.repeat_budget import WINDOW_S as BUDGET_S
 from hyssopvane._internal.policy.repeat_budget import RepeatBudget
+from hyssopvane._internal.policy.suspect_rules import LOST_CONNECTIONS
+from hyssopvane._internal.policy.suspects import SuspectTracker
+from hyssopvane._internal.roles.crash_evidence import QUARANTINE_S
+from hyssopvane._internal.state.suspects import BodyId, Crash
 from hyssopvane._internal.utils.log_sink import MAX_PENDING_BYTES, LogSink
 
 
@@ -29,25 +32,33 @@
     assert budget.take("checks", now=BUDGET_S * 3)
 
 
+def record_loss(tracker, body, replica, *, now):
+    generation = 1 + tracker.count_generations(body)
+    crash = Crash(replica, 0, now, generation)
+    tracker.record_crash(body, crash, quarantine_s=QUARANTINE_S, now=now)
+
+
 def test_request_that_crashes_replicas_is_refused_for_a_time():
     """Guards against a request that crashes each replica that runs it.
 
     Its caller sends it again after each crash.
     """
-    suspects = CrashSuspects()
-    for number in range(BAN_AFTER):
-        assert not suspects.is_banned(1, now=number)
-        suspects.record_loss(1, (f"i-{number}", 0), now=number)
-    assert suspects.is_banned(1, now=BAN_AFTER)
-    assert not suspects.is_banned(2, now=BAN_AFTER)
-    assert not suspects.is_banned(1, now=BAN_AFTER + BAN_S)
+    tracker = SuspectTracker(rules=LOST_CONNECTIONS)
+    body, other = BodyId("checks", b"1"), BodyId("checks", b"2")
+    crashes = LOST_CONNECTIONS.crashes_to_quarantine
+    for number in range(crashes):
+        assert not tracker.is_quarantined(body, now=number)
+        record_loss(tracker, body, f"i-{number}", now=number)
+    assert tracker.is_quarantined(body, now=crashes)
+    assert not tracker.is_quarantined(other, now=crashes)
+    assert not tracker.is_quarantined(body, now=crashes + QUARANTINE_S)
 
 
 def test_repeated_loss_of_one_replica_bans_no_request():
-    suspects = CrashSuspects()
+    tracker, body = SuspectTracker(rules=LOST_CONNECTIONS), BodyId("checks", b"1")
     for number in range(20):
-        suspects.record_loss(1, ("i-1", 0), now=number)
-    assert not suspects.is_banned(1, now=20)
+        record_loss(tracker, body, "i-1", now=number)
+    assert not tracker.is_quarantined(body, now=20)
 
 
 def test_demand_is_measured_within_the_window():
