Count ends of replicas under requests that nobody waits for any more

What callers saw: nothing of their own; a request whose replica falls silent, and whose caller leaves or whose deadline passes before, could end any number of replicas, as only a connection that somebody read was counted. Cause: an end was taken from the connection alone. Evidence: the case 'crashed' failed before (the fourth replica got the request), the one of replicas that drained passes before and after.

--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -268,6 +268,18 @@
         one = self._find(replica)
         return one is None or self._is_leaving(one.replica)
 
+    def find_ended(self, registered: Iterable[Replica]) -> list[Replica]:
+        """Return the replicas that a new list has no more, and that did not leave."""
+        present = {replica.id: replica.started_ms for replica in registered}
+        return [
+            one.replica
+            for one in self._replicas.values()
+            # A load may name a start that is not registered yet.
+            if present.get(one.replica.id)
+            not in (one.registered_ms, one.replica.started_ms)
+            and not self._is_leaving(one.replica)
+        ]
+
     def list_incarnations(self, ids: Iterable[str]) -> frozenset[Incarnation]:
         """Return the present incarnations of replicas, given their ids."""
         found = (self._replicas.get(replica_id) for replica_id in ids)
--- a/src/hyssopvane/_internal/roles/crash_evidence.py
+++ b/src/hyssopvane/_internal/roles/crash_evidence.py
@@ -3,6 +3,7 @@
 import trio
 
 from hyssopvane._internal.policy.suspects import SuspectTracker
+from hyssopvane._internal.policy.unanswered_runs import UnansweredRun, UnansweredRuns
 from hyssopvane._internal.roles.gate_keeper import GateKeeper
 from hyssopvane._internal.state.routing import Incarnation, Replica
 from hyssopvane._internal.state.suspects import BodyId, Crash
@@ -15,6 +16,55 @@
 """
 
 
+class CrashAccount:
+    """Record crashes of replicas under requests in the entry's account of suspects."""
+
+    def __init__(self, tracker: SuspectTracker, metrics: DeferredMetrics) -> None:
+        self.tracker = tracker
+        self._metrics = metrics
+        self._unanswered = UnansweredRuns()
+
+    def record_crash(
+        self, body: BodyId, replica: Incarnation, *, generation: int, request_id: str
+    ) -> None:
+        """Record that a replica was lost under a request."""
+        now = trio.current_time()
+        self.tracker.record_crash(
+            body,
+            Crash(*replica, now, generation),
+            quarantine_s=QUARANTINE_S,
+            now=now,
+        )
+        record = self.tracker.get_record(body)
+        self._metrics.count_event("crash-suspect")
+        log_event(
+            "warning",
+            "crash-suspect",
+            request=request_id,
+            body=body.digest.hex(),
+            replica=replica[0],
+            crashes=0 if record is None else len(record.crashes),
+            refused=self.tracker.is_quarantined(body, now=now),
+            source="own",
+        )
+
+    def record_unanswered(
+        self, body: BodyId, replica: Incarnation, *, generation: int, request_id: str
+    ) -> None:
+        """Record that nobody waits for a replica's answer to a request any more."""
+        run = UnansweredRun(body, generation, trio.current_time())
+        if self._unanswered.add(replica, run):
+            self.record_crash(
+                body, replica, generation=generation, request_id=request_id
+            )
+
+    def record_ended(self, replica: Replica) -> None:
+        """Record that the registration of a replica has ended unannounced."""
+        key = replica.incarnation
+        for run in self._unanswered.take_lost(key, now=trio.current_time()):
+            self.record_crash(run.body, key, generation=run.generation, request_id="-")
+
+
 class CrashEvidence:
     """Report the attempts of one request to the entry's account of suspects."""
 
@@ -23,15 +73,14 @@
         body: BodyId,
         *,
         request_id: str,
-        tracker: SuspectTracker,
+        account: CrashAccount,
         gates: GateKeeper,
-        metrics: DeferredMetrics,
     ) -> None:
         self.body = body
         self._request_id = request_id
-        self._tracker = tracker
+        self._account = account
+        self._tracker = account.tracker
         self._gates = gates
-        self._metrics = metrics
         self._replica: Replica | None = None
         """Replica at which the request runs."""
         self._sent_at = 0.0
@@ -79,22 +128,27 @@
 
     def record_loss(self, replica: Replica) -> None:
         """Record that a replica was lost while it ran the request."""
-        now = trio.current_time()
-        gate = self._gates.get_gate(self.body.service)
-        if gate.is_departing(replica):
+        if self._is_departing(replica):
             # It was going to end anyway.
             return
-        crash = Crash(replica.id, replica.started_ms, now, self._generation)
-        self._tracker.record_crash(self.body, crash, quarantine_s=QUARANTINE_S, now=now)
-        record = self._tracker.get_record(self.body)
-        self._metrics.count_event("crash-suspect")
-        log_event(
-            "warning",
-            "crash-suspect",
-            request=self._request_id,
-            body=self.body.digest.hex(),
-            replica=replica.id,
-            crashes=0 if record is None else len(record.crashes),
-            refused=self._tracker.is_quarantined(self.body, now=now),
-            source="own",
+        self._account.record_crash(
+            self.body,
+            replica.incarnation,
+            generation=self._generation,
+            request_id=self._request_id,
         )
+
+    def record_unanswered(self) -> None:
+        """Record that the attempt ends before its replica has answered."""
+        replica = self._replica
+        if replica is None or self._is_departing(replica):
+            return
+        self._account.record_unanswered(
+            self.body,
+            replica.incarnation,
+            generation=self._generation,
+            request_id=self._request_id,
+        )
+
+    def _is_departing(self, replica: Replica) -> bool:
+        return self._gates.get_gate(self.body.service).is_departing(replica)
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -112,9 +112,8 @@
         self._evidence = CrashEvidence(
             request.body_id,
             request_id=request.request_id,
-            tracker=dependencies.suspects,
+            account=dependencies.crashes,
             gates=dependencies.gates,
-            metrics=dependencies.metrics,
         )
         self._stream_started = False
         self._last_event_id: bytes | None = None
@@ -240,6 +239,7 @@
             raise
         except trio.Cancelled:
             # The caller left or the deadline passed; the replica did not fail.
+            self._evidence.record_unanswered()
             failed = False
             raise
         finally:
@@ -275,6 +275,7 @@
             raise _AttemptFailed(f"unreachable: {error}", not_run=True) from error
         except ReplicaFailed as error:
             if self._mover.is_moving:
+                self._evidence.record_unanswered()
                 raise _AttemptFailed(
                     "stalled: the VM is silent", not_run=False
                 ) from error
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -19,6 +19,7 @@
 from hyssopvane._internal.policy.suspects import SuspectTracker
 from hyssopvane._internal.protocol.group_messages import GroupMessage
 from hyssopvane._internal.protocol.replica_headers import ReplicaHeaders
+from hyssopvane._internal.roles.crash_evidence import CrashAccount
 from hyssopvane._internal.roles.direct_app import DirectApp
 from hyssopvane._internal.roles.direct_request import CallDependencies
 from hyssopvane._internal.roles.gate_keeper import GateKeeper
@@ -113,6 +114,8 @@
         tracker = SuspectTracker(
             rules=LOST_CONNECTIONS, observe_quarantine=self._refuse_waiting
         )
+        crashes = CrashAccount(tracker, self.metrics)
+        self.gates.observe_ended = crashes.record_ended
         self._suspects = SuspectSharing(
             tracker, suspects_store, random=random, seeds=settings.seeds
         )
@@ -131,7 +134,7 @@
                 gates=self.gates,
                 client=self._client,
                 metrics=self.metrics,
-                suspects=tracker,
+                crashes=crashes,
                 budget=RepeatBudget(
                     share=settings.repeat_share, slack=settings.repeat_slack
                 ),
--- a/src/hyssopvane/_internal/roles/direct_request.py
+++ b/src/hyssopvane/_internal/roles/direct_request.py
@@ -4,9 +4,9 @@
 from enum import StrEnum
 
 from hyssopvane._internal.policy.repeat_budget import RepeatBudget
-from hyssopvane._internal.policy.suspects import SuspectTracker
 from hyssopvane._internal.protocol.messages import Headers
 from hyssopvane._internal.protocol.replica_headers import ReplicaHeaders
+from hyssopvane._internal.roles.crash_evidence import CrashAccount
 from hyssopvane._internal.roles.gate_keeper import GateKeeper
 from hyssopvane._internal.state.routing import Customer, Incarnation, Route
 from hyssopvane._internal.state.suspects import BodyId
@@ -70,5 +70,5 @@
     gates: GateKeeper
     client: ReplicaClient
     metrics: DeferredMetrics
-    suspects: SuspectTracker
+    crashes: CrashAccount
     budget: RepeatBudget
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -54,6 +54,8 @@
     ) -> None:
         self._observe_restart = observe_restart
         """Callback with the address of a replica that restarted under its ID."""
+        self.observe_ended: Callable[[Replica], None] = lambda replica: None
+        """Callback with a replica whose registration has ended unannounced."""
         self.homes = HomeReplicas()
         self.entry_counter = EntryCounter(availability_zone=availability_zone)
         self._notices = ReplicaNotices()
@@ -92,6 +94,8 @@
         }
         for name in by_service.keys() | self._gates.keys():
             spec = services.get(name)
+            for ended in self.get_gate(name).find_ended(by_service.get(name, ())):
+                self.observe_ended(ended)
             restarted = self.get_gate(name).update(
                 by_service.get(name, ()),
                 None if spec is None else spec.engine,
--- a/tests/functional/test_crash_refusals.py
+++ b/tests/functional/test_crash_refusals.py
@@ -34,7 +34,7 @@
     digest = make_request_digest(CUSTOMER.encode(), path.encode(), body)
     now = trio.current_time()
     crashes = tuple(Crash(f"i-gone-{n}", 0, now, n) for n in (1, 2, 3))
-    site.entry.app._dependencies.suspects.merge(
+    site.entry.app._dependencies.crashes.tracker.merge(
         BodyId(service, digest, CUSTOMER),
         SuspectRecord(crashes, True, now + 600.0),
         quarantine_s=600.0,
@@ -124,3 +124,36 @@
         assert sorted(len(one.received) for one in replicas) == [0, 1]
 
     run(test)
+
+
+async def unregister(site, replica, *, announced):
+    """End a replica's registration, with or without a word that it leaves."""
+    key, known = f"servers/{replica.id}", site.entry.feed.replicas
+    if announced:
+        site.register(replica, state="draining")
+        await site.wait_until(lambda: known[key].draining)
+    site.store.remove(key)
+    await site.wait_until(lambda: key not in known)
+
+
+@pytest.mark.parametrize("announced", [False, True], ids=["crashed", "drained"])
+def test_end_that_no_caller_waits_for_counts(announced):
+    """Guard against ends of replicas that come after their callers have left.
+
+    The replicas fall silent under the request; only their registrations show the end.
+    """
+
+    async def test(site):
+        replicas = [await site.add_replica(f"i-{n}", hang) for n in range(4)]
+        for _ in range(3):
+            before = sum(len(one.received) for one in replicas)
+            assert (await site.call("/status/7", deadline_ms=200)).status == 504
+            assert sum(len(one.received) for one in replicas) == before + 1
+            (ended,) = [one for one in replicas if one.received]
+            replicas.remove(ended)
+            await unregister(site, ended, announced=announced)
+        answer = await site.call("/status/7", deadline_ms=200)
+        assert answer.status == (504 if announced else 503)
+        assert len(replicas[0].received) == announced
+
+    run(test)
