Divide the repeats beyond the share by the number of entries

Every entry could make ten repeats beyond a tenth of its requests in ten seconds, and the users' platform bounds their sum. With 16 entries and a bound of 130 that is 160, with 35 and 194 it is 350, where every request of a service fails. An entry now takes its part of the bound, at most ten as before, by the number of entries that agents count; three to eight entries keep their ten.

--- a/src/hyssopvane/_internal/models/settings.py
+++ b/src/hyssopvane/_internal/models/settings.py
@@ -89,6 +89,8 @@
     """Retries allowed for each new request of a service."""
     repeat_slack: Annotated[int, Field(ge=0)] = 10
     """Retries allowed in addition to the share, in each window."""
+    fleet_repeat_slack: Annotated[int, Field(ge=0)] | None = None
+    """Limit of the same for all entries together; None if there is none."""
 
 
 class RankAgentSettings(_DirectSettings):
--- a/src/hyssopvane/_internal/policy/limit_shares.py
+++ b/src/hyssopvane/_internal/policy/limit_shares.py
@@ -65,6 +65,10 @@
         if names != self._seeds.keys():
             self._seeds = {name: rendezvous.hash_name(name) for name in names}
 
+    def estimate(self) -> int:
+        """Return the number of entries, a high one while no leader counts them."""
+        return max(self._counted or UNKNOWN_ENTRIES, len(self._seeds), 1)
+
     def measure_share(self, replica: str, zone: str, per_s: float) -> float:
         """Return the requests a second that this entry may send to a limited replica.
 
@@ -75,7 +79,7 @@
         the entries of its zone.
         """
         most = int((EXCESS - 1) * WINDOW_S * per_s) + EXCESS_REQUESTS
-        entries = max(self._counted or UNKNOWN_ENTRIES, len(self._seeds), 1)
+        entries = self.estimate()
         if entries <= most:
             return max(per_s / entries, 1 / PROBE_S)
         if zone != self._zone:
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -136,7 +136,10 @@
                 metrics=self.metrics,
                 crashes=crashes,
                 budget=RepeatBudget(
-                    share=settings.repeat_share, slack=settings.repeat_slack
+                    share=settings.repeat_share,
+                    slack=settings.repeat_slack,
+                    fleet_slack=settings.fleet_repeat_slack,
+                    count_entries=self.gates.entry_counter.estimate,
                 ),
             ),
         )
--- a/tests/unit/test_deploy.py
+++ b/tests/unit/test_deploy.py
@@ -24,7 +24,7 @@
     },
     "port-range": [7340, 7355],
     "seeds": ["10.1.0.40:8229", "10.2.0.29:8229"],
-    "bounds": {"grace-s": 8},
+    "bounds": {"grace-s": 8, "budget-slack": 90},
     "limits": {"link-mbps": 10.0},
     "app": "10.3.0.4:8228",
     "service": "huvo11a",
--- a/tests/unit/test_direct_parts.py
+++ b/tests/unit/test_direct_parts.py
@@ -38,6 +38,21 @@
     tracker.record_crash(body, crash, quarantine_s=QUARANTINE_S, now=now)
 
 
+@pytest.mark.parametrize(("entries", "slack"), [(3, 88), (16, 130), (35, 194)])
+@pytest.mark.parametrize("requests", [0, 20, 200, 2_000])
+def test_repeats_of_all_entries_stay_within_the_fleets_bound(entries, slack, requests):
+    """Guard against a bound of the fleet that each entry uses up for itself."""
+    allowed = 0
+    for entry in range(entries):
+        budget = RepeatBudget(
+            share=0.1, slack=10, fleet_slack=slack, count_entries=lambda: entries
+        )
+        for _ in range(requests // entries + (entry < requests % entries)):
+            budget.add_fresh("checks", now=0.0)
+        allowed += sum(budget.take("checks", now=1.0) for _ in range(1_000))
+    assert allowed <= 0.2 * requests + slack
+
+
 def test_request_that_crashes_replicas_is_refused_for_a_time():
     """Guards against a request that crashes each replica that runs it.
 
