--- a/src/hyssopvane/_internal/policy/repeat_budget.py
+++ b/src/hyssopvane/_internal/policy/repeat_budget.py
@@ -49,7 +49,8 @@
         """Return whether one repeat is allowed, and count it if so."""
         counts = self._services.setdefault(service, _Counts())
         _expire(counts, now)
-        if len(counts.repeats) >= self._share * len(counts.fresh) + self._get_slack():
+        allowed = self._share * len(counts.fresh) + self._get_slack()
+        if len(counts.repeats) + 1 > allowed:
             return False
         counts.repeats.append(now)
         return True
