Hold the next losses at a lost replica, and the first one of a finished request, against nothing

Its links accept a connection to a replica that has ended and reset it, so one request after another met a replica that was gone and looked like the cause; and three replicas of three ended within a second, before anything could finish. Now a loss does not count for a request that was sent when the replica was known to be lost; the first loss of a request that finished within a minute waits for the replica's registration to end, and for another finish; and a replica that answered after a loss can crash later (found in reading: it would never have counted again).

--- /dev/null
+++ b/src/hyssopvane/_internal/policy/recent_finishes.py
@@ -0,0 +1,40 @@
+"""Remember which requests replicas have lately run to their end."""
+
+from collections import OrderedDict
+
+from hyssopvane._internal.state.suspects import BodyId
+
+FINISH_TTL_S = 60.0
+
+MAX_CUSTOMERS = 1_024
+MAX_BODIES = 256
+"""Number of bodies that are kept for one customer."""
+
+
+class RecentFinishes:
+    """Track finished bodies by customer, so that none pushes those of others out."""
+
+    def __init__(self) -> None:
+        self._finished_at: OrderedDict[str, OrderedDict[BodyId, float]] = OrderedDict()
+
+    def add(self, body: BodyId, *, now: float) -> None:
+        """Record that a replica has run a body to its end."""
+        bodies = self._finished_at.setdefault(body.customer, OrderedDict())
+        self._finished_at.move_to_end(body.customer)
+        bodies[body] = now
+        bodies.move_to_end(body)
+        if len(bodies) > MAX_BODIES:
+            bodies.popitem(last=False)
+        if len(self._finished_at) > MAX_CUSTOMERS:
+            self._finished_at.popitem(last=False)
+
+    def has_finished(self, body: BodyId, *, since: float) -> bool:
+        """Return whether a body has finished later than a time."""
+        bodies = self._finished_at.get(body.customer)
+        return bodies is not None and bodies.get(body, since) > since
+
+    def discard(self, body: BodyId) -> None:
+        """Forget that a body has finished."""
+        bodies = self._finished_at.get(body.customer)
+        if bodies is not None:
+            bodies.pop(body, None)
--- a/src/hyssopvane/_internal/policy/suspects.py
+++ b/src/hyssopvane/_internal/policy/suspects.py
@@ -39,9 +39,11 @@
 # Maximum number of crashes attributed to a known suspect. They are kept while reports
 # about other requests that ran at the same target still arrive.
 _MAX_ATTRIBUTED = 256
-# Maximum number of targets whose answers showed that they had not crashed. They are
-# kept for late reports, too.
-_MAX_ALIVE = 256
+# Time for which a lost target is taken for the reason of further losses there. Its
+# registration ends within seconds.
+LOST_S = 10.0
+# Maximum number of lost targets, and of those that answered after all, that are kept.
+_MAX_TARGETS = 1_024
 # 32 suspects a crash and 140 crashes on an ordinary day stay far below this. A caller
 # that varies its body on each attempt can fill it; then its own suspects are removed.
 MAX_RECORDS = 2_048
@@ -72,9 +74,10 @@
         self._records: OrderedDict[BodyId, SuspectRecord] = OrderedDict()
         self._bodies: dict[CrashKey, set[BodyId]] = {}
         """Bodies by the crashes that count against them."""
-        self._learnt_at: dict[CrashKey, float] = {}
-        """Times at which this entry learnt of these crashes."""
-        self._alive: OrderedDict[CrashKey, None] = OrderedDict()
+        self._lost_at: OrderedDict[CrashKey, float] = OrderedDict()
+        """Times at which this entry learnt that targets were lost."""
+        self._alive_at: OrderedDict[CrashKey, float] = OrderedDict()
+        """Times at which targets that seemed lost have answered."""
         self._running: dict[str, Counter[BodyId]] = {}
         self._changed: set[BodyId] = set()
         self._attributed: OrderedDict[Crash, None] = OrderedDict()
@@ -167,11 +170,10 @@
 
     def record_answer(self, target: CrashKey, *, sent_at: float, now: float) -> None:
         """Count no crash of a target that answers a request which was sent after it."""
-        if not self._bodies or sent_at <= self._learnt_at.get(target, now):
+        if not self._lost_at or sent_at <= self._lost_at.get(target, now):
             return
-        self._alive[target] = None
-        if len(self._alive) > _MAX_ALIVE:
-            self._alive.popitem(last=False)
+        del self._lost_at[target]
+        _remember(self._alive_at, target, now)
         for body in list(self._bodies.get(target, ())):
             record = self._records[body]
             crashes = tuple(one for one in record.crashes if one.key != target)
@@ -179,13 +181,21 @@
             self._changed.add(body)
 
     def record_crash(
-        self, body: BodyId, crash: Crash, *, quarantine_s: float, now: float
+        self,
+        body: BodyId,
+        crash: Crash,
+        *,
+        quarantine_s: float,
+        now: float,
+        sent_at: float | None = None,
     ) -> None:
-        """Record a crash of a target at which a body was running."""
+        """Record a crash of a target to which a body was sent at a time."""
         known = self._find(body, now)
         voided: frozenset[CrashKey] = frozenset() if known is None else known.voided
-        if crash.key in voided or crash.key in self._alive:
+        if crash.key in voided or self._was_lost_before(crash.key, sent_at, now):
             return
+        if crash.key not in self._lost_at:
+            _remember(self._lost_at, crash.key, now)
         count = 0 if known is None else len(known.crashes)
         if count >= self.rules.crashes_to_attribute:
             self._mark_attributed(crash)
@@ -197,7 +207,6 @@
         crashes = add_crash(known.crashes if known else (), crash, self.rules)
         if known is not None and crashes == known.crashes:
             return
-        self._learnt_at.setdefault(crash.key, now)
         quarantined = self._is_proven(body, crashes, last=crash)
         until = now + SUSPECT_S
         if quarantined:
@@ -216,7 +225,11 @@
         merged = record
         if known is not None:
             merged = self._combine(record, known)
-        alive = list_keys(merged.crashes) & self._alive.keys()
+        alive = {
+            crash.key
+            for crash in merged.crashes
+            if crash.at < self._alive_at.get(crash.key, crash.at)
+        }
         if alive:
             crashes = tuple(one for one in merged.crashes if one.key not in alive)
             merged = self._weaken(merged, crashes, alive, now)
@@ -227,8 +240,8 @@
         ):
             duration_s = self._measure_duration_s(len(merged.crashes), quarantine_s)
             merged = replace(merged, until=now + duration_s)
-        for key in list_keys(merged.crashes):
-            self._learnt_at.setdefault(key, now)
+        for key in list_keys(merged.crashes) - self._lost_at.keys():
+            _remember(self._lost_at, key, now)
         was_refused = known is not None and _is_refused(known, now)
         if merged != known:
             self._keep(body, merged)
@@ -277,6 +290,15 @@
         """Put back changes that could not be shared, for the next attempt."""
         self._changed.update(bodies)
 
+    def _was_lost_before(
+        self, target: CrashKey, sent_at: float | None, now: float
+    ) -> bool:
+        """Return whether a target was known to be lost when a body was sent to it."""
+        lost_at = self._lost_at.get(target)
+        if lost_at is None or sent_at is None or not self.rules.crash_ends_incarnation:
+            return False
+        return lost_at < sent_at and now - lost_at < LOST_S
+
     def _combine(self, record: SuspectRecord, known: SuspectRecord) -> SuspectRecord:
         merged = combine(record, known, self.rules)
         if (
@@ -381,17 +403,10 @@
             if not bodies:
                 del self._bodies[key]
         if record is None:
-            self._forget_unused(before)
             return
         self._records[body] = record
         for key in list_keys(record.crashes):
             self._bodies.setdefault(key, set()).add(body)
-        self._forget_unused(before)
-
-    def _forget_unused(self, before: SuspectRecord | None) -> None:
-        for crash in before.crashes if before is not None else ():
-            if crash.key not in self._bodies:
-                self._learnt_at.pop(crash.key, None)
 
     def _find(self, body: BodyId, now: float) -> SuspectRecord | None:
         record = self._records.get(body)
@@ -410,3 +425,10 @@
 
 def _is_suspect(record: SuspectRecord, now: float) -> bool:
     return bool(record.crashes) and not _is_refused(record, now)
+
+
+def _remember(times: OrderedDict[CrashKey, float], target: CrashKey, at: float) -> None:
+    times[target] = at
+    times.move_to_end(target)
+    if len(times) > _MAX_TARGETS:
+        times.popitem(last=False)
--- a/src/hyssopvane/_internal/roles/crash_evidence.py
+++ b/src/hyssopvane/_internal/roles/crash_evidence.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from hyssopvane._internal.policy.recent_finishes import FINISH_TTL_S, RecentFinishes
 from hyssopvane._internal.policy.suspects import SuspectTracker
 from hyssopvane._internal.policy.unanswered_runs import UnansweredRun, UnansweredRuns
 from hyssopvane._internal.roles.gate_keeper import GateKeeper
@@ -23,9 +24,28 @@
         self.tracker = tracker
         self._metrics = metrics
         self._unanswered = UnansweredRuns()
+        self._finishes = RecentFinishes()
+
+    def record_finish(self, body: BodyId) -> None:
+        """Record that a replica has run a request to its end."""
+        now = trio.current_time()
+        self._finishes.add(body, now=now)
+        self.tracker.clear(body, now=now)
+
+    def take_trust(self, body: BodyId) -> bool:
+        """Return whether a request has finished lately, and was not lost since."""
+        since = trio.current_time() - FINISH_TTL_S
+        trusted = self._finishes.has_finished(body, since=since)
+        self._finishes.discard(body)
+        return trusted
 
     def record_crash(
-        self, body: BodyId, replica: Incarnation, *, generation: int, request_id: str
+        self,
+        body: BodyId,
+        replica: Incarnation,
+        *,
+        generation: int,
+        sent_at: float | None = None,
     ) -> None:
         """Record that a replica was lost under a request."""
         now = trio.current_time()
@@ -34,13 +54,13 @@
             Crash(*replica, now, generation),
             quarantine_s=QUARANTINE_S,
             now=now,
+            sent_at=sent_at,
         )
         record = self.tracker.get_record(body)
         self._metrics.count_event("crash-suspect")
         log_event(
             "warning",
             "crash-suspect",
-            request=request_id,
             body=body.digest.hex(),
             replica=replica[0],
             crashes=0 if record is None else len(record.crashes),
@@ -49,20 +69,22 @@
         )
 
     def record_unanswered(
-        self, body: BodyId, replica: Incarnation, *, generation: int, request_id: str
+        self,
+        body: BodyId,
+        replica: Incarnation,
+        *,
+        generation: int,
     ) -> None:
         """Record that nobody waits for a replica's answer to a request any more."""
         run = UnansweredRun(body, generation, trio.current_time())
         if self._unanswered.add(replica, run):
-            self.record_crash(
-                body, replica, generation=generation, request_id=request_id
-            )
+            self.record_crash(body, replica, generation=generation)
 
     def record_ended(self, replica: Replica) -> None:
         """Record that the registration of a replica has ended unannounced."""
         key = replica.incarnation
         for run in self._unanswered.take_lost(key, now=trio.current_time()):
-            self.record_crash(run.body, key, generation=run.generation, request_id="-")
+            self.record_crash(run.body, key, generation=run.generation)
 
 
 class CrashEvidence:
@@ -72,12 +94,10 @@
         self,
         body: BodyId,
         *,
-        request_id: str,
         account: CrashAccount,
         gates: GateKeeper,
     ) -> None:
         self.body = body
-        self._request_id = request_id
         self._account = account
         self._tracker = account.tracker
         self._gates = gates
@@ -124,18 +144,23 @@
 
     def record_finish(self) -> None:
         """Record that a replica has run the request to its end."""
-        self._tracker.clear(self.body, now=trio.current_time())
+        self._account.record_finish(self.body)
 
     def record_loss(self, replica: Replica) -> None:
         """Record that a replica was lost while it ran the request."""
         if self._is_departing(replica):
             # It was going to end anyway.
             return
+        if self._account.take_trust(self.body):
+            # The first loss of a request that has just finished elsewhere counts only
+            # if the replica does not come back, and the request does not finish again.
+            self.record_unanswered()
+            return
         self._account.record_crash(
             self.body,
             replica.incarnation,
             generation=self._generation,
-            request_id=self._request_id,
+            sent_at=self._sent_at,
         )
 
     def record_unanswered(self) -> None:
@@ -147,7 +172,6 @@
             self.body,
             replica.incarnation,
             generation=self._generation,
-            request_id=self._request_id,
         )
 
     def _is_departing(self, replica: Replica) -> bool:
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -111,7 +111,6 @@
         self._reports = ReplicaReports(request, dependencies)
         self._evidence = CrashEvidence(
             request.body_id,
-            request_id=request.request_id,
             account=dependencies.crashes,
             gates=dependencies.gates,
         )
@@ -174,6 +173,7 @@
                     not_run=failure.not_run,
                     attempts=request.attempts,
                     retry_after=failure.retry_after,
+                    body=request.body_id.digest.hex(),
                 )
                 request.may_have_run |= not failure.not_run
                 if not self._may_repeat(failure):
--- a/src/hyssopvane/_internal/roles/suspect_sharing.py
+++ b/src/hyssopvane/_internal/roles/suspect_sharing.py
@@ -79,7 +79,6 @@
         log_event(
             "info",
             "crash-suspect",
-            request="-",
             body=body.digest.hex(),
             replica="-" if record is None else record.crashes[-1].target,
             crashes=0 if record is None else len(record.crashes),
--- a/src/hyssopvane/_internal/transport/replica_client.py
+++ b/src/hyssopvane/_internal/transport/replica_client.py
@@ -96,7 +96,9 @@
 class ReplicaResponse(AnswerHead):
     """Hold a response whose body is still to be read."""
 
-    def __init__(self, response: httpcore.Response, stream: RawStream) -> None:
+    def __init__(
+        self, response: httpcore.Response, stream: RawStream | None = None
+    ) -> None:
         super().__init__(response.status, tuple(response.headers))
         self._response = response
         self._stream = stream
@@ -237,8 +239,9 @@
         idle.append(pooled)
 
 
-def _make_failure(error: Exception, stream: RawStream) -> ReplicaFailed:
-    return (ReplicaLost if stream.has_ended else ReplicaFailed)(_describe(error))
+def _make_failure(error: Exception, stream: RawStream | None) -> ReplicaFailed:
+    has_ended = stream is not None and stream.has_ended
+    return (ReplicaLost if has_ended else ReplicaFailed)(_describe(error))
 
 
 def _describe(error: Exception) -> str:
--- a/tests/unit/test_lost_connections.py
+++ b/tests/unit/test_lost_connections.py
@@ -155,6 +155,35 @@
     assert not account.tracker.is_suspect(OTHER, now=account.now)
 
 
+def test_request_that_is_sent_to_a_lost_replica_is_not_accused():
+    """Guard against the next request that meets a replica which has just ended."""
+    account = Account()
+    account.crash(BODY)
+    for number in range(1, 4):
+        account.tracker.record_crash(
+            OTHER,
+            Crash("i-1", 0, account.now + number, number),
+            quarantine_s=QUARANTINE_S,
+            now=account.now + number,
+            sent_at=account.now + number - 0.1,
+        )
+    assert not account.tracker.is_suspect(OTHER, now=account.now)
+
+
+def test_replica_that_answered_after_a_loss_can_crash_later():
+    account = Account()
+    account.crash(OTHER)
+    account.answer("i-1")
+    account.tracker.record_crash(
+        BODY,
+        Crash("i-1", 0, account.now + 1.0),
+        quarantine_s=QUARANTINE_S,
+        now=account.now + 1.0,
+        sent_at=account.now,
+    )
+    assert account.tracker.is_suspect(BODY, now=account.now + 1.0)
+
+
 def test_answer_to_an_earlier_request_proves_nothing():
     account = Account()
     account.crash(BODY)
