Ask for more crashes of a request that has just finished elsewhere

A request that finished at this entry within a minute is now refused after six crashes without a finish between, instead of its first loss waiting for the registration.

--- a/src/hyssopvane/_internal/policy/recent_finishes.py
+++ b/src/hyssopvane/_internal/policy/recent_finishes.py
@@ -32,9 +32,3 @@
         """Return whether a body has finished later than a time."""
         bodies = self._finished_at.get(body.customer)
         return bodies is not None and bodies.get(body, since) > since
-
-    def discard(self, body: BodyId) -> None:
-        """Forget that a body has finished."""
-        bodies = self._finished_at.get(body.customer)
-        if bodies is not None:
-            bodies.pop(body, None)
--- a/src/hyssopvane/_internal/policy/suspect_rules.py
+++ b/src/hyssopvane/_internal/policy/suspect_rules.py
@@ -34,6 +34,8 @@
     """
     crashes_with_rival: int = 2
     """The same while another body was running in all of these crashes."""
+    crashes_of_finished: int = 2
+    """The same of a body that has also finished lately, at this entry."""
     min_generations: int = 1
     """Crashes among them that followed each other.
 
@@ -68,6 +70,7 @@
 LOST_CONNECTIONS = SuspectRules(
     crashes_to_quarantine=3,
     crashes_with_rival=5,
+    crashes_of_finished=6,
     min_generations=2,
     crashes_to_attribute=2,
     crash_ends_incarnation=True,
--- a/src/hyssopvane/_internal/policy/suspects.py
+++ b/src/hyssopvane/_internal/policy/suspects.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 
+from hyssopvane._internal.policy.recent_finishes import FINISH_TTL_S, RecentFinishes
 from hyssopvane._internal.policy.suspect_rules import (
     AGENT_REPORTS,
     SuspectRules,
@@ -78,6 +79,7 @@
         """Times at which this entry learnt that targets were lost."""
         self._alive_at: OrderedDict[CrashKey, float] = OrderedDict()
         """Times at which targets that seemed lost have answered."""
+        self._finishes = RecentFinishes()
         self._running: dict[str, Counter[BodyId]] = {}
         self._changed: set[BodyId] = set()
         self._attributed: OrderedDict[Crash, None] = OrderedDict()
@@ -156,17 +158,13 @@
 
     def clear(self, body: BodyId, *, now: float = 0.0) -> None:
         """Count the crashes of a body that finished no longer."""
-        record = self._records.get(body)
-        if record is None or not record.crashes:
-            return
         if self.rules.crash_ends_incarnation:
-            voided = limit_voided(record.voided | list_keys(record.crashes))
-            self._keep(body, SuspectRecord((), False, now + VOID_S, voided))
-        elif not record.quarantined:
-            self._put(body, None)
-        else:
-            return
-        self._changed.add(body)
+            self._finishes.add(body, now=now)
+        self._void_crashes(body, now)
+
+    def has_finished(self, body: BodyId, *, since: float) -> bool:
+        """Return whether a body has finished at this entry since a time."""
+        return self._finishes.has_finished(body, since=since)
 
     def record_answer(self, target: CrashKey, *, sent_at: float, now: float) -> None:
         """Count no crash of a target that answers a request which was sent after it."""
@@ -322,6 +320,8 @@
             return False
         if max(crash.generation for crash in crashes) < rules.min_generations:
             return False
+        if self.has_finished(body, since=crashes[-1].at - FINISH_TTL_S):
+            return len(crashes) >= rules.crashes_of_finished
         if len(crashes) >= rules.crashes_with_rival:
             return True
         return not self._has_rival(body, list_keys(crashes), last)
@@ -349,7 +349,20 @@
         beside = set().union(*(self._bodies.get(key, set()) for key in keys))
         for body in beside - {cause}:
             if list_keys(self._records[body].crashes) < keys:
-                self.clear(body, now=now)
+                self._void_crashes(body, now)
+
+    def _void_crashes(self, body: BodyId, now: float) -> None:
+        record = self._records.get(body)
+        if record is None or not record.crashes:
+            return
+        if self.rules.crash_ends_incarnation:
+            voided = limit_voided(record.voided | list_keys(record.crashes))
+            self._keep(body, SuspectRecord((), False, now + VOID_S, voided))
+        elif not record.quarantined:
+            self._put(body, None)
+        else:
+            return
+        self._changed.add(body)
 
     def _weaken(
         self,
--- a/src/hyssopvane/_internal/roles/crash_evidence.py
+++ b/src/hyssopvane/_internal/roles/crash_evidence.py
@@ -2,7 +2,6 @@
 
 import trio
 
-from hyssopvane._internal.policy.recent_finishes import FINISH_TTL_S, RecentFinishes
 from hyssopvane._internal.policy.suspects import SuspectTracker
 from hyssopvane._internal.policy.unanswered_runs import UnansweredRun, UnansweredRuns
 from hyssopvane._internal.roles.gate_keeper import GateKeeper
@@ -24,20 +23,6 @@
         self.tracker = tracker
         self._metrics = metrics
         self._unanswered = UnansweredRuns()
-        self._finishes = RecentFinishes()
-
-    def record_finish(self, body: BodyId) -> None:
-        """Record that a replica has run a request to its end."""
-        now = trio.current_time()
-        self._finishes.add(body, now=now)
-        self.tracker.clear(body, now=now)
-
-    def take_trust(self, body: BodyId) -> bool:
-        """Return whether a request has finished lately, and was not lost since."""
-        since = trio.current_time() - FINISH_TTL_S
-        trusted = self._finishes.has_finished(body, since=since)
-        self._finishes.discard(body)
-        return trusted
 
     def record_crash(
         self,
@@ -144,18 +129,13 @@
 
     def record_finish(self) -> None:
         """Record that a replica has run the request to its end."""
-        self._account.record_finish(self.body)
+        self._tracker.clear(self.body, now=trio.current_time())
 
     def record_loss(self, replica: Replica) -> None:
         """Record that a replica was lost while it ran the request."""
         if self._is_departing(replica):
             # It was going to end anyway.
             return
-        if self._account.take_trust(self.body):
-            # The first loss of a request that has just finished elsewhere counts only
-            # if the replica does not come back, and the request does not finish again.
-            self.record_unanswered()
-            return
         self._account.record_crash(
             self.body,
             replica.incarnation,
