Bound what is written and exchanged about suspects, and spread the writes

Found in reading the cost: when a group of 64 ranks ends, each entry writes the page of all suspects, and all write at once and again at each conflict; a full page of records with sixteen crashes would not fit the store. Now an entry waits 0.08 to 0.23 s and a random time after a conflict; a record has eight crashes and eight void ones at most, the latest generations first, and a direct entry keeps 512 records.

--- a/src/hyssopvane/_internal/coordination/quarantine.py
+++ b/src/hyssopvane/_internal/coordination/quarantine.py
@@ -21,10 +21,7 @@
     choose_evicted,
     combine,
 )
-from hyssopvane._internal.policy.suspects import (
-    MAX_RECORDS,
-    SuspectTracker,
-)
+from hyssopvane._internal.policy.suspects import SuspectTracker
 from hyssopvane._internal.protocol.suspect_pages import format_page, parse_page
 from hyssopvane._internal.state.store_position import StorePosition
 from hyssopvane._internal.state.suspects import BodyId, SuspectRecord
@@ -120,7 +117,9 @@
     async def _flush_changes(self) -> None:
         backoff = Backoff(self._random, first_s=0.02)
         while True:
-            await trio.sleep(self._flush_interval_s)
+            # All entries that lost connections to one replica would write at once.
+            jitter = self._random.uniform(0.5, 1.5)
+            await trio.sleep(self._flush_interval_s * jitter)
             changes = self._tracker.take_changes()
             if not changes:
                 continue
@@ -143,6 +142,7 @@
                 self._shared,
                 changes,
                 rules=self._tracker.rules,
+                max_records=self._tracker.max_records,
                 now=trio.current_time(),
             )
             if records == self._shared:
@@ -164,6 +164,7 @@
                 self._accept(item)
             # Records that must be shared again after a restore join the next try.
             bodies |= self._tracker.take_changes()
+            await trio.sleep(self._random.uniform(0.0, self._flush_interval_s))
 
     def _handle_era_change(self, era: int) -> None:
         """Share records again that the service may have lost in a restore."""
@@ -230,6 +231,7 @@
     changes: Mapping[BodyId, SuspectRecord | None],
     *,
     rules: SuspectRules,
+    max_records: int,
     now: float,
 ) -> dict[BodyId, SuspectRecord]:
     records = {
@@ -247,6 +249,6 @@
         elif record.crashes:
             records[body] = record
     # The page must fit the maximum value size of the service.
-    for body in choose_evicted(records, MAX_RECORDS):
+    for body in choose_evicted(records, max_records):
         del records[body]
     return records
--- a/src/hyssopvane/_internal/policy/suspect_rules.py
+++ b/src/hyssopvane/_internal/policy/suspect_rules.py
@@ -19,7 +19,7 @@
 # a crash at slightly different times.
 EXPIRY_TOLERANCE_S = 5.0
 
-MAX_VOIDED = 32
+MAX_VOIDED = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +75,7 @@
     crashes_to_attribute=2,
     crash_ends_incarnation=True,
     probation_s=600.0,
-    max_crashes=16,
+    max_crashes=8,
 )
 """Rules where entries lose the connections to a replica.
 
@@ -118,7 +118,13 @@
     """Return crashes with one more; a second report of a crash changes nothing."""
     if any(rules.is_same(crash, other) for other in crashes):
         return crashes
-    return (*crashes, crash)[: rules.max_crashes]
+    if len(crashes) < rules.max_crashes:
+        return (*crashes, crash)
+    # Later generations tell more than copies that were lost at the same time.
+    earliest = min(crashes, key=lambda one: one.generation)
+    if earliest.generation >= crash.generation:
+        return crashes
+    return (*(one for one in crashes if one is not earliest), crash)
 
 
 def choose_evicted(records: Mapping[BodyId, SuspectRecord], limit: int) -> set[BodyId]:
--- a/src/hyssopvane/_internal/policy/suspects.py
+++ b/src/hyssopvane/_internal/policy/suspects.py
@@ -48,6 +48,8 @@
 # 32 suspects a crash and 140 crashes on an ordinary day stay far below this. A caller
 # that varies its body on each attempt can fill it; then its own suspects are removed.
 MAX_RECORDS = 2_048
+# The same where records have more crashes: a page of them must fit the store, too.
+MAX_LONG_RECORDS = 512
 
 
 class SuspectTracker:
@@ -69,7 +71,7 @@
         observe_quarantine: Callable[[BodyId, float], None] = lambda body, left_s: None,
     ) -> None:
         self.rules = rules
-        self._max_records = max_records
+        self.max_records = max_records
         self._observe_quarantine = observe_quarantine
         """Called with a body that is refused from now on, and for how many seconds."""
         self._records: OrderedDict[BodyId, SuspectRecord] = OrderedDict()
@@ -403,7 +405,7 @@
 
     def _keep(self, body: BodyId, record: SuspectRecord) -> None:
         self._put(body, record)
-        for evicted in choose_evicted(self._records, self._max_records):
+        for evicted in choose_evicted(self._records, self.max_records):
             self._put(evicted, None)
 
     def _put(self, body: BodyId, record: SuspectRecord | None) -> None:
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -16,7 +16,7 @@
 from hyssopvane._internal.policy.repeat_budget import RepeatBudget
 from hyssopvane._internal.policy.store_watch import choose_watch_s
 from hyssopvane._internal.policy.suspect_rules import LOST_CONNECTIONS
-from hyssopvane._internal.policy.suspects import SuspectTracker
+from hyssopvane._internal.policy.suspects import MAX_LONG_RECORDS, SuspectTracker
 from hyssopvane._internal.protocol.group_messages import GroupMessage
 from hyssopvane._internal.protocol.replica_headers import ReplicaHeaders
 from hyssopvane._internal.roles.crash_evidence import CrashAccount
@@ -112,7 +112,9 @@
         )
         self.exchange = SnapshotExchange(self.feed, seeds=settings.seeds)
         tracker = SuspectTracker(
-            rules=LOST_CONNECTIONS, observe_quarantine=self._refuse_waiting
+            rules=LOST_CONNECTIONS,
+            max_records=MAX_LONG_RECORDS,
+            observe_quarantine=self._refuse_waiting,
         )
         crashes = CrashAccount(tracker, self.metrics)
         self.gates.observe_ended = crashes.record_ended
--- a/src/hyssopvane/_internal/roles/suspect_exchange.py
+++ b/src/hyssopvane/_internal/roles/suspect_exchange.py
@@ -14,7 +14,6 @@
 
 import trio
 
-from hyssopvane._internal.policy.suspect_rules import choose_evicted
 from hyssopvane._internal.policy.suspects import SuspectTracker
 from hyssopvane._internal.protocol.suspect_pages import format_page, parse_page
 from hyssopvane._internal.state.suspects import BodyId, SuspectRecord
@@ -40,9 +39,6 @@
 MAX_PARTNERS = 4
 """Number of entries that this one exchanges evidence with in each interval."""
 
-MAX_EXCHANGED = 512
-"""Number of records in one exchange, the strongest evidence first."""
-
 MAX_BYTES = 1024 * 1024
 
 _OK = 200
@@ -169,8 +165,6 @@
 
     def _format(self) -> bytes:
         records = self._tracker.list_records(now=trio.current_time())
-        for body in choose_evicted(records, MAX_EXCHANGED):
-            del records[body]
         return format_page(records, offset=_get_offset())
 
     def _merge(self, content: bytes, *, source: str) -> None:
--- a/src/hyssopvane/_internal/roles/suspect_sharing.py
+++ b/src/hyssopvane/_internal/roles/suspect_sharing.py
@@ -16,8 +16,8 @@
 from hyssopvane._internal.state.suspects import BodyId
 from hyssopvane._internal.utils.logs import log_event
 
-FLUSH_INTERVAL_S = 0.1
-"""Pause between two writes of changed records.
+FLUSH_INTERVAL_S = 0.15
+"""Mean pause between two writes of changed records.
 
 A request that ran beside the cause usually finishes elsewhere within that time, and is
 never written. Callers repeat a request that crashed later than that.
