Let requests of the soak end the replicas that run them, beside a popular one

The check: at most three arrivals later than 3 s after the third end, without any excuse, and no popular request refused as crashing. Two seeds run with the tests.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -24,6 +24,9 @@
 RETURN_SEEDS = (1, 2)
 """Seeds whose store is also restored from older copies."""
 
+CRASH_SEEDS = (1, 2)
+"""Seeds with requests that end each replica that runs them."""
+
 FAILED_SEEDS = {
     205: "an agent that received SIGHUP during its start ended: it did not handle the "
     "signal yet, and its default action is to end the process",
@@ -65,6 +68,15 @@
     assert any(" leave " in one for one in report.faults), report.faults
 
 
+@pytest.mark.parametrize("seed", CRASH_SEEDS)
+def test_guarantees_hold_beside_requests_that_end_replicas(seed, tmp_path):
+    """Guards against real entries that each let a request end replicas of their own."""
+    size = replace(SMALL, seconds=10.0, crashes=True)
+    report = run_seed(tmp_path, seed=seed, size=size)
+    assert report.violations == [], (report.kept_in, report.faults)
+    assert report.crashes >= 3
+
+
 def make_call(request_id, *, entry="entry-0", starts=1, sent_at=0.0):
     call = Call(request_id, KINDS[0], entry, starts, sent_at)
     call.whole = True
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -25,6 +25,7 @@
     parser.add_argument("--jobs", type=int, default=3)
     parser.add_argument("--store-returns", action="store_true")
     parser.add_argument("--notices", action="store_true")
+    parser.add_argument("--crashes", action="store_true")
     parser.add_argument("--folder", default=tempfile.mkdtemp(prefix="soak-"))
     found = parser.parse_args()
     size = Size(
@@ -33,6 +34,7 @@
         seconds=found.seconds,
         store_returns=found.store_returns,
         notices=found.notices,
+        crashes=found.crashes,
     )
     broken = 0
     print(f"logs in {found.folder}", flush=True)
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -2,6 +2,7 @@
 
 import json
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 from random import Random
 
@@ -32,6 +33,12 @@
 LARGE = "large"
 """Last part of the path of requests whose answers fill the connection."""
 
+CRASHING = "crash"
+"""Beginning of the last part of the path of requests that end their replicas."""
+
+POPULAR = "popular"
+"""Last part of the path of requests that many callers send, with one body."""
+
 _LARGE_EVENT = b"data: " + 65_536 * b"x" + b"\n\n"
 
 FULL = "full"
@@ -39,6 +46,21 @@
 """Faults with which a faulty replica replaces its answer."""
 
 
+def is_fixed_body(target: str) -> bool:
+    """Return whether all requests for a path have one body."""
+    last = target.rpartition("/")[2]
+    return last == POPULAR or last.startswith(CRASHING)
+
+
+@dataclass(frozen=True)
+class CrashArrival:
+    """Record a request that ends the replica that it reaches."""
+
+    path: str
+    replica: str
+    at: float
+
+
 @dataclass
 class Work:
     """Record one run of a request."""
@@ -96,6 +118,8 @@
         self._starts = 0
         self._serving_scope: trio.CancelScope | None = None
         self._nursery: trio.Nursery | None = None
+        self.observe_crash: Callable[[CrashArrival], Awaitable[None]] | None = None
+        """Called when a request ends the replica."""
         self.running = 0
         self.started = 0
         """Number of requests started by all replicas at this address."""
@@ -164,6 +188,11 @@
         if self.refusing:
             await self._request_backoff(stream, request, seen)
             return True
+        if request.target.rpartition("/")[2].startswith(CRASHING):
+            assert self.observe_crash is not None
+            now = trio.current_time()
+            await self.observe_crash(CrashArrival(request.target, replica.id, now))
+            return False
         fault = "whole"
         if self._random.random() < self.fault_share:
             fault = self._random.choice(ANSWER_FAULTS)
@@ -219,6 +248,8 @@
             add_violation(
                 f"{request_id}: unexpected customer {headers.get('x-tenant')!r}"
             )
+        if is_fixed_body(request.target):
+            return
         if request.body != f"body of {request_id}".encode():
             add_violation(f"{request_id}: unexpected body {request.body!r}")
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -36,6 +36,8 @@
     streamed: bool = False
     at_most_once: bool = False
     """Whether a request of this kind may run at most once."""
+    body: bytes = b""
+    """Body of all requests of this kind; empty if each has its own."""
 
     @property
     def name(self) -> str:
@@ -132,7 +134,7 @@
     async def _exchange(
         self, client: ReplicaClient, member: Member, call: Call
     ) -> None:
-        body = f"body of {call.id}".encode()
+        body = call.kind.body or f"body of {call.id}".encode()
         fields = (
             (b"host", HOST.encode()),
             (b"x-request-id", call.id.encode()),
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -32,6 +32,9 @@
 _GRACE_S = 6.0
 _LINK_SETTLE_S = 1.0
 """Time after the fault of a link in which delayed data may still arrive."""
+_REGISTERED_S = 0.3
+"""Time for which a replica that a request has ended stays registered."""
+
 _ADDRESS_REUSE_DELAY_S = 1.0
 """Time until another replica serves at the address of a replica that ended."""
 
@@ -275,12 +278,16 @@
         backend = self._random.choice(self._run.backends)
         if backend.name in self._busy:
             return "nobody"
+        await self._crash_and_return(backend, self._random.uniform(0.1, 1.0))
+        return f"crash {backend.name}"
+
+    async def _crash_and_return(self, backend: Backend, registered_s: float) -> None:
         self._busy.add(backend.name)
         old_id = backend.id
         if backend.group is not None:
             backend.group.broken = True
         await backend.stop_replica()
-        await trio.sleep(self._random.uniform(0.1, 1.0))
+        await trio.sleep(registered_s)
         self._run.unregister(old_id)
         await trio.sleep(_ADDRESS_REUSE_DELAY_S)
         await backend.start_replica()
@@ -288,7 +295,18 @@
             backend.group.form()
         self._run.register(backend)
         self._busy.discard(backend.name)
-        return f"crash {backend.name}"
+
+    async def crash_under_request(self, backend: Backend) -> None:
+        """End a replica because of a request; one that is leaving stays away."""
+        at = trio.current_time()
+        ongoing = Span("crash", "all", at, float("inf"))
+        self.spans.append(ongoing)
+        if backend.name in self._busy:
+            await backend.stop_replica()
+        else:
+            await self._crash_and_return(backend, _REGISTERED_S)
+        self.spans.remove(ongoing)
+        self.spans.append(Span("crash", "all", at, trio.current_time()))
 
     async def _drain(self) -> str:
         backend = self._random.choice(self._run.backends)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -25,7 +25,7 @@
 from tests.lib.direct_store import DirectStore
 from tests.lib.rank_model import RANKS
 from tests.lib.rank_standin import GroupStandIn
-from tests.soak.backends import Backend, Journal
+from tests.soak.backends import Backend, CrashArrival, Journal
 from tests.soak.callers import (
     KINDS,
     LATE_TOLERANCE_S,
@@ -35,6 +35,7 @@
     Callers,
     Kind,
 )
+from tests.soak.crashes import CrashingCallers
 from tests.soak.departures import LeavingCallers
 from tests.soak.faults import Faults
 from tests.soak.fleet import Fleet, Member
@@ -68,6 +69,8 @@
     store_returns: bool = False
     """Whether the store is also restored from older copies. A seed draws other faults
     with this option than without it."""
+    crashes: bool = False
+    """Whether some requests end each replica that runs them."""
     notices: bool = False
     """Whether replicas also request back-offs, and report leaving in answers only."""
 
@@ -85,6 +88,8 @@
     """Number of runs of requests whose callers left in other ways."""
     changes: int = 0
     """Number of times that an expert map came into force at an agent."""
+    crashes: int = 0
+    """Number of replicas that requests have ended."""
     kept_in: str = ""
     """Folder with the logs and the report, if there are violations."""
     faults: list[str] = field(default_factory=list)
@@ -95,7 +100,7 @@
         return (
             f"seed={self.seed} calls={self.calls} served={self.served} "
             f"refused={self.refused} left={self.left} "
-            f"left-working={self.judged} maps={self.changes} "
+            f"left-working={self.judged} maps={self.changes} crashes={self.crashes} "
             f"faults={len(self.faults)} violations={len(self.violations)}"
         )
 
@@ -126,6 +131,9 @@
         self.leaving = LeavingCallers(
             self.fleet.entries, self.journal, Random(f"departures {seed}")
         )
+        self.crashing = CrashingCallers(
+            self.callers, self.fleet.entries, Random(f"crashes {seed}")
+        )
         self.ended_at = float("inf")
         """Time at which the callers were stopped."""
         self.faults = Faults(self)
@@ -141,6 +149,8 @@
                     for _ in range(max(1, self.size.callers // 4)):
                         load.start_soon(self.leaving.run)
                     load.start_soon(self.leaving.measure_lags)
+                    if self.size.crashes:
+                        load.start_soon(self.crashing.run)
                     load.start_soon(self._watch_members)
                     load.start_soon(self._probe_generations)
                     await trio.sleep(1.0)
@@ -159,6 +169,7 @@
         self._check_calls()
         self._check_departures()
         self._check_notices()
+        self.journal.violations += self.crashing.check()
         self._fill_report()
         return self.report
 
@@ -244,6 +255,7 @@
             )
         )
         for backend in self.backends:
+            backend.observe_crash = partial(self._end_backend, nursery, backend)
             await backend.start(nursery)
             self.register(backend)
         for group in self.groups:
@@ -303,6 +315,14 @@
         self.store_links[host] = link
         return link.address
 
+    async def _end_backend(
+        self, nursery: trio.Nursery, backend: Backend, arrival: CrashArrival
+    ) -> None:
+        if arrival.replica == backend.id:
+            self.crashing.arrivals.append(arrival)
+            nursery.start_soon(self.faults.crash_under_request, backend)
+        await trio.sleep_forever()
+
     async def _watch_members(self) -> None:
         while True:
             await trio.sleep(0.1)
@@ -473,6 +493,7 @@
         self.report.left = self.callers.left
         self.report.faults = self.faults.descriptions
         self.report.violations = self.journal.violations
+        self.report.crashes = len(self.crashing.arrivals)
         self.report.changes = sum(
             member.read_log().count("event=map-in-force")
             for member in self.fleet.agents
@@ -517,6 +538,8 @@
         command += " --store-returns"
     if size.notices:
         command += " --notices"
+    if size.crashes:
+        command += " --crashes"
     document = asdict(report) | {"size": asdict(size), "command": command}
     (destination / "report.json").write_text(json.dumps(document, indent=1))
     return destination
