Bound what is remembered of unanswered and finished runs

128 finished bodies of each of 256 customers instead of 256 of 1,024, since memory has a price and most bodies come once; unanswered runs that are too old go when the next one comes.

--- a/src/hyssopvane/_internal/policy/recent_finishes.py
+++ b/src/hyssopvane/_internal/policy/recent_finishes.py
@@ -6,8 +6,8 @@
 
 FINISH_TTL_S = 60.0
 
-MAX_CUSTOMERS = 1_024
-MAX_BODIES = 256
+MAX_CUSTOMERS = 256
+MAX_BODIES = 128
 """Number of bodies that are kept for one customer."""
 
 
--- a/src/hyssopvane/_internal/policy/suspects.py
+++ b/src/hyssopvane/_internal/policy/suspects.py
@@ -159,7 +159,7 @@
             del self._running[target]
 
     def clear(self, body: BodyId, *, now: float = 0.0) -> None:
-        """Count the crashes of a body that finished no longer."""
+        """Hold no crash against a body that has finished."""
         if self.rules.crash_ends_incarnation:
             self._finishes.add(body, now=now)
         self._void_crashes(body, now)
@@ -169,7 +169,7 @@
         return self._finishes.has_finished(body, since=since)
 
     def record_answer(self, target: CrashKey, *, sent_at: float, now: float) -> None:
-        """Count no crash of a target that answers a request which was sent after it."""
+        """Hold no crash against any body if its target answers a later request."""
         if not self._lost_at or sent_at <= self._lost_at.get(target, now):
             return
         del self._lost_at[target]
@@ -266,7 +266,7 @@
         return replace(record, until=until)
 
     def drop(self, body: BodyId) -> None:
-        """Remove a record that another entry has cleared."""
+        """Remove a record that other entries no longer keep."""
         if body not in self._changed:
             self._put(body, None)
 
--- a/src/hyssopvane/_internal/policy/unanswered_runs.py
+++ b/src/hyssopvane/_internal/policy/unanswered_runs.py
@@ -44,6 +44,8 @@
             return True
         runs = self._runs.setdefault(replica, [])
         self._runs.move_to_end(replica)
+        while runs and runs[0].ended_at <= run.ended_at - MAX_AGE_S:
+            del runs[0]
         runs.append(run)
         if len(runs) > MAX_RUNS:
             _drop_one(runs)
--- a/src/hyssopvane/_internal/roles/crash_evidence.py
+++ b/src/hyssopvane/_internal/roles/crash_evidence.py
@@ -54,11 +54,7 @@
         )
 
     def record_unanswered(
-        self,
-        body: BodyId,
-        replica: Incarnation,
-        *,
-        generation: int,
+        self, body: BodyId, replica: Incarnation, *, generation: int
     ) -> None:
         """Record that nobody waits for a replica's answer to a request any more."""
         run = UnansweredRun(body, generation, trio.current_time())
@@ -76,11 +72,7 @@
     """Report the attempts of one request to the entry's account of suspects."""
 
     def __init__(
-        self,
-        body: BodyId,
-        *,
-        account: CrashAccount,
-        gates: GateKeeper,
+        self, body: BodyId, *, account: CrashAccount, gates: GateKeeper
     ) -> None:
         self.body = body
         self._account = account
@@ -149,9 +141,7 @@
         if replica is None or self._is_departing(replica):
             return
         self._account.record_unanswered(
-            self.body,
-            replica.incarnation,
-            generation=self._generation,
+            self.body, replica.incarnation, generation=self._generation
         )
 
     def _is_departing(self, replica: Replica) -> bool:
