Believe another entry that saw a request finish, and end a refusal sooner

An entry at which the popular request had never finished took the three crashes that others reported for proof; the refusal then spread to all entries, and nothing could clear it, as the request did not run any more.

--- a/src/hyssopvane/_internal/policy/suspect_rules.py
+++ b/src/hyssopvane/_internal/policy/suspect_rules.py
@@ -35,7 +35,7 @@
     crashes_with_rival: int = 2
     """The same while another body was running in all of these crashes."""
     crashes_of_finished: int = 2
-    """The same of a body that has also finished lately, at this entry."""
+    """The same of a body that had lately finished at the time of one of them."""
     min_generations: int = 1
     """Crashes among them that followed each other.
 
@@ -97,7 +97,8 @@
     if rules.crash_ends_incarnation:
         quarantined = enough and (first.quarantined or second.quarantined)
         until = max(first.until, second.until)
-        return SuspectRecord(crashes, quarantined, until, voided)
+        has_finished = first.has_finished or second.has_finished
+        return SuspectRecord(crashes, quarantined, until, voided, has_finished)
     if first.quarantined:
         return replace(first, crashes=crashes)
     if second.quarantined:
@@ -154,6 +155,7 @@
         first.crashes != second.crashes
         or first.quarantined != second.quarantined
         or first.voided != second.voided
+        or first.has_finished != second.has_finished
         or abs(first.until - second.until) > EXPIRY_TOLERANCE_S
     )
 
--- a/src/hyssopvane/_internal/policy/suspects.py
+++ b/src/hyssopvane/_internal/policy/suspects.py
@@ -35,8 +35,10 @@
 VOID_S = 60.0
 # Least time for which a record of another entry is kept.
 MIN_EXPIRY_S = 30.0
-# Each further crash of a body doubles its quarantine, up to this.
-MAX_QUARANTINE_S = 86_400.0
+# Crashes of a body after its first quarantine. Each one doubles the next quarantine;
+# the one after the last of them lasts for a day.
+MAX_TRIALS = 3
+LAST_QUARANTINE_S = 86_400.0
 # Maximum number of crashes attributed to a known suspect. They are kept while reports
 # about other requests that ran at the same target still arrive.
 _MAX_ATTRIBUTED = 256
@@ -207,11 +209,16 @@
         crashes = add_crash(known.crashes if known else (), crash, self.rules)
         if known is not None and crashes == known.crashes:
             return
-        quarantined = self._is_proven(body, crashes, last=crash)
-        until = now + SUSPECT_S
+        has_finished = known is not None and known.has_finished
+        has_finished |= self.has_finished(body, since=now - FINISH_TTL_S)
+        record = SuspectRecord(
+            crashes, False, now + SUSPECT_S, voided, has_finished=has_finished
+        )
+        quarantined = self._is_proven(body, record, last=crash)
+        until = record.until
         if quarantined:
             until = now + self._measure_duration_s(len(crashes), quarantine_s)
-        self._keep(body, SuspectRecord(crashes, quarantined, until, voided))
+        self._keep(body, replace(record, quarantined=quarantined, until=until))
         self._changed.add(body)
         if quarantined:
             self._clear_explained(body, now)
@@ -233,7 +240,7 @@
         if alive:
             crashes = tuple(one for one in merged.crashes if one.key not in alive)
             merged = self._weaken(merged, crashes, alive, now)
-        if not merged.quarantined and self._is_proven(body, merged.crashes):
+        if not merged.quarantined and self._is_proven(body, merged):
             merged = replace(merged, quarantined=True)
         if merged.quarantined and not (
             record.quarantined or (known and known.quarantined)
@@ -311,18 +318,18 @@
         return merged
 
     def _is_proven(
-        self, body: BodyId, crashes: tuple[Crash, ...], *, last: Crash | None = None
+        self, body: BodyId, record: SuspectRecord, *, last: Crash | None = None
     ) -> bool:
         """Return whether nothing but a body explains its crashes.
 
         The last crash may not be recorded yet for all bodies that ran there.
         """
-        rules = self.rules
+        rules, crashes = self.rules, record.crashes
         if len(crashes) < rules.crashes_to_quarantine:
             return False
         if max(crash.generation for crash in crashes) < rules.min_generations:
             return False
-        if self.has_finished(body, since=crashes[-1].at - FINISH_TTL_S):
+        if record.has_finished:
             return len(crashes) >= rules.crashes_of_finished
         if len(crashes) >= rules.crashes_with_rival:
             return True
@@ -380,13 +387,20 @@
         until = record.until
         if record.quarantined and not quarantined:
             until = now + SUSPECT_S
-        known = limit_voided(record.voided | frozenset(voided))
-        return SuspectRecord(crashes, quarantined, until, known)
+        return replace(
+            record,
+            crashes=crashes,
+            quarantined=quarantined,
+            until=until,
+            voided=limit_voided(record.voided | frozenset(voided)),
+        )
 
     def _measure_duration_s(self, crashes: int, quarantine_s: float) -> float:
         """Return how long a body is refused after its last crash."""
         excess = max(0, crashes - self.rules.crashes_to_quarantine)
-        return min(quarantine_s * 2.0**excess, max(quarantine_s, MAX_QUARANTINE_S))
+        if excess >= MAX_TRIALS:
+            return max(quarantine_s, LAST_QUARANTINE_S)
+        return quarantine_s * 2.0**excess
 
     def _mark_attributed(self, crash: Crash) -> None:
         self._attributed[crash] = None
--- a/src/hyssopvane/_internal/protocol/suspect_pages.py
+++ b/src/hyssopvane/_internal/protocol/suspect_pages.py
@@ -58,13 +58,15 @@
         "quarantined": record.quarantined,
         "until": round(record.until + offset, 3),
     }
-    # Entries of earlier versions read neither of these.
+    # Entries of earlier versions read none of these.
     if body.customer:
         document["customer"] = body.customer
     if any(crash.generation != 1 for crash in record.crashes):
         document["generations"] = [crash.generation for crash in record.crashes]
     if record.voided:
         document["voided"] = sorted(record.voided)
+    if record.has_finished:
+        document["finished"] = True
     return document
 
 
@@ -92,6 +94,7 @@
         quarantined=bool(document["quarantined"]),
         until=_check_time(until) - offset,
         voided=frozenset(_check_key(one) for one in voided),
+        has_finished=bool(document.get("finished", False)),
     )
     return body, record
 
--- a/src/hyssopvane/_internal/roles/crash_evidence.py
+++ b/src/hyssopvane/_internal/roles/crash_evidence.py
@@ -10,10 +10,8 @@
 from hyssopvane._internal.utils.deferred_metrics import DeferredMetrics
 from hyssopvane._internal.utils.logs import log_event
 
-QUARANTINE_S = 600.0
-"""Time for which a request that has crashed replicas is refused; it doubles with each
-further crash.
-"""
+QUARANTINE_S = 60.0
+"""Time for which a request that has crashed replicas is refused at first."""
 
 
 class CrashAccount:
--- a/src/hyssopvane/_internal/state/suspects.py
+++ b/src/hyssopvane/_internal/state/suspects.py
@@ -46,3 +46,5 @@
 
     Kept, so that a late report of such a crash does not count again.
     """
+    has_finished: bool = False
+    """Whether the body had lately finished when an entry recorded a crash of it."""
