--- a/bench/poison.py
+++ b/bench/poison.py
@@ -35,8 +35,9 @@
 class DisabledSuspectTracker(SuspectTracker):
     """Disable the tracking of suspect bodies."""
 
-    def record_crash(self, *arguments: object, **details: object) -> None:
+    def record_crash(self, *arguments: object, **details: object) -> bool:
         """Ignore the crash."""
+        return False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hyssopvane/_internal/policy/suspects.py
+++ b/src/hyssopvane/_internal/policy/suspects.py
@@ -190,12 +190,12 @@
         quarantine_s: float,
         now: float,
         sent_at: float | None = None,
-    ) -> None:
-        """Record a crash of a target to which a body was sent at a time."""
+    ) -> bool:
+        """Record a crash of a target that ran a body; return whether it counts."""
         known = self._find(body, now)
         voided: frozenset[CrashKey] = frozenset() if known is None else known.voided
         if crash.key in voided or self._was_lost_before(crash.key, sent_at, now):
-            return
+            return False
         if crash.key not in self._lost_at:
             _remember(self._lost_at, crash.key, now)
         count = 0 if known is None else len(known.crashes)
@@ -205,10 +205,10 @@
             # The suspect that ran at the same target is the likelier cause. Otherwise
             # the requests next to it would become suspects at each crash that it
             # causes.
-            return
+            return False
         crashes = add_crash(known.crashes if known else (), crash, self.rules)
         if known is not None and crashes == known.crashes:
-            return
+            return False
         has_finished = known is not None and known.has_finished
         has_finished |= self.has_finished(body, since=now - FINISH_TTL_S)
         record = SuspectRecord(
@@ -223,6 +223,7 @@
         if quarantined:
             self._clear_explained(body, now)
             self._observe_quarantine(body, until - now)
+        return True
 
     def merge(
         self, body: BodyId, record: SuspectRecord, *, quarantine_s: float, now: float
--- a/src/hyssopvane/_internal/roles/crash_evidence.py
+++ b/src/hyssopvane/_internal/roles/crash_evidence.py
@@ -32,7 +32,7 @@
     ) -> None:
         """Record that a replica was lost under a request."""
         now = trio.current_time()
-        self.tracker.record_crash(
+        counted = self.tracker.record_crash(
             body,
             Crash(*replica, now, generation),
             quarantine_s=QUARANTINE_S,
@@ -46,6 +46,7 @@
             "crash-suspect",
             body=body.digest.hex(),
             replica=replica[0],
+            counted=counted,
             crashes=0 if record is None else len(record.crashes),
             refused=self.tracker.is_quarantined(body, now=now),
             source="own",
--- a/tests/functional/test_crash_refusals.py
+++ b/tests/functional/test_crash_refusals.py
@@ -1,9 +1,13 @@
 """Test that a request is refused wherever it is when others report its crashes."""
 
+import time
+
 import pytest
 import trio
 
 from hyssopvane._internal.policy.request_digest import make_request_digest
+from hyssopvane._internal.protocol.suspect_pages import format_page
+from hyssopvane._internal.roles.suspect_exchange import SUSPECTS_PATH
 from hyssopvane._internal.state.suspects import BodyId, Crash, SuspectRecord
 from hyssopvane._internal.transport import replica_client
 from hyssopvane._internal.transport.replica_client import ReplicaFailed
@@ -42,6 +46,42 @@
     )
 
 
+async def post_suspects(site, content):
+    """Send a page of suspects as another entry does; return the status."""
+    async with site.client.call(
+        site.entry.beliefs_address,
+        method="POST",
+        target=SUSPECTS_PATH.encode(),
+        headers=(
+            (b"host", b"peer"),
+            (b"content-length", str(len(content)).encode()),
+        ),
+        body=content,
+    ) as response:
+        await response.read(max_bytes=2**20)
+        return response.status
+
+
+def test_page_of_another_entry_is_believed_if_it_can_be_read():
+    """Guard against entries that do not add up what they know without the store."""
+    digest = make_request_digest(CUSTOMER.encode(), b"/status/7", b"body")
+    crashes = tuple(Crash(f"i-gone-{n}", 0, 0.0, n) for n in (1, 2, 3))
+    record = SuspectRecord(crashes, True, 60.0)
+    page = format_page({BodyId("checks", digest, CUSTOMER): record}, offset=time.time())
+
+    async def test(site):
+        replica = await site.add_replica("i-1", answer_whole)
+        for damaged in (b"x", page[:-2], page + b"]"):
+            assert await post_suspects(site, damaged) == 400
+        assert (await site.call("/status/7")).status == 200
+        assert await post_suspects(site, page) == 200
+        assert (await site.call("/status/7")).status == 503
+        assert (await site.call("/status/8")).status == 200
+        assert len(replica.received) == 2
+
+    run(test)
+
+
 async def hang(replica, stream, request):
     await trio.sleep_forever()
 
