--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -46,6 +46,9 @@
 """Faults with which a faulty replica replaces its answer."""
 
 
+FIXED_BODY = b"one body"
+
+
 def is_fixed_body(target: str) -> bool:
     """Return whether all requests for a path have one body."""
     last = target.rpartition("/")[2]
@@ -248,9 +251,10 @@
             add_violation(
                 f"{request_id}: unexpected customer {headers.get('x-tenant')!r}"
             )
+        expected = f"body of {request_id}".encode()
         if is_fixed_body(request.target):
-            return
-        if request.body != f"body of {request_id}".encode():
+            expected = FIXED_BODY
+        if request.body != expected:
             add_violation(f"{request_id}: unexpected body {request.body!r}")
 
     async def _answer(
--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -8,7 +8,7 @@
 import trio
 
 from hyssopvane._internal.transport.replica_client import ReplicaClient
-from tests.soak.backends import CRASHING, POPULAR, CrashArrival
+from tests.soak.backends import CRASHING, FIXED_BODY, POPULAR, CrashArrival
 from tests.soak.callers import Callers, Kind
 from tests.soak.fleet import Member
 
@@ -21,7 +21,6 @@
 """Times after the start of the load at which a further such request begins."""
 
 _POPULAR_CALLERS = 4
-_BODY = b"one body"
 
 
 @dataclass
@@ -48,7 +47,7 @@
 
     async def _repeat(self, path: str, start_s: float) -> None:
         client = ReplicaClient()
-        kind = Kind(path, at_most_once=path.startswith("/bids"), body=_BODY)
+        kind = Kind(path, at_most_once=path.startswith("/bids"), body=FIXED_BODY)
         try:
             await trio.sleep(start_s)
             for number in count():
@@ -62,7 +61,7 @@
 
     async def _send_popular(self, numbers: "count[int]") -> None:
         client = ReplicaClient()
-        kind = Kind(f"/status/{POPULAR}", body=_BODY)
+        kind = Kind(f"/status/{POPULAR}", body=FIXED_BODY)
         try:
             while True:
                 member = self.random.choice(self.entries)
