--- a/src/hyssopvane/_internal/protocol/suspect_pages.py
+++ b/src/hyssopvane/_internal/protocol/suspect_pages.py
@@ -41,7 +41,13 @@
         if len(document["cases"]) > MAX_CASES:
             raise ValueError(f"{len(document['cases'])} cases")
         return dict(_parse_record(one, offset) for one in document["cases"])
-    except (KeyError, TypeError, AttributeError, RecursionError) as error:
+    except (
+        LookupError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise ValueError(f"unreadable page: {error!r}") from error
 
 
