--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -278,15 +278,20 @@
         backend = self._random.choice(self._run.backends)
         if backend.name in self._busy:
             return "nobody"
-        await self._crash_and_return(backend, self._random.uniform(0.1, 1.0))
+        await self._crash_and_return(backend)
         return f"crash {backend.name}"
 
-    async def _crash_and_return(self, backend: Backend, registered_s: float) -> None:
+    async def _crash_and_return(
+        self, backend: Backend, registered_s: float | None = None
+    ) -> None:
         self._busy.add(backend.name)
         old_id = backend.id
         if backend.group is not None:
             backend.group.broken = True
         await backend.stop_replica()
+        # Drawn only now, and only for faults, so that each seed keeps its faults.
+        if registered_s is None:
+            registered_s = self._random.uniform(0.1, 1.0)
         await trio.sleep(registered_s)
         self._run.unregister(old_id)
         await trio.sleep(_ADDRESS_REUSE_DELAY_S)
