--- a/tests/unit/test_map_coordinator.py
+++ b/tests/unit/test_map_coordinator.py
@@ -161,6 +161,55 @@
     assert model.longest_hold_s < map_coordinator.LEADER_TIMEOUT_S + 0.3
 
 
+def make_model_before_hold():
+    """Return a model in which the leader holds a pass at its next tick."""
+    model = GroupModel(Random(3), Faults(), message_loss=0.0)
+    while model.agents[0].coordinator.phase is not Phase.HOLDING:
+        model.play(TICK_S)
+    ticks = round((model.now - GroupModel.now) / TICK_S)
+    model = GroupModel(Random(3), Faults(), message_loss=0.0)
+    while round((model.now - GroupModel.now) / TICK_S) < ticks - 1:
+        model.play(TICK_S)
+    return model
+
+
+@pytest.mark.parametrize("stalled", [(2,), (3,), (2, 3)])
+def test_vms_that_stall_before_the_hold_do_not_stop_the_group(stalled):
+    """Guard against ranks that are armed on the word of VMs that stalled before it.
+
+    No order to arm has been sent, so the pass can be released without the change.
+    """
+    model = make_model_before_hold()
+    for number in stalled:
+        model.agents[number].stalled_until = model.now + 4.0
+        model.agents[number].was_stalled = True
+    model.play(1.0)
+    assert model.longest_hold_s < 0.2
+    model.play(7.0)
+    assert model.longest_hold_s < 0.2
+    assert model.agents[0].coordinator.changes
+
+
+def test_rank_that_is_not_heard_after_the_hold_is_queried_again():
+    """Guard against a change that is abandoned because one message was lost."""
+    model = make_model_before_hold()
+    model.play(TICK_S)
+    leader = model.agents[0].coordinator
+    assert leader.phase is Phase.HOLDING
+    for rank in (2, 3):
+        leader._known_ranks[rank].received_at = model.now - 0.05
+    queried = []
+    for delay_s in (0.001, 0.01, 0.03):
+        actions = leader.decide(model.now + delay_s)
+        queried.append([one.agent for one in actions if isinstance(one, QueryAgent)])
+    assert queried == [["1", "2", "3"], [], ["1", "2", "3"]]
+    assert leader.phase is Phase.HOLDING
+    for rank in (2, 3):
+        leader.observe(model._describe(rank), now=model.now + 0.04)
+    leader.decide(model.now + 0.04)
+    assert leader.phase is Phase.ARMING
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_change_of_maps_hardly_delays_a_pass_without_faults(seed):
     """Demand shifts every few seconds, and each change of maps holds a pass.
