Hear every rank after the hold before the first one is ordered to arm

What callers saw: all streams of a group paused for as long as a VM stood still, and their callers left.

Cause: the leader took a state of up to 0.2 s ago for the word of a living rank, and ordered it to arm. Nobody knows then whether its rank is armed, and a pass with two maps must not begin.

While no order to arm exists the pass can be released without the change. So the leader queries all ranks as soon as the hold is confirmed, arms them when each was heard after the order to hold, and else releases the pass 0.15 s later. An agent answers a query also when no report is due. Ranks are queried together with the one that holds the pass, which was queried before, too.

What nobody can decide, a VM that stalls between the answer and its armed rank's word, remains.

--- a/src/hyssopvane/_internal/policy/map_changes.py
+++ b/src/hyssopvane/_internal/policy/map_changes.py
@@ -39,8 +39,12 @@
     order: RankOrder | None = None
     """Last order to the rank that holds the pass."""
     ordered_at: float = field(default=float("-inf"))
+    held_at: float | None = None
+    """Time at which the leader learned that the pass is held."""
     queried_at: float = field(default=float("-inf"))
-    """Time at which the rank that holds the pass was last queried."""
+    """Time at which ranks were last queried since the pass is held."""
+    is_abandoned: bool = False
+    """Whether the pass is released without the change."""
 
 
 def get_progress(state: RankState) -> tuple[int, ...]:
--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -8,14 +8,17 @@
 2. One rank holds the group before a pass that is not far ahead: from now on that pass
    does not begin. It is not the leader's own rank: if the leader's machine stalls, its
    agent and its rank stall together, and no other agent could release the group.
-3. Every rank is armed for that pass, the leader's own after all others. An order to arm
+3. Every other rank is heard again. If one is not, the pass is released without the
+   change. Once an order to arm is sent to a VM that has stalled, nobody knows whether
+   its rank is armed, and the group has to wait until the VM resumes.
+4. Every rank is armed for that pass, the leader's own after all others. An order to arm
    that arrives late finds the pass begun and is refused, so it does no harm; one
    without a known outcome is sent again.
-4. When every rank itself has reported that it is armed, the pass is released.
+5. When every rank itself has reported that it is armed, the pass is released.
 
 No order to arm is withdrawn, so two agents that both believe that they lead act alike.
 If the leader of a hold is silent, the next agent that leads finds the hold. If any rank
-is armed, it continues with step 3. If none is, then the silent leader's rank isn't
+is armed, it continues with step 4. If none is, then the silent leader's rank isn't
 either, since it is armed last, and the pass is released without a change. A leader that
 was stalled discards its state before it acts again. Versions are never reused, because
 each process mixes its own random number into them: two maps with one version would be
@@ -124,9 +127,17 @@
 it.
 """
 
+HEARING_TIMEOUT_S = 0.15
+"""Time after a hold within which all ranks must be heard, or it is released without the
+change.
+
+Agents of large groups send their states eight times a second, and a lost query is
+repeated several times.
+"""
+
 _QUERY_RETRY_S = 0.02
-"""Time after which the rank that holds the pass is queried again: one call takes some 5
-ms.
+"""Time after which ranks that were not heard after a hold are queried again: one call
+takes some 5 ms.
 """
 
 _ARM_RETRY_S = 0.04
@@ -564,28 +575,68 @@
 
     def _hold(self, now: float) -> list[Action]:
         change = self._get_change()
-        if self._get_state_of(change.holder).held_step == change.step:
-            self.phase = Phase.ARMING
-            return self._arm(now)
-        if self._is_hold_confirmed and now - change.queried_at > _QUERY_RETRY_S:
-            # A machine may fail at any moment. If the ranks were armed as soon as the
-            # hold is confirmed, a leader that stalls at that moment would leave all
-            # ranks armed except its own, which can't be reached: the group stalled
-            # until the leader resumed, for 4 s. So the rank that holds the pass is
-            # queried first. If the leader fails meanwhile, no rank is armed, and the
-            # next leader releases the pass. The agent of the holding rank reports its
-            # current state; a report read from another machine is some tenths of a
-            # second old, and counts only if the agent is silent.
-            change.queried_at = now
-            agent = self._get_state_of(change.holder).messages
-            return [QueryAgent(agent), QueryRank(change.holder)]
+        is_held = self._get_state_of(change.holder).held_step == change.step
+        if is_held or self._is_hold_confirmed:
+            if change.held_at is None:
+                change.held_at = now
+            unheard = self._list_unheard(change.ordered_at)
+            if is_held and not unheard:
+                self.phase = Phase.ARMING
+                return self._arm(now)
+            if is_held and now - change.held_at > HEARING_TIMEOUT_S:
+                return self._abandon(now)
+            if now - change.queried_at > _QUERY_RETRY_S:
+                change.queried_at = now
+                return self._query(unheard, now)
+        if is_held:
+            return []
         if self._find_newest_step() >= change.step:
             # The pass has begun: the hold arrived too late or never.
             change.step = self._choose_step(now)
             change.ordered_at = float("-inf")
+            change.held_at = None
             self._is_hold_confirmed = False
         return self._order(now, Hold(self._epoch, change.step))
 
+    def _list_unheard(self, since: float) -> list[RankState]:
+        """Return the states of the other ranks that were not heard since a time."""
+        return [
+            one.state
+            for rank, one in self._known_ranks.items()
+            if rank != self._own and one.received_at < since
+        ]
+
+    def _query(self, unheard: list[RankState], now: float) -> list[Action]:
+        """Query the rank that holds the pass and those that were not heard since.
+
+        A VM may stall at any moment. If the ranks were armed as soon as the hold is
+        confirmed, a leader that stalls at that moment would leave all ranks armed
+        except its own, and an order to a rank that has stalled before would leave it in
+        doubt: the group stalled until the VM resumed, for 4 s. While no rank is armed,
+        this leader or the next one can release the pass.
+
+        The agent of a rank reports its current state. A report that is read from
+        another machine is some tenths of a second old, but shows that the rank can be
+        reached; that the pass is held, it shows only if the agent is silent.
+        """
+        holder = self._get_state_of(self._get_change().holder)
+        actions: list[Action] = [QueryAgent(holder.messages), QueryRank(holder.replica)]
+        for state in unheard:
+            if state.rank == holder.rank:
+                continue
+            actions.append(QueryAgent(state.messages))
+            if self._is_silent(state.rank, now):
+                actions.append(QueryRank(state.replica))
+        return actions
+
+    def _abandon(self, now: float) -> list[Action]:
+        """Release the pass without the change, before any rank is ordered to arm."""
+        change = self._get_change()
+        change.is_abandoned = True
+        change.ordered_at = float("-inf")
+        self.phase = Phase.RELEASING
+        return self._release(now)
+
     def _arm(self, now: float) -> list[Action]:
         change = self._get_change()
         if self._holds_for_all(lambda state: is_armed(state, change)):
@@ -638,7 +689,8 @@
     def _release(self, now: float) -> list[Action]:
         change = self._get_change()
         if self._get_state_of(change.holder).held_step != change.step:
-            self._search.record_in_force(now)
+            if not change.is_abandoned:
+                self._search.record_in_force(now)
             self._reset()
             return []
         return self._order(now, Release(self._epoch, change.step))
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -180,6 +180,8 @@
         self._reported_at = float("-inf")
         """Time of the last regular report to the leader or the entries."""
         self._logged_relays = ""
+        self._is_state_requested = False
+        """Whether the leader waits for the next state, whatever it contains."""
         self._reported_progress: tuple[int, ...] = ()
         """Progress of the change that was last sent to the leader."""
         self._changed = trio.Event()
@@ -332,6 +334,7 @@
         if request.group != self._group or self._nursery is None:
             return
         if not request.step:
+            self._is_state_requested = True
             self._changed.set()
             return
         kind = Release if request.release else Hold
@@ -454,7 +457,8 @@
                 states = self._coordinator.list_states(now)
                 await self._publish_load(report, states, now)
         progress = get_progress(state)
-        if is_due or progress != self._reported_progress:
+        if is_due or self._is_state_requested or progress != self._reported_progress:
+            self._is_state_requested = False
             await self._send_state(state, now)
             self._reported_progress = progress
         await self._follow_change(report, now)
--- a/tests/functional/test_rank_agent.py
+++ b/tests/functional/test_rank_agent.py
@@ -12,8 +12,9 @@
 from hyssopvane._internal.policy import map_spread
 from hyssopvane._internal.policy.map_actions import SendMapChange
 from hyssopvane._internal.roles.rank_agent import MAX_POLL_GAP_S
-from hyssopvane._internal.state.group import EntryState, MapChange
+from hyssopvane._internal.state.group import EntryState, MapChange, OrderRequest
 from hyssopvane._internal.state.loads import GroupLoad, Roster
+from hyssopvane._internal.state.ranks import RankReport
 from hyssopvane._internal.transport.asgi_server import serve_asgi
 from hyssopvane._internal.transport.datagrams import DatagramPort
 from tests.lib.direct_installation import (
@@ -264,3 +265,49 @@
         assert agents[0].feed.table is not None
 
     run(test, cut_off=(0,))
+
+
+REPORT = RankReport(
+    group="g",
+    epoch=1,
+    rank=1,
+    ranks=RANKS,
+    open=True,
+    active=3,
+    queued=0,
+    pace=1.0,
+    busy=False,
+    step=10,
+    map_version=0,
+    prepared=7,
+    armed_version=0,
+    armed_step=0,
+    held_step=0,
+    sequence=0,
+    started_ms=1,
+)
+
+
+def test_agent_answers_a_query_although_no_report_is_due():
+    """Guard against a change that is abandoned as a rank without news sent no state."""
+
+    async def main():
+        agent = make_agent(1, replica="127.0.0.1:9", store="127.0.0.1:9", port=0)
+        sent = []
+
+        async def send(message, *addresses):
+            sent.append(message)
+
+        agent._port.send = send
+        agent._group = "g"
+        counts = []
+        async with trio.open_nursery() as agent._nursery:
+            for request in (None, None, OrderRequest("g", 1), None):
+                if request is not None:
+                    agent._handle_order_request(request)
+                await agent._handle_report(REPORT, ())
+                counts.append(len(sent))
+        assert counts == [1, 1, 2, 2]
+        await agent.close()
+
+    trio.run(main)
