Report an armed rank at once instead of at the next poll

A group is held until the leader has the word of each rank that it is armed. An agent polled its rank again after the rank had confirmed the order: 5 to 10 ms, in which a VM that stalls stops the group until it resumes. Now the confirmation of the own rank is the word, if the rank is in the order's epoch and does not use the map already. The leader's own rank and those it orders itself count so already.

test_agent_reports_an_armed_rank_without_another_poll fails before (the case of the own rank sends nothing).

--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -645,9 +645,32 @@
         if outcome is OrderOutcome.DONE and self._coordinator.waits_for_ranks:
             self._coordinator.record_confirmed(replica, order, started_ms=start)
             await self._lead(trio.current_time())
+        if (
+            outcome is OrderOutcome.DONE
+            and isinstance(order, Arm)
+            and replica == self._settings.replica
+        ):
+            await self._report_armed(order)
         if outcome is OrderOutcome.UNKNOWN:
             self._last_order = (None, float("-inf"))
 
+    async def _report_armed(self, order: Arm) -> None:
+        """Report that the own rank is armed, without waiting for the next poll.
+
+        The group is held until the last rank has reported it.
+        """
+        report = self._report
+        if report is None or report.epoch != order.epoch:
+            return
+        if report.map_version == order.version:
+            return
+        self._report = replace(
+            report, armed_version=order.version, armed_step=order.step
+        )
+        state = self._make_state(self._report, ())
+        self._reported_progress = get_progress(state)
+        await self._send_state(state, trio.current_time())
+
     async def _log_group(self) -> None:
         while True:
             await trio.sleep(LOG_INTERVAL_S)
--- a/tests/functional/test_rank_agent.py
+++ b/tests/functional/test_rank_agent.py
@@ -1,6 +1,7 @@
 """Test the agents of the ranks of one group over real sockets."""
 
 import socket
+from dataclasses import replace
 from functools import partial
 
 import pytest
@@ -8,13 +9,14 @@
 import trio.testing
 
 from hyssopvane._internal.assembly import make_role
+from hyssopvane._internal.coordination.rank_control import OrderOutcome, RankControl
 from hyssopvane._internal.models.settings import RankAgentSettings
 from hyssopvane._internal.policy import map_spread
 from hyssopvane._internal.policy.map_actions import SendMapChange
 from hyssopvane._internal.roles.rank_agent import MAX_POLL_GAP_S
 from hyssopvane._internal.state.group import EntryState, MapChange, OrderRequest
 from hyssopvane._internal.state.loads import GroupLoad, Roster
-from hyssopvane._internal.state.ranks import RankReport
+from hyssopvane._internal.state.ranks import Arm, RankReport
 from hyssopvane._internal.transport.asgi_server import serve_asgi
 from hyssopvane._internal.transport.datagrams import DatagramPort
 from tests.lib.direct_installation import (
@@ -288,6 +290,63 @@
 )
 
 
+class ConfirmingRank(RankControl):
+    """Confirm each order, and report nothing."""
+
+    async def read_report(self, address):
+        raise AssertionError("polled")
+
+    async def read_counts(self, address):
+        raise AssertionError("polled")
+
+    async def read_experts(self, address):
+        raise AssertionError("polled")
+
+    async def send_order(self, address, order):
+        return OrderOutcome.DONE
+
+    async def close(self):
+        pass
+
+
+@pytest.mark.parametrize(
+    ("report", "is_own", "armed"),
+    [
+        (REPORT, True, [(7, 12)]),
+        # Another rank was armed, by the leader that this agent is.
+        (REPORT, False, []),
+        # The rank restarted, or the map is in force already.
+        (replace(REPORT, epoch=2), True, []),
+        (replace(REPORT, map_version=7), True, []),
+        (None, True, []),
+    ],
+    ids=["own", "another", "other-epoch", "in-force", "unreported"],
+)
+def test_agent_reports_an_armed_rank_without_another_poll(report, is_own, armed):
+    """Guard against a group that is held longer than arming takes.
+
+    A VM that stalls meanwhile stops the group. What is reported must be the rank that
+    confirmed its order, or a pass would begin with two maps.
+    """
+
+    async def main():
+        agent = make_agent(1, replica="127.0.0.1:9", store="127.0.0.1:9", port=0)
+        agent._ranks = ConfirmingRank()
+        agent._report = report
+        sent = []
+
+        async def send(message, *addresses):
+            sent.append((message.armed_version, message.armed_step))
+
+        agent._port.send = send
+        replica = agent._settings.replica if is_own else "127.0.0.9:9"
+        await agent._give_order(replica, Arm(1, 7, 12))
+        assert sent == armed
+        await agent.close()
+
+    trio.run(main)
+
+
 def test_agent_answers_a_query_although_no_report_is_due():
     """Guard against a change that is abandoned as a rank without news sent no state."""
 
