Release a hold only when its leader has had the time to arm

A deputy that takes the leader for silent, as its messages were lost, released a hold as soon as it saw it. The leader arms the ranks next, and the pass begins with two maps.

--- a/src/hyssopvane/_internal/policy/map_changes.py
+++ b/src/hyssopvane/_internal/policy/map_changes.py
@@ -16,6 +16,8 @@
     """Time at which the state was valid, as far as known: reports from other machines
     lag.
     """
+    held_since: float
+    """Time at which the rank was first known to hold the pass that it holds."""
 
 
 @dataclass(slots=True)
@@ -39,6 +41,8 @@
     order: RankOrder | None = None
     """Last order to the rank that holds the pass."""
     ordered_at: float = field(default=float("-inf"))
+    hold_ordered_at: float = 0.0
+    """Time of the first order to hold the step."""
     held_at: float | None = None
     """Time at which the leader learned that the pass is held."""
     queried_at: float = field(default=float("-inf"))
--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -136,6 +136,12 @@
 repeated several times.
 """
 
+MAX_HOLD_S = 0.4
+"""Time after the first order to hold a pass within which the first rank is armed.
+
+It is less than the time after which another agent releases a hold.
+"""
+
 _QUERY_RETRY_S = 0.02
 """Time after which ranks that were not heard after a hold are queried again: one call
 takes some 5 ms.
@@ -255,7 +261,10 @@
         is_awaited = self._is_awaited(state.rank)
         if not queried:
             self.record_agent(state.rank, now=now)
-        self._known_ranks[state.rank] = KnownRank(state, now, valid_at)
+        held_since = now
+        if before is not None and before.state.held_step == state.held_step:
+            held_since = before.held_since
+        self._known_ranks[state.rank] = KnownRank(state, now, valid_at, held_since)
         if before is None or is_awaited:
             return True
         return get_progress(before.state) != get_progress(state)
@@ -572,6 +581,7 @@
             if self._is_complete(now):
                 self.phase = Phase.HOLDING
                 change.step = self._choose_step(now)
+                change.hold_ordered_at = now
                 self._is_hold_confirmed = False
                 change.holder = self._choose_holder(own, now)
                 # The next message has new content and must not be delayed by the last
@@ -602,11 +612,13 @@
             if change.held_at is None:
                 change.held_at = now
             unheard = self._list_unheard(change.ordered_at)
+            # The next leader might release the pass while this one arms the ranks.
+            is_late = now - change.hold_ordered_at > MAX_HOLD_S
+            if is_held and (is_late or now - change.held_at > HEARING_TIMEOUT_S):
+                return self._abandon(now)
             if is_held and not unheard:
                 self.phase = Phase.ARMING
                 return self._arm(now)
-            if is_held and now - change.held_at > HEARING_TIMEOUT_S:
-                return self._abandon(now)
             if now - change.queried_at > _QUERY_RETRY_S:
                 change.queried_at = now
                 return self._query_holder() + self._ping(unheard, now)
@@ -616,6 +628,7 @@
             # The pass has begun: the hold arrived too late or never.
             change.step = self._choose_step(now)
             change.ordered_at = float("-inf")
+            change.hold_ordered_at = now
             change.held_at = None
             self._is_hold_confirmed = False
         actions = self._order(now, Hold(self._epoch, change.step))
@@ -738,7 +751,7 @@
             for state in self._list_states()
             if state.armed_step == holder.held_step
         ]
-        if not armed and not self._is_orphan(now):
+        if not armed and not self._is_orphan(holder.rank, now):
             return []
         version = max(armed, default=0)
         change = Change(version, (), now, 0.0, holder.held_step, holder.replica)
@@ -747,7 +760,7 @@
         self.phase = Phase.ARMING if armed else Phase.RELEASING
         return self._arm(now) if armed else self._release(now)
 
-    def _is_orphan(self, now: float) -> bool:
+    def _is_orphan(self, holder: int, now: float) -> bool:
         """Return whether no rank is armed, or will be, for the hold that is in force.
 
         After a premature release, the pass would begin while some ranks switch and
@@ -760,7 +773,9 @@
         lower = [
             seen_at for rank, seen_at in self._agent_seen_at.items() if rank < self._own
         ]
-        last_led_at = max([self._active_at, *lower])
+        # A leader whose messages were lost may have ordered the hold just now.
+        held_since = self._known_ranks[holder].held_since
+        last_led_at = max([self._active_at, held_since, *lower])
         if now - last_led_at < ORPHAN_S:
             return False
         stale = [
--- a/tests/unit/test_map_coordinator.py
+++ b/tests/unit/test_map_coordinator.py
@@ -311,6 +311,41 @@
     assert (deputy.phase is Phase.RELEASING) == expected
 
 
+def test_hold_is_not_released_as_soon_as_it_is_seen():
+    """Guard against a deputy that releases a hold which a living leader has ordered.
+
+    Messages of the leader are lost, and it arms the ranks next: the pass would begin
+    with two maps.
+    """
+    layout = ExpertLayout(1, 8, 4, 2, 0.85, 110.0, 180_000.0)
+    deputy = MapCoordinator(nonce=1, layout=layout)
+    model = GroupModel(Random(1), Faults())
+    for rank in (1, 0, 2, 3):
+        deputy.observe(model._describe(rank), now=0.0, own=rank == 1)
+    seen_at = map_coordinator.LEADER_TIMEOUT_S + map_coordinator.ORPHAN_S
+    model.ranks[1].held = model.step + 2
+    phases = []
+    for now in (seen_at, seen_at + map_coordinator.ORPHAN_S):
+        for rank in (1, 2, 3):
+            deputy.observe(model._describe(rank), now=now, own=rank == 1)
+        deputy.decide(now)
+        phases.append(deputy.phase)
+    assert phases == [Phase.IDLE, Phase.RELEASING]
+    assert map_coordinator.MAX_HOLD_S < map_coordinator.ORPHAN_S
+
+
+def test_leader_that_was_slow_to_hear_the_ranks_does_not_arm_them():
+    """Guard against ranks that are armed when the next leader may release the pass."""
+    model = make_model_before_hold()
+    model.play(TICK_S)
+    leader = model.agents[0].coordinator
+    later = model.now + map_coordinator.MAX_HOLD_S + TICK_S
+    for rank in (1, 2, 3):
+        leader.observe(model._describe(rank), now=later)
+    leader.decide(later)
+    assert leader.phase is Phase.RELEASING
+
+
 def test_leader_that_abandons_a_change_waits_for_ranks_being_armed():
     """The leader has ordered all ranks to arm, and abandons the change at once.
 
