Tell a caller that no replica can go on with its request in time

What callers saw: a stream on a VM that stands still had no event for two seconds, and they left. The replica notices that when its VM resumes, and has worked on for nobody (GONE).

Now the entry works out when the caller leaves (2 s, four objectives or eight longest pauses after the last event) and ends the answer 0.4 s before, which is what another replica needs for the next event: the stream is cut, so that the caller resumes it, or answered with 502, which promises nothing, since it may have run. A search for a place ends at the same time. Requests that may not be repeated wait for their replica as before, and a VM that resumes until then completes its answers.

Evidence: test_caller_is_told_when_no_replica_can_go_on_in_time fails before (both cases: the caller waits beyond its patience).

--- a/src/hyssopvane/_internal/policy/running_attempts.py
+++ b/src/hyssopvane/_internal/policy/running_attempts.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 
-from hyssopvane._internal.state.routing import Replica
+from hyssopvane._internal.state.routing import Incarnation, Replica
 
 MAX_SILENCE_S = 0.8
 """Time without a byte of a replica and without a report of the agent on its VM after
@@ -20,6 +21,12 @@
 moves the ones that wait.
 """
 
+MIN_SERVE_S = 0.4
+"""Time that another replica needs for the first event of a request that moves to it.
+
+It includes the wait for a place and the reading of the prompt.
+"""
+
 
 @dataclass(slots=True, eq=False)
 class RunningAttempt:
@@ -31,6 +38,10 @@
     """Starts to look for another replica for the request, if it may be sent to one."""
     heard_at: float = float("-inf")
     """Time of the last byte from the replica; infinite while it is passed on."""
+    give_up: Callable[[], None] = lambda: None
+    """Ends the answer, so that the caller need not wait for it any longer."""
+    get_leave_at: Callable[[], float] = lambda: inf
+    """Returns the time at which the caller leaves if it receives nothing more."""
 
 
 class RunningAttempts:
@@ -52,6 +63,44 @@
     ) -> list[RunningAttempt]:
         """Return the attempts at replicas that are silent like their VM.
 
+        None are returned while the whole service stands still.
+        """
+        silent = self._find_silent(is_vm_silent, now)
+        others = [
+            one for one in self._attempts if one.replica.incarnation not in silent
+        ]
+        if _have_stopped(others, now):
+            return []
+        return [one for one in self._attempts if one.replica.incarnation in silent]
+
+    def find_hopeless(
+        self, is_vm_silent: Callable[[Replica], bool], *, now: float
+    ) -> list[RunningAttempt]:
+        """Return the attempts at silent replicas that no other one can serve in time.
+
+        Their callers leave before another replica would send the next event. The
+        replica would notice that only when its VM resumes.
+        """
+        silent = self._find_silent(is_vm_silent, now)
+        return [
+            one
+            for one in self._attempts
+            if one.replica.incarnation in silent
+            and now >= one.get_leave_at() - MIN_SERVE_S
+        ]
+
+    def was_heard(self, replica: Replica, *, since: float) -> bool:
+        """Return whether a replica has sent anything since a time."""
+        return any(
+            one.replica.incarnation == replica.incarnation and one.heard_at >= since
+            for one in self._attempts
+        )
+
+    def _find_silent(
+        self, is_vm_silent: Callable[[Replica], bool], now: float
+    ) -> set[Incarnation]:
+        """Return the replicas that are silent like their VM.
+
         A silent agent alone is no sign: its replica may still send its answers.
         """
         silent_since = now - MAX_SILENCE_S
@@ -61,23 +110,17 @@
             if max(one.sent_at, one.heard_at) < silent_since
         }
         if not waiting:
-            return []
+            return set()
         heard = {
             one.replica.incarnation
             for one in self._attempts
             if one.heard_at >= silent_since
         }
-        silent = {
+        return {
             replica.incarnation
             for replica in waiting
             if replica.incarnation not in heard and is_vm_silent(replica)
         }
-        others = [
-            one for one in self._attempts if one.replica.incarnation not in silent
-        ]
-        if _have_stopped(others, now):
-            return []
-        return [one for one in self._attempts if one.replica.incarnation in silent]
 
 
 def _have_stopped(attempts: list[RunningAttempt], now: float) -> bool:
--- a/src/hyssopvane/_internal/policy/stream_pauses.py
+++ b/src/hyssopvane/_internal/policy/stream_pauses.py
@@ -9,7 +9,8 @@
     """
 
     def __init__(self) -> None:
-        self._last_at: float | None = None
+        self.last_at: float | None = None
+        """Time of the last event."""
         self.longest_s = 0.0
         """Longest time between two consecutive events so far, in seconds."""
         self.longest_at = 0.0
@@ -17,6 +18,6 @@
 
     def observe(self, now: float) -> None:
         """Record an event."""
-        if self._last_at is not None and now - self._last_at > self.longest_s:
-            self.longest_s, self.longest_at = now - self._last_at, now
-        self._last_at = now
+        if self.last_at is not None and now - self.last_at > self.longest_s:
+            self.longest_s, self.longest_at = now - self.last_at, now
+        self.last_at = now
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -8,7 +8,9 @@
 import trio
 
 from hyssopvane._internal.models.direct_refusals import DirectAnswer, DirectRefusal
+from hyssopvane._internal.policy.caller_patience import measure_leave_at
 from hyssopvane._internal.policy.queueing import QueuedItem
+from hyssopvane._internal.policy.running_attempts import MIN_SERVE_S
 from hyssopvane._internal.policy.service_gate import (
     Assignment,
     QueuedRequest,
@@ -122,6 +124,7 @@
             dependencies,
             wait_for_place=partial(self._wait_for_assignment, moving=True),
             take_repeat=self._take_repeat_for_move,
+            get_leave_at=self._measure_leave_at,
         )
         self.outcome = "cut"
         self.phase = CallPhase.WAITING
@@ -196,7 +199,7 @@
         if moving:
             # Behind all requests that can still be on time, a stream would hardly move
             # before its caller leaves, and what was generated for it would be lost.
-            late_at = refuse_at
+            late_at = refuse_at = self._measure_leave_at() - MIN_SERVE_S
         item = QueuedItem(
             # The call itself may begin to wait while a search is being cancelled.
             request_id=f"{request.number}-moving" if moving else str(request.number),
@@ -218,6 +221,16 @@
             request.service, waiting, weight=1.0
         )
 
+    def _measure_leave_at(self) -> float:
+        """Return the time at which the caller leaves if it receives nothing more."""
+        request = self._request
+        last_at = self.pauses.last_at
+        return measure_leave_at(
+            request.route,
+            waiting_since=request.arrived_at if last_at is None else last_at,
+            deadline=request.deadline,
+        )
+
     def _reject_as_crashing(self) -> Rejection:
         after_s = self._evidence.measure_refusal_s()
         return Rejection(self._request.request_id, DirectRefusal.CRASHING, after_s)
@@ -279,6 +292,11 @@
                 raise _AttemptFailed(
                     "stalled: the VM is silent", not_run=False
                 ) from error
+            if self._mover.has_given_up:
+                self._evidence.record_unanswered()
+                raise _AttemptFailed(
+                    "stalled: no other replica can answer in time", not_run=False
+                ) from error
             if isinstance(error, ReplicaLost):
                 self._evidence.record_loss(replica)
             raise _AttemptFailed(f"failed: {error}", not_run=False) from error
@@ -435,6 +453,8 @@
         if self._mover.is_moving:
             # Already counted against the budget.
             return True
+        if self._mover.has_given_up:
+            return False
         if not failure.not_run and not self._request.route.repeatable:
             return False
         return self._take_repeat()
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -259,11 +259,18 @@
             await trio.sleep(STALL_INTERVAL_S)
             now = trio.current_time()
             for gate in self._gates.values():
-                is_vm_silent = partial(gate.is_vm_silent, now=now)
-                for attempt in gate.attempts.find_stalled(is_vm_silent, now=now):
-                    if gate.record_stall(attempt.replica, now=now):
-                        log_event("warning", "vm-stalled", replica=attempt.replica.id)
-                    attempt.move()
+                self._move_from_silent_vms(gate, now)
+
+    def _move_from_silent_vms(self, gate: ServiceGate, now: float) -> None:
+        is_vm_silent = partial(gate.is_vm_silent, now=now)
+        stalled = gate.attempts.find_stalled(is_vm_silent, now=now)
+        for attempt in stalled:
+            if gate.record_stall(attempt.replica, now=now):
+                log_event("warning", "vm-stalled", replica=attempt.replica.id)
+        for attempt in gate.attempts.find_hopeless(is_vm_silent, now=now):
+            attempt.give_up()
+        for attempt in stalled:
+            attempt.move()
 
     async def _expire_notices(self) -> None:
         while True:
--- a/src/hyssopvane/_internal/roles/stalled_request.py
+++ b/src/hyssopvane/_internal/roles/stalled_request.py
@@ -21,12 +21,16 @@
         *,
         wait_for_place: Callable[[], Awaitable[Assignment | Rejection]],
         take_repeat: Callable[[], bool],
+        get_leave_at: Callable[[], float],
     ) -> None:
         self._request = request
         self._dependencies = dependencies
         self._wait_for_place = wait_for_place
         self._take_repeat = take_repeat
         """Returns whether one more attempt is allowed, and counts it if so."""
+        self._get_leave_at = get_leave_at
+        self.has_given_up = False
+        """Whether the answer ends, as no other replica can go on with it in time."""
         self._running: RunningAttempt | None = None
         self._search = trio.CancelScope()
         """Scope of the search for a replica to which a stalled request can move."""
@@ -43,7 +47,11 @@
         """Let the gate move the request when the replica's VM no longer answers."""
         gate = self._dependencies.gates.get_gate(self._request.service)
         self._running = RunningAttempt(
-            replica, trio.current_time(), partial(self._move, abort)
+            replica,
+            trio.current_time(),
+            move=partial(self._move, abort),
+            give_up=partial(self._give_up, abort),
+            get_leave_at=self._get_leave_at,
         )
         gate.attempts.add(self._running)
 
@@ -73,11 +81,23 @@
                 self._request.service, place.replica, failed=False
             )
 
+    def _give_up(self, abort: Callable[[], None]) -> None:
+        # A caller that may not repeat its request gains nothing by hearing of it sooner
+        # than its replica may resume.
+        if self._running is None or self.is_moving or self.has_given_up:
+            return
+        if self._request.route.repeatable:
+            self._search.cancel()
+            self.has_given_up = True
+            abort()
+
     def _move(self, abort: Callable[[], None]) -> None:
         # A request that may not be repeated keeps waiting: the VM may resume in time.
         request, running = self._request, self._running
         if running is None or self._is_searching or not request.route.repeatable:
             return
+        if self.has_given_up:
+            return
         if request.attempts < request.route.max_attempts:
             self._is_searching = True
             self._search = trio.CancelScope()
--- a/tests/functional/test_stalled_vm.py
+++ b/tests/functional/test_stalled_vm.py
@@ -7,10 +7,14 @@
 
 from hyssopvane._internal.policy.repeat_budget import RepeatBudget
 from hyssopvane._internal.state.loads import RankLoad
+from hyssopvane._internal.transport.replica_client import ReplicaFailed
 from tests.lib.direct_installation import HANG_S, open_direct
 from tests.lib.direct_replica import STREAM_HEAD, chunk, make_answer, make_event
+from tests.lib.lag_meter import LagMeter
 
 EVENTS = 6
+PATIENCE_S = 2.0
+"""Time without an event after which a caller leaves."""
 LOAD = RankLoad(
     address="",
     group="group",
@@ -155,3 +159,29 @@
         assert sorted(len(one.received) for one in replicas) == [1, 1]
 
     run(vms, test)
+
+
+@pytest.mark.parametrize("before", [0, 2])
+def test_caller_is_told_when_no_replica_can_go_on_in_time(before):
+    """Guard against callers that wait for a stalled VM until they leave.
+
+    A caller that is told repeats the request or resumes the stream. The request may
+    have run, so its answer must not promise that it did not.
+    """
+    vms = Vms(before=before, full=True)
+
+    async def test(site, replicas):
+        async with LagMeter() as meter:
+            started_at = trio.current_time()
+            if before:
+                with pytest.raises(ReplicaFailed):
+                    await site.call("/drafts/7")
+            else:
+                answer = await site.call("/drafts/7")
+                assert (answer.status, answer.body) == (502, b"replica-failed\n")
+                assert "retry-after" not in answer.headers
+            assert trio.current_time() - started_at < PATIENCE_S + meter.lag_s
+        await site.wait_until(lambda: not vms.stalled.running)
+        assert sorted(len(one.received) for one in replicas) == [0, 1]
+
+    run(vms, test)
