Count no slots of stalled VMs, and keep places for the requests that they hold

What callers saw: a request that moved away from a VM that stands still got no event at its next replica either, and they left. Its replica ran more requests than it has slots, and the last ones waited for a second.

New requests took the places at the same moment, and were before those that move, which have less time left.

Now the slots of stalled replicas don't count. For half a second after the stall new requests leave the places that the last loads say are needed, and after it those of this entry's own requests; requests that move are placed first.

test_slots_of_stalled_vms_are_not_counted fails before (a limit of 72 instead of 54), the others of test_stalled_places by missing the queue.

--- a/src/hyssopvane/_internal/policy/group_capacity.py
+++ b/src/hyssopvane/_internal/policy/group_capacity.py
@@ -29,6 +29,9 @@
 DURATION_WEIGHT = 0.1
 """Weight of the last request in the mean duration."""
 
+MOVE_S = 0.5
+"""Time in which most requests of a VM that stands still find another replica."""
+
 
 class GroupCapacity:
     """Limit the requests of one group, over all entries.
@@ -93,7 +96,15 @@
 
     def get_limit(self, engine: EngineModel | None) -> float:
         """Return the maximum number of concurrent requests of the group."""
-        slots = float(sum(member.replica.slots for member in self.members.values()))
+        # Replicas on VMs that stand still take nothing. If their slots counted, the
+        # other replicas would get more requests than they can run.
+        slots = float(
+            sum(
+                member.replica.slots
+                for member in self.members.values()
+                if not member.is_stalled
+            )
+        )
         if engine is None:
             return slots
         return min(slots, self.passes.get_limit(engine, members=len(self.members)))
@@ -102,6 +113,21 @@
         """Return the estimated number of requests in the group."""
         return sum(member.count(now, self.entries) for member in self.members.values())
 
+    def count_endangered(self, now: float) -> float:
+        """Return the estimated number of requests at replicas that stand still.
+
+        They need places at other replicas before their callers leave. Those of other
+        entries are known by the last loads only, and move at the same time as this
+        entry's.
+        """
+        endangered = 0.0
+        for member in self.members.values():
+            if member.is_stalled and member.load is not None:
+                passed = (now - member.stalled_at) / MOVE_S
+                reported = member.load.active + member.load.queued
+                endangered += max(member.own, reported * (1 - passed))
+        return endangered
+
     def is_open(self, now: float) -> bool:
         """Return whether a member serves requests, as far as known."""
         reported = [member for member in self.members.values() if member.is_fresh(now)]
@@ -140,10 +166,18 @@
         return self.count(now) / max(1.0, self.get_limit(engine))
 
     def count_available(
-        self, engine: EngineModel | None, now: float, *, late: bool
+        self,
+        engine: EngineModel | None,
+        now: float,
+        *,
+        late: bool,
+        moving: bool = False,
     ) -> int:
         """Return the number of places that this entry may reserve now.
 
+        New requests leave places for those that wait at replicas that stand still:
+        these have less time left, and what was generated for them would be lost.
+
         When several entries wait for a full group, all of them see the same free
         places. If each took all of them, or took its share repeatedly before the next
         reports show what the others took, the group would get twice its limit and all
@@ -154,7 +188,8 @@
             return 1
         limit = self.get_limit(engine)
         reserve = limit * LATE_RESERVE if late else 0.0
-        free = limit - reserve - self.count(now)
+        endangered = 0.0 if moving else self.count_endangered(now)
+        free = limit - reserve - endangered - self.count(now)
         if free < 1:
             return 0
         if engine is None or not self._has_fresh_load(now):
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -67,6 +67,8 @@
     """Incarnations of replicas that it was already sent to, or should not share."""
     body: BodyId | None = None
     """Identity of the request; None if nothing is held against repeats of it."""
+    moving: bool = False
+    """Whether it runs at a replica that stands still, and waits for another one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +119,8 @@
             limits=self.limits,
             notices=self.notices,
         )
+        self._moving_queue = FairQueue()
+        """Requests that move; their callers have waited longest without an event."""
         self._queue = FairQueue()
         self._late_queue = FairQueue()
         """Requests that can't meet their objective any more.
@@ -194,21 +198,22 @@
         """Add a request to the queue."""
         self._waiting[waiting.item.request_id] = waiting
         self._weights[waiting.item.request_id] = weight
-        self._queue.add(waiting.item, weight=weight)
+        queue = self._moving_queue if waiting.moving else self._queue
+        queue.add(waiting.item, weight=weight)
 
     def remove(self, request_id: str) -> None:
         """Remove a request whose caller has disconnected."""
         self._waiting.pop(request_id, None)
         self._weights.pop(request_id, None)
-        self._queue.remove(request_id)
-        self._late_queue.remove(request_id)
+        for queue in (self._moving_queue, self._queue, self._late_queue):
+            queue.remove(request_id)
 
     def dispatch(self, now: float) -> list[Assignment | Rejection]:
         """Assign requests while there is room; refuse those that waited too long."""
         decisions: list[Assignment | Rejection] = []
         self._demote_late(now)
-        for late, queue in ((False, self._queue), (True, self._late_queue)):
-            decisions += self._place(queue, now, late=late)
+        for queue in (self._moving_queue, self._queue, self._late_queue):
+            decisions += self._place(queue, now)
         decisions += self._reject_waiting(now)
         return decisions
 
@@ -410,12 +415,13 @@
                 self._queue.remove(request_id)
                 self._late_queue.add(waiting.item, weight=self._weights[request_id])
 
-    def _place(self, queue: FairQueue, now: float, *, late: bool) -> list[Assignment]:
+    def _place(self, queue: FairQueue, now: float) -> list[Assignment]:
         placed: list[Assignment] = []
         if not len(queue):
             return placed
+        late, moving = queue is self._late_queue, queue is self._moving_queue
         rooms = [
-            (group, group.count_available(self._engine, now, late=late))
+            (group, group.count_available(self._engine, now, late=late, moving=moving))
             for group in self._groups.values()
             if group.is_open(now)
         ]
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -216,6 +216,7 @@
             prompt_tokens=request.prompt_tokens,
             avoid=self._evidence.list_avoided() | request.tried,
             body=request.body_id,
+            moving=moving,
         )
         return await self._dependencies.gates.wait_for_assignment(
             request.service, waiting, weight=1.0
