Share out moves among the entries, and keep off VMs that other entries know to stall

What callers saw: as before; their requests had moved to a replica that all entries chose at the same moment (eleven there and more), or whose VM stood still, too.

Cause: the number of requests that all entries are expected to send before the next loads did not include those that move, so that few replicas were drawn for all of them. An entry marked a VM as stalled only if a request of its own waited there. Loads don't show a request that moves until its first attempt has ended.

Now the expected arrivals include the requests of stalled VMs. A request moves to a replica whose home its entry is; others keep their last two slots for their homes for 0.15 s, and after that entries take turns that are drawn for each pass, one request at a time. Own requests count even if no load shows them.

Evidence: without the expected arrivals test_entries_that_move_requests_at_once_do_ not_meet_at_one_replica failed with eight at a replica. Tried and not kept: the last slot of other replicas for nobody (too few found a place), for anybody (seven at a replica in 7 of 24 cases of the test), own requests as the least count for all requests (test_prompts_retried_after_a_crash fails).

--- a/src/hyssopvane/_internal/policy/group_capacity.py
+++ b/src/hyssopvane/_internal/policy/group_capacity.py
@@ -3,6 +3,7 @@
 from collections import deque
 from random import Random
 
+from hyssopvane._internal.policy import rendezvous
 from hyssopvane._internal.policy.pass_model import PassModel
 from hyssopvane._internal.policy.poll_intervals import get_poll_interval_s
 from hyssopvane._internal.policy.replica_load import ReplicaLoad, estimate_entries
@@ -32,6 +33,9 @@
 MOVE_S = 0.5
 """Time in which most requests of a VM that stands still find another replica."""
 
+_HASH_BITS = 64
+"""Number of bits of the hash of an address."""
+
 
 class GroupCapacity:
     """Limit the requests of one group, over all entries.
@@ -238,6 +242,15 @@
         reported = self.count(now) - unseen
         return max(1 / self.entries, min(1.0, own / reported) if reported > 0 else 0.0)
 
+    def has_turn(self, replica: str) -> bool:
+        """Return whether this entry may use the last slots of a replica.
+
+        It is drawn for each pass, so that of all entries that are not the replica's
+        home about one may.
+        """
+        drawn = (rendezvous.hash_name(replica) / 2**_HASH_BITS + self._draw) % 1.0
+        return bool(drawn * max(1, self.entries - 1) < 1.0)
+
     def estimate_arrivals(self, now: float) -> float:
         """Return the number of requests that all entries send between two loads.
 
@@ -248,7 +261,11 @@
         assume that it is the only one, and send to ranks that others have just filled.
         """
         unreported_s = 2 * get_poll_interval_s(self._ranks)
-        return self.count(now) * unreported_s / max(self._mean_duration_s, unreported_s)
+        regular = (
+            self.count(now) * unreported_s / max(self._mean_duration_s, unreported_s)
+        )
+        # All entries find out at the same time that a VM stands still.
+        return regular + self.count_endangered(now)
 
     def finish(self, now: float) -> None:
         """Record that one of this entry's requests has left the group.
--- a/src/hyssopvane/_internal/policy/replica_choice.py
+++ b/src/hyssopvane/_internal/policy/replica_choice.py
@@ -14,11 +14,22 @@
     choose_by_deficit,
     find_water_level,
 )
-from hyssopvane._internal.state.routing import EngineModel, Incarnation
+from hyssopvane._internal.state.routing import EngineModel, Incarnation, Replica
 
 LOCAL_ZONE_SLACK = 0.5 * REQUEST_COST
 """Cost by which replicas of the own zone may exceed all others: half a request."""
 
+_SLOTS_LEFT_TO_HOME = 2
+"""Free slots of a replica that requests which move leave to its home entry.
+
+Several other entries may take one at the same moment.
+"""
+
+_HOME_TURN_S = 0.15
+"""Time for which they leave them: about two passes, after which loads show what the
+home entry has placed.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class _Candidate:
@@ -77,11 +88,18 @@
         return [first, *(one for one in ordered if one is not first)]
 
     def choose(
-        self, group: GroupCapacity, avoid: frozenset[Incarnation], now: float
+        self,
+        group: GroupCapacity,
+        avoid: frozenset[Incarnation],
+        now: float,
+        *,
+        moving_s: float | None = None,
     ) -> ReplicaLoad | None:
         """Return the replica of a group that gets a request, None if none may.
 
-        Replicas in `avoid` are used only if no other is usable.
+        Replicas in `avoid` are used only if no other is usable. `moving_s` is the time
+        for which a request that moves has waited; it has no time for a second VM that
+        stands still.
         """
         usable = self.list_usable(group.members.values(), now)
         if len(self._limits):
@@ -92,33 +110,75 @@
         usable = [one for one in usable if not one.is_slow(now)] or usable
         # The VM of a replica whose agent is silent may stand still.
         heard = [one for one in usable if one.is_fresh(now)]
-        found = self._choose_among(heard, group, avoid, now)
-        if found is None and len(heard) < len(usable):
-            found = self._choose_among(usable, group, avoid, now)
-        return found
+        room = self._find_room(heard, group, avoid, now)
+        if moving_s is not None:
+            return self._choose_for_move(room, group, moving_s)
+        if not room and len(heard) < len(usable):
+            room = self._find_room(usable, group, avoid, now)
+        if not room:
+            return None
+        return self._draw(room, group.estimate_arrivals(now))
+
+    def _choose_for_move(
+        self, room: list[_Candidate], group: GroupCapacity, moving_s: float
+    ) -> ReplicaLoad | None:
+        """Return a replica for a request that moves, None if it has to wait for one.
 
-    def _choose_among(
+        All entries find out at the same time that a VM stands still, and all see the
+        same free slots. If each drew among all replicas, some would get more requests
+        than they can run, and their callers would leave. So each entry uses the
+        replicas whose home it is, and leaves the last slots of others to their homes.
+        When these have had their turn, the other entries take turns.
+        """
+        # A request that moves reaches its replica only when its first attempt has been
+        # ended, and loads may not include it until then.
+        room = [one for one in room if one.load.own < one.load.replica.slots]
+        home = [one for one in room if self._is_home(one.load.replica)]
+        if home:
+            least = min(one.cost for one in home)
+            return self._random.choice([one for one in home if one.cost == least]).load
+        has_home = any(
+            self._is_home(one.replica)
+            for one in group.members.values()
+            if not one.is_stalled
+        )
+        waits = has_home and moving_s < _HOME_TURN_S
+        others = [
+            one
+            for one in room
+            if one.free > _SLOTS_LEFT_TO_HOME
+            or (not waits and group.has_turn(one.load.replica.address))
+        ]
+        # One at a time, as others may have sent requests that no load shows yet.
+        others = [one for one in others if not one.load.sent_at]
+        if not others:
+            return None
+        return self._random.choices(others, [one.free for one in others])[0].load
+
+    def _is_home(self, replica: Replica) -> bool:
+        if replica.availability_zone != self._zone:
+            return False
+        return self._homes.is_home(replica.address)
+
+    def _find_room(
         self,
         usable: list[ReplicaLoad],
         group: GroupCapacity,
         avoid: frozenset[Incarnation],
         now: float,
-    ) -> ReplicaLoad | None:
+    ) -> list[_Candidate]:
         fresh = [one for one in usable if one.replica.incarnation not in avoid]
         counts = [(one.count(now, group.entries), one) for one in fresh or usable]
         # A rank reads prompts one after the other. Of two ranks with the same number of
         # requests, the one whose requests are already generating output sends the next
         # first event sooner.
-        room = [
+        return [
             _Candidate(
                 one, count + one.count_unread_prompts(), one.replica.slots - count
             )
             for count, one in counts
             if count < one.replica.slots
         ]
-        if not room:
-            return None
-        return self._draw(room, group.estimate_arrivals(now))
 
     def list_usable(
         self, members: Iterable[ReplicaLoad], now: float
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -47,6 +47,9 @@
 _RETRY_JITTER = 0.25
 """Jitter of Retry-After as a fraction, in both directions."""
 
+_MAX_SILENT_SHARE = 0.5
+"""Maximum share of a group whose VMs are assumed to stand still by silence alone."""
+
 _MAX_EJECTED_SHARE = 0.5
 """Maximum share of a service's replicas that may be ejected: the others must carry the
 load."""
@@ -306,6 +309,25 @@
         members = self._groups[one.group].members.values()
         return now - max(member.observed_at for member in members) < FRESH_S
 
+    def find_silent_vms(self, now: float) -> list[Replica]:
+        """Return the replicas that neither their agents nor answers show to be alive.
+
+        Another entry may have found that a VM stands still, while this one has no
+        request there. If most of a group is silent, the network is at fault.
+        """
+        silent_since = now - MAX_SILENCE_S
+        found: list[Replica] = []
+        for group in self._groups.values():
+            silent = [
+                one.replica
+                for one in group.members.values()
+                if self.is_vm_silent(one.replica, now)
+                and not self.attempts.was_heard(one.replica, since=silent_since)
+            ]
+            if len(silent) <= _MAX_SILENT_SHARE * len(group.members):
+                found += silent
+        return found
+
     def record_stall(self, replica: Replica, *, now: float) -> bool:
         """Send nothing to a replica until its agent is heard; return whether new."""
         one = self._find(replica)
@@ -449,8 +471,9 @@
         item = queue.peek()
         assert item is not None
         waiting = self._waiting[item.request_id]
+        moving_s = now - item.arrived_at if waiting.moving else None
         for group in self._chooser.order_groups(groups, self._engine, now):
-            one = self._chooser.choose(group, waiting.avoid, now)
+            one = self._chooser.choose(group, waiting.avoid, now, moving_s=moving_s)
             if one is not None:
                 self.remove(item.request_id)
                 one.start(now)
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -264,9 +264,10 @@
     def _move_from_silent_vms(self, gate: ServiceGate, now: float) -> None:
         is_vm_silent = partial(gate.is_vm_silent, now=now)
         stalled = gate.attempts.find_stalled(is_vm_silent, now=now)
-        for attempt in stalled:
-            if gate.record_stall(attempt.replica, now=now):
-                log_event("warning", "vm-stalled", replica=attempt.replica.id)
+        silent = gate.find_silent_vms(now)
+        for replica in (*(one.replica for one in stalled), *silent):
+            if gate.record_stall(replica, now=now):
+                log_event("warning", "vm-stalled", replica=replica.id)
         for attempt in gate.attempts.find_hopeless(is_vm_silent, now=now):
             attempt.give_up()
         for attempt in stalled:
--- a/tests/unit/test_stalled_places.py
+++ b/tests/unit/test_stalled_places.py
@@ -135,3 +135,67 @@
     add(gate, 3, moving=True)
     placed = [one.request_id for one in place(gate)]
     assert placed[:3] == ["moving-0", "moving-1", "moving-2"]
+
+
+@pytest.mark.parametrize("moving", [True, False])
+def test_request_does_not_move_to_a_second_silent_vm(moving):
+    """Guard against a request that moves from one VM that stands still to another.
+
+    This entry has no request at the others, and knows only that their agents are
+    silent.
+    """
+    gate = make_gate(1, stalled=())
+    for number in range(1, RANKS):
+        gate._replicas[f"i-{number}"].observed_at = NOW - 0.6
+    gate.observe_loads([(make_load(0, active=SLOTS, step=3), NOW)])
+    add(gate, 1, moving=moving)
+    assert len(place(gate)) == (0 if moving else 1)
+
+
+def test_vm_that_stands_still_is_known_to_an_entry_without_requests_there():
+    """Guard against an entry that sends requests to a VM which others know to stall."""
+    gate = make_gate(2, stalled=())
+    for number in STALLED:
+        gate._replicas[f"i-{number}"].observed_at = NOW - MAX_SILENCE_S - 0.1
+    assert {one.id for one in gate.find_silent_vms(NOW)} == {"i-0", "i-1", "i-2"}
+    for number in range(RANKS // 2 + 1):
+        gate._replicas[f"i-{number}"].observed_at = NOW - MAX_SILENCE_S - 0.1
+    assert gate.find_silent_vms(NOW) == []
+
+
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize(
+    ("stalled", "moves"),
+    [((0, 1, 2), (5, 5, 5)), ((0, 3, 6), (9, 3, 3)), ((0, 3, 6, 9), (9, 3, 3))],
+    ids=["one-of-each-zone", "three-of-a-zone", "whole-zone"],
+)
+def test_entries_that_move_requests_at_once_do_not_meet_at_one_replica(
+    stalled, moves, seed
+):
+    """Guard against moves of all entries to the replica that was best a moment ago.
+
+    Requests beyond a replica's slots wait until others have ended, and callers leave.
+    """
+    active = [3, 4, 4, 3, 4, 4, 3, 4, 5, 4, 3, 5]
+    gates = []
+    for zone, count in enumerate(moves):
+        gate = make_gate(
+            4, zone=zone, own=count // 3, stalled=stalled, seed=f"{seed}/{zone}"
+        )
+        add(gate, count, moving=True)
+        gates.append(gate)
+    running = {n: count for n, count in enumerate(active) if n not in stalled}
+    before = sum(running.values())
+    for step in range(3, 9):
+        now = NOW + 0.07 * step
+        for gate in gates:
+            loads = [
+                (make_load(number, active=count, step=step), now)
+                for number, count in running.items()
+            ]
+            gate.observe_loads(loads)
+        for gate in gates:
+            for one in place(gate, now):
+                running[int(one.replica.id.removeprefix("i-"))] += 1
+        assert sum(max(0, count - SLOTS) for count in running.values()) <= 1
+    assert sum(running.values()) - before >= 2 / 3 * sum(moves)
