--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -1,6 +1,7 @@
 """Test that one request ends few replicas of a fleet, and that no other one pays."""
 
 import re
+from collections import Counter
 from contextlib import suppress
 from itertools import count
 
@@ -177,6 +178,25 @@
     run(tmp_path, test)
 
 
+def test_several_requests_that_crash_replicas_end_few_each(tmp_path):
+    """Guard against a request that goes on ending replicas since others do, too."""
+
+    async def test(site):
+        bodies = [CRASH + b"-%d" % number for number in range(3)]
+        for number in range(18):
+            entry = site.entries[number % len(site.entries)]
+            body = bodies[number % len(bodies)]
+            await site.send(
+                entry, PATHS["idempotent"], body, request_id=f"crash-{number}"
+            )
+            await trio.sleep(PAUSE_S)
+        counts = Counter(one.body for one in site.arrivals)
+        assert counts.keys() == set(bodies)
+        assert max(counts.values()) <= PERMITTED_CRASHES
+
+    run(tmp_path, test)
+
+
 def test_requests_on_replicas_that_end_for_other_reasons_are_answered(tmp_path):
     """Guard against a request of many callers that is blamed for ends of replicas."""
 
--- a/tests/lib/crash_fleet.py
+++ b/tests/lib/crash_fleet.py
@@ -20,7 +20,7 @@
 from tests.soak.fleet import Fleet, Member
 
 CRASH = b"crash"
-"""Body of the requests that end each replica that runs them."""
+"""First bytes of the body of a request that ends each replica that runs it."""
 
 RETURN_S = 0.3
 """Time after which a replica that has ended is back under a new id."""
@@ -34,6 +34,7 @@
 
     at: float
     replica: str
+    body: bytes
 
 
 @dataclass
@@ -137,9 +138,9 @@
     async def _run(
         self, replica: DirectReplica, stream: trio.SocketStream, request: Received
     ) -> bool:
-        if request.body == CRASH:
+        if request.body.startswith(CRASH):
             now = trio.current_time()
-            self.arrivals.append(Arrival(now, replica.id))
+            self.arrivals.append(Arrival(now, replica.id, request.body))
             self.crashed.append(now)
             self.end_replica(replica.id)
             await trio.sleep_forever()
