--- a/tests/unit/test_running_attempts.py
+++ b/tests/unit/test_running_attempts.py
@@ -7,6 +7,7 @@
 from hyssopvane._internal.policy.queueing import QueuedItem
 from hyssopvane._internal.policy.running_attempts import (
     MAX_SILENCE_S,
+    MIN_SERVE_S,
     RunningAttempt,
     RunningAttempts,
 )
@@ -116,6 +117,39 @@
     assert {running.index(one) for one in stalled} == set(found)
 
 
+@pytest.mark.parametrize(
+    ("reported_at", "heard_at", "leaves_in_s", "found"),
+    [
+        ((LONG_AGO, JUST_NOW), LONG_AGO, MIN_SERVE_S, True),
+        ((LONG_AGO, JUST_NOW), LONG_AGO, MIN_SERVE_S + 0.1, False),
+        # The replica or its agent is heard.
+        ((LONG_AGO, JUST_NOW), JUST_NOW, 0.0, False),
+        ((JUST_NOW, JUST_NOW), LONG_AGO, 0.0, False),
+    ],
+    ids=["too-late", "in-time", "replica-heard", "agent-heard"],
+)
+def test_attempt_is_hopeless_when_no_other_replica_can_answer_in_time(
+    reported_at, heard_at, leaves_in_s, found
+):
+    """Guard against callers that wait for a stalled VM although nobody can help.
+
+    The group makes no passes here, so that the request does not move either.
+    """
+    gate = make_gate(reported_at)
+    attempts = RunningAttempts()
+    attempt = make_attempt(0, heard_at)
+    attempt.get_leave_at = lambda: NOW + leaves_in_s
+    attempts.add(attempt)
+    attempts.add(make_attempt(1, NOW - 0.5))
+
+    def is_vm_silent(replica):
+        return gate.is_vm_silent(replica, NOW)
+
+    assert not attempts.find_stalled(is_vm_silent, now=NOW)
+    hopeless = attempts.find_hopeless(is_vm_silent, now=NOW)
+    assert hopeless == ([attempt] if found else [])
+
+
 def test_ended_attempt_is_not_found():
     attempts = RunningAttempts()
     attempt = make_attempt(0, LONG_AGO)
