--- a/src/hyssopvane/_internal/policy/map_actions.py
+++ b/src/hyssopvane/_internal/policy/map_actions.py
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PingAgent:
-    """Have an agent answer at once, without polling its rank."""
+    """Have an agent send its presence at once, without polling its rank."""
 
     agent: str
     """Address of the agent."""
--- a/src/hyssopvane/_internal/state/group.py
+++ b/src/hyssopvane/_internal/state/group.py
@@ -83,13 +83,14 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderRequest:
-    """Ask a rank's agent to hold or release a pass, or only to report its state."""
+    """Ask a rank's agent to hold or release a pass, or only for a word of it."""
 
     group: str
     epoch: int
     step: int = 0
-    """Pass to hold or release; 0 to only request the state."""
+    """Pass to hold or release; 0 to request the state or the agent's presence."""
     release: bool = False
+    """Whether to release the pass; without one, whether the presence is enough."""
 
 
 @dataclass(frozen=True, slots=True)
