Keep a hold for which another leader has armed ranks

Two agents that both believe that they lead may hold the same pass. A leader that gave up its own change, as a rank was not heard, released the pass although it knew of a rank that was armed for it, and the pass would have begun with two maps.

Now such a leader takes the hold over as any next leader does: it arms the other ranks for the map that is armed, and releases when all are.

test_hold_is_not_released_while_another_leader_arms_ranks fails before, both cases.

--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -679,6 +679,10 @@
     def _abandon(self, now: float) -> list[Action]:
         """Release the pass without the change, before any rank is ordered to arm."""
         change = self._get_change()
+        if any(state.armed_step == change.step for state in self._list_states()):
+            # Another agent leads, too, and has ordered ranks to arm for this pass.
+            self._reset()
+            return self._begin(now)
         change.is_abandoned = True
         change.ordered_at = float("-inf")
         self.phase = Phase.RELEASING
--- a/tests/unit/test_map_coordinator.py
+++ b/tests/unit/test_map_coordinator.py
@@ -346,6 +346,32 @@
     assert leader.phase is Phase.RELEASING
 
 
+@pytest.mark.parametrize(
+    "delay_s", [map_coordinator.HEARING_TIMEOUT_S, map_coordinator.MAX_HOLD_S]
+)
+def test_hold_is_not_released_while_another_leader_arms_ranks(delay_s):
+    """Guard against two leaders that hold the same pass, of which one gives up.
+
+    Its release would begin the pass with two maps.
+    """
+    model = make_model_before_hold()
+    model.play(TICK_S)
+    leader = model.agents[0].coordinator
+    step = leader._get_change().step
+    armed = replace(model._describe(2), armed_version=99, armed_step=step)
+    later = model.now + TICK_S
+    leader.observe(armed, now=later)
+    for rank in (2, 3):
+        leader._known_ranks[rank].received_at = leader._agent_seen_at[rank] = 0.0
+    leader.decide(later)
+    later += delay_s + TICK_S
+    leader.observe(model._describe(0), now=later, own=True)
+    actions = leader.decide(later) + leader.decide(later + TICK_S)
+    assert leader.phase is not Phase.RELEASING
+    orders = [one.order for one in actions if isinstance(one, SendOrder)]
+    assert not any(isinstance(one, Release) for one in orders)
+
+
 def test_leader_that_abandons_a_change_waits_for_ranks_being_armed():
     """The leader has ordered all ranks to arm, and abandons the change at once.
 
