--- a/tests/lib/crash_fleet.py
+++ b/tests/lib/crash_fleet.py
@@ -1,8 +1,10 @@
 """Run entries as processes beside replicas that end, as some requests make them do."""
 
-from collections.abc import AsyncIterator
+import os
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
+from enum import StrEnum
 from functools import partial
 from pathlib import Path
 
@@ -14,20 +16,64 @@
     ReplicaFailed,
     ReplicaUnreachable,
 )
-from tests.lib.direct_installation import HOST, KEY, make_configuration
-from tests.lib.direct_replica import DirectReplica, Received, make_answer
+from tests.lib.direct_installation import (
+    CUSTOMER,
+    HOST,
+    KEY,
+    ROUTES,
+    make_configuration,
+    make_route,
+)
+from tests.lib.direct_replica import (
+    STREAM_HEAD,
+    DirectReplica,
+    Received,
+    chunk,
+    make_answer,
+    make_event,
+)
 from tests.lib.direct_store import DirectStore
 from tests.soak.fleet import Fleet, Member
 
 CRASH = b"crash"
 """First bytes of the body of a request that ends each replica that runs it."""
 
+CRASHING_PART = "dead"
+"""Part of a prompt under which each replica ends."""
+
+OTHER_KEY = "key-of-the-auctions"
+
+STREAM_EVENTS = 3
+
 RETURN_S = 0.3
 """Time after which a replica that has ended is back under a new id."""
 
 WORK_S = 0.01
 
 
+CONFIGURATION = make_configuration(
+    1,
+    routes=[
+        *ROUTES,
+        make_route("streams", kind="streaming", resumable=True),
+    ],
+    tenants=[
+        {"name": CUSTOMER, "api-keys": [KEY], "priority": 1},
+        {"name": "auctions", "api-keys": [OTHER_KEY], "priority": 1},
+    ],
+)
+
+
+class CrashKind(StrEnum):
+    """Name how far an answer gets before its replica ends."""
+
+    SILENT = "silent"
+    IN_HEAD = "in-head"
+    AFTER_EVENT = "after-event"
+    IN_EVENT = "in-event"
+    """Within an event of a stream with neither a length nor chunks."""
+
+
 @dataclass
 class Arrival:
     """Record a request that ends its replica, and reaches one."""
@@ -53,6 +99,7 @@
     """Whether the test has killed an entry."""
     scopes: dict[str, trio.CancelScope] = field(default_factory=dict)
     """Scopes of the running replicas, by id."""
+    crash_kind: CrashKind = CrashKind.SILENT
 
     @property
     def entries(self) -> list[Member]:
@@ -92,15 +139,20 @@
         *,
         request_id: str,
         deadline_ms: int = 2_000,
+        parts: Sequence[str] = (),
+        key: str = KEY,
     ) -> int:
-        """Send a request; return the status, 0 without an answer."""
+        """Send a request; return the status, 0 without a whole answer."""
         fields = (
             (b"host", HOST.encode()),
             (b"x-request-id", request_id.encode()),
-            (b"authorization", f"Bearer {KEY}".encode()),
+            (b"authorization", f"Bearer {key}".encode()),
             (b"x-deadline-ms", str(deadline_ms).encode()),
             (b"content-length", str(len(body)).encode()),
         )
+        if parts:
+            listed = ",".join(f"{part}:100" for part in parts)
+            fields += ((b"x-prompt-prefix", listed.encode()),)
         with suppress(ReplicaUnreachable, ReplicaFailed, OSError):
             async with self.client.call(
                 entry.callers,
@@ -113,12 +165,12 @@
                 return response.status
         return 0
 
-    def count_late(self, bound_s: float) -> int:
-        """Return the arrivals later than a time after the third end."""
-        if len(self.crashed) < 3:
+    def count_late(self, bound_s: float, *, ends: int = 3) -> int:
+        """Return the arrivals later than a time after a number of ends."""
+        if len(self.crashed) < ends:
             return 0
-        third = sorted(self.crashed)[2]
-        return sum(one.at > third + bound_s for one in self.arrivals)
+        last = sorted(self.crashed)[ends - 1]
+        return sum(one.at > last + bound_s for one in self.arrivals)
 
     async def _serve(
         self,
@@ -138,16 +190,47 @@
     async def _run(
         self, replica: DirectReplica, stream: trio.SocketStream, request: Received
     ) -> bool:
-        if request.body.startswith(CRASH):
+        parts = list_parts(request)
+        if request.body.startswith(CRASH) or CRASHING_PART in parts:
             now = trio.current_time()
             self.arrivals.append(Arrival(now, replica.id, request.body))
             self.crashed.append(now)
+            await self._begin_answer(stream, request)
             self.end_replica(replica.id)
             await trio.sleep_forever()
         await trio.sleep(WORK_S)
-        await stream.send_all(make_answer(request))
+        if not request.target.startswith("/streams/"):
+            await stream.send_all(make_answer(request))
+            return True
+        await stream.send_all(make_answer(request, body=b"", headers=STREAM_HEAD))
+        for number in range(1, STREAM_EVENTS + 1):
+            await stream.send_all(chunk(make_event(number)))
+        await stream.send_all(chunk(b""))
         return True
 
+    async def _begin_answer(self, stream: trio.SocketStream, request: Received) -> None:
+        """Send what a caller gets of an answer before its replica ends."""
+        match self.crash_kind:
+            case CrashKind.SILENT:
+                return
+            case CrashKind.IN_HEAD:
+                await stream.send_all(make_answer(request)[:40])
+            case CrashKind.AFTER_EVENT:
+                head = make_answer(request, body=b"", headers=STREAM_HEAD)
+                await stream.send_all(head + chunk(make_event(1)))
+            case CrashKind.IN_EVENT:
+                head = make_answer(request, body=b"", headers=STREAM_HEAD)
+                unframed = head.replace(b"Transfer-Encoding: chunked\r\n", b"")
+                await stream.send_all(unframed + make_event(1) + make_event(2)[:-4])
+        # The entry reads this before the connection ends.
+        await trio.sleep(WORK_S)
+
+
+def list_parts(request: Received) -> list[str]:
+    """Return the ids of the parts of a prompt."""
+    listed = request.headers.get("x-prompt-prefix", "")
+    return [part.partition(":")[0] for part in listed.split(",")]
+
 
 @asynccontextmanager
 async def open_crash_fleet(
@@ -158,7 +241,7 @@
     No agent runs, so no leader of a group tells the entries of each other.
     """
     store, client = DirectStore(), ReplicaClient()
-    store.put("op/config", make_configuration(1))
+    store.put("op/config", CONFIGURATION)
     async with trio.open_nursery() as nursery:
         address = await nursery.start(
             partial(
@@ -173,8 +256,7 @@
         site = CrashFleet(store, fleet, nursery, client)
         for _ in range(replicas):
             await site.start_replica()
-        ports = await _find_ports(entries)
-        seeds = [f"127.0.0.1:{port}" for port in ports]
+        seeds = await _find_addresses(entries)
         for number, seed in enumerate(seeds):
             settings = {
                 "role": "direct-entry",
@@ -205,12 +287,17 @@
             nursery.cancel_scope.cancel()
 
 
-async def _find_ports(count: int) -> list[int]:
-    """Return ports that are currently free on loopback."""
+async def _find_addresses(count: int) -> list[str]:
+    """Return free addresses on loopback, on a host that no other process uses.
+
+    On the host of all tests, another one may take a port before its entry does.
+    """
+    pid = os.getpid()
+    host = f"127.{1 + pid // 65_536 % 254}.{pid // 256 % 256}.{1 + pid % 254}"
     probes = [trio.socket.socket() for _ in range(count)]
     for probe in probes:
-        await probe.bind(("127.0.0.1", 0))
-    found = [probe.getsockname()[1] for probe in probes]
+        await probe.bind((host, 0))
+    found = [f"{host}:{probe.getsockname()[1]}" for probe in probes]
     for probe in probes:
         probe.close()
     return found
