--- a/src/hyssopvane/_internal/coordination/quarantine.py
+++ b/src/hyssopvane/_internal/coordination/quarantine.py
@@ -24,7 +24,7 @@
 from hyssopvane._internal.policy.suspects import SuspectTracker
 from hyssopvane._internal.protocol.suspect_pages import format_page, parse_page
 from hyssopvane._internal.state.store_position import StorePosition
-from hyssopvane._internal.state.suspects import BodyId, SuspectRecord
+from hyssopvane._internal.state.suspects import SuspectId, SuspectRecord
 from hyssopvane._internal.utils.backoff import Backoff
 
 PAGE_PREFIX = "quarantine/"
@@ -36,7 +36,7 @@
 # then cause 32 reads a second, of the 2000 that the service handles.
 REFRESH_S = 30.0
 
-SuspectRecords = Mapping[BodyId, SuspectRecord]
+SuspectRecords = Mapping[SuspectId, SuspectRecord]
 
 
 class QuarantineSync:
@@ -58,7 +58,7 @@
         wall_clock: Callable[[], float] = time.time,
         refresh_s: float = REFRESH_S,
         flush_interval_s: float = FLUSH_INTERVAL_S,
-        observe: Callable[[BodyId], None] = lambda body: None,
+        observe: Callable[[SuspectId], None] = lambda body: None,
     ) -> None:
         self._store = store
         self._tracker = tracker
@@ -135,7 +135,7 @@
                 self._report(error)
                 await trio.sleep(backoff.get_next_delay())
 
-    async def _write(self, bodies: frozenset[BodyId]) -> None:
+    async def _write(self, bodies: frozenset[SuspectId]) -> None:
         while True:
             changes = {body: self._tracker.get_record(body) for body in bodies}
             records = _merge_changes(
@@ -212,7 +212,7 @@
         self._record_page(item.position, item.value)
 
     def _limit_expiry(
-        self, body: BodyId, record: SuspectRecord, now: float
+        self, body: SuspectId, record: SuspectRecord, now: float
     ) -> SuspectRecord:
         """Return a record of the page with the expiry that it is believed to have."""
         known = self._shared.get(body)
@@ -228,12 +228,12 @@
 
 def _merge_changes(
     shared: SuspectRecords,
-    changes: Mapping[BodyId, SuspectRecord | None],
+    changes: Mapping[SuspectId, SuspectRecord | None],
     *,
     rules: SuspectRules,
     max_records: int,
     now: float,
-) -> dict[BodyId, SuspectRecord]:
+) -> dict[SuspectId, SuspectRecord]:
     records = {
         body: record
         for body, record in shared.items()
--- a/src/hyssopvane/_internal/policy/attempts.py
+++ b/src/hyssopvane/_internal/policy/attempts.py
@@ -8,7 +8,7 @@
 from hyssopvane._internal.policy.placement import Placer
 from hyssopvane._internal.policy.retries import Retrier, RetryAt, RetryDenial
 from hyssopvane._internal.policy.suspects import SuspectTracker
-from hyssopvane._internal.state.suspects import BodyId, Crash
+from hyssopvane._internal.state.suspects import Crash, SuspectId
 from hyssopvane._internal.state.table import ServiceRow, Table
 from hyssopvane._internal.state.work import (
     AttemptReport,
@@ -209,5 +209,5 @@
         plan.target = None
 
 
-def _get_body(request: WorkRequest) -> BodyId:
-    return BodyId(request.service, request.body_digest)
+def _get_body(request: WorkRequest) -> SuspectId:
+    return SuspectId(request.service, request.body_digest)
--- a/src/hyssopvane/_internal/policy/recent_finishes.py
+++ b/src/hyssopvane/_internal/policy/recent_finishes.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from hyssopvane._internal.state.suspects import BodyId
+from hyssopvane._internal.state.suspects import SuspectId
 
 FINISH_TTL_S = 60.0
 
@@ -15,9 +15,11 @@
     """Track finished bodies by customer, so that none pushes those of others out."""
 
     def __init__(self) -> None:
-        self._finished_at: OrderedDict[str, OrderedDict[BodyId, float]] = OrderedDict()
+        self._finished_at: OrderedDict[str, OrderedDict[SuspectId, float]] = (
+            OrderedDict()
+        )
 
-    def add(self, body: BodyId, *, now: float) -> None:
+    def add(self, body: SuspectId, *, now: float) -> None:
         """Record that a replica has run a body to its end."""
         bodies = self._finished_at.setdefault(body.customer, OrderedDict())
         self._finished_at.move_to_end(body.customer)
@@ -28,7 +30,7 @@
         if len(self._finished_at) > MAX_CUSTOMERS:
             self._finished_at.popitem(last=False)
 
-    def has_finished(self, body: BodyId, *, since: float) -> bool:
+    def has_finished(self, body: SuspectId, *, since: float) -> bool:
         """Return whether a body has finished later than a time."""
         bodies = self._finished_at.get(body.customer)
         return bodies is not None and bodies.get(body, since) > since
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -21,7 +21,7 @@
 from hyssopvane._internal.state.limits import LimitReport
 from hyssopvane._internal.state.loads import RankLoad
 from hyssopvane._internal.state.routing import EngineModel, Incarnation, Replica
-from hyssopvane._internal.state.suspects import BodyId
+from hyssopvane._internal.state.suspects import SuspectId
 
 OVERLOADED_RETRY_AFTER_S = 0.5
 """Retry-After while a service is overloaded, in seconds.
@@ -68,7 +68,7 @@
     """Tokens that a replica reads before the first token of its answer."""
     avoid: frozenset[Incarnation] = frozenset()
     """Incarnations of replicas that it was already sent to, or should not share."""
-    body: BodyId | None = None
+    body: SuspectId | None = None
     """Identity of the request; None if nothing is held against repeats of it."""
     moving: bool = False
     """Whether it runs at a replica that stands still, and waits for another one."""
@@ -293,7 +293,7 @@
         found = (self._replicas.get(replica_id) for replica_id in ids)
         return frozenset(one.replica.incarnation for one in found if one is not None)
 
-    def list_waiting(self, body: BodyId) -> list[str]:
+    def list_waiting(self, body: SuspectId) -> list[str]:
         """Return the ids of the waiting requests that are repeats of one."""
         return [
             request_id
--- a/src/hyssopvane/_internal/policy/suspect_rules.py
+++ b/src/hyssopvane/_internal/policy/suspect_rules.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, replace
 
 from hyssopvane._internal.state.suspects import (
-    BodyId,
     Crash,
     CrashKey,
+    SuspectId,
     SuspectRecord,
 )
 
@@ -128,7 +128,9 @@
     return (*(one for one in crashes if one is not earliest), crash)
 
 
-def choose_evicted(records: Mapping[BodyId, SuspectRecord], limit: int) -> set[BodyId]:
+def choose_evicted(
+    records: Mapping[SuspectId, SuspectRecord], limit: int
+) -> set[SuspectId]:
     """Return the records to drop so that at most `limit` remain.
 
     The customer with the most records loses one at a time, the weakest evidence first.
@@ -138,7 +140,7 @@
     if excess <= 0:
         return set()
     counts = Counter(body.customer for body in records)
-    by_customer: dict[str, list[BodyId]] = {}
+    by_customer: dict[str, list[SuspectId]] = {}
     for body in sorted(records, key=lambda one: _rank(records[one]), reverse=True):
         by_customer.setdefault(body.customer, []).append(body)
     evicted = set()
--- a/src/hyssopvane/_internal/policy/suspects.py
+++ b/src/hyssopvane/_internal/policy/suspects.py
@@ -16,9 +16,9 @@
     tells_more,
 )
 from hyssopvane._internal.state.suspects import (
-    BodyId,
     Crash,
     CrashKey,
+    SuspectId,
     SuspectRecord,
 )
 
@@ -70,22 +70,24 @@
         *,
         max_records: int = MAX_RECORDS,
         rules: SuspectRules = AGENT_REPORTS,
-        observe_quarantine: Callable[[BodyId, float], None] = lambda body, left_s: None,
+        observe_quarantine: Callable[[SuspectId, float], None] = lambda body, left_s: (
+            None
+        ),
     ) -> None:
         self.rules = rules
         self.max_records = max_records
         self._observe_quarantine = observe_quarantine
         """Called with a body that is refused from now on, and for how many seconds."""
-        self._records: OrderedDict[BodyId, SuspectRecord] = OrderedDict()
-        self._bodies: dict[CrashKey, set[BodyId]] = {}
+        self._records: OrderedDict[SuspectId, SuspectRecord] = OrderedDict()
+        self._bodies: dict[CrashKey, set[SuspectId]] = {}
         """Bodies by the crashes that count against them."""
         self._lost_at: OrderedDict[CrashKey, float] = OrderedDict()
         """Times at which this entry learnt that targets were lost."""
         self._alive_at: OrderedDict[CrashKey, float] = OrderedDict()
         """Times at which targets that seemed lost have answered."""
         self._finishes = RecentFinishes()
-        self._running: dict[str, Counter[BodyId]] = {}
-        self._changed: set[BodyId] = set()
+        self._running: dict[str, Counter[SuspectId]] = {}
+        self._changed: set[SuspectId] = set()
         self._attributed: OrderedDict[Crash, None] = OrderedDict()
         self.revision = 0
         """Number of changes of the records."""
@@ -93,31 +95,31 @@
     def __len__(self) -> int:
         return len(self._records)
 
-    def is_quarantined(self, body: BodyId, *, now: float) -> bool:
+    def is_quarantined(self, body: SuspectId, *, now: float) -> bool:
         """Return whether a body must be refused."""
         record = self._find(body, now)
         return record is not None and _is_refused(record, now)
 
-    def measure_quarantine_s(self, body: BodyId, *, now: float) -> float:
+    def measure_quarantine_s(self, body: SuspectId, *, now: float) -> float:
         """Return the seconds until a body is no longer refused."""
         record = self._find(body, now)
         if record is None or not record.quarantined:
             return 0.0
         return max(0.0, record.until - now)
 
-    def is_suspect(self, body: BodyId, *, now: float) -> bool:
+    def is_suspect(self, body: SuspectId, *, now: float) -> bool:
         """Return whether a body was running in a crash and has not finished since."""
         record = self._find(body, now)
         return record is not None and _is_suspect(record, now)
 
-    def count_generations(self, body: BodyId) -> int:
+    def count_generations(self, body: SuspectId) -> int:
         """Return the number of a body's crashes that followed each other."""
         record = self._records.get(body)
         if record is None:
             return 0
         return max((crash.generation for crash in record.crashes), default=0)
 
-    def find_excluded(self, body: BodyId, *, now: float) -> frozenset[str] | None:
+    def find_excluded(self, body: SuspectId, *, now: float) -> frozenset[str] | None:
         """Return the targets that must not run a body now, None for all targets.
 
         A target runs at most one suspect at a time, so that the next crash identifies
@@ -133,7 +135,7 @@
             return None
         return self.list_targets_of_others(body, now=now)
 
-    def list_targets_of_others(self, body: BodyId, *, now: float) -> frozenset[str]:
+    def list_targets_of_others(self, body: SuspectId, *, now: float) -> frozenset[str]:
         """Return the targets at which this entry runs suspects other than a body."""
         if not self._records:
             return frozenset()
@@ -145,11 +147,11 @@
             )
         )
 
-    def start(self, body: BodyId, target: str) -> None:
+    def start(self, body: SuspectId, target: str) -> None:
         """Record that a body starts to run at a target."""
         self._running.setdefault(target, Counter())[body] += 1
 
-    def stop(self, body: BodyId, target: str) -> None:
+    def stop(self, body: SuspectId, target: str) -> None:
         """Record that a body no longer runs at a target."""
         bodies = self._running.get(target)
         if bodies is None:
@@ -160,13 +162,13 @@
         if not bodies:
             del self._running[target]
 
-    def clear(self, body: BodyId, *, now: float = 0.0) -> None:
+    def clear(self, body: SuspectId, *, now: float = 0.0) -> None:
         """Hold no crash against a body that has finished."""
         if self.rules.crash_ends_incarnation:
             self._finishes.add(body, now=now)
         self._void_crashes(body, now)
 
-    def has_finished(self, body: BodyId, *, since: float) -> bool:
+    def has_finished(self, body: SuspectId, *, since: float) -> bool:
         """Return whether a body has finished at this entry since a time."""
         return self._finishes.has_finished(body, since=since)
 
@@ -184,7 +186,7 @@
 
     def record_crash(
         self,
-        body: BodyId,
+        body: SuspectId,
         crash: Crash,
         *,
         quarantine_s: float,
@@ -226,7 +228,7 @@
         return True
 
     def merge(
-        self, body: BodyId, record: SuspectRecord, *, quarantine_s: float, now: float
+        self, body: SuspectId, record: SuspectRecord, *, quarantine_s: float, now: float
     ) -> bool:
         """Merge what other entries recorded; return whether crashes were new here."""
         known = self._find(body, now)
@@ -273,28 +275,28 @@
         until = min(max(record.until, now + MIN_EXPIRY_S), now + most_s)
         return replace(record, until=until)
 
-    def drop(self, body: BodyId) -> None:
+    def drop(self, body: SuspectId) -> None:
         """Remove a record that other entries no longer keep."""
         if body not in self._changed:
             self._put(body, None)
 
-    def get_record(self, body: BodyId) -> SuspectRecord | None:
+    def get_record(self, body: SuspectId) -> SuspectRecord | None:
         """Return the record of a body."""
         return self._records.get(body)
 
-    def list_records(self, *, now: float) -> dict[BodyId, SuspectRecord]:
+    def list_records(self, *, now: float) -> dict[SuspectId, SuspectRecord]:
         """Return all records that have not expired."""
         for body in list(self._records):
             self._find(body, now)
         return dict(self._records)
 
-    def take_changes(self) -> frozenset[BodyId]:
+    def take_changes(self) -> frozenset[SuspectId]:
         """Return the bodies whose records changed here since the last call."""
         changed = frozenset(self._changed)
         self._changed.clear()
         return changed
 
-    def return_changes(self, bodies: Iterable[BodyId]) -> None:
+    def return_changes(self, bodies: Iterable[SuspectId]) -> None:
         """Put back changes that could not be shared, for the next attempt."""
         self._changed.update(bodies)
 
@@ -319,7 +321,7 @@
         return merged
 
     def _is_proven(
-        self, body: BodyId, record: SuspectRecord, *, last: Crash | None = None
+        self, body: SuspectId, record: SuspectRecord, *, last: Crash | None = None
     ) -> bool:
         """Return whether nothing but a body explains its crashes.
 
@@ -337,7 +339,7 @@
         return not self._has_rival(body, list_keys(crashes), last)
 
     def _has_rival(
-        self, body: BodyId, keys: frozenset[CrashKey], last: Crash | None
+        self, body: SuspectId, keys: frozenset[CrashKey], last: Crash | None
     ) -> bool:
         """Return whether another body was running in all crashes of a body."""
         running = set() if last is None else set(self._running.get(last.target, ()))
@@ -347,7 +349,7 @@
             sets.append(bodies | running if last and key == last.key else bodies)
         return bool(set.intersection(*sets) - {body})
 
-    def _clear_explained(self, cause: BodyId, now: float) -> None:
+    def _clear_explained(self, cause: SuspectId, now: float) -> None:
         """Hold crashes of a proven cause against no body that explains fewer of them.
 
         Such a body ran beside the cause; or it was taken for the cause before, and the
@@ -361,7 +363,7 @@
             if list_keys(self._records[body].crashes) < keys:
                 self._void_crashes(body, now)
 
-    def _void_crashes(self, body: BodyId, now: float) -> None:
+    def _void_crashes(self, body: SuspectId, now: float) -> None:
         record = self._records.get(body)
         if record is None or not record.crashes:
             return
@@ -418,12 +420,12 @@
                 return True
         return False
 
-    def _keep(self, body: BodyId, record: SuspectRecord) -> None:
+    def _keep(self, body: SuspectId, record: SuspectRecord) -> None:
         self._put(body, record)
         for evicted in choose_evicted(self._records, self.max_records):
             self._put(evicted, None)
 
-    def _put(self, body: BodyId, record: SuspectRecord | None) -> None:
+    def _put(self, body: SuspectId, record: SuspectRecord | None) -> None:
         """Replace the record of a body; None removes it."""
         self.revision += 1
         before = self._records.pop(body, None)
@@ -438,7 +440,7 @@
         for key in list_keys(record.crashes):
             self._bodies.setdefault(key, set()).add(body)
 
-    def _find(self, body: BodyId, now: float) -> SuspectRecord | None:
+    def _find(self, body: SuspectId, now: float) -> SuspectRecord | None:
         record = self._records.get(body)
         if record is None:
             return None
--- a/src/hyssopvane/_internal/policy/unanswered_runs.py
+++ b/src/hyssopvane/_internal/policy/unanswered_runs.py
@@ -7,7 +7,7 @@
 from collections import Counter, OrderedDict
 from dataclasses import dataclass
 
-from hyssopvane._internal.state.suspects import BodyId, CrashKey
+from hyssopvane._internal.state.suspects import CrashKey, SuspectId
 
 MAX_AGE_S = 10.0
 """Time between the end of a run and that of its replica's registration.
@@ -25,7 +25,7 @@
 class UnansweredRun:
     """Identify a run of a body whose outcome is not known."""
 
-    body: BodyId
+    body: SuspectId
     generation: int
     """Generation that a crash under it has."""
     ended_at: float
--- a/src/hyssopvane/_internal/protocol/suspect_pages.py
+++ b/src/hyssopvane/_internal/protocol/suspect_pages.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 from hyssopvane._internal.state.suspects import (
-    BodyId,
     Crash,
     CrashKey,
+    SuspectId,
     SuspectRecord,
 )
 
@@ -21,7 +21,7 @@
 _MAX_DIGEST_BYTES = 64
 
 
-def format_page(records: Mapping[BodyId, SuspectRecord], *, offset: float) -> bytes:
+def format_page(records: Mapping[SuspectId, SuspectRecord], *, offset: float) -> bytes:
     """Encode records as JSON with times of the wall clock."""
     document = {
         "format": _FORMAT,
@@ -32,7 +32,7 @@
     return json.dumps(document, separators=(",", ":")).encode()
 
 
-def parse_page(content: bytes, *, offset: float) -> dict[BodyId, SuspectRecord]:
+def parse_page(content: bytes, *, offset: float) -> dict[SuspectId, SuspectRecord]:
     """Decode records; raise `ValueError` when the page is malformed."""
     try:
         document = json.loads(content)
@@ -52,7 +52,7 @@
 
 
 def _format_record(
-    body: BodyId, record: SuspectRecord, offset: float
+    body: SuspectId, record: SuspectRecord, offset: float
 ) -> dict[str, object]:
     document: dict[str, object] = {
         "service": body.service,
@@ -78,14 +78,14 @@
 
 def _parse_record(
     document: dict[str, Any], offset: float
-) -> tuple[BodyId, SuspectRecord]:
+) -> tuple[SuspectId, SuspectRecord]:
     crashes, until = document["crashes"], document["until"]
     generations = document.get("generations", [1] * len(crashes))
     voided = document.get("voided", [])
     for one in (crashes, generations, voided):
         if not isinstance(one, list) or len(one) > _MAX_CRASHES:
             raise TypeError("crashes must be a short list")
-    body = BodyId(
+    body = SuspectId(
         _check_name(document["service"]),
         bytes.fromhex(str(document["digest"])),
         _check_name(document.get("customer", "")),
--- a/src/hyssopvane/_internal/roles/crash_evidence.py
+++ b/src/hyssopvane/_internal/roles/crash_evidence.py
@@ -6,7 +6,7 @@
 from hyssopvane._internal.policy.unanswered_runs import UnansweredRun, UnansweredRuns
 from hyssopvane._internal.roles.gate_keeper import GateKeeper
 from hyssopvane._internal.state.routing import Incarnation, Replica
-from hyssopvane._internal.state.suspects import BodyId, Crash
+from hyssopvane._internal.state.suspects import Crash, SuspectId
 from hyssopvane._internal.utils.deferred_metrics import DeferredMetrics
 from hyssopvane._internal.utils.logs import log_event
 
@@ -24,7 +24,7 @@
 
     def record_crash(
         self,
-        body: BodyId,
+        body: SuspectId,
         replica: Incarnation,
         *,
         generation: int,
@@ -53,7 +53,7 @@
         )
 
     def record_unanswered(
-        self, body: BodyId, replica: Incarnation, *, generation: int
+        self, body: SuspectId, replica: Incarnation, *, generation: int
     ) -> None:
         """Record that nobody waits for a replica's answer to a request any more."""
         run = UnansweredRun(body, generation, trio.current_time())
@@ -71,7 +71,7 @@
     """Report the attempts of one request to the entry's account of suspects."""
 
     def __init__(
-        self, body: BodyId, *, account: CrashAccount, gates: GateKeeper
+        self, body: SuspectId, *, account: CrashAccount, gates: GateKeeper
     ) -> None:
         self.body = body
         self._account = account
--- a/src/hyssopvane/_internal/roles/direct_app.py
+++ b/src/hyssopvane/_internal/roles/direct_app.py
@@ -17,7 +17,7 @@
 from hyssopvane._internal.roles.direct_call import DirectCall
 from hyssopvane._internal.roles.direct_request import CallDependencies, DirectRequest
 from hyssopvane._internal.state.routing import Customer, Route, RoutingTable
-from hyssopvane._internal.state.suspects import BodyId
+from hyssopvane._internal.state.suspects import SuspectId
 from hyssopvane._internal.transport.asgi_messages import (
     BodyTooLarge,
     CallerGone,
@@ -267,7 +267,7 @@
             caller_deadline=caller_deadline,
             tokens=max(_DEFAULT_TOKENS, sum(tokens)),
             prompt_tokens=tokens[0],
-            body_id=BodyId(service, digest, name),
+            body_id=SuspectId(service, digest, name),
         )
 
     def _choose_service(self, route: Route) -> str:
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -31,7 +31,7 @@
 from hyssopvane._internal.state.group import EntryState
 from hyssopvane._internal.state.limits import ReplicaLimits
 from hyssopvane._internal.state.loads import GroupLoad, Roster
-from hyssopvane._internal.state.suspects import BodyId
+from hyssopvane._internal.state.suspects import SuspectId
 from hyssopvane._internal.transport.addresses import replace_port
 from hyssopvane._internal.transport.asgi_messages import (
     TEXT_TYPE,
@@ -211,7 +211,7 @@
             self.metrics.set_level(level, value)
         self.gates.update(self.feed.table, self.feed.replicas)
 
-    def _refuse_waiting(self, body: BodyId, quarantine_s: float) -> None:
+    def _refuse_waiting(self, body: SuspectId, quarantine_s: float) -> None:
         self.gates.reject_waiting(body, DirectRefusal.CRASHING, quarantine_s)
 
     def _close_idle_connections(self, address: str) -> None:
--- a/src/hyssopvane/_internal/roles/direct_request.py
+++ b/src/hyssopvane/_internal/roles/direct_request.py
@@ -9,7 +9,7 @@
 from hyssopvane._internal.roles.crash_evidence import CrashAccount
 from hyssopvane._internal.roles.gate_keeper import GateKeeper
 from hyssopvane._internal.state.routing import Customer, Incarnation, Route
-from hyssopvane._internal.state.suspects import BodyId
+from hyssopvane._internal.state.suspects import SuspectId
 from hyssopvane._internal.transport.replica_client import ReplicaClient
 from hyssopvane._internal.utils.deferred_metrics import DeferredMetrics
 
@@ -48,7 +48,7 @@
     tokens: int
     """Prompt tokens plus maximum output tokens."""
     prompt_tokens: int
-    body_id: BodyId
+    body_id: SuspectId
     """Equal only for requests with the same path, customer and body."""
     attempts: int = 0
     may_have_run: bool = False
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -23,7 +23,7 @@
     split_load,
 )
 from hyssopvane._internal.state.routing import Replica, RoutingTable
-from hyssopvane._internal.state.suspects import BodyId
+from hyssopvane._internal.state.suspects import SuspectId
 from hyssopvane._internal.utils.logs import log_event
 
 DISPATCH_INTERVAL_S = 0.01
@@ -212,7 +212,9 @@
         assert waiter.decision is not None
         return waiter.decision
 
-    def reject_waiting(self, body: BodyId, reason: str, retry_after_s: float) -> None:
+    def reject_waiting(
+        self, body: SuspectId, reason: str, retry_after_s: float
+    ) -> None:
         """Reject all waiting requests that are repeats of one."""
         gate = self.get_gate(body.service)
         for request_id in gate.list_waiting(body):
--- a/src/hyssopvane/_internal/roles/suspect_exchange.py
+++ b/src/hyssopvane/_internal/roles/suspect_exchange.py
@@ -16,7 +16,7 @@
 
 from hyssopvane._internal.policy.suspects import SuspectTracker
 from hyssopvane._internal.protocol.suspect_pages import format_page, parse_page
-from hyssopvane._internal.state.suspects import BodyId, SuspectRecord
+from hyssopvane._internal.state.suspects import SuspectId, SuspectRecord
 from hyssopvane._internal.transport.asgi_messages import (
     BodyTooLarge,
     CallerGone,
@@ -67,7 +67,7 @@
         seeds: tuple[str, ...],
         get_quarantine_s: Callable[[str], float],
         is_needed: Callable[[], bool],
-        observe: Callable[[BodyId, str], None],
+        observe: Callable[[SuspectId, str], None],
     ) -> None:
         self._tracker = tracker
         self._random = random
@@ -169,7 +169,7 @@
 
     def _merge(self, content: bytes, *, source: str) -> None:
         now = trio.current_time()
-        records: dict[BodyId, SuspectRecord]
+        records: dict[SuspectId, SuspectRecord]
         records = parse_page(content, offset=_get_offset())
         for body, record in records.items():
             quarantine_s = self._get_quarantine_s(body.service)
--- a/src/hyssopvane/_internal/roles/suspect_sharing.py
+++ b/src/hyssopvane/_internal/roles/suspect_sharing.py
@@ -13,7 +13,7 @@
 from hyssopvane._internal.roles.crash_evidence import QUARANTINE_S
 from hyssopvane._internal.roles.suspect_exchange import SuspectExchange
 from hyssopvane._internal.state.group import EntryState
-from hyssopvane._internal.state.suspects import BodyId
+from hyssopvane._internal.state.suspects import SuspectId
 from hyssopvane._internal.utils.logs import log_event
 
 FLUSH_INTERVAL_S = 0.15
@@ -74,7 +74,7 @@
         """Answer another entry's exchange."""
         await self._exchange.answer(scope, receive, send)
 
-    def _log_report(self, body: BodyId, *, source: str) -> None:
+    def _log_report(self, body: SuspectId, *, source: str) -> None:
         record = self._tracker.get_record(body)
         log_event(
             "info",
--- a/src/hyssopvane/_internal/state/suspects.py
+++ b/src/hyssopvane/_internal/state/suspects.py
@@ -7,7 +7,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BodyId:
+class SuspectId:
     """Identify a body by its service, its digest and the customer that sends it."""
 
     service: str
--- a/tests/functional/test_crash_refusals.py
+++ b/tests/functional/test_crash_refusals.py
@@ -8,7 +8,7 @@
 from hyssopvane._internal.policy.request_digest import make_request_digest
 from hyssopvane._internal.protocol.suspect_pages import format_page
 from hyssopvane._internal.roles.suspect_exchange import SUSPECTS_PATH
-from hyssopvane._internal.state.suspects import BodyId, Crash, SuspectRecord
+from hyssopvane._internal.state.suspects import Crash, SuspectId, SuspectRecord
 from hyssopvane._internal.transport import replica_client
 from hyssopvane._internal.transport.replica_client import ReplicaFailed
 from tests.lib.direct_installation import CUSTOMER, HANG_S, open_direct
@@ -39,7 +39,7 @@
     now = trio.current_time()
     crashes = tuple(Crash(f"i-gone-{n}", 0, now, n) for n in (1, 2, 3))
     site.entry.app._dependencies.crashes.tracker.merge(
-        BodyId(service, digest, CUSTOMER),
+        SuspectId(service, digest, CUSTOMER),
         SuspectRecord(crashes, True, now + 600.0),
         quarantine_s=600.0,
         now=now,
@@ -67,7 +67,9 @@
     digest = make_request_digest(CUSTOMER.encode(), b"/status/7", b"body")
     crashes = tuple(Crash(f"i-gone-{n}", 0, 0.0, n) for n in (1, 2, 3))
     record = SuspectRecord(crashes, True, 60.0)
-    page = format_page({BodyId("checks", digest, CUSTOMER): record}, offset=time.time())
+    page = format_page(
+        {SuspectId("checks", digest, CUSTOMER): record}, offset=time.time()
+    )
 
     async def test(site):
         replica = await site.add_replica("i-1", answer_whole)
--- a/tests/unit/test_direct_parts.py
+++ b/tests/unit/test_direct_parts.py
@@ -13,7 +13,7 @@
 from hyssopvane._internal.policy.suspect_rules import LOST_CONNECTIONS
 from hyssopvane._internal.policy.suspects import SuspectTracker
 from hyssopvane._internal.roles.crash_evidence import QUARANTINE_S
-from hyssopvane._internal.state.suspects import BodyId, Crash
+from hyssopvane._internal.state.suspects import Crash, SuspectId
 from hyssopvane._internal.utils.log_sink import MAX_PENDING_BYTES, LogSink
 
 
@@ -59,7 +59,7 @@
     Its caller sends it again after each crash.
     """
     tracker = SuspectTracker(rules=LOST_CONNECTIONS)
-    body, other = BodyId("checks", b"1"), BodyId("checks", b"2")
+    body, other = SuspectId("checks", b"1"), SuspectId("checks", b"2")
     crashes = LOST_CONNECTIONS.crashes_to_quarantine
     for number in range(crashes):
         assert not tracker.is_quarantined(body, now=number)
@@ -70,7 +70,7 @@
 
 
 def test_repeated_loss_of_one_replica_bans_no_request():
-    tracker, body = SuspectTracker(rules=LOST_CONNECTIONS), BodyId("checks", b"1")
+    tracker, body = SuspectTracker(rules=LOST_CONNECTIONS), SuspectId("checks", b"1")
     for number in range(20):
         record_loss(tracker, body, "i-1", now=number)
     assert not tracker.is_quarantined(body, now=20)
--- a/tests/unit/test_lost_connections.py
+++ b/tests/unit/test_lost_connections.py
@@ -4,10 +4,10 @@
 
 from hyssopvane._internal.policy.suspect_rules import LOST_CONNECTIONS
 from hyssopvane._internal.policy.suspects import SuspectTracker
-from hyssopvane._internal.state.suspects import BodyId, Crash
+from hyssopvane._internal.state.suspects import Crash, SuspectId
 
-BODY = BodyId("checks", b"body", "registry")
-OTHER = BodyId("checks", b"other", "registry")
+BODY = SuspectId("checks", b"body", "registry")
+OTHER = SuspectId("checks", b"other", "registry")
 QUARANTINE_S = 60.0
 
 
@@ -252,7 +252,7 @@
         account.crash(BODY)
     account.crash(OTHER)
     for number in range(50):
-        account.crash(BodyId("checks", number.to_bytes(4, "big"), "crowd"))
+        account.crash(SuspectId("checks", number.to_bytes(4, "big"), "crowd"))
     assert len(account.tracker) == 20
     assert account.is_refused()
     assert account.tracker.is_suspect(OTHER, now=account.now)
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -18,15 +18,15 @@
 )
 from hyssopvane._internal.policy.suspects import (
     MAX_RECORDS,
-    BodyId,
     Crash,
+    SuspectId,
     SuspectRecord,
     SuspectTracker,
 )
 from hyssopvane._internal.standins.key_value_state import KeyValueState, Put
 from tests.lib.fake_key_value import FakeKeyValueStore, Fault
 
-POISON = BodyId("draft", b"poison")
+POISON = SuspectId("draft", b"poison")
 QUARANTINE_S = 60.0
 PROPAGATION_S = 0.2
 
@@ -166,7 +166,9 @@
 def test_full_page_fits_the_service():
     crashes = (Crash("t" * 63, 2**63, 1e9), Crash("u" * 63, 2**63, 1e9))
     records = {
-        BodyId("s" * 20, number.to_bytes(32, "big")): SuspectRecord(crashes, True, 1e9)
+        SuspectId("s" * 20, number.to_bytes(32, "big")): SuspectRecord(
+            crashes, True, 1e9
+        )
         for number in range(MAX_RECORDS)
     }
     assert len(format_page(records, offset=0.0)) < MAX_VALUE_BYTES
@@ -200,7 +202,7 @@
 
         async with run_trackers(3, choose_fault=choose_fault) as trackers:
             for entry, number, crashes in steps:
-                body = BodyId("draft", bytes([number]))
+                body = SuspectId("draft", bytes([number]))
                 if crashes:
                     record_crash(trackers[entry], f"t{entry}", body)
                 else:
@@ -208,7 +210,7 @@
                 await trio.sleep(0.3)
             await trio.sleep(8.0)
             for number in range(4):
-                body = BodyId("draft", bytes([number]))
+                body = SuspectId("draft", bytes([number]))
                 assert count_quarantined(trackers, body) in (0, 3)
                 assert count_suspecting(trackers, body) in (0, 3)
 
@@ -218,7 +220,7 @@
 @pytest.mark.parametrize("lost_first", [True, False])
 def test_entries_agree_after_a_restore_of_the_service(lost_first):
     """Guard against records that a restore loses or that are not shared after it."""
-    early = BodyId("draft", b"early")
+    early = SuspectId("draft", b"early")
 
     async def run():
         state = KeyValueState(trio.current_time)
@@ -228,7 +230,7 @@
             await trio.sleep(PROPAGATION_S)
             copy = state.copy_items()
             for number in range(4):
-                record_crash(trackers[1], "t8", BodyId("draft", bytes([number])))
+                record_crash(trackers[1], "t8", SuspectId("draft", bytes([number])))
                 await trio.sleep(PROPAGATION_S)
             if lost_first:
                 record_crash(trackers[0], "t0")
--- a/tests/unit/test_restarted_replicas.py
+++ b/tests/unit/test_restarted_replicas.py
@@ -9,7 +9,7 @@
 from hyssopvane._internal.policy.suspect_rules import LOST_CONNECTIONS
 from hyssopvane._internal.policy.suspects import SuspectTracker
 from hyssopvane._internal.state.ranks import Arm
-from hyssopvane._internal.state.suspects import BodyId, Crash
+from hyssopvane._internal.state.suspects import Crash, SuspectId
 from tests.lib.rank_model import TICK_S, Faults, GroupModel
 from tests.unit.test_service_gate import (
     add,
@@ -106,7 +106,7 @@
 
 def test_request_that_repeatedly_crashes_a_replica_is_banned():
     """A request crashes its replica, which returns under its id each time."""
-    tracker, body = SuspectTracker(rules=LOST_CONNECTIONS), BodyId("checks", b"1")
+    tracker, body = SuspectTracker(rules=LOST_CONNECTIONS), SuspectId("checks", b"1")
     for number in range(LOST_CONNECTIONS.crashes_to_quarantine):
         generation = 1 + tracker.count_generations(body)
         crash = Crash("i-1", BEFORE + number, float(number), generation)
--- a/tests/unit/test_suspect_pages.py
+++ b/tests/unit/test_suspect_pages.py
@@ -13,10 +13,10 @@
 from hyssopvane._internal.policy.suspects import MAX_LONG_RECORDS, SuspectTracker
 from hyssopvane._internal.protocol.suspect_pages import format_page, parse_page
 from hyssopvane._internal.standins.key_value_state import KeyValueState
-from hyssopvane._internal.state.suspects import BodyId, Crash, SuspectRecord
+from hyssopvane._internal.state.suspects import Crash, SuspectId, SuspectRecord
 from tests.lib.fake_key_value import FakeKeyValueStore
 
-BODY = BodyId("checks", b"body", "registry")
+BODY = SuspectId("checks", b"body", "registry")
 RECORD = SuspectRecord(
     (Crash("i-1", 0, 1.0, 1), Crash("i-2", 0, 2.0, 2)),
     False,
@@ -39,7 +39,7 @@
     voided = frozenset((f"{name}{n}", 2**62) for n in range(MAX_VOIDED))
     record = SuspectRecord(crashes, True, 1e9, voided)
     records = {
-        BodyId(name, number.to_bytes(16, "big"), name): record
+        SuspectId(name, number.to_bytes(16, "big"), name): record
         for number in range(MAX_LONG_RECORDS)
     }
     page = format_page(records, offset=1e9)
--- a/tests/unit/test_suspects.py
+++ b/tests/unit/test_suspects.py
@@ -7,13 +7,13 @@
 from hyssopvane._internal.policy.suspects import (
     SUSPECT_BACKOFF_S,
     SUSPECT_S,
-    BodyId,
     Crash,
+    SuspectId,
     SuspectTracker,
 )
 
-POISON = BodyId("draft", b"poison")
-OTHER = BodyId("draft", b"other")
+POISON = SuspectId("draft", b"poison")
+OTHER = SuspectId("draft", b"other")
 QUARANTINE_S = 3600.0
 
 
@@ -67,7 +67,7 @@
     run_until_crash(tracker, "t0", now=0.0, bodies=[POISON, OTHER])
     tracker.start(OTHER, "t1")
     assert tracker.find_excluded(POISON, now=1.0) == {"t1"}
-    assert tracker.find_excluded(BodyId("draft", b"clean"), now=1.0) == frozenset()
+    assert tracker.find_excluded(SuspectId("draft", b"clean"), now=1.0) == frozenset()
 
 
 def test_suspect_backs_off_until_reports_have_spread():
@@ -131,12 +131,12 @@
 def test_cases_stay_bounded():
     tracker = SuspectTracker(max_records=10)
     for number in range(50):
-        body = BodyId("draft", bytes([number]))
+        body = SuspectId("draft", bytes([number]))
         run_until_crash(tracker, f"t{number}", now=number * 10.0, bodies=[body])
     assert len(tracker) == 10
 
 
-_BODIES = [BodyId("draft", bytes([number])) for number in range(6)]
+_BODIES = [SuspectId("draft", bytes([number])) for number in range(6)]
 
 
 @settings(derandomize=True, max_examples=80, deadline=None)
@@ -158,7 +158,7 @@
     would be refused for an hour.
     """
     tracker = SuspectTracker()
-    running: dict[str, list[BodyId]] = {f"t{number}": [] for number in range(4)}
+    running: dict[str, list[SuspectId]] = {f"t{number}": [] for number in range(4)}
     for step, (action, index, number) in enumerate(steps):
         now = step * 3.0
         body, target = _BODIES[index], f"t{number}"
--- a/tests/unit/test_unanswered_runs.py
+++ b/tests/unit/test_unanswered_runs.py
@@ -7,14 +7,14 @@
     UnansweredRun,
     UnansweredRuns,
 )
-from hyssopvane._internal.state.suspects import BodyId
+from hyssopvane._internal.state.suspects import SuspectId
 
 REPLICA = ("i-1", 0)
-BODY = BodyId("checks", b"body", "registry")
+BODY = SuspectId("checks", b"body", "registry")
 
 
 def make_crowd(count):
-    return [BodyId("checks", bytes([n]), "crowd") for n in range(count)]
+    return [SuspectId("checks", bytes([n]), "crowd") for n in range(count)]
 
 
 def test_runs_shortly_before_the_end_of_a_replica_are_found():
