Log the parts of a request's prompt where an attempt failed and a request ended

The record BUDGET told which requests were lost, not what they had in common, so neither the logs nor the metrics could show whether one part was in all of them.

--- a/src/hyssopvane/_internal/platform/wire.py
+++ b/src/hyssopvane/_internal/platform/wire.py
@@ -24,6 +24,7 @@
     failed_replica=b"at-server",
     resume_after=b"last-event-id",
     token_counts=b"x-token-count",
+    prompt_parts=b"x-prompt-prefix",
     length_hint=b"x-length-hint",
     priority=b"x-request-priority",
     request_limit=b"server-limit",
--- a/src/hyssopvane/_internal/protocol/replica_headers.py
+++ b/src/hyssopvane/_internal/protocol/replica_headers.py
@@ -30,6 +30,8 @@
     """Id of the last event that the caller has received."""
     token_counts: bytes
     """Number of prompt tokens and maximum of output tokens, separated by a comma."""
+    prompt_parts: bytes
+    """Parts of the prompt in order; see `protocol/prompt_parts`."""
     length_hint: bytes
     """Caller's estimate of the number of output tokens."""
     priority: bytes
--- a/src/hyssopvane/_internal/roles/direct_app.py
+++ b/src/hyssopvane/_internal/roles/direct_app.py
@@ -12,6 +12,7 @@
 from hyssopvane._internal.policy.request_digest import make_request_digest
 from hyssopvane._internal.protocol.headers import index_headers
 from hyssopvane._internal.protocol.messages import Headers
+from hyssopvane._internal.protocol.prompt_parts import read_prompt_parts
 from hyssopvane._internal.roles.call import AnswerCut, run_until_disconnect
 from hyssopvane._internal.roles.direct_answer import send_answer
 from hyssopvane._internal.roles.direct_call import DirectCall
@@ -172,6 +173,7 @@
             pause_at_ms=_to_ms(call.pauses.longest_at or None, request.arrived_at),
             total_ms=_to_ms(now, request.arrived_at),
             prompt=request.prompt_tokens,
+            parts=request.describe_parts(),
             objective_ms=round(request.route.objective_s * 1_000),
             allowed_ms=round(request.route.pause_s * 1_000),
             left_ms=_to_ms(request.caller_deadline, now),
@@ -268,6 +270,7 @@
             tokens=max(_DEFAULT_TOKENS, sum(tokens)),
             prompt_tokens=tokens[0],
             body_id=SuspectId(service, digest, name),
+            parts=read_prompt_parts(fields.get(self._dependencies.names.prompt_parts)),
         )
 
     def _choose_service(self, route: Route) -> str:
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -177,6 +177,7 @@
                     attempts=request.attempts,
                     retry_after=failure.retry_after,
                     body=request.body_id.digest.hex(),
+                    parts=request.describe_parts(),
                 )
                 request.may_have_run |= not failure.not_run
                 if not self._may_repeat(failure):
--- a/src/hyssopvane/_internal/roles/direct_request.py
+++ b/src/hyssopvane/_internal/roles/direct_request.py
@@ -50,10 +50,17 @@
     prompt_tokens: int
     body_id: SuspectId
     """Equal only for requests with the same path, customer and body."""
+    parts: tuple[bytes, ...] = ()
+    """Parts of the prompt that other requests may share."""
     attempts: int = 0
     may_have_run: bool = False
     tried: set[Incarnation] = field(default_factory=set)
 
+    def describe_parts(self) -> str:
+        """Return the parts of the prompt for the log."""
+        parts = (part.decode("ascii", "backslashreplace") for part in self.parts)
+        return ",".join(parts) or "-"
+
     @property
     def priority(self) -> int:
         """Return the priority of the request; 0 is the highest."""
