Find the part of prompts that crashes replicas, and refuse requests with it

Groups were down for 4.5 s after each, for all callers.

Cause: a request was known by the digest of customer, path and body alone. With one part in common and different bodies nothing added up, at any entry.

The mend: the account of suspects holds parts beside bodies. A part counts for the service, whoever sends it. It is refused after two crashes that followed each other, if no request with it has finished since at any entry; four if one had finished within a minute before. If something else was there in all of its crashes (another part, one body), only requests that contain all of it are refused, and one without it decides. A crash that a proven cause explains better counts for no other part.

Between the first crash and the second, one request with the part runs at a time in the fleet: a claim by compare-and-swap on a page of its own in the store, which expires after 5 s; while the store is away, the entry that ranks first among those that are heard. A request under which a replica was lost is not tried again by the entry while its part is open. Requests are asked before they queue, and once more when their connection is open. An entry that starts reads what others know before it serves, for a second at most.

Two crashes suffice, as the second one is of another request that ran alone with the part; a finish of anybody ends the suspicion, so a part that others finish with is not refused.

--- a/src/hyssopvane/_internal/coordination/quarantine.py
+++ b/src/hyssopvane/_internal/coordination/quarantine.py
@@ -72,6 +72,7 @@
         """Called with a body of which another entry reports further crashes."""
         self._can_read = False
         self._can_write = True
+        self._has_loaded = False
         self._position = StorePosition(0, ABSENT)
         self._prefix = b""
         """First bytes of the page at this position."""
@@ -82,6 +83,11 @@
         """Return whether the last read and the last write of the page succeeded."""
         return self._can_read and self._can_write
 
+    @property
+    def has_loaded(self) -> bool:
+        """Return whether the page was read since the start."""
+        return self._has_loaded
+
     async def run(self) -> None:
         """Read and write the page until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -104,7 +110,7 @@
         self._handle_era_change(snapshot.era)
         for item in snapshot.items:
             self._accept(item)
-        self._can_read = True
+        self._can_read = self._has_loaded = True
         start, era = snapshot.revision + 1, snapshot.era
         async with self._store.watch(PAGE_PREFIX, start, era=era) as events:
             with trio.move_on_after(self._refresh_s * self._random.uniform(0.8, 1.2)):
@@ -219,7 +225,9 @@
         if known is not None and replace(record, until=known.until) == known:
             return known
         quarantine_s = self._get_quarantine_s(body.service)
-        return self._tracker.limit_expiry(record, quarantine_s=quarantine_s, now=now)
+        return self._tracker.limit_expiry(
+            body, record, quarantine_s=quarantine_s, now=now
+        )
 
     def _get_offset(self) -> float:
         """Return the offset from this process's clock to the wall clock, in seconds."""
@@ -237,7 +245,7 @@
     records = {
         body: record
         for body, record in shared.items()
-        if record.until + (rules.probation_s if record.quarantined else 0.0) > now
+        if record.until + _get_probation_s(body, record, rules) > now
     }
     for body, record in changes.items():
         known = records.get(body)
@@ -245,10 +253,16 @@
             if known is not None and not known.quarantined:
                 del records[body]
         elif known is not None:
-            records[body] = combine(known, record, rules)
+            records[body] = combine(known, record, rules.select(body))
         elif record.crashes:
             records[body] = record
     # The page must fit the maximum value size of the service.
     for body in choose_evicted(records, max_records):
         del records[body]
     return records
+
+
+def _get_probation_s(
+    body: SuspectId, record: SuspectRecord, rules: SuspectRules
+) -> float:
+    return rules.select(body).probation_s if record.quarantined else 0.0
--- a/src/hyssopvane/_internal/models/direct_refusals.py
+++ b/src/hyssopvane/_internal/models/direct_refusals.py
@@ -21,6 +21,7 @@
     NO_REPLICA = "no-replica"
     REPLICA_REFUSED = "replica-refused"
     CRASHING = "crashing"
+    TRIAL_PENDING = "trial-pending"
     LEAVING = "leaving"
     REPLICA_FAILED = "replica-failed"
     TIMED_OUT = "timed-out"
@@ -42,6 +43,7 @@
     DirectRefusal.NO_REPLICA: 503,
     DirectRefusal.REPLICA_REFUSED: 503,
     DirectRefusal.CRASHING: 503,
+    DirectRefusal.TRIAL_PENDING: 503,
     DirectRefusal.LEAVING: 503,
     DirectRefusal.REPLICA_FAILED: 502,
     DirectRefusal.TIMED_OUT: 504,
--- a/src/hyssopvane/_internal/policy/recent_finishes.py
+++ b/src/hyssopvane/_internal/policy/recent_finishes.py
@@ -19,10 +19,14 @@
             OrderedDict()
         )
 
-    def add(self, body: SuspectId, *, now: float) -> None:
-        """Record that a replica has run a body to its end."""
-        bodies = self._finished_at.setdefault(body.customer, OrderedDict())
-        self._finished_at.move_to_end(body.customer)
+    def add(self, body: SuspectId, *, now: float, customer: str = "") -> None:
+        """Record that a replica has run a body to its end.
+
+        A part of prompts is kept with the customer that sent it.
+        """
+        owner = body.customer or customer
+        bodies = self._finished_at.setdefault(owner, OrderedDict())
+        self._finished_at.move_to_end(owner)
         bodies[body] = now
         bodies.move_to_end(body)
         if len(bodies) > MAX_BODIES:
@@ -32,5 +36,8 @@
 
     def has_finished(self, body: SuspectId, *, since: float) -> bool:
         """Return whether a body has finished later than a time."""
+        if body.is_part:
+            kept = self._finished_at.values()
+            return any(bodies.get(body, since) > since for bodies in kept)
         bodies = self._finished_at.get(body.customer)
         return bodies is not None and bodies.get(body, since) > since
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -1,6 +1,6 @@
 """Decide which requests are sent to which replica, which wait and which are refused."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from math import inf
 from random import Random
@@ -21,7 +21,7 @@
 from hyssopvane._internal.state.limits import LimitReport
 from hyssopvane._internal.state.loads import RankLoad
 from hyssopvane._internal.state.routing import EngineModel, Incarnation, Replica
-from hyssopvane._internal.state.suspects import SuspectId
+from hyssopvane._internal.state.suspects import RequestIdentity
 
 OVERLOADED_RETRY_AFTER_S = 0.5
 """Retry-After while a service is overloaded, in seconds.
@@ -68,8 +68,8 @@
     """Tokens that a replica reads before the first token of its answer."""
     avoid: frozenset[Incarnation] = frozenset()
     """Incarnations of replicas that it was already sent to, or should not share."""
-    body: SuspectId | None = None
-    """Identity of the request; None if nothing is held against repeats of it."""
+    identity: RequestIdentity | None = None
+    """Identity of the request; None if nothing is held against requests like it."""
     moving: bool = False
     """Whether it runs at a replica that stands still, and waits for another one."""
 
@@ -293,12 +293,12 @@
         found = (self._replicas.get(replica_id) for replica_id in ids)
         return frozenset(one.replica.incarnation for one in found if one is not None)
 
-    def list_waiting(self, body: SuspectId) -> list[str]:
-        """Return the ids of the waiting requests that are repeats of one."""
+    def list_waiting(self, is_refused: Callable[[RequestIdentity], bool]) -> list[str]:
+        """Return the ids of the waiting requests that must be refused."""
         return [
             request_id
             for request_id, waiting in self._waiting.items()
-            if waiting.body == body
+            if waiting.identity is not None and is_refused(waiting.identity)
         ]
 
     def is_vm_silent(self, replica: Replica, now: float) -> bool:
--- a/src/hyssopvane/_internal/policy/suspect_rules.py
+++ b/src/hyssopvane/_internal/policy/suspect_rules.py
@@ -53,6 +53,12 @@
     """Time after a quarantine in which the next crash starts it again."""
     max_crashes: int = 2
     """Number of crashes of a body that are kept."""
+    parts: "SuspectRules | None" = None
+    """Rules for parts of prompts, None if these are the same."""
+
+    def select(self, suspect: SuspectId) -> "SuspectRules":
+        """Return the rules for a suspect."""
+        return self.parts if suspect.is_part and self.parts is not None else self
 
     def is_same(self, first: Crash, second: Crash) -> bool:
         """Return whether two reports are of the same crash."""
@@ -67,6 +73,20 @@
 AGENT_REPORTS = SuspectRules()
 """Rules where a live agent reports that its target is broken."""
 
+PARTS_OF_LOST_CONNECTIONS = SuspectRules(
+    crashes_of_finished=4,
+    min_generations=2,
+    crashes_to_attribute=2,
+    crash_ends_incarnation=True,
+    probation_s=600.0,
+    max_crashes=6,
+)
+"""Rules for a part of prompts where entries lose the connections to a replica.
+
+Requests with a suspect part run one at a time, so one that crashes its replica tells
+more than a repeat of a body.
+"""
+
 LOST_CONNECTIONS = SuspectRules(
     crashes_to_quarantine=3,
     crashes_with_rival=5,
@@ -76,6 +96,7 @@
     crash_ends_incarnation=True,
     probation_s=600.0,
     max_crashes=8,
+    parts=PARTS_OF_LOST_CONNECTIONS,
 )
 """Rules where entries lose the connections to a replica.
 
@@ -134,15 +155,16 @@
     """Return the records to drop so that at most `limit` remain.
 
     The customer with the most records loses one at a time, the weakest evidence first.
-    So a customer that fills the table with bodies of its own drops only its own.
+    So a customer that fills the table with bodies of its own drops only its own. Parts
+    belong to no customer, and count as those of one more.
     """
     excess = len(records) - limit
     if excess <= 0:
         return set()
-    counts = Counter(body.customer for body in records)
-    by_customer: dict[str, list[SuspectId]] = {}
+    counts = Counter(_get_owner(body) for body in records)
+    by_customer: dict[tuple[str, bool], list[SuspectId]] = {}
     for body in sorted(records, key=lambda one: _rank(records[one]), reverse=True):
-        by_customer.setdefault(body.customer, []).append(body)
+        by_customer.setdefault(_get_owner(body), []).append(body)
     evicted = set()
     for _ in range(excess):
         largest = max(counts, key=lambda one: counts[one])
@@ -167,5 +189,9 @@
     return frozenset(crash.key for crash in crashes)
 
 
+def _get_owner(suspect: SuspectId) -> tuple[str, bool]:
+    return suspect.customer, suspect.is_part
+
+
 def _rank(record: SuspectRecord) -> tuple[bool, int, float]:
     return (record.quarantined, len(record.crashes), record.until)
--- a/src/hyssopvane/_internal/policy/suspects.py
+++ b/src/hyssopvane/_internal/policy/suspects.py
@@ -18,6 +18,7 @@
 from hyssopvane._internal.state.suspects import (
     Crash,
     CrashKey,
+    RequestIdentity,
     SuspectId,
     SuspectRecord,
 )
@@ -86,6 +87,7 @@
         self._alive_at: OrderedDict[CrashKey, float] = OrderedDict()
         """Times at which targets that seemed lost have answered."""
         self._finishes = RecentFinishes()
+        self._finished_parts = RecentFinishes()
         self._running: dict[str, Counter[SuspectId]] = {}
         self._changed: set[SuspectId] = set()
         self._attributed: OrderedDict[Crash, None] = OrderedDict()
@@ -119,6 +121,44 @@
             return 0
         return max((crash.generation for crash in record.crashes), default=0)
 
+    def is_refused(self, request: RequestIdentity, *, now: float) -> bool:
+        """Return whether a request must be refused."""
+        return self.measure_refusal_s(request, now=now) > 0
+
+    def measure_refusal_s(self, request: RequestIdentity, *, now: float) -> float:
+        """Return the seconds for which a request must be refused, 0 if it need not be.
+
+        A quarantined part has the request refused unless something that the request
+        does not contain was there in all of its crashes: that may be the cause, and a
+        request without it tells which one is.
+        """
+        if not self._records:
+            return 0.0
+        refused_s = self.measure_quarantine_s(request.body, now=now)
+        for part in request.parts:
+            left_s = self.measure_quarantine_s(part, now=now)
+            if left_s > refused_s and self._may_be_cause(part, request):
+                refused_s = left_s
+        return refused_s
+
+    def list_unproven(
+        self, request: RequestIdentity, *, now: float
+    ) -> tuple[SuspectId, ...]:
+        """Return the parts of a request of which one request may run at a time.
+
+        A part that had finished before a crash is more likely to be sound, and most
+        parts that run at a replica are shared by many requests. So a single crash does
+        not slow these down.
+        """
+        if not self._records or not request.parts:
+            return ()
+        return tuple(part for part in request.parts if self._is_unproven(part, now))
+
+    def is_running(self, suspects: Iterable[SuspectId]) -> bool:
+        """Return whether this entry runs one of some suspects."""
+        wanted = set(suspects)
+        return any(not wanted.isdisjoint(one) for one in self._running.values())
+
     def find_excluded(self, body: SuspectId, *, now: float) -> frozenset[str] | None:
         """Return the targets that must not run a body now, None for all targets.
 
@@ -135,15 +175,15 @@
             return None
         return self.list_targets_of_others(body, now=now)
 
-    def list_targets_of_others(self, body: SuspectId, *, now: float) -> frozenset[str]:
-        """Return the targets at which this entry runs suspects other than a body."""
+    def list_targets_of_others(self, *own: SuspectId, now: float) -> frozenset[str]:
+        """Return the targets at which this entry runs suspects other than its own."""
         if not self._records:
             return frozenset()
         return frozenset(
             target
             for target, bodies in self._running.items()
             if any(
-                other != body and self.is_suspect(other, now=now) for other in bodies
+                other not in own and self.is_suspect(other, now=now) for other in bodies
             )
         )
 
@@ -162,15 +202,15 @@
         if not bodies:
             del self._running[target]
 
-    def clear(self, body: SuspectId, *, now: float = 0.0) -> None:
+    def clear(self, body: SuspectId, *, now: float = 0.0, customer: str = "") -> None:
         """Hold no crash against a body that has finished."""
         if self.rules.crash_ends_incarnation:
-            self._finishes.add(body, now=now)
+            self._select_finishes(body).add(body, now=now, customer=customer)
         self._void_crashes(body, now)
 
     def has_finished(self, body: SuspectId, *, since: float) -> bool:
         """Return whether a body has finished at this entry since a time."""
-        return self._finishes.has_finished(body, since=since)
+        return self._select_finishes(body).has_finished(body, since=since)
 
     def record_answer(self, target: CrashKey, *, sent_at: float, now: float) -> None:
         """Hold no crash against any body if its target answers a later request."""
@@ -181,7 +221,7 @@
         for body in list(self._bodies.get(target, ())):
             record = self._records[body]
             crashes = tuple(one for one in record.crashes if one.key != target)
-            self._keep(body, self._weaken(record, crashes, {target}, now))
+            self._keep(body, self._weaken(body, record, crashes, {target}, now))
             self._changed.add(body)
 
     def record_crash(
@@ -201,14 +241,15 @@
         if crash.key not in self._lost_at:
             _remember(self._lost_at, crash.key, now)
         count = 0 if known is None else len(known.crashes)
-        if count >= self.rules.crashes_to_attribute:
+        rules = self.rules.select(body)
+        if count >= rules.crashes_to_attribute:
             self._mark_attributed(crash)
         elif not count and self._is_attributed(crash, now):
             # The suspect that ran at the same target is the likelier cause. Otherwise
             # the requests next to it would become suspects at each crash that it
             # causes.
             return False
-        crashes = add_crash(known.crashes if known else (), crash, self.rules)
+        crashes = add_crash(known.crashes if known else (), crash, rules)
         if known is not None and crashes == known.crashes:
             return False
         has_finished = known is not None and known.has_finished
@@ -219,7 +260,7 @@
         quarantined = self._is_proven(body, record, last=crash)
         until = record.until
         if quarantined:
-            until = now + self._measure_duration_s(len(crashes), quarantine_s)
+            until = now + self._measure_duration_s(body, crashes, quarantine_s)
         self._keep(body, replace(record, quarantined=quarantined, until=until))
         self._changed.add(body)
         if quarantined:
@@ -234,7 +275,7 @@
         known = self._find(body, now)
         merged = record
         if known is not None:
-            merged = self._combine(record, known)
+            merged = self._combine(body, record, known)
         alive = {
             crash.key
             for crash in merged.crashes
@@ -242,17 +283,21 @@
         }
         if alive:
             crashes = tuple(one for one in merged.crashes if one.key not in alive)
-            merged = self._weaken(merged, crashes, alive, now)
+            merged = self._weaken(body, merged, crashes, alive, now)
         if not merged.quarantined and self._is_proven(body, merged):
             merged = replace(merged, quarantined=True)
         if merged.quarantined and not (
             record.quarantined or (known and known.quarantined)
         ):
-            duration_s = self._measure_duration_s(len(merged.crashes), quarantine_s)
+            duration_s = self._measure_duration_s(body, merged.crashes, quarantine_s)
             merged = replace(merged, until=now + duration_s)
         for key in list_keys(merged.crashes) - self._lost_at.keys():
             _remember(self._lost_at, key, now)
         was_refused = known is not None and _is_refused(known, now)
+        if body.is_part and merged.crashes and not merged.has_finished:
+            # The entry that recorded the crash sees a part of all finishes only.
+            has_finished = self.has_finished(body, since=now - FINISH_TTL_S)
+            merged = replace(merged, has_finished=has_finished)
         if merged != known:
             self._keep(body, merged)
         if tells_more(merged, record):
@@ -263,7 +308,7 @@
         return len(merged.crashes) > (0 if known is None else len(known.crashes))
 
     def limit_expiry(
-        self, record: SuspectRecord, *, quarantine_s: float, now: float
+        self, body: SuspectId, record: SuspectRecord, *, quarantine_s: float, now: float
     ) -> SuspectRecord:
         """Return a record with an expiry that a wrong clock can't have shifted far.
 
@@ -271,7 +316,7 @@
         """
         most_s = SUSPECT_S
         if record.quarantined:
-            most_s = self._measure_duration_s(len(record.crashes), quarantine_s)
+            most_s = self._measure_duration_s(body, record.crashes, quarantine_s)
         until = min(max(record.until, now + MIN_EXPIRY_S), now + most_s)
         return replace(record, until=until)
 
@@ -309,8 +354,10 @@
             return False
         return lost_at < sent_at and now - lost_at < LOST_S
 
-    def _combine(self, record: SuspectRecord, known: SuspectRecord) -> SuspectRecord:
-        merged = combine(record, known, self.rules)
+    def _combine(
+        self, body: SuspectId, record: SuspectRecord, known: SuspectRecord
+    ) -> SuspectRecord:
+        merged = combine(record, known, self.rules.select(body))
         if (
             self.rules.crash_ends_incarnation
             and merged.quarantined == known.quarantined
@@ -327,7 +374,7 @@
 
         The last crash may not be recorded yet for all bodies that ran there.
         """
-        rules, crashes = self.rules, record.crashes
+        rules, crashes = self.rules.select(body), record.crashes
         if len(crashes) < rules.crashes_to_quarantine:
             return False
         if max(crash.generation for crash in crashes) < rules.min_generations:
@@ -338,16 +385,63 @@
             return True
         return not self._has_rival(body, list_keys(crashes), last)
 
+    def _select_finishes(self, suspect: SuspectId) -> RecentFinishes:
+        return self._finished_parts if suspect.is_part else self._finishes
+
+    def _is_unproven(self, part: SuspectId, now: float) -> bool:
+        record = self._find(part, now)
+        if record is None:
+            return False
+        crashes = len(self._list_unexplained(part))
+        doubted = self.rules.select(part).crashes_of_finished - 1
+        return crashes >= (doubted if record.has_finished else 1)
+
+    def _list_unexplained(self, part: SuspectId) -> frozenset[CrashKey]:
+        """Return the crashes of a part that no quarantined suspect explains better.
+
+        One that was in crashes without the part caused those with the part, too.
+        """
+        keys = list_keys(self._records[part].crashes)
+        return frozenset(
+            key
+            for key in keys
+            if not any(
+                self._records[other].quarantined
+                and not list_keys(self._records[other].crashes) <= keys
+                for other in self._bodies[key]
+            )
+        )
+
+    def _may_be_cause(self, part: SuspectId, request: RequestIdentity) -> bool:
+        """Return whether nothing but a request explains the crashes of a part of it.
+
+        Something that the request does not contain, but that was in all of them, may
+        be the cause.
+        """
+        keys = list_keys(self._records[part].crashes)
+        if len(self._list_unexplained(part)) < len(keys):
+            return False
+        others = set.intersection(*(self._bodies[key] for key in keys))
+        has_finished = self._records[part].has_finished
+        return not any(
+            has_finished or not self._records[other].has_finished
+            for other in others.difference(request.suspects)
+        )
+
     def _has_rival(
         self, body: SuspectId, keys: frozenset[CrashKey], last: Crash | None
     ) -> bool:
-        """Return whether another body was running in all crashes of a body."""
+        """Return whether another body was running in all crashes of a body.
+
+        A body comes with all of its parts, so a part is no rival of a body.
+        """
         running = set() if last is None else set(self._running.get(last.target, ()))
         sets = []
         for key in keys:
             bodies = self._bodies.get(key, set())
             sets.append(bodies | running if last and key == last.key else bodies)
-        return bool(set.intersection(*sets) - {body})
+        beside = set.intersection(*sets) - {body}
+        return any(not other.is_part for other in beside)
 
     def _clear_explained(self, cause: SuspectId, now: float) -> None:
         """Hold crashes of a proven cause against no body that explains fewer of them.
@@ -355,11 +449,14 @@
         Such a body ran beside the cause; or it was taken for the cause before, and the
         crashes have gone on without it.
         """
-        if not self.rules.crash_ends_incarnation:
+        if not self.rules.crash_ends_incarnation or cause.is_part:
             return
         keys = list_keys(self._records[cause].crashes)
         beside = set().union(*(self._bodies.get(key, set()) for key in keys))
         for body in beside - {cause}:
+            if body.is_part:
+                # Reports of its crashes may still arrive: see `_list_unexplained`.
+                continue
             if list_keys(self._records[body].crashes) < keys:
                 self._void_crashes(body, now)
 
@@ -378,15 +475,15 @@
 
     def _weaken(
         self,
+        body: SuspectId,
         record: SuspectRecord,
         crashes: tuple[Crash, ...],
         voided: Iterable[CrashKey],
         now: float,
     ) -> SuspectRecord:
         """Return a record with fewer crashes."""
-        quarantined = (
-            record.quarantined and len(crashes) >= self.rules.crashes_to_quarantine
-        )
+        rules = self.rules.select(body)
+        quarantined = record.quarantined and len(crashes) >= rules.crashes_to_quarantine
         until = record.until
         if record.quarantined and not quarantined:
             until = now + SUSPECT_S
@@ -398,9 +495,15 @@
             voided=limit_voided(record.voided | frozenset(voided)),
         )
 
-    def _measure_duration_s(self, crashes: int, quarantine_s: float) -> float:
+    def _measure_duration_s(
+        self, body: SuspectId, crashes: tuple[Crash, ...], quarantine_s: float
+    ) -> float:
         """Return how long a body is refused after its last crash."""
-        excess = max(0, crashes - self.rules.crashes_to_quarantine)
+        excess = max(0, len(crashes) - self.rules.crashes_to_quarantine)
+        if body.is_part:
+            # Several requests with a part may run when its first crash becomes known.
+            generation = max((crash.generation for crash in crashes), default=0)
+            excess = max(0, generation - self.rules.select(body).min_generations)
         if excess >= MAX_TRIALS:
             return max(quarantine_s, LAST_QUARANTINE_S)
         return quarantine_s * 2.0**excess
@@ -444,7 +547,8 @@
         record = self._records.get(body)
         if record is None:
             return None
-        kept_s = self.rules.probation_s if record.quarantined else 0.0
+        rules = self.rules.select(body)
+        kept_s = rules.probation_s if record.quarantined else 0.0
         if record.until + kept_s <= now:
             self._put(body, None)
             return None
--- a/src/hyssopvane/_internal/policy/unanswered_runs.py
+++ b/src/hyssopvane/_internal/policy/unanswered_runs.py
@@ -29,6 +29,13 @@
     generation: int
     """Generation that a crash under it has."""
     ended_at: float
+    parts: tuple[tuple[SuspectId, int], ...] = ()
+    """Parts of its prompt, with the generation that a crash under each has."""
+
+    @property
+    def suspects(self) -> tuple[tuple[SuspectId, int], ...]:
+        """Return the body and the parts, with their generations."""
+        return ((self.body, self.generation), *self.parts)
 
 
 class UnansweredRuns:
--- a/src/hyssopvane/_internal/protocol/suspect_pages.py
+++ b/src/hyssopvane/_internal/protocol/suspect_pages.py
@@ -67,6 +67,8 @@
     # Entries of earlier versions read none of these.
     if body.customer:
         document["customer"] = body.customer
+    if body.is_part:
+        document["part"] = True
     if any(crash.generation != 1 for crash in record.crashes):
         document["generations"] = [crash.generation for crash in record.crashes]
     if record.voided:
@@ -89,6 +91,7 @@
         _check_name(document["service"]),
         bytes.fromhex(str(document["digest"])),
         _check_name(document.get("customer", "")),
+        is_part=bool(document.get("part", False)),
     )
     if len(body.digest) > _MAX_DIGEST_BYTES:
         raise ValueError("a digest is too long")
--- a/src/hyssopvane/_internal/roles/direct_app.py
+++ b/src/hyssopvane/_internal/roles/direct_app.py
@@ -1,6 +1,7 @@
 """Serve callers on the direct path: find route and customer, then run the request."""
 
 import math
+from collections.abc import Awaitable, Callable
 from itertools import count
 from random import Random
 from typing import Any
@@ -18,7 +19,7 @@
 from hyssopvane._internal.roles.direct_call import DirectCall
 from hyssopvane._internal.roles.direct_request import CallDependencies, DirectRequest
 from hyssopvane._internal.state.routing import Customer, Route, RoutingTable
-from hyssopvane._internal.state.suspects import SuspectId
+from hyssopvane._internal.state.suspects import RequestIdentity, SuspectId
 from hyssopvane._internal.transport.asgi_messages import (
     BodyTooLarge,
     CallerGone,
@@ -52,11 +53,18 @@
     """Answer the HTTP requests of callers."""
 
     def __init__(
-        self, *, feed: RoutingFeed, dependencies: CallDependencies, random: Random
+        self,
+        *,
+        feed: RoutingFeed,
+        dependencies: CallDependencies,
+        random: Random,
+        wait_until_informed: Callable[[], Awaitable[None]],
     ) -> None:
         self._feed = feed
         self._dependencies = dependencies
         self._random = random
+        self._wait_until_informed = wait_until_informed
+        """Waits until the entry knows which requests others refuse."""
         self._numbers = count()
         self.running = 0
         self.refusing = False
@@ -178,7 +186,7 @@
             allowed_ms=round(request.route.pause_s * 1_000),
             left_ms=_to_ms(request.caller_deadline, now),
             version=self._get_version(),
-            **({"body": request.body_id.digest.hex()} if is_refused else {}),
+            **({"body": request.identity.body.digest.hex()} if is_refused else {}),
             **gate.describe(now),
         )
 
@@ -193,6 +201,7 @@
         deadline_s = _read_deadline_s(fields.get(self._dependencies.names.deadline_ms))
         with trio.move_on_after(min(_STARTING_S, deadline_s or _STARTING_S)):
             await self._feed.wait_until_ready()
+            await self._wait_until_informed()
         table = self._feed.table
         if table is None or not self._feed.is_ready():
             return DirectAnswer(DirectRefusal.NOT_READY, _NOT_READY_RETRY_AFTER_S)
@@ -253,6 +262,7 @@
         name = "" if customer is None else customer.name
         service = self._choose_service(route)
         digest = make_request_digest(name.encode(), target, body)
+        parts = read_prompt_parts(fields.get(self._dependencies.names.prompt_parts))
         tokens = _read_tokens(fields.get(self._dependencies.names.token_counts))
         return DirectRequest(
             request_id=request_id,
@@ -269,8 +279,10 @@
             caller_deadline=caller_deadline,
             tokens=max(_DEFAULT_TOKENS, sum(tokens)),
             prompt_tokens=tokens[0],
-            body_id=SuspectId(service, digest, name),
-            parts=read_prompt_parts(fields.get(self._dependencies.names.prompt_parts)),
+            identity=RequestIdentity(
+                SuspectId(service, digest, name),
+                tuple(SuspectId(service, part, is_part=True) for part in parts),
+            ),
         )
 
     def _choose_service(self, route: Route) -> str:
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -70,6 +70,12 @@
 FULL_REST_S = 0.1
 """Time for which a replica that reported being full gets no request."""
 
+TRIAL_WAIT_S = 1.0
+"""Maximum wait for a trial of another request with the same part of the prompt."""
+
+TRIAL_RETRY_AFTER_S = 1.0
+"""Retry-After for a request that waited in vain for such a trial."""
+
 MIN_SEND_S = 0.02
 """Minimum time before the deadline at which a request is still sent."""
 
@@ -112,7 +118,7 @@
         self._send = send
         self._reports = ReplicaReports(request, dependencies)
         self._evidence = CrashEvidence(
-            request.body_id,
+            request.identity,
             account=dependencies.crashes,
             gates=dependencies.gates,
         )
@@ -143,6 +149,7 @@
                 return
         finally:
             self._mover.release_next_place()
+            self._evidence.end_trial()
         await self._give_up(self._decide_timeout())
 
     async def _run(self) -> None:
@@ -176,7 +183,7 @@
                     not_run=failure.not_run,
                     attempts=request.attempts,
                     retry_after=failure.retry_after,
-                    body=request.body_id.digest.hex(),
+                    body=request.identity.body.digest.hex(),
                     parts=request.describe_parts(),
                 )
                 request.may_have_run |= not failure.not_run
@@ -201,6 +208,12 @@
             # Behind all requests that can still be on time, a stream would hardly move
             # before its caller leaves, and what was generated for it would be lost.
             late_at = refuse_at = self._measure_leave_at() - MIN_SERVE_S
+        elif not await self._begin_trial(min(refuse_at, now + TRIAL_WAIT_S)):
+            return Rejection(
+                request.request_id, DirectRefusal.TRIAL_PENDING, TRIAL_RETRY_AFTER_S
+            )
+        if self._evidence.is_refused():
+            return self._reject_as_crashing()
         item = QueuedItem(
             # The call itself may begin to wait while a search is being cancelled.
             request_id=f"{request.number}-moving" if moving else str(request.number),
@@ -216,13 +229,22 @@
             refuse_at=min(refuse_at, request.deadline),
             prompt_tokens=request.prompt_tokens,
             avoid=self._evidence.list_avoided() | request.tried,
-            body=request.body_id,
+            identity=request.identity,
             moving=moving,
         )
         return await self._dependencies.gates.wait_for_assignment(
             request.service, waiting, weight=1.0
         )
 
+    async def _begin_trial(self, until: float) -> bool:
+        """Wait until the request may run; return False if it may not in time."""
+        gate = self._dependencies.gates.get_gate(self._request.service)
+        if gate.outages.in_outage:
+            # The gate refuses it. Once the group is open, it is asked again before the
+            # request is sent.
+            return True
+        return await self._evidence.begin_trial(until=until)
+
     def _measure_leave_at(self) -> float:
         """Return the time at which the caller leaves if it receives nothing more."""
         request = self._request
@@ -259,6 +281,7 @@
             raise
         finally:
             self._evidence.end()
+            self._evidence.end_trial()
             self._mover.forget()
             self._dependencies.gates.finish(request.service, replica, failed=failed)
 
@@ -307,7 +330,7 @@
         gate = self._dependencies.gates.get_gate(self._request.service)
         allowed = gate.may_send(replica, trio.current_time())
         # Another entry may have reported meanwhile that the request crashes replicas.
-        allowed = allowed and not self._evidence.is_refused()
+        allowed = allowed and self._evidence.may_run()
         if allowed:
             self.phase = CallPhase.SENT
             self._evidence.begin(replica)
@@ -370,7 +393,7 @@
 
     async def _relay_whole(self, response: ReplicaResponse) -> None:
         body = await response.read(max_bytes=MAX_PLAIN_ANSWER_BYTES)
-        self._evidence.record_finish()
+        self._evidence.record_finish(successful=response.status in _OK)
         headers = select_for_caller(response.headers)
         self._last_answer = (response.status, headers, body)
         if response.status >= _SERVER_ERROR:
@@ -412,7 +435,7 @@
             self._mover.record_heard(trio.current_time())
         if splitter.remainder.strip():
             raise ReplicaFailed("the stream ended within an event")
-        self._evidence.record_finish()
+        self._evidence.record_finish(successful=True)
         await self._start_stream(response)
         self.ended = True
         self.outcome = "answered"
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -2,6 +2,7 @@
 
 import secrets
 from dataclasses import replace
+from functools import partial
 from itertools import count
 from random import Random
 from typing import Any
@@ -116,11 +117,16 @@
             max_records=MAX_LONG_RECORDS,
             observe_quarantine=self._refuse_waiting,
         )
-        crashes = CrashAccount(tracker, self.metrics)
-        self.gates.observe_ended = crashes.record_ended
         self._suspects = SuspectSharing(
-            tracker, suspects_store, random=random, seeds=settings.seeds
+            tracker,
+            suspects_store,
+            random=random,
+            seeds=settings.seeds,
+            start_task=self.gates.start_task,
         )
+        self._tracker = tracker
+        crashes = CrashAccount(tracker, self.metrics, trials=self._suspects.trials)
+        self.gates.observe_ended = crashes.record_ended
         self._client = ReplicaClient()
         self._nursery: trio.Nursery | None = None
         self._port = DatagramPort(settings.messages, count=self.metrics.count_event)
@@ -144,6 +150,7 @@
                     count_entries=self.gates.entry_counter.estimate,
                 ),
             ),
+            wait_until_informed=self._suspects.wait_until_informed,
         )
 
     async def run(
@@ -211,8 +218,11 @@
             self.metrics.set_level(level, value)
         self.gates.update(self.feed.table, self.feed.replicas)
 
-    def _refuse_waiting(self, body: SuspectId, quarantine_s: float) -> None:
-        self.gates.reject_waiting(body, DirectRefusal.CRASHING, quarantine_s)
+    def _refuse_waiting(self, suspect: SuspectId, quarantine_s: float) -> None:
+        is_refused = partial(self._tracker.is_refused, now=trio.current_time())
+        self.gates.reject_waiting(
+            suspect.service, is_refused, DirectRefusal.CRASHING, quarantine_s
+        )
 
     def _close_idle_connections(self, address: str) -> None:
         """Close the idle connections to a replica that has restarted.
--- a/src/hyssopvane/_internal/roles/direct_request.py
+++ b/src/hyssopvane/_internal/roles/direct_request.py
@@ -6,10 +6,10 @@
 from hyssopvane._internal.policy.repeat_budget import RepeatBudget
 from hyssopvane._internal.protocol.messages import Headers
 from hyssopvane._internal.protocol.replica_headers import ReplicaHeaders
-from hyssopvane._internal.roles.crash_evidence import CrashAccount
+from hyssopvane._internal.roles.crash_evidence import CrashAccount, describe_part
 from hyssopvane._internal.roles.gate_keeper import GateKeeper
 from hyssopvane._internal.state.routing import Customer, Incarnation, Route
-from hyssopvane._internal.state.suspects import SuspectId
+from hyssopvane._internal.state.suspects import RequestIdentity
 from hyssopvane._internal.transport.replica_client import ReplicaClient
 from hyssopvane._internal.utils.deferred_metrics import DeferredMetrics
 
@@ -48,18 +48,14 @@
     tokens: int
     """Prompt tokens plus maximum output tokens."""
     prompt_tokens: int
-    body_id: SuspectId
-    """Equal only for requests with the same path, customer and body."""
-    parts: tuple[bytes, ...] = ()
-    """Parts of the prompt that other requests may share."""
+    identity: RequestIdentity
     attempts: int = 0
     may_have_run: bool = False
     tried: set[Incarnation] = field(default_factory=set)
 
     def describe_parts(self) -> str:
         """Return the parts of the prompt for the log."""
-        parts = (part.decode("ascii", "backslashreplace") for part in self.parts)
-        return ",".join(parts) or "-"
+        return ",".join(map(describe_part, self.identity.parts)) or "-"
 
     @property
     def priority(self) -> int:
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -23,7 +23,7 @@
     split_load,
 )
 from hyssopvane._internal.state.routing import Replica, RoutingTable
-from hyssopvane._internal.state.suspects import SuspectId
+from hyssopvane._internal.state.suspects import RequestIdentity
 from hyssopvane._internal.utils.logs import log_event
 
 DISPATCH_INTERVAL_S = 0.01
@@ -213,11 +213,15 @@
         return waiter.decision
 
     def reject_waiting(
-        self, body: SuspectId, reason: str, retry_after_s: float
+        self,
+        service: str,
+        is_refused: Callable[[RequestIdentity], bool],
+        reason: str,
+        retry_after_s: float,
     ) -> None:
-        """Reject all waiting requests that are repeats of one."""
-        gate = self.get_gate(body.service)
-        for request_id in gate.list_waiting(body):
+        """Reject all waiting requests of a service that must be refused."""
+        gate = self.get_gate(service)
+        for request_id in gate.list_waiting(is_refused):
             gate.remove(request_id)
             waiter = self._waiters[request_id]
             waiter.decision = Rejection(request_id, reason, retry_after_s)
--- a/src/hyssopvane/_internal/roles/suspect_exchange.py
+++ b/src/hyssopvane/_internal/roles/suspect_exchange.py
@@ -14,6 +14,7 @@
 
 import trio
 
+from hyssopvane._internal.policy.rendezvous import hash_name, rank
 from hyssopvane._internal.policy.suspects import SuspectTracker
 from hyssopvane._internal.protocol.suspect_pages import format_page, parse_page
 from hyssopvane._internal.state.suspects import SuspectId, SuspectRecord
@@ -39,6 +40,9 @@
 MAX_PARTNERS = 4
 """Number of entries that this one exchanges evidence with in each interval."""
 
+SILENT_S = 5.0
+"""Time for which an entry that did not answer is not expected to answer."""
+
 MAX_BYTES = 1024 * 1024
 
 _OK = 200
@@ -54,6 +58,8 @@
 
     sent_tag: bytes = b""
     received_tag: bytes = b""
+    failed_at: float = float("-inf")
+    """Time at which it last did not answer."""
 
 
 class SuspectExchange:
@@ -80,16 +86,18 @@
         self._partners: dict[str, _Partner] = {}
         self._start_id = secrets.token_hex(8)
         self.own_address = ""
+        self.has_received = False
+        """Whether another entry has told what it knows."""
 
     async def run(self) -> None:
         """Exchange records until cancelled."""
         while True:
+            # At the start, the store may be away while other entries know suspects.
+            if self._is_needed():
+                async with trio.open_nursery() as nursery:
+                    for address in self._choose_partners():
+                        nursery.start_soon(self._exchange, address)
             await trio.sleep(EXCHANGE_INTERVAL_S)
-            if not self._is_needed():
-                continue
-            async with trio.open_nursery() as nursery:
-                for address in self._choose_partners():
-                    nursery.start_soon(self._exchange, address)
 
     async def close(self) -> None:
         """Close the connections to other entries."""
@@ -101,6 +109,21 @@
             if address and len(self._partners) < MAX_PARTNERS:
                 self._partners.setdefault(address, _Partner())
 
+    def is_leading(self, service: str) -> bool:
+        """Return whether this entry ranks first for a service among those that answer.
+
+        Entries that hear the same ones agree without a message.
+        """
+        now = trio.current_time()
+        silent = {
+            address
+            for address, partner in self._partners.items()
+            if now - partner.failed_at < SILENT_S
+        }
+        known = {*self._seeds, *self._partners, self.own_address} - silent
+        seeds = {address: hash_name(address) for address in known}
+        return rank(service.encode(), seeds, count=1) == [self.own_address]
+
     async def answer(self, scope: Any, receive: Any, send: Any) -> None:
         """Merge the records of another entry, and answer with the own ones."""
         try:
@@ -144,6 +167,7 @@
                 ) as response:
                     limit = PartLimit(scope, part_s=EXCHANGE_TIMEOUT_S)
                     content = await response.read(max_bytes=MAX_BYTES, limit=limit)
+            self.has_received = True
             if response.status == _OK:
                 self._merge(content, source=address)
         except (
@@ -154,6 +178,7 @@
         ) as error:
             # A partner that starts again has lost what it was sent.
             partner.sent_tag = b""
+            partner.failed_at = trio.current_time()
             log_event("info", "suspects-unavailable", peer=address, why=repr(error))
             return
         if response.status in (_OK, _NOT_MODIFIED):
@@ -174,7 +199,7 @@
         for body, record in records.items():
             quarantine_s = self._get_quarantine_s(body.service)
             record = self._tracker.limit_expiry(
-                record, quarantine_s=quarantine_s, now=now
+                body, record, quarantine_s=quarantine_s, now=now
             )
             if self._tracker.merge(body, record, quarantine_s=quarantine_s, now=now):
                 self._observe(body, source)
--- a/src/hyssopvane/_internal/roles/suspect_sharing.py
+++ b/src/hyssopvane/_internal/roles/suspect_sharing.py
@@ -1,5 +1,6 @@
 """Keep an entry's account of crashing requests in step with the other entries."""
 
+from collections.abc import Awaitable, Callable
 from functools import partial
 from random import Random
 from typing import Any
@@ -8,10 +9,12 @@
 
 from hyssopvane._internal.coordination.key_value import KeyValueStore
 from hyssopvane._internal.coordination.quarantine import QuarantineSync
+from hyssopvane._internal.coordination.trial_claims import TrialClaims
 from hyssopvane._internal.exceptions import HyssopvaneError
 from hyssopvane._internal.policy.suspects import SuspectTracker
-from hyssopvane._internal.roles.crash_evidence import QUARANTINE_S
+from hyssopvane._internal.roles.crash_evidence import QUARANTINE_S, describe_part
 from hyssopvane._internal.roles.suspect_exchange import SuspectExchange
+from hyssopvane._internal.roles.suspect_trials import SuspectTrials
 from hyssopvane._internal.state.group import EntryState
 from hyssopvane._internal.state.suspects import SuspectId
 from hyssopvane._internal.utils.logs import log_event
@@ -23,6 +26,11 @@
 never written. Callers repeat a request that crashed later than that.
 """
 
+INFORMED_TIMEOUT_S = 1.0
+"""Time after its start from which on an entry serves without what others know."""
+
+_START_POLL_S = 0.02
+
 
 class SuspectSharing:
     """Share one entry's suspects by the store, and by other entries without it."""
@@ -34,6 +42,7 @@
         *,
         random: Random,
         seeds: tuple[str, ...],
+        start_task: Callable[[Callable[[], Awaitable[None]]], None],
     ) -> None:
         self._tracker = tracker
         self._store = store
@@ -51,15 +60,23 @@
             random=random,
             seeds=seeds,
             get_quarantine_s=_get_quarantine_s,
-            is_needed=lambda: not self._sync.is_connected,
+            is_needed=self._needs_exchange,
             observe=lambda body, source: self._log_report(body, source=source),
         )
+        self.trials = SuspectTrials(
+            tracker,
+            TrialClaims(store, report=_log_failure),
+            is_leading=self._exchange.is_leading,
+            start_task=start_task,
+        )
+        self._informed = trio.Event()
 
     def start(self, nursery: trio.Nursery, *, own_address: str) -> None:
         """Start to share; the address is where other entries reach this one."""
         self._exchange.own_address = own_address
         nursery.start_soon(self._sync.run)
         nursery.start_soon(self._exchange.run)
+        nursery.start_soon(self._watch_start)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -70,16 +87,31 @@
         """Remember an entry that was heard, for a time without the store."""
         self._exchange.add_partners([peer.beliefs])
 
+    async def wait_until_informed(self) -> None:
+        """Wait until this entry knows what others know, or nobody tells it."""
+        await self._informed.wait()
+
     async def answer(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer another entry's exchange."""
         await self._exchange.answer(scope, receive, send)
 
+    async def _watch_start(self) -> None:
+        with trio.move_on_after(INFORMED_TIMEOUT_S):
+            while not (self._sync.has_loaded or self._exchange.has_received):
+                await trio.sleep(_START_POLL_S)
+        self._informed.set()
+
+    def _needs_exchange(self) -> bool:
+        away = self.trials.is_store_away(trio.current_time())
+        return away or not self._sync.is_connected
+
     def _log_report(self, body: SuspectId, *, source: str) -> None:
         record = self._tracker.get_record(body)
         log_event(
             "info",
             "crash-suspect",
             body=body.digest.hex(),
+            part=describe_part(body),
             replica="-" if record is None else record.crashes[-1].target,
             crashes=0 if record is None else len(record.crashes),
             refused=self._tracker.is_quarantined(body, now=trio.current_time()),
--- a/src/hyssopvane/_internal/state/suspects.py
+++ b/src/hyssopvane/_internal/state/suspects.py
@@ -8,12 +8,30 @@
 
 @dataclass(frozen=True, slots=True)
 class SuspectId:
-    """Identify a body by its service, its digest and the customer that sends it."""
+    """Identify what may crash replicas: the body of a request, or a part of prompts."""
 
     service: str
     digest: bytes
+    """Digest of the body, or ID of the part."""
     customer: str = ""
-    """Empty where bodies are tracked regardless of their customer."""
+    """Customer that sends the body.
+
+    Empty for a part, and where bodies are tracked regardless of their customer.
+    """
+    is_part: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RequestIdentity:
+    """Hold what may make a request crash the replicas that run it."""
+
+    body: SuspectId
+    parts: tuple[SuspectId, ...] = ()
+
+    @property
+    def suspects(self) -> tuple[SuspectId, ...]:
+        """Return the body and the parts."""
+        return (self.body, *self.parts)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/unit/test_request_digest.py
+++ b/tests/unit/test_request_digest.py
@@ -32,15 +32,20 @@
 
 def identify(customer, path, body):
     """Return the identity of a request as an entry reads it."""
-    names = SimpleNamespace(token_counts=b"x-token-count")
+    names = SimpleNamespace(
+        token_counts=b"x-token-count", prompt_parts=b"x-prompt-prefix"
+    )
     app = DirectApp(
-        feed=None, dependencies=SimpleNamespace(names=names), random=Random(1)
+        feed=None,
+        dependencies=SimpleNamespace(names=names),
+        random=Random(1),
+        wait_until_informed=lambda: None,
     )
     scope = {"method": "POST", "path": path, "raw_path": path.encode()}
     request = app._make_request(
         scope, (), {}, "r", ROUTE, Customer(customer), body, 0.0, 1.0, 1.0
     )
-    return request.body_id.digest
+    return request.identity.body.digest
 
 
 def forge_suffix(data, wanted):
