Count only the replica that a group loses first

With parts every popular part would be among those that crashed at all ranks.

Each dropped connection was taken for a crash of its replica.

A loss now counts only if no other replica of the group was lost within 3 s before and in the same epoch, as far as this entry or any other has told. Former members of a group are remembered, since the registration of the first one may have ended. Bodies and parts alike; `first` of the line crash-suspect tells it.

--- a/src/hyssopvane/_internal/policy/group_capacity.py
+++ b/src/hyssopvane/_internal/policy/group_capacity.py
@@ -8,7 +8,7 @@
 from hyssopvane._internal.policy.poll_intervals import get_poll_interval_s
 from hyssopvane._internal.policy.replica_load import ReplicaLoad, estimate_entries
 from hyssopvane._internal.state.loads import RankLoad
-from hyssopvane._internal.state.routing import EngineModel
+from hyssopvane._internal.state.routing import EngineModel, Incarnation
 
 LATE_RESERVE = 0.1
 """Fraction of the limit that late requests leave free.
@@ -33,6 +33,9 @@
 MOVE_S = 0.5
 """Time in which most requests of a VM that stands still find another replica."""
 
+MAX_DEPARTED = 16
+"""Number of former members that are remembered."""
+
 _HASH_BITS = 64
 """Number of bits of the hash of an address."""
 
@@ -58,6 +61,10 @@
         """Places that this entry has reserved since the last pass began."""
         self._draw = 0.0
         self._epoch = -1
+        self.formed_at = float("-inf")
+        """Time at which the group's epoch was first reported."""
+        self._departed: deque[Incarnation] = deque(maxlen=MAX_DEPARTED)
+        """Replicas that were members before."""
         self._back_off_until = float("-inf")
         """Time until which a group that sends no load is considered broken."""
         self._has_served = False
@@ -84,6 +91,7 @@
         self._ranks = load.ranks
         if load.epoch != self._epoch:
             self._epoch = load.epoch
+            self.formed_at = now
             self.passes.reset()
         active = sum(
             member.load.active
@@ -98,6 +106,15 @@
             self._reserved = 0
             self._draw = self._random.random()
 
+    def remove_member(self, replica_id: str) -> None:
+        """Remove a replica that is gone or reports another group."""
+        self._departed.append(self.members.pop(replica_id).replica.incarnation)
+
+    def list_incarnations(self) -> frozenset[Incarnation]:
+        """Return the replicas that are or were lately members."""
+        members = {one.replica.incarnation for one in self.members.values()}
+        return frozenset(members.union(self._departed))
+
     def get_limit(self, engine: EngineModel | None) -> float:
         """Return the maximum number of concurrent requests of the group."""
         # Replicas on VMs that stand still take nothing. If their slots counted, the
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -301,6 +301,13 @@
             if waiting.identity is not None and is_refused(waiting.identity)
         ]
 
+    def find_group(self, replica_id: str) -> GroupCapacity | None:
+        """Return the group in which a replica works in lockstep with others."""
+        one = self._replicas.get(replica_id)
+        if one is None or not one.group:
+            return None
+        return self._groups[one.group]
+
     def is_vm_silent(self, replica: Replica, now: float) -> bool:
         """Return whether a replica's agent is silent while its group is heard."""
         one = self._find(replica)
@@ -426,9 +433,9 @@
         self._groups[one.group].members[one.replica.id] = one
 
     def _leave_group(self, replica_id: str, name: str) -> None:
-        members = self._groups[name].members
-        del members[replica_id]
-        if not members:
+        group = self._groups[name]
+        group.remove_member(replica_id)
+        if not group.members:
             del self._groups[name]
 
     def _demote_late(self, now: float) -> None:
--- a/src/hyssopvane/_internal/policy/suspects.py
+++ b/src/hyssopvane/_internal/policy/suspects.py
@@ -159,6 +159,10 @@
         wanted = set(suspects)
         return any(not wanted.isdisjoint(one) for one in self._running.values())
 
+    def was_lost_since(self, targets: Iterable[CrashKey], since: float) -> bool:
+        """Return whether one of some targets was lost after a time."""
+        return any(self._lost_at.get(key, since) > since for key in targets)
+
     def find_excluded(self, body: SuspectId, *, now: float) -> frozenset[str] | None:
         """Return the targets that must not run a body now, None for all targets.
 
--- a/src/hyssopvane/_internal/roles/crash_evidence.py
+++ b/src/hyssopvane/_internal/roles/crash_evidence.py
@@ -16,6 +16,12 @@
 QUARANTINE_S = 60.0
 """Time for which a request that has crashed replicas is refused at first."""
 
+GROUP_LOSS_S = 3.0
+"""Time after the loss of a replica in which others of its group drop their requests.
+
+A group stalls for one to two seconds before it gives up on a lost replica.
+"""
+
 
 class CrashAccount:
     """Record crashes of replicas under requests in the entry's account of suspects."""
@@ -25,11 +31,13 @@
         tracker: SuspectTracker,
         metrics: DeferredMetrics,
         *,
+        gates: GateKeeper,
         trials: SuspectTrials,
     ) -> None:
         self.tracker = tracker
         self.trials = trials
         self._metrics = metrics
+        self._gates = gates
         self._unanswered = UnansweredRuns()
 
     def record_crash(
@@ -45,7 +53,8 @@
         """
         now = trio.current_time()
         for suspect, generation in suspects:
-            counted = self.tracker.record_crash(
+            is_first = self._is_first_loss(suspect.service, replica, now)
+            counted = is_first and self.tracker.record_crash(
                 suspect,
                 Crash(*replica, now, generation),
                 quarantine_s=QUARANTINE_S,
@@ -60,6 +69,7 @@
                 body=suspect.digest.hex(),
                 part=describe_part(suspect),
                 replica=replica[0],
+                first=is_first,
                 counted=counted,
                 crashes=0 if record is None else len(record.crashes),
                 refused=self.tracker.is_quarantined(suspect, now=now),
@@ -81,6 +91,19 @@
         for run in self._unanswered.take_lost(key, now=trio.current_time()):
             self.record_crash(run.suspects, key)
 
+    def _is_first_loss(self, service: str, replica: Incarnation, now: float) -> bool:
+        """Return whether no other replica of the group was lost shortly before.
+
+        When one replica of a group ends, all others drop what they run, and their
+        requests have nothing to do with it.
+        """
+        group = self._gates.get_gate(service).find_group(replica[0])
+        if group is None:
+            return True
+        since = max(now - GROUP_LOSS_S, group.formed_at)
+        others = group.list_incarnations() - {replica}
+        return not self.tracker.was_lost_since(others, since)
+
 
 class CrashEvidence:
     """Report the attempts of one request to the entry's account of suspects."""
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -125,7 +125,9 @@
             start_task=self.gates.start_task,
         )
         self._tracker = tracker
-        crashes = CrashAccount(tracker, self.metrics, trials=self._suspects.trials)
+        crashes = CrashAccount(
+            tracker, self.metrics, gates=self.gates, trials=self._suspects.trials
+        )
         self.gates.observe_ended = crashes.record_ended
         self._client = ReplicaClient()
         self._nursery: trio.Nursery | None = None
