Count a stream that ends inside an event as a loss, and confirm answers without length

Cause: such a body ends with its connection, so its end is no error of the protocol. Cut inside an event it was taken for a faulty answer of a living replica, not for a loss; cut between events it was taken for a finish, which cleared the part and the body.

An incomplete last event counts as a loss where the connection has ended. An answer that ends with its connection is kept as a run of unknown outcome: a finish once the replica answers a request that was sent later, a crash if its registration ends unannounced.

--- a/src/hyssopvane/_internal/policy/unanswered_runs.py
+++ b/src/hyssopvane/_internal/policy/unanswered_runs.py
@@ -1,7 +1,8 @@
-"""Remember runs that ended without an answer, until their replica is known to be lost.
+"""Remember runs of unknown outcome, until their replica is known to be lost.
 
 A caller may leave, or a deadline pass, before the end of a replica shows. Then nobody
-waits on its connection any more, and only its registration tells.
+waits on its connection any more, and only its registration tells. An answer that ends
+with its connection may be complete or cut; a later answer of the replica tells which.
 """
 
 from collections import Counter, OrderedDict
@@ -29,6 +30,8 @@
     generation: int
     """Generation that a crash under it has."""
     ended_at: float
+    has_answer: bool = False
+    """Whether it ended with an answer, which is complete if the replica lives."""
     parts: tuple[tuple[SuspectId, int], ...] = ()
     """Parts of its prompt, with the generation that a crash under each has."""
 
@@ -60,6 +63,19 @@
             self._runs.popitem(last=False)
         return False
 
+    def take_answered(
+        self, replica: CrashKey, *, sent_at: float
+    ) -> list[UnansweredRun]:
+        """Return the answers that are complete, as the replica has answered since.
+
+        It has answered a request that was sent at a time.
+        """
+        runs = self._runs.get(replica, ())
+        found = [run for run in runs if run.has_answer and run.ended_at < sent_at]
+        if found:
+            self._runs[replica] = [run for run in runs if run not in found]
+        return found
+
     def take_lost(self, replica: CrashKey, *, now: float) -> list[UnansweredRun]:
         """Record that a replica is lost, and return the runs that ended before."""
         self._lost_at[replica] = now
--- a/src/hyssopvane/_internal/roles/crash_evidence.py
+++ b/src/hyssopvane/_internal/roles/crash_evidence.py
@@ -77,14 +77,39 @@
             )
 
     def record_unanswered(
-        self, suspects: tuple[tuple[SuspectId, int], ...], replica: Incarnation
+        self,
+        suspects: tuple[tuple[SuspectId, int], ...],
+        replica: Incarnation,
+        *,
+        has_answer: bool = False,
     ) -> None:
-        """Record that nobody waits for a replica's answer to a request any more."""
+        """Record that it is not known whether a replica has run a request to its end.
+
+        Nobody waits for its answer any more, or the answer has ended with its
+        connection.
+        """
         (body, generation), *parts = suspects
-        run = UnansweredRun(body, generation, trio.current_time(), tuple(parts))
+        run = UnansweredRun(
+            body, generation, trio.current_time(), has_answer, tuple(parts)
+        )
         if self._unanswered.add(replica, run):
             self.record_crash(suspects, replica)
 
+    def record_answer(self, replica: Incarnation, *, sent_at: float) -> None:
+        """Record that a replica answers a request, so that it has not crashed."""
+        now = trio.current_time()
+        self.tracker.record_answer(replica, sent_at=sent_at, now=now)
+        for run in self._unanswered.take_answered(replica, sent_at=sent_at):
+            self.record_finish(one for one, _ in run.suspects)
+
+    def record_finish(self, suspects: Iterable[SuspectId]) -> None:
+        """Record that a replica has run a request to its end."""
+        now, customer = trio.current_time(), ""
+        for one in suspects:
+            # The body comes first, and names the customer of the parts.
+            customer = customer or one.customer
+            self.tracker.clear(one, now=now, customer=customer)
+
     def record_ended(self, replica: Replica) -> None:
         """Record that the registration of a replica has ended unannounced."""
         key = replica.incarnation
@@ -198,20 +223,21 @@
 
     def record_answer(self, replica: Replica) -> None:
         """Record that a replica answers, so that it has not crashed before."""
-        now = trio.current_time()
-        self._tracker.record_answer(replica.incarnation, sent_at=self._sent_at, now=now)
+        self._account.record_answer(replica.incarnation, sent_at=self._sent_at)
 
-    def record_finish(self, *, successful: bool) -> None:
+    def record_finish(self, *, successful: bool, is_confirmed: bool) -> None:
         """Record that a replica has run the request to its end.
 
-        A replica that answers with a failure may not have begun with the prompt.
+        A replica that answers with a failure may not have begun with the prompt. An
+        answer that is not confirmed is complete only if its replica has not ended.
         """
-        now = trio.current_time()
-        self._tracker.clear(self.identity.body, now=now)
-        if not successful:
-            return
-        for part in self.identity.parts:
-            self._tracker.clear(part, now=now, customer=self.identity.body.customer)
+        suspects = self._suspects if successful else self._suspects[:1]
+        if is_confirmed:
+            self._account.record_finish(one for one, _ in suspects)
+        elif self._replica is not None:
+            self._account.record_unanswered(
+                suspects, self._replica.incarnation, has_answer=True
+            )
 
     def record_loss(self, replica: Replica) -> None:
         """Record that a replica was lost while it ran the request."""
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -393,7 +393,7 @@
 
     async def _relay_whole(self, response: ReplicaResponse) -> None:
         body = await response.read(max_bytes=MAX_PLAIN_ANSWER_BYTES)
-        self._evidence.record_finish(successful=response.status in _OK)
+        self._record_finish(response)
         headers = select_for_caller(response.headers)
         self._last_answer = (response.status, headers, body)
         if response.status >= _SERVER_ERROR:
@@ -405,6 +405,13 @@
             )
         await self._send_last_answer()
 
+    def _record_finish(self, response: ReplicaResponse) -> None:
+        self._evidence.record_finish(
+            successful=response.status in _OK,
+            # The replica may have ended as well as the answer.
+            is_confirmed=not response.ends_with_connection,
+        )
+
     async def _send_last_answer(self) -> None:
         assert self._last_answer is not None
         status, headers, body = self._last_answer
@@ -434,8 +441,9 @@
                 await self._send_part(event.data)
             self._mover.record_heard(trio.current_time())
         if splitter.remainder.strip():
-            raise ReplicaFailed("the stream ended within an event")
-        self._evidence.record_finish(successful=True)
+            # Without length and chunks, nothing else shows that the replica ended.
+            raise response.make_failure("the stream ended within an event")
+        self._record_finish(response)
         await self._start_stream(response)
         self.ended = True
         self.outcome = "answered"
--- a/src/hyssopvane/_internal/transport/replica_client.py
+++ b/src/hyssopvane/_internal/transport/replica_client.py
@@ -37,6 +37,8 @@
 """
 
 
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
+
 # httpcore requires that a connection and its requests have the same origin. Connections
 # are opened outside httpcore, so one placeholder works for all.
 _ORIGIN = httpcore.Origin(b"http", b"replica", 80)
@@ -103,6 +105,17 @@
         self._response = response
         self._stream = stream
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection ends the body."""
+        framed = b"content-length" in self.fields or b"transfer-encoding" in self.fields
+        return self.status not in _STATUSES_WITHOUT_BODY and not framed
+
+    def make_failure(self, why: str) -> "ReplicaFailed":
+        """Return the failure of an answer that is found to be incomplete."""
+        has_ended = self._stream is not None and self._stream.has_ended
+        return (ReplicaLost if has_ended else ReplicaFailed)(why)
+
     async def iterate(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body; raise `ReplicaFailed` when it is incomplete."""
         try:
--- a/tests/functional/test_crashing_parts.py
+++ b/tests/functional/test_crashing_parts.py
@@ -147,6 +147,7 @@
     "burst": Series(pause_s=0.15, repeats=60, most_crashes=8),
     "stream-cut-after-event": Series(path="/streams", kind=CrashKind.AFTER_EVENT),
     "stream-cut-in-event": Series(path="/streams", kind=CrashKind.IN_EVENT),
+    "stream-without-length": Series(path="/streams", kind=CrashKind.UNFRAMED),
     "cut-in-head": Series(kind=CrashKind.IN_HEAD),
     "first-part": Series(place=0),
     "third-part": Series(place=2),
--- a/tests/lib/crash_fleet.py
+++ b/tests/lib/crash_fleet.py
@@ -70,6 +70,8 @@
     SILENT = "silent"
     IN_HEAD = "in-head"
     AFTER_EVENT = "after-event"
+    UNFRAMED = "unframed"
+    """After an event of a stream with neither a length nor chunks."""
     IN_EVENT = "in-event"
     """Within an event of a stream with neither a length nor chunks."""
 
@@ -218,10 +220,13 @@
             case CrashKind.AFTER_EVENT:
                 head = make_answer(request, body=b"", headers=STREAM_HEAD)
                 await stream.send_all(head + chunk(make_event(1)))
-            case CrashKind.IN_EVENT:
+            case CrashKind.UNFRAMED | CrashKind.IN_EVENT:
                 head = make_answer(request, body=b"", headers=STREAM_HEAD)
                 unframed = head.replace(b"Transfer-Encoding: chunked\r\n", b"")
-                await stream.send_all(unframed + make_event(1) + make_event(2)[:-4])
+                cut = (
+                    make_event(2)[:-4] if self.crash_kind == CrashKind.IN_EVENT else b""
+                )
+                await stream.send_all(unframed + make_event(1) + cut)
         # The entry reads this before the connection ends.
         await trio.sleep(WORK_S)
 
