--- a/tests/unit/test_connection_reading.py
+++ b/tests/unit/test_connection_reading.py
@@ -199,6 +199,8 @@
         await caller.send_request("/hang", headers=HEADERS)
         await wait_until(lambda: site.app.running)
         (connection,) = site.server._connections
+        # A write that is in progress would reset the flag at its end.
+        await wait_until(lambda: not connection._sends._writing)
         connection._sends._writing = True  # The kernel takes nothing more.
         with pytest.raises(trio.BrokenResourceError):
             while True:
