Let places of services without loads follow the entry that has the requests

Cause: where no agent reports a load, an entry takes all others to have as many requests as itself, however long it is alone with the work.

Entries now tell in the messages that they exchange anyway how many requests they have for services without loads, waiting ones included (one number, every 0.5 s in the zone). An entry takes its part of them for its part of the places: at least an even part, and growing by a quarter in 0.25 s at most, so that requests that come to all entries at once don't fill each replica fourfold. Entries that hear of no other one go on as before.

Not covered: entries without agents do not exchange these messages; shares of request limits (docs/request-limits.md) stay even, since they have to be safe by themselves.

--- a/src/hyssopvane/_internal/policy/group_capacity.py
+++ b/src/hyssopvane/_internal/policy/group_capacity.py
@@ -56,6 +56,8 @@
         """Number of entries that the leader receives messages from; 0 before the first
         load.
         """
+        self.demand_share: float | None = None
+        """This entry's part of the requests of all entries, None if unknown."""
         self._step = -1
         self._reserved = 0
         """Places that this entry has reserved since the last pass began."""
@@ -81,9 +83,17 @@
         """Whether a pass has begun since the prompt budget was last computed."""
 
     @property
-    def entries(self) -> int:
-        """Return the number of sending entries, estimated until reported."""
-        return self._reported_entries or estimate_entries(len(self.members))
+    def entries(self) -> float:
+        """Return the number of entries that send as much as this one.
+
+        It is estimated until the leader of a group reports how many there are.
+        """
+        if self._reported_entries:
+            return self._reported_entries
+        estimated = estimate_entries(len(self.members))
+        if self.demand_share is None:
+            return estimated
+        return min(estimated, 1 / max(self.demand_share, 1 / estimated))
 
     def observe(self, load: RankLoad, *, now: float, members: int = 1) -> None:
         """Apply the group's state from a load that covers `members` members."""
--- a/src/hyssopvane/_internal/policy/replica_load.py
+++ b/src/hyssopvane/_internal/policy/replica_load.py
@@ -1,6 +1,7 @@
 """Track what one entry knows of one replica's load."""
 
 from dataclasses import dataclass, field, replace
+from math import ceil
 
 from hyssopvane._internal.state.loads import SLOW_PACE, RankLoad
 from hyssopvane._internal.state.routing import Replica
@@ -95,13 +96,13 @@
             return False
         return self.load.pace > SLOW_PACE
 
-    def count(self, now: float, entries: int) -> int:
+    def count(self, now: float, entries: float) -> int:
         """Return the estimated number of requests of the replica."""
         if self.is_stalled:
             # These take part in no pass, and are moved to other replicas.
             return 0
         if self.load is None or not self.is_fresh(now):
-            return self.own * entries
+            return ceil(self.own * entries)
         return self.load.active + self.load.queued + len(self.sent_at)
 
     def count_unread_prompts(self) -> int:
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -142,6 +142,7 @@
         """Incarnations of replicas whose address another replica has taken over."""
         self._engine: EngineModel | None = None
         self._pause_s = 0.0
+        self._demand_share: float | None = None
         self.outages = OutageTracker()
         self.attempts = RunningAttempts()
 
@@ -176,6 +177,20 @@
         for group in self._groups.values():
             group.passes.pause_s = pause_s
 
+    def set_demand_share(self, share: float | None) -> None:
+        """Set this entry's part of the requests to services that report no load."""
+        share = share if self._engine is None else None
+        self._demand_share = share
+        for group in self._groups.values():
+            group.demand_share = share
+
+    def count_unreported(self) -> int:
+        """Return the requests that wait or run, 0 if the service has an engine."""
+        if self._engine is not None:
+            return 0
+        running = sum(one.own for one in self._replicas.values())
+        return len(self._waiting) + running
+
     def observe_load(self, load: RankLoad, *, now: float) -> bool:
         """Record the load of one replica; return whether it has restarted."""
         return bool(self.observe_loads([(load, now)]))
@@ -427,6 +442,7 @@
     def _join_group(self, one: ReplicaLoad) -> None:
         if one.group not in self._groups:
             group = GroupCapacity(random=self._random)
+            group.demand_share = self._demand_share
             if self._pause_s:
                 group.passes.pause_s = self._pause_s
             self._groups[one.group] = group
--- a/src/hyssopvane/_internal/protocol/group.capnp
+++ b/src/hyssopvane/_internal/protocol/group.capnp
@@ -28,6 +28,8 @@
   # Milliseconds since the store last became reachable again, plus one; 0 for none.
   configurationVersion @8 :UInt64;
   replicasEra @9 :UInt64;
+  unreportedRequests @10 :UInt32;
+  # Requests of services that report no load, plus one; 0 if not told.
 }
 
 struct ReplicaLimits {
--- a/src/hyssopvane/_internal/protocol/group_messages.py
+++ b/src/hyssopvane/_internal/protocol/group_messages.py
@@ -48,6 +48,7 @@
 _MAX_PASS_US = 2**32 - 1
 _MEMBER = struct.Struct("<HHBB")
 _MAX_UINT16 = 2**16 - 1
+_MAX_UINT32 = 2**32 - 1
 _MAX_UINT8 = 2**8 - 1
 _MS_PER_S = 1_000
 _MAX_AGE_MS = 2**32 - 1
@@ -217,6 +218,8 @@
     if message.store_returned_s is not None:
         returned_ms = int(message.store_returned_s * _MS_PER_S)
         builder.storeReturnedMs = min(_MAX_UINT16, 1 + returned_ms)
+    if message.unreported_requests is not None:
+        builder.unreportedRequests = min(_MAX_UINT32, 1 + message.unreported_requests)
 
 
 def _read_entry(datagram: Any) -> EntryState:
@@ -231,6 +234,9 @@
         availability_zone=reader.availabilityZone,
         via=reader.via,
         store_returned_s=_read_store_returned(reader.storeReturnedMs),
+        unreported_requests=(reader.unreportedRequests - 1)
+        if reader.unreportedRequests
+        else None,
     )
 
 
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -244,6 +244,10 @@
                     self.feed.record_return(
                         trio.current_time() - message.store_returned_s
                     )
+                if message.unreported_requests is not None:
+                    self.gates.observe_demand(
+                        message.address, message.unreported_requests
+                    )
                 self.exchange.observe(message)
                 self._suspects.observe(message)
             case Roster():
@@ -289,6 +293,7 @@
                 replicas_era=self.feed.replicas_position.era,
                 availability_zone=self.settings.availability_zone,
                 store_returned_s=self._get_return_age_s(now),
+                unreported_requests=self.gates.measure_demand(),
             )
             receivers = set()
             if number % PEER_REPORT_EVERY == 0:
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from hyssopvane._internal.policy.entry_demand import EntryDemand
 from hyssopvane._internal.policy.home_replicas import HomeReplicas
 from hyssopvane._internal.policy.limit_shares import EntryCounter
 from hyssopvane._internal.policy.replica_notices import ReplicaNotices
@@ -59,6 +60,7 @@
         self.homes = HomeReplicas()
         self.entry_counter = EntryCounter(availability_zone=availability_zone)
         self._notices = ReplicaNotices()
+        self._demand = EntryDemand()
         self._make_gate = partial(
             ServiceGate,
             random=random,
@@ -135,6 +137,23 @@
         self.homes.update(own, local)
         self.entry_counter.update(own, local)
 
+    def observe_demand(self, address: str, requests: int) -> None:
+        """Apply the number of requests that another entry has."""
+        self._demand.observe(address, requests, now=trio.current_time())
+
+    def measure_demand(self) -> int:
+        """Return the number of requests of services that report no load.
+
+        The places that this entry uses of such services follow its part of them.
+        """
+        own = sum(gate.count_unreported() for gate in self._gates.values())
+        share = self._demand.estimate_share(
+            own, entries=self.entry_counter.estimate(), now=trio.current_time()
+        )
+        for gate in self._gates.values():
+            gate.set_demand_share(share)
+        return own
+
     def observe_answer(
         self, service: str, replica: Replica, per_s: float | None
     ) -> None:
--- a/src/hyssopvane/_internal/state/group.py
+++ b/src/hyssopvane/_internal/state/group.py
@@ -31,6 +31,11 @@
     """Agent that forwards this to its leader; empty if the entry sent it directly."""
     replicas_era: int = 0
     """Era of the store in which `replicas_revision` is valid."""
+    unreported_requests: int | None = None
+    """Requests that it has for services whose replicas report no load.
+
+    Those that wait are included; None if it does not tell.
+    """
 
 
 @dataclass(frozen=True, slots=True)
