--- a/tests/unit/test_entry_demand.py
+++ b/tests/unit/test_entry_demand.py
@@ -1,5 +1,8 @@
 """Test that places of services without loads follow the entry that has the requests."""
 
+from collections import Counter
+from dataclasses import replace
+from itertools import count
 from random import Random
 
 import pytest
@@ -10,7 +13,12 @@
 from hyssopvane._internal.policy.service_gate import Assignment
 from hyssopvane._internal.roles.gate_keeper import GateKeeper
 from hyssopvane._internal.state.routing import RoutingTable, ServiceSpec
-from tests.unit.test_service_gate import make_replica, make_waiting
+from tests.unit.test_service_gate import (
+    make_gate,
+    make_load,
+    make_replica,
+    make_waiting,
+)
 
 ENTRIES = 4
 REPLICAS, SLOTS = 8, 4
@@ -28,6 +36,15 @@
 
 SERVICE = make_replica(0).service
 
+RANKS = 24
+PASS_S = 0.06
+CALLERS_OF_GROUP = 64
+LARGEST_EXCESS = 1.1
+"""Factor by which a group may have more requests than its limit.
+
+Late requests leave a tenth of the limit free.
+"""
+
 
 @pytest.mark.parametrize(
     ("reports", "own", "entries", "share"),
@@ -149,3 +166,70 @@
     assert evenly > 0
     assert first >= LEAST_SERVED * evenly
     assert second >= LEAST_SERVED * evenly
+
+
+class GroupSite:
+    """Run a group whose loads tell all entries each pass what runs at its ranks."""
+
+    def __init__(self, entries):
+        self.gates = [make_gate(RANKS, seed=number) for number in range(entries)]
+        for gate in self.gates:
+            gate.set_pause(0.15)
+        self.running = []
+        self.numbers = count()
+        self.now = 0.0
+        self.most_running = 0
+
+    def play(self, senders, *, passes=160):
+        """Return the requests that are placed while some entries have all of them."""
+        placed = 0
+        for step in range(passes):
+            self.now += PASS_S
+            self._end_requests()
+            self._report(step)
+            for gate in self.gates[:senders]:
+                self._fill(gate, CALLERS_OF_GROUP // senders)
+                for decision in gate.dispatch(self.now):
+                    assert isinstance(decision, Assignment)
+                    ends_at = self.now + 1.0
+                    self.running.append((ends_at, gate, decision.replica))
+                    placed += step >= passes // 2
+            self.most_running = max(self.most_running, len(self.running))
+        return placed
+
+    def _end_requests(self):
+        ended = [one for one in self.running if one[0] <= self.now]
+        self.running = [one for one in self.running if one[0] > self.now]
+        for _, gate, replica in ended:
+            gate.finish(replica, failed=False, now=self.now)
+
+    def _report(self, step):
+        active = Counter(replica.id for _, _, replica in self.running)
+        loads = [
+            make_load(
+                number,
+                ranks=RANKS,
+                entries=len(self.gates),
+                active=active[f"i-{number}"],
+                step=step,
+                pass_s=PASS_S,
+            )
+            for number in range(RANKS)
+        ]
+        for gate in self.gates:
+            gate.observe_loads([(load, self.now) for load in loads])
+
+    def _fill(self, gate, wanted):
+        while gate.count_waiting() < wanted:
+            waiting = make_waiting(next(self.numbers), now=self.now)
+            never = {"late_at": self.now + 9.0, "refuse_at": self.now + 9.0}
+            gate.add(replace(waiting, **never), weight=1.0)
+
+
+@pytest.mark.parametrize("entries", [4, 16])
+def test_entry_that_gets_all_connections_fills_a_group(entries):
+    """Guard against an entry that takes an even part of what is free at each pass."""
+    evenly, alone = GroupSite(entries), GroupSite(entries)
+    assert alone.play(1) >= LEAST_SERVED * evenly.play(entries)
+    limit = evenly.gates[0].limit
+    assert max(alone.most_running, evenly.most_running) <= LARGEST_EXCESS * limit
