Let the soak send requests with parts that end replicas

Two such parts on plain services and two on groups, from 0.5 and 5 s on, no two requests alike, beside sound requests with the other parts. None may reach more than three replicas later than 3 s after the fifth end, and no sound request be refused as crashing. A flag of its own, so that each earlier seed keeps its faults; two seeds run with the tests.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -25,6 +25,7 @@
 """Seeds whose store is also restored from older copies."""
 
 CRASH_SEEDS = (1, 2)
+PART_SEEDS = (1, 2)
 """Seeds with requests that end each replica that runs them."""
 
 FAILED_SEEDS = {
@@ -77,6 +78,15 @@
     assert report.crashes >= 3
 
 
+@pytest.mark.parametrize("seed", PART_SEEDS)
+def test_guarantees_hold_beside_parts_that_end_replicas(seed, tmp_path):
+    """Guards against real entries that know such requests by their bodies only."""
+    size = replace(SMALL, seconds=10.0, parts=True)
+    report = run_seed(tmp_path, seed=seed, size=size)
+    assert report.violations == [], (report.kept_in, report.faults)
+    assert report.crashes >= 2
+
+
 def make_call(request_id, *, entry="entry-0", starts=1, sent_at=0.0):
     call = Call(request_id, KINDS[0], entry, starts, sent_at)
     call.whole = True
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -26,6 +26,7 @@
     parser.add_argument("--store-returns", action="store_true")
     parser.add_argument("--notices", action="store_true")
     parser.add_argument("--crashes", action="store_true")
+    parser.add_argument("--parts", action="store_true")
     parser.add_argument("--folder", default=tempfile.mkdtemp(prefix="soak-"))
     found = parser.parse_args()
     size = Size(
@@ -35,6 +36,7 @@
         store_returns=found.store_returns,
         notices=found.notices,
         crashes=found.crashes,
+        parts=found.parts,
     )
     broken = 0
     print(f"logs in {found.folder}", flush=True)
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -36,6 +36,9 @@
 CRASHING = "crash"
 """Beginning of the last part of the path of requests that end their replicas."""
 
+CRASHING_PART = "dead"
+"""Beginning of the ID of a part of prompts under which each replica ends."""
+
 POPULAR = "popular"
 """Last part of the path of requests that many callers send, with one body."""
 
@@ -55,11 +58,22 @@
     return last == POPULAR or last.startswith(CRASHING)
 
 
+def find_cause(request: Received) -> str | None:
+    """Return the path or the part of a request that ends its replica, if there is."""
+    if request.target.rpartition("/")[2].startswith(CRASHING):
+        return request.target
+    for listed in request.headers.get("x-prompt-prefix", "").split(","):
+        if listed.startswith(CRASHING_PART):
+            return listed.partition(":")[0]
+    return None
+
+
 @dataclass(frozen=True)
 class CrashArrival:
     """Record a request that ends the replica that it reaches."""
 
-    path: str
+    cause: str
+    """Path or part by which all such requests are known."""
     replica: str
     at: float
 
@@ -191,10 +205,11 @@
         if self.refusing:
             await self._request_backoff(stream, request, seen)
             return True
-        if request.target.rpartition("/")[2].startswith(CRASHING):
+        cause = find_cause(request)
+        if cause is not None:
             assert self.observe_crash is not None
             now = trio.current_time()
-            await self.observe_crash(CrashArrival(request.target, replica.id, now))
+            await self.observe_crash(CrashArrival(cause, replica.id, now))
             return False
         fault = "whole"
         if self._random.random() < self.fault_share:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -38,6 +38,8 @@
     """Whether a request of this kind may run at most once."""
     body: bytes = b""
     """Body of all requests of this kind; empty if each has its own."""
+    parts: tuple[str, ...] = ()
+    """Parts of the prompt; each request has one more of its own."""
 
     @property
     def name(self) -> str:
@@ -142,6 +144,9 @@
             (b"x-deadline-ms", b"8000"),
             (b"content-length", str(len(body)).encode()),
         )
+        if call.kind.parts:
+            listed = ",".join(f"{part}:100" for part in (*call.kind.parts, call.id))
+            fields += ((b"x-prompt-prefix", listed.encode()),)
         async with client.call(
             member.callers,
             method="POST",
--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -8,7 +8,13 @@
 import trio
 
 from hyssopvane._internal.transport.replica_client import ReplicaClient
-from tests.soak.backends import CRASHING, FIXED_BODY, POPULAR, CrashArrival
+from tests.soak.backends import (
+    CRASHING,
+    CRASHING_PART,
+    FIXED_BODY,
+    POPULAR,
+    CrashArrival,
+)
 from tests.soak.callers import Callers, Kind
 from tests.soak.fleet import Member
 
@@ -22,6 +28,10 @@
 
 _POPULAR_CALLERS = 4
 
+SOUND = "sound"
+_SOUND_PARTS = ("a1", "b2")
+"""Parts that sound requests share with those that end their replicas."""
+
 
 @dataclass
 class CrashingCallers:
@@ -75,22 +85,94 @@
 
     def check(self) -> list[str]:
         """Return a violation for each request that ends too many replicas or pays."""
-        found = []
-        for path in sorted({one.path for one in self.arrivals}):
-            times = sorted(one.at for one in self.arrivals if one.path == path)
-            late = [at for at in times if len(times) >= 3 and at > times[2] + LATE_S]
-            if len(late) > PERMITTED_LATE:
-                found.append(
-                    f"{path} reached {len(late)} replicas later than {LATE_S:g} s "
-                    f"after it had ended the third; {len(times)} in all"
+        return [
+            *find_late_arrivals(self.arrivals, ends=3),
+            *find_refused(self.entries, POPULAR),
+        ]
+
+
+@dataclass
+class CrashingParts:
+    """Send requests of which one part ends their replicas, and sound ones beside them.
+
+    No two of them are alike, but for the parts.
+    """
+
+    callers: Callers
+    entries: list[Member]
+    random: Random
+    arrivals: list[CrashArrival] = field(default_factory=list)
+
+    async def run(self) -> None:
+        """Send requests with crashing parts and with sound ones."""
+        async with trio.open_nursery() as nursery:
+            for number, start_s in enumerate(_STARTS_S):
+                for route in ("status", "drafts"):
+                    part = f"{CRASHING_PART}{route}{number}"
+                    parts = (*_SOUND_PARTS, part)[-1 - number :]
+                    nursery.start_soon(self._repeat, route, part, parts, start_s, 1.0)
+            for number in range(_POPULAR_CALLERS):
+                route = ("status", "drafts")[number % 2]
+                name = f"{SOUND}-{number}"
+                nursery.start_soon(self._repeat, route, name, _SOUND_PARTS, 0.0, 0.1)
+
+    async def _repeat(
+        self,
+        route: str,
+        name: str,
+        parts: tuple[str, ...],
+        start_s: float,
+        pause_s: float,
+    ) -> None:
+        client = ReplicaClient()
+        try:
+            await trio.sleep(start_s)
+            for number in count():
+                member = self.random.choice(self.entries)
+                kind = Kind(
+                    f"/{route}/{name}-{number}",
+                    streamed=route == "drafts",
+                    parts=parts,
                 )
-        for member in self.entries:
-            refused = re.findall(
-                rf"request=({POPULAR}-\d+) outcome=crashing", member.read_log()
+                await self.callers.send(client, member, kind, f"{name}-{number}")
+                await trio.sleep(self.random.uniform(0.1, 1.0) * pause_s)
+        finally:
+            with trio.CancelScope(shield=True):
+                await client.close()
+
+    def check(self) -> list[str]:
+        """Return a violation for each part that ends too many replicas or pays."""
+        return [
+            *find_late_arrivals(self.arrivals, ends=5),
+            *find_refused(self.entries, SOUND),
+        ]
+
+
+def find_late_arrivals(arrivals: list[CrashArrival], *, ends: int) -> list[str]:
+    """Return a violation for each cause that went on after a number of ends."""
+    found = []
+    for cause in sorted({one.cause for one in arrivals}):
+        times = sorted(one.at for one in arrivals if one.cause == cause)
+        known = len(times) >= ends
+        late = [at for at in times if known and at > times[ends - 1] + LATE_S]
+        if len(late) > PERMITTED_LATE:
+            found.append(
+                f"{cause} reached {len(late)} replicas later than {LATE_S:g} s "
+                f"after it had ended {ends}; {len(times)} in all"
             )
-            if refused:
-                found.append(
-                    f"{member.name} refused {len(refused)} popular requests as "
-                    f"crashing, {refused[0]} first"
-                )
-        return found
+    return found
+
+
+def find_refused(entries: list[Member], prefix: str) -> list[str]:
+    """Return a violation for each entry that refuses sound requests as crashing."""
+    found = []
+    for member in entries:
+        refused = re.findall(
+            rf"request=({prefix}-\S+) outcome=crashing", member.read_log()
+        )
+        if refused:
+            found.append(
+                f"{member.name} refused {len(refused)} {prefix} requests as "
+                f"crashing, {refused[0]} first"
+            )
+    return found
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -25,7 +25,7 @@
 from tests.lib.direct_store import DirectStore
 from tests.lib.rank_model import RANKS
 from tests.lib.rank_standin import GroupStandIn
-from tests.soak.backends import Backend, CrashArrival, Journal
+from tests.soak.backends import CRASHING_PART, Backend, CrashArrival, Journal
 from tests.soak.callers import (
     KINDS,
     LATE_TOLERANCE_S,
@@ -35,7 +35,7 @@
     Callers,
     Kind,
 )
-from tests.soak.crashes import CrashingCallers
+from tests.soak.crashes import CrashingCallers, CrashingParts
 from tests.soak.departures import LeavingCallers
 from tests.soak.faults import Faults
 from tests.soak.fleet import Fleet, Member
@@ -71,6 +71,8 @@
     with this option than without it."""
     crashes: bool = False
     """Whether some requests end each replica that runs them."""
+    parts: bool = False
+    """Whether requests with some parts in their prompts end each such replica."""
     notices: bool = False
     """Whether replicas also request back-offs, and report leaving in answers only."""
 
@@ -134,6 +136,9 @@
         self.crashing = CrashingCallers(
             self.callers, self.fleet.entries, Random(f"crashes {seed}")
         )
+        self.crashing_parts = CrashingParts(
+            self.callers, self.fleet.entries, Random(f"parts {seed}")
+        )
         self.ended_at = float("inf")
         """Time at which the callers were stopped."""
         self.faults = Faults(self)
@@ -151,6 +156,8 @@
                     load.start_soon(self.leaving.measure_lags)
                     if self.size.crashes:
                         load.start_soon(self.crashing.run)
+                    if self.size.parts:
+                        load.start_soon(self.crashing_parts.run)
                     load.start_soon(self._watch_members)
                     load.start_soon(self._probe_generations)
                     await trio.sleep(1.0)
@@ -170,6 +177,7 @@
         self._check_departures()
         self._check_notices()
         self.journal.violations += self.crashing.check()
+        self.journal.violations += self.crashing_parts.check()
         self._fill_report()
         return self.report
 
@@ -319,7 +327,9 @@
         self, nursery: trio.Nursery, backend: Backend, arrival: CrashArrival
     ) -> None:
         if arrival.replica == backend.id:
-            self.crashing.arrivals.append(arrival)
+            is_part = arrival.cause.startswith(CRASHING_PART)
+            crashing = self.crashing_parts if is_part else self.crashing
+            crashing.arrivals.append(arrival)
             nursery.start_soon(self.faults.crash_under_request, backend)
         await trio.sleep_forever()
 
@@ -493,7 +503,8 @@
         self.report.left = self.callers.left
         self.report.faults = self.faults.descriptions
         self.report.violations = self.journal.violations
-        self.report.crashes = len(self.crashing.arrivals)
+        arrivals = self.crashing.arrivals + self.crashing_parts.arrivals
+        self.report.crashes = len(arrivals)
         self.report.changes = sum(
             member.read_log().count("event=map-in-force")
             for member in self.fleet.agents
@@ -540,6 +551,8 @@
         command += " --notices"
     if size.crashes:
         command += " --crashes"
+    if size.parts:
+        command += " --parts"
     document = asdict(report) | {"size": asdict(size), "command": command}
     (destination / "report.json").write_text(json.dumps(document, indent=1))
     return destination
