--- a/tests/functional/test_crashing_parts.py
+++ b/tests/functional/test_crashing_parts.py
@@ -191,13 +191,23 @@
         site.store.answer_status = 503
 
 
+async def restart_at_once(site, number):
+    """Kill all entries at one moment, as a loss of power does, and restart them."""
+    if number in (2, 8):
+        for entry in site.entries:
+            entry.kill()
+        for entry in site.entries:
+            await entry.start()
+
+
 async def restart_without_store(site, number):
     await take_store_away(site, number)
     await restart_in_turn(site, number)
 
 
 @pytest.mark.parametrize(
-    "disturb", [restart_in_turn, take_store_away, restart_without_store]
+    "disturb",
+    [restart_in_turn, restart_at_once, take_store_away, restart_without_store],
 )
 def test_part_stays_known_when_entries_or_the_store_fail(tmp_path, disturb):
     """Guard against a part that crashes more replicas while knowledge is being lost."""
@@ -249,3 +259,28 @@
         callers.check()
 
     run(tmp_path, test)
+
+
+def test_sound_parts_are_served_after_all_machines_lost_power(tmp_path):
+    """Guard against parts that are blamed when replicas and entries end at once."""
+
+    async def test(site):
+        callers = SoundCallers(site)
+        async with trio.open_nursery() as nursery:
+            callers.start(nursery)
+            await trio.sleep(1.5)
+            for _ in range(2):
+                for replica_id in list(site.scopes):
+                    site.end_replica(replica_id)
+                for entry in site.entries:
+                    entry.kill()
+                for entry in site.entries:
+                    await entry.start()
+                # The time from which on all machines are back.
+                site.crashed.append(trio.current_time())
+                await trio.sleep(1.0)
+            await trio.sleep(SETTLED_S + 1.5)
+            nursery.cancel_scope.cancel()
+        callers.check()
+
+    run(tmp_path, test)
