Repeat requests that a group drops after another replica's end as before

A request that may have crashed its replica waits until its parts are cleared, instead of a trial. That held for requests too that a group drops after the end of another replica, by reading; where a service has several groups they could go on at once in another one. Only what runs at the replica that is lost first waits now. The decoders are fuzzed with the new field of the entries' state.

--- a/src/hyssopvane/_internal/roles/crash_evidence.py
+++ b/src/hyssopvane/_internal/roles/crash_evidence.py
@@ -46,12 +46,13 @@
         replica: Incarnation,
         *,
         sent_at: float | None = None,
-    ) -> None:
-        """Record that a replica was lost under a request.
+    ) -> bool:
+        """Record that a replica was lost under a request; return whether it may count.
 
         Each suspect comes with the generation of the crash.
         """
         now = trio.current_time()
+        is_first = True
         for suspect, generation in suspects:
             is_first = self._is_first_loss(suspect.service, replica, now)
             counted = is_first and self.tracker.record_crash(
@@ -75,6 +76,7 @@
                 refused=self.tracker.is_quarantined(suspect, now=now),
                 source="own",
             )
+        return is_first
 
     def record_unanswered(
         self,
@@ -149,7 +151,7 @@
         self._trial: Trial | None = None
         """Trial that allows the request to run with parts that may crash replicas."""
         self._has_lost = False
-        """Whether a replica was lost while it ran the request."""
+        """Whether the request may have crashed a replica."""
 
     def is_refused(self) -> bool:
         """Return whether the request must not reach another replica."""
@@ -244,10 +246,11 @@
         if self._is_departing(replica):
             # It was going to end anyway.
             return
-        self._keep_trial()
-        self._account.record_crash(
+        may_count = self._account.record_crash(
             self._suspects, replica.incarnation, sent_at=self._sent_at
         )
+        if may_count:
+            self._keep_trial()
 
     def record_unanswered(self) -> None:
         """Record that the attempt ends before its replica has answered."""
--- a/tests/lib/decoder_fuzz.py
+++ b/tests/lib/decoder_fuzz.py
@@ -64,7 +64,7 @@
 
 _A = "10.0.0.1:7340"
 _MESSAGES = (
-    EntryState(_A, _A, 3, 4, "zone-a", 0.5, True, _A),
+    EntryState(_A, _A, 3, 4, "zone-a", 0.5, True, _A, 2, 7),
     GroupLoad(7, 1, 5, 1, 2, True, 9, 0.06, 4, (MemberLoad(1, 0, 1.0, 0.1),), True, _A),
     Roster(7, "g", (Member(_A, 5),), (EntryContact(_A, "zone-a"),), True, _A),
     Presence(_A, "g", 1, 0, True),
--- a/tests/unit/test_group_losses.py
+++ b/tests/unit/test_group_losses.py
@@ -51,7 +51,7 @@
     def lose(self, number):
         """Lose a replica that ran a request with a part of its own."""
         replica = self.replicas[number].incarnation
-        self.account.record_crash([(PARTS[number], 1)], replica)
+        return self.account.record_crash([(PARTS[number], 1)], replica)
 
     def tell(self, other):
         """Tell another entry all records."""
@@ -77,10 +77,11 @@
     async def test():
         entry = Entry(grouped=grouped)
         await trio.sleep(1.0)
-        entry.lose(0)
+        assert entry.lose(0)
         await trio.sleep(STALL_S)
         for number in range(1, 4):
-            entry.lose(number)
+            # A request that may have crashed its replica is not repeated at once.
+            assert entry.lose(number) is (number in accused)
         assert entry.list_accused() == accused
 
     run_mocked(test)
