--- a/src/hyssopvane/_internal/policy/group_capacity.py
+++ b/src/hyssopvane/_internal/policy/group_capacity.py
@@ -225,7 +225,7 @@
             return 0
         if engine is None or not self._has_fresh_load(now):
             return max(1, int(free / self.entries))
-        share = (free + self._reserved) * self._measure_share(now)
+        share = (free + self._reserved) / self.entries
         return max(0, int(share + self._draw) - self._reserved)
 
     def _is_probing(self, now: float) -> bool:
