Give the callers that leave the entries of both builds in mixed_builds

Its last play, of the direct path, failed with an empty sequence: only the other callers got the entries of both builds. By reading it failed so since callers leave in the soak.

--- a/tests/mixed_builds.py
+++ b/tests/mixed_builds.py
@@ -408,7 +408,7 @@
     folder.mkdir()
     soak = SoakRun(folder, seed=1, size=Size(4, 1, 2, callers=3, patience=5.0))
     soak.fleet = fleet = Members(folder, *builds)
-    soak.callers.entries = entries = fleet.entries
+    soak.callers.entries = soak.leaving.entries = entries = fleet.entries
 
     def are_served() -> bool:
         served = [one for one in soak.callers.calls if one.status == 200 and one.whole]
