Log and measure which page of crashing requests an entry knows

An entry that dropped the page on which entries share crashing requests, or that knew another one than its peers, left no line and no figure.

The lines suspects-page and suspects-page-dropped tell the position in the store of each page that was taken in, written or dropped; the levels suspects-page-era and suspects-page-revision tell the one that is known. No decision changes.

--- a/src/hyssopvane/_internal/coordination/quarantine.py
+++ b/src/hyssopvane/_internal/coordination/quarantine.py
@@ -26,6 +26,7 @@
 from hyssopvane._internal.state.store_position import StorePosition
 from hyssopvane._internal.state.suspects import SuspectId, SuspectRecord
 from hyssopvane._internal.utils.backoff import Backoff
+from hyssopvane._internal.utils.logs import log_event
 
 PAGE_PREFIX = "quarantine/"
 PAGE_KEY = "quarantine/page"
@@ -59,6 +60,8 @@
         refresh_s: float = REFRESH_S,
         flush_interval_s: float = FLUSH_INTERVAL_S,
         observe: Callable[[SuspectId], None] = lambda body: None,
+        observe_page: Callable[[StorePosition], None] = lambda position: None,
+        count: Callable[[str], None] = lambda event: None,
     ) -> None:
         self._store = store
         self._tracker = tracker
@@ -70,6 +73,10 @@
         self._flush_interval_s = flush_interval_s
         self._observe = observe
         """Called with a body of which another entry reports further crashes."""
+        self._observe_page = observe_page
+        """Called with the position of each page that is read or written."""
+        self._count = count
+        """Called with the name of each event that operators may want to monitor."""
         self._can_read = False
         self._can_write = True
         self._has_loaded = False
@@ -159,8 +166,8 @@
             )
             result = await self._store.compare_and_swap([swap])
             if isinstance(result, Swapped):
-                self._record_page(StorePosition(result.era, result.revision), content)
-                self._shared = records
+                position = StorePosition(result.era, result.revision)
+                self._adopt_page(position, content, records, source="own")
                 return
             # The answer contains the current page, also after the service was restored
             # from a copy.
@@ -187,7 +194,10 @@
 
     def _accept(self, item: KeyValue) -> None:
         """Merge a newer page into the tracker."""
-        if item.key != PAGE_KEY or item.position <= self._position:
+        if item.key != PAGE_KEY or item.position == self._position:
+            return
+        if item.position < self._position:
+            self._record_dropped(item.position)
             return
         self._handle_era_change(item.era)
         now, offset = trio.current_time(), self._get_offset()
@@ -214,8 +224,39 @@
             quarantine_s = self._get_quarantine_s(body.service)
             if self._tracker.merge(body, record, quarantine_s=quarantine_s, now=now):
                 self._observe(body)
+        self._adopt_page(item.position, item.value, records, source="store")
+
+    def _adopt_page(
+        self,
+        position: StorePosition,
+        value: bytes,
+        records: SuspectRecords,
+        *,
+        source: str,
+    ) -> None:
         self._shared = records
-        self._record_page(item.position, item.value)
+        self._record_page(position, value)
+        self._observe_page(position)
+        log_event(
+            "info",
+            "suspects-page",
+            era=position.era,
+            revision=position.revision,
+            records=len(records),
+            refused=sum(record.quarantined for record in records.values()),
+            source=source,
+        )
+
+    def _record_dropped(self, position: StorePosition) -> None:
+        self._count("suspects-page-dropped")
+        log_event(
+            "warning",
+            "suspects-page-dropped",
+            era=position.era,
+            revision=position.revision,
+            known_era=self._position.era,
+            known_revision=self._position.revision,
+        )
 
     def _limit_expiry(
         self, body: SuspectId, record: SuspectRecord, now: float
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -140,6 +140,7 @@
             random=random,
             seeds=settings.seeds,
             start_task=self.gates.start_task,
+            metrics=self.metrics,
         )
         self._tracker = tracker
         crashes = CrashAccount(
--- a/src/hyssopvane/_internal/roles/suspect_sharing.py
+++ b/src/hyssopvane/_internal/roles/suspect_sharing.py
@@ -16,7 +16,9 @@
 from hyssopvane._internal.roles.suspect_exchange import SuspectExchange
 from hyssopvane._internal.roles.suspect_trials import SuspectTrials
 from hyssopvane._internal.state.group import EntryState
+from hyssopvane._internal.state.store_position import StorePosition
 from hyssopvane._internal.state.suspects import SuspectId
+from hyssopvane._internal.utils.deferred_metrics import DeferredMetrics
 from hyssopvane._internal.utils.logs import log_event
 
 FLUSH_INTERVAL_S = 0.15
@@ -43,8 +45,10 @@
         random: Random,
         seeds: tuple[str, ...],
         start_task: Callable[[Callable[[], Awaitable[None]]], None],
+        metrics: DeferredMetrics,
     ) -> None:
         self._tracker = tracker
+        self._metrics = metrics
         self._store = store
         self._sync = QuarantineSync(
             store,
@@ -54,6 +58,8 @@
             report=_log_failure,
             flush_interval_s=FLUSH_INTERVAL_S,
             observe=partial(self._log_report, source="store"),
+            observe_page=self._set_levels,
+            count=metrics.count_event,
         )
         self._exchange = SuspectExchange(
             tracker,
@@ -105,6 +111,10 @@
         away = self.trials.is_store_away(trio.current_time())
         return away or not self._sync.is_connected
 
+    def _set_levels(self, position: StorePosition) -> None:
+        self._metrics.set_level("suspects-page-era", position.era)
+        self._metrics.set_level("suspects-page-revision", position.revision)
+
     def _log_report(self, body: SuspectId, *, source: str) -> None:
         record = self._tracker.get_record(body)
         log_event(
