--- a/tests/lib/crash_fleet.py
+++ b/tests/lib/crash_fleet.py
@@ -1,5 +1,6 @@
 """Run entries as processes beside replicas that end, as some requests make them do."""
 
+import json
 import os
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager, suppress
@@ -32,7 +33,7 @@
     make_answer,
     make_event,
 )
-from tests.lib.direct_store import DirectStore
+from tests.lib.direct_store import DirectStore, StoreCopy
 from tests.soak.fleet import Fleet, Member
 
 CRASH = b"crash"
@@ -102,12 +103,29 @@
     scopes: dict[str, trio.CancelScope] = field(default_factory=dict)
     """Scopes of the running replicas, by id."""
     crash_kind: CrashKind = CrashKind.SILENT
+    copy: StoreCopy | None = None
+    """Copy from which the store can be restored."""
 
     @property
     def entries(self) -> list[Member]:
         """Return the entries."""
         return self.fleet.entries
 
+    def restore_store(self) -> None:
+        """Restore the store from the copy; live replicas register again at once."""
+        assert self.copy is not None
+        live = {
+            key: json.loads(value)
+            for key, (value, _) in self.store.items.items()
+            if key.startswith("servers/")
+        }
+        self.store.restore_from(self.copy)
+        for key in list(self.store.items):
+            if key.startswith("servers/") and key not in live:
+                self.store.remove(key)
+        for key, document in live.items():
+            self.store.put(key, document)
+
     async def start_replica(self) -> None:
         """Start a replica under a new id, and register it."""
         self.starts += 1
@@ -239,13 +257,17 @@
 
 @asynccontextmanager
 async def open_crash_fleet(
-    folder: Path, *, entries: int = 4, replicas: int = 8
+    folder: Path,
+    *,
+    entries: int = 4,
+    replicas: int = 8,
+    store: DirectStore | None = None,
 ) -> AsyncIterator[CrashFleet]:
     """Run a store and replicas in this process, and entries as processes.
 
     No agent runs, so no leader of a group tells the entries of each other.
     """
-    store, client = DirectStore(), ReplicaClient()
+    store, client = store or DirectStore(), ReplicaClient()
     store.put("op/config", CONFIGURATION)
     async with trio.open_nursery() as nursery:
         address = await nursery.start(
--- a/tests/lib/direct_store.py
+++ b/tests/lib/direct_store.py
@@ -36,6 +36,8 @@
     """Number of times that the store was restored from a copy."""
     era_header: bytes | None = None
     """Value of the era header; None sends the actual era."""
+    hides_first_era: bool = False
+    """Whether answers have no era header until the store was restored from a copy."""
     on_call: Callable[[str], None] = lambda path: None
     """Called with the path of each call before it is answered."""
     items: dict[str, tuple[bytes, int]] = field(default_factory=dict)
@@ -45,6 +47,8 @@
     answer_status: int = 0
     """Status with which every call is rejected; 0 rejects none."""
     lose_answers: bool = False
+    silent_watches: bool = False
+    """Whether watches get no answer while all other calls are answered."""
     delay_s: float = 0.0
     """Time after which answers are sent."""
     calls: list[str] = field(default_factory=list)
@@ -106,7 +110,9 @@
 
     async def _send(self, send: Any, answer: object, *, status: int) -> None:
         era = str(self.era).encode() if self.era_header is None else self.era_header
-        headers = ((b"Store-Era", era),)
+        headers: tuple[tuple[bytes, bytes], ...] = ((b"Store-Era", era),)
+        if self.hides_first_era and not self.era:
+            headers = ()
         await send_json(send, answer, status=status, headers=headers)
 
     async def _answer(
@@ -119,7 +125,10 @@
         if path == "/api/kv-range":
             return 200, self._list(query)
         if path == "/api/kv-watch":
-            return await self._watch(query)
+            answer = await self._watch(query)
+            if self.silent_watches:
+                await trio.sleep_forever()
+            return answer
         if path == "/api/kv-txn":
             return self._swap(json.loads(body))
         if path == "/api/kv-lease":
