Give each answer of the store the era in which it was made

Once the answers of the platform's store told an era, entries took in nothing of the page on which they share crashing requests: three replicas ended for each entry, twelve for four.

Cause: the era of items, events and results of writes was a field with 0 as its default, and platform/store.py set it for listings alone. Readers order by era and revision, so that all but listings was older than what was known.

--- a/bench/capacity_parts.py
+++ b/bench/capacity_parts.py
@@ -105,7 +105,7 @@
         for number in range(count):
             item = items[number % len(items)]
             revision = reader.table.revision + 1
-            reader.accept([KeyValue(item.key, item.value, revision)])
+            reader.accept([KeyValue(item.key, item.value, revision, 0)])
 
     return time_best(apply, rounds=2) * _MILLISECONDS
 
@@ -161,7 +161,7 @@
         stored = StoredRow(number + 1, cells)
         pages[key] = pages.get(key, Page()).with_row(row, stored)
     return [
-        KeyValue(key, format_page(page), rows + 1)
+        KeyValue(key, format_page(page), rows + 1, 0)
         for key, page in sorted(pages.items())
     ]
 
--- a/src/hyssopvane/_internal/coordination/evacuation_feed.py
+++ b/src/hyssopvane/_internal/coordination/evacuation_feed.py
@@ -92,13 +92,16 @@
         if event.value is None:
             self._remove(event.key, event.revision, source="store")
         else:
-            item = KeyValue(event.key, event.value, event.revision)
+            item = KeyValue(event.key, event.value, event.revision, era)
             self._put(item, source="store")
 
     def merge(self, items: Iterable[StoreItem], position: StorePosition) -> None:
         """Apply another entry's evacuations if they are newer."""
         if position > self.position:
-            listed = [KeyValue(one.key, one.value, one.revision) for one in items]
+            listed = [
+                KeyValue(one.key, one.value, one.revision, position.era)
+                for one in items
+            ]
             self.load(listed, position, source="peer")
 
     def export(self) -> tuple[StoreItem, ...]:
--- a/src/hyssopvane/_internal/coordination/key_value.py
+++ b/src/hyssopvane/_internal/coordination/key_value.py
@@ -26,8 +26,8 @@
     value: bytes
     revision: int
     """Revision of the service at which this value was written."""
-    era: int = field(default=0, compare=False)
-    """Era of the service in which it was read; 0 if unknown."""
+    era: int = field(compare=False)
+    """Era of the service in which it was read; 0 if the service has no eras."""
 
     @property
     def position(self) -> StorePosition:
@@ -41,8 +41,8 @@
 
     revision: int
     items: tuple[KeyValue, ...]
-    era: int = 0
-    """Number of the era, higher after each restore from a copy; 0 if unknown."""
+    era: int
+    """Number of the era, higher after each restore from a copy; 0 without eras."""
 
     @property
     def position(self) -> StorePosition:
@@ -86,7 +86,7 @@
     """Report that every swap of a transaction was applied."""
 
     revision: int
-    era: int = field(default=0, compare=False)
+    era: int = field(compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +94,7 @@
     """Report that no swap was applied, with the current values of the keys."""
 
     current: tuple[KeyValue, ...]
-    era: int = field(default=0, compare=False)
+    era: int = field(compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +104,7 @@
     key: str
     value: bytes | None
     revision: int
-    era: int = field(default=0, compare=False)
+    era: int = field(compare=False)
 
 
 class KeyValueStore(ABC):
@@ -112,7 +112,9 @@
 
     A call raises `KeyValueUnavailable` when it was certainly not applied,
     `KeyValueUnknown` when a write was sent but its answer was lost, and
-    `KeyValueRefused` when the service rejects it.
+    `KeyValueRefused` when the service rejects it. Whatever a call or a watch returns
+    has the era of the answer that it comes from, and no answer of an earlier era is
+    returned once a later one is known.
     """
 
     watch_s: float = 0.0
@@ -122,13 +124,13 @@
     """
 
     @property
+    @abstractmethod
     def era(self) -> int:
         """Return the era of the last answer; 0 if the service has no eras."""
-        return 0
 
+    @abstractmethod
     async def wait_past_era(self, era: int) -> None:
         """Wait until an era has ended because the service was restored from a copy."""
-        await trio.sleep_forever()
 
     @abstractmethod
     async def start(self, nursery: trio.Nursery) -> None:
@@ -150,7 +152,11 @@
     async def compare_and_swap(
         self, swaps: Sequence[Swap], *, checks: Sequence[Check] = ()
     ) -> Swapped | SwapLost:
-        """Apply all swaps in one transaction, or none if a key has changed."""
+        """Apply all swaps in one transaction, or none if a key has changed.
+
+        Raise `KeyValueUnknown` if an era has begun since the call was made: the service
+        assigns the expected revisions again to other values.
+        """
 
     @abstractmethod
     async def grant_lease(self, ttl_s: int) -> int:
--- a/src/hyssopvane/_internal/coordination/routing_feed.py
+++ b/src/hyssopvane/_internal/coordination/routing_feed.py
@@ -108,7 +108,7 @@
                 replicas=self.replicas,
                 count=count,
             )
-        self._configuration = KeyValue("", b"", 0)
+        self._configuration = KeyValue("", b"", 0, 0)
         self._items: dict[str, KeyValue] = {}
         self._unreadable: dict[str, int] = {}
         """Revisions of the registrations that can't be decoded, by key."""
@@ -170,12 +170,17 @@
         if snapshot.configuration:
             key = self._format.configuration_key
             self._apply_configuration(
-                KeyValue(key, snapshot.configuration, snapshot.configuration_revision),
+                KeyValue(
+                    key,
+                    snapshot.configuration,
+                    snapshot.configuration_revision,
+                    snapshot.replicas_era,
+                ),
                 source="peer",
             )
         if snapshot.replicas_position > self.replicas_position:
             items = tuple(
-                KeyValue(item.key, item.value, item.revision)
+                KeyValue(item.key, item.value, item.revision, snapshot.replicas_era)
                 for item in snapshot.replicas
             )
             self._replace_replicas(items, snapshot.replicas_position, source="peer")
@@ -289,7 +294,7 @@
             if self.evacuations is not None:
                 self.evacuations.apply_event(event, era=era)
             if event.value is not None and event.key == self._format.configuration_key:
-                item = KeyValue(event.key, event.value, event.revision)
+                item = KeyValue(event.key, event.value, event.revision, event.era)
                 self._apply_configuration(item, source="store")
         elif era == self.replicas_position.era and event.revision > self._get_revision(
             event.key
@@ -353,7 +358,7 @@
             self._remove(event.key, why="registration removed")
         else:
             self._departures.remove(event.key)
-            self._put(KeyValue(event.key, event.value, event.revision))
+            self._put(KeyValue(event.key, event.value, event.revision, event.era))
 
     def _replace_replicas(
         self, items: tuple[KeyValue, ...], position: StorePosition, *, source: str
--- a/src/hyssopvane/_internal/platform/store.py
+++ b/src/hyssopvane/_internal/platform/store.py
@@ -125,9 +125,20 @@
         self._client = ReplicaClient()
         self._era = 0
         """Number of the store's restores from older copies; 0 until it sends one."""
+        self._was_answered = False
+        """Whether the era is that of an answer."""
+        self._era_changed = trio.Event()
         self._pending_watches: dict[trio.CancelScope, int] = {}
         """Cancel scopes of the watches in progress, with their eras."""
 
+    @property
+    def era(self) -> int:
+        return self._era
+
+    async def wait_past_era(self, era: int) -> None:
+        while self._era <= era:
+            await self._era_changed.wait()
+
     async def start(self, nursery: trio.Nursery) -> None:
         """Do nothing: connections are opened on demand."""
 
@@ -136,7 +147,9 @@
 
     async def get(self, key: str) -> KeyValue | None:
         answer = await self._read("/api/kv-key", {"key": key})
-        return None if answer.status == _NOT_FOUND else _read_item(answer.document)
+        if answer.status == _NOT_FOUND:
+            return None
+        return _read_item(answer.document, answer.era)
 
     async def get_prefix(self, prefix: str, *, min_revision: int = 0) -> Snapshot:
         items: list[KeyValue] = []
@@ -152,7 +165,7 @@
                     context=prefix,
                 )
             page = answer.document
-            items += [_read_item(item) for item in page["items"]]
+            items += [_read_item(item, answer.era) for item in page["items"]]
             if not page.get("has-more") or not page["items"]:
                 break
             query["after"] = items[-1].key
@@ -178,21 +191,28 @@
             if swap.value is not None
         ]
         remove = [swap.key for swap in swaps if swap.value is None]
+        expected_era, was_answered = self._era, self._was_answered
         answer = await self._write(
             "POST",
             "/api/kv-txn",
             {"expected": expected, "puts": puts, "remove": remove},
         )
+        if answer.era != expected_era and was_answered:
+            raise KeyValueUnknown(
+                "the store was restored from a copy during the call",
+                hint="read the keys back before writing them again",
+            )
         if answer.status == _CONFLICT:
             documents = answer.document["items"]
             items = [item for item in documents if item.get("value") is not None]
-            return SwapLost(tuple(_read_item(item) for item in items))
+            current = tuple(_read_item(item, answer.era) for item in items)
+            return SwapLost(current, answer.era)
         if answer.status == _NOT_FOUND:
             raise KeyValueRefused(
                 "the lease of a key has expired or was revoked",
                 hint="grant a new lease and retry",
             )
-        return Swapped(int(answer.document["revision"]))
+        return Swapped(int(answer.document["revision"]), answer.era)
 
     async def grant_lease(self, ttl_s: int) -> int:
         body = {"ttl-ms": ttl_s * _MILLISECONDS}
@@ -321,7 +341,7 @@
         # at revisions that it had already passed in the previous era.
         if answer is None or answer.era != era or answer.status == _HISTORY_GONE:
             raise _HistoryGone
-        events = [_read_event(event) for event in answer.document["events"]]
+        events = [_read_event(event, era) for event in answer.document["events"]]
         return events, int(answer.document["at"])
 
     async def _read(
@@ -390,12 +410,15 @@
 
     def _update_era(self, header: bytes | None) -> int:
         """Return the era of an answer; on a new era, end the watches of older ones."""
+        self._was_answered = True
         if header is None or not header.isdigit() or len(header) > _MAX_ERA_DIGITS:
             return self._era
         era = int(header)
         if era > self._era:
             log_event("info", "store-era", era=era, before=self._era)
             self._era = era
+            self._era_changed.set()
+            self._era_changed = trio.Event()
             self.end_watches(era)
         return era
 
@@ -418,12 +441,12 @@
         ) from error
 
 
-def _read_item(item: dict[str, Any]) -> KeyValue:
+def _read_item(item: dict[str, Any], era: int) -> KeyValue:
     value = base64.b64decode(item["value"])
-    return KeyValue(item["key"], value, int(item["revision"]))
+    return KeyValue(item["key"], value, int(item["revision"]), era)
 
 
-def _read_event(event: dict[str, Any]) -> WatchEvent:
+def _read_event(event: dict[str, Any], era: int) -> WatchEvent:
     deleted = event.get("deleted", False)
     value = None if deleted else base64.b64decode(event["value"])
-    return WatchEvent(event["key"], value, int(event["revision"]))
+    return WatchEvent(event["key"], value, int(event["revision"]), era)
--- a/tests/functional/test_key_value.py
+++ b/tests/functional/test_key_value.py
@@ -69,10 +69,10 @@
         first = await store.compare_and_swap([Swap("a/1", b"1", 0)])
         both = [Swap("a/1", b"2", first.revision), Swap("a/2", b"2", 99)]
         lost = await store.compare_and_swap(both)
-        assert lost == SwapLost((KeyValue("a/1", b"1", first.revision),))
+        assert lost == SwapLost((KeyValue("a/1", b"1", first.revision, 0),), 0)
         both[1] = Swap("a/2", b"2", 0)
         second = await store.compare_and_swap(both)
-        assert second == Swapped(first.revision + 1)
+        assert second == Swapped(first.revision + 1, 0)
         snapshot = await store.get_prefix("a/", min_revision=second.revision)
         assert [item.key for item in snapshot.items] == ["a/1", "a/2"]
         assert isinstance(
@@ -102,9 +102,9 @@
         start = (await store.get_prefix("w/")).revision + 1
         old = await store.compare_and_swap([Swap("w/1", b"1", 0)])
         async with store.watch("w/", start) as events:
-            assert await events.receive() == WatchEvent("w/1", b"1", old.revision)
+            assert await events.receive() == WatchEvent("w/1", b"1", old.revision, 0)
             gone = await store.compare_and_swap([Swap("w/1", None, old.revision)])
-            assert await events.receive() == WatchEvent("w/1", None, gone.revision)
+            assert await events.receive() == WatchEvent("w/1", None, gone.revision, 0)
 
     before = count_calls(address).get("watch", 0)
     run_with_store(address, run)
--- a/tests/lib/fake_key_value.py
+++ b/tests/lib/fake_key_value.py
@@ -159,8 +159,8 @@
         scope = trio.CancelScope()
         # A watch with a fault stays open and sends nothing.
         if fault is Fault.NONE:
-            arguments = (prefix, start_revision, send, scope)
-            self._nursery.start_soon(self._send_changes, *arguments, era)
+            arguments = (prefix, start_revision, send, scope, era, self.state)
+            self._nursery.start_soon(self._send_changes, *arguments)
         try:
             yield receive
         finally:
@@ -173,13 +173,13 @@
         send: trio.MemorySendChannel[WatchEvent],
         scope: trio.CancelScope,
         era: int,
+        state: KeyValueState,
     ) -> None:
         key = prefix.encode()
-        state = self.state
         with scope, send:
             while self.state is state:
                 for event in self.state.get_events(start, key, get_range_end(key)):
-                    item = to_key_value(event.item)
+                    item = to_key_value(event.item, era)
                     value = None if event.is_delete else item.value
                     send.send_nowait(WatchEvent(item.key, value, item.revision, era))
                 start = max(start, self.state.revision + 1)
@@ -260,5 +260,5 @@
     ]
 
 
-def to_key_value(item: StoredItem, era: int = 0) -> KeyValue:
+def to_key_value(item: StoredItem, era: int) -> KeyValue:
     return KeyValue(item.key.decode(), item.value, item.mod_revision, era)
--- a/tests/unit/test_evacuation_feed.py
+++ b/tests/unit/test_evacuation_feed.py
@@ -133,7 +133,7 @@
     for one in (first, second):
         one.merge(make_snapshot(1, 9, "b").evacuations, StorePosition(1, 9))
     era, revision = position
-    first.apply_event(WatchEvent("op/evacuate/a", b"{}", revision), era=era)
+    first.apply_event(WatchEvent("op/evacuate/a", b"{}", revision, era), era=era)
     assert first.zones == set(after_event)
     second.load((), StorePosition(*position), source="store")
     assert second.zones == set(after_listing)
@@ -147,7 +147,7 @@
     own, started = Site().feed.evacuations, Site().feed.evacuations
     key = "op/evacuate/b"
     own.merge(make_snapshot(1, 9, "b").evacuations, StorePosition(1, 9))
-    started.load([KeyValue(key, b"[", 12)], StorePosition(1, 12), source="store")
+    started.load([KeyValue(key, b"[", 12, 1)], StorePosition(1, 12), source="store")
     assert not started.zones
     own.merge(started.export(), started.position)
     assert own.zones == {"b"}
@@ -156,7 +156,7 @@
 def test_listing_of_a_new_era_is_no_change_for_peers_that_have_listed_it():
     """Guard against snapshots that all entries fetch from each one that starts."""
     first, second = Site().feed.evacuations, Site().feed.evacuations
-    items = [KeyValue("op/evacuate/b", b"{}", 5)]
+    items = [KeyValue("op/evacuate/b", b"{}", 5, 2)]
     first.load(items, StorePosition(2, 20), source="store")
     second.load(items, StorePosition(2, 40), source="store")
     assert second.changed_at <= first.position
--- a/tests/unit/test_routing_feed.py
+++ b/tests/unit/test_routing_feed.py
@@ -108,7 +108,7 @@
         feed.connected_at = trio.current_time()
         feed._replace_replicas((), StorePosition(0, 20), source="store")
         assert len(feed.replicas) == 2
-        back = KeyValue("servers/1", make_registration(1), 21)
+        back = KeyValue("servers/1", make_registration(1), 21, 0)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(feed._drop_missing)
             await trio.sleep(1.0)
@@ -127,7 +127,7 @@
         feed.merge(
             make_store_snapshot(1, revision=5, replicas=(1, 2), replicas_revision=9)
         )
-        items = (KeyValue("servers/2", make_registration(2), 5),)
+        items = (KeyValue("servers/2", make_registration(2), 5, 0),)
         feed._replace_replicas(items, StorePosition(0, 20), source="store")
         assert list(feed.replicas) == ["servers/2"]
 
@@ -144,10 +144,10 @@
 
     async def test():
         feed = make_feed()
-        feed._put(KeyValue("servers/old", make_registration(1), 5))
-        feed._put(KeyValue("servers/new", make_registration(1), 9))
+        feed._put(KeyValue("servers/old", make_registration(1), 5, 0))
+        feed._put(KeyValue("servers/new", make_registration(1), 9, 0))
         assert list(feed.replicas) == ["servers/new"]
-        feed._put(KeyValue("servers/old", make_registration(1), 6))
+        feed._put(KeyValue("servers/old", make_registration(1), 6, 0))
         assert list(feed.replicas) == ["servers/new"]
 
     run(test)
@@ -164,12 +164,14 @@
             )
             one.merge(snapshot)
         await trio.sleep(10)
-        gone = WatchEvent("servers/1", None, 10)
+        gone = WatchEvent("servers/1", None, 10, 0)
         peer._apply_event("servers/", gone)
         assert list(peer.replicas) == ["servers/2"]
         feed.connected_at = trio.current_time()
         feed._apply_event("servers/", gone)
-        feed._apply_event("servers/", WatchEvent("servers/3", make_registration(3), 11))
+        feed._apply_event(
+            "servers/", WatchEvent("servers/3", make_registration(3), 11, 0)
+        )
         peer.merge(feed.export())
         assert list(peer.replicas) == ["servers/2", "servers/3"]
 
--- a/tests/unit/test_spread.py
+++ b/tests/unit/test_spread.py
@@ -298,7 +298,7 @@
         items = fleet.state.get_range(b"table/page/", b"u")
         newest = max(items, key=lambda item: item.mod_revision)
         watcher.spread.reader.accept(
-            [KeyValue(newest.key.decode(), newest.value, newest.mod_revision)]
+            [KeyValue(newest.key.decode(), newest.value, newest.mod_revision, 0)]
         )
         await watcher.spread.reader.refresh()
         assert watcher.in_force == fleet.get_committed()
@@ -383,14 +383,14 @@
 
 def test_change_of_a_cell_is_small_and_exact():
     """Guard against forwarding whole pages of 9 KB, which exceeds the budget."""
-    before = KeyValue("table/page/00", make_page(7), 5)
-    after = KeyValue("table/page/00", make_page(7, weight="50", sequence=2), 9)
+    before = KeyValue("table/page/00", make_page(7), 5, 0)
+    after = KeyValue("table/page/00", make_page(7, weight="50", sequence=2), 9, 0)
     change = make_change(before, after)
     assert change.base_revision != FULL_PAGE
     assert len(after.value) > 9_000
     assert len(encode_pages(Pages((change,)))) < 300
     assert apply_change(before, change) == after
-    removed = KeyValue("table/page/00", format_page(Page(3)), 11)
+    removed = KeyValue("table/page/00", format_page(Page(3)), 11, 0)
     assert apply_change(after, make_change(after, removed)) == removed
 
 
@@ -401,9 +401,9 @@
     A process missed one change of a page and gets the next one. Applied to the older
     page, the change would produce such a page.
     """
-    before = KeyValue("table/page/00", make_page(7), 5)
-    after = KeyValue("table/page/00", make_page(7, weight="50", sequence=2), 9)
+    before = KeyValue("table/page/00", make_page(7), 5, 0)
+    after = KeyValue("table/page/00", make_page(7, weight="50", sequence=2), 9, 0)
     change = make_change(before, after)
-    other = KeyValue("table/page/00", make_page(8, weight="3"), revision)
+    other = KeyValue("table/page/00", make_page(8, weight="3"), revision, 0)
     assert apply_change(other, change) is None
     assert apply_change(None, change) is None
--- a/tests/unit/test_store_return.py
+++ b/tests/unit/test_store_return.py
@@ -47,7 +47,7 @@
 
 def make_snapshot(era, *registrations):
     items = tuple(
-        KeyValue(f"servers/{number}", make_registration(number, **changes), 5)
+        KeyValue(f"servers/{number}", make_registration(number, **changes), 5, era)
         for number, changes in registrations
     )
     return Snapshot(7, items, era)
@@ -141,7 +141,7 @@
     async def main():
         _, feed = make_feed_with_store()
         feed._load("servers/", make_snapshot(2, (1, READY)))
-        event = WatchEvent("servers/2", make_registration(2), 30)
+        event = WatchEvent("servers/2", make_registration(2), 30, era)
         feed._apply_event("servers/", event, era=era)
         assert ("servers/2" in feed.replicas) == taken
 
--- a/tests/unit/test_store_watch.py
+++ b/tests/unit/test_store_watch.py
@@ -36,12 +36,12 @@
 
     async def test():
         feed = make_feed()
-        feed._put(KeyValue("servers/1", make_registration(1), 1))
+        feed._put(KeyValue("servers/1", make_registration(1), 1, 0))
         feed._record_connection("servers/", True)
         await trio.sleep(100.0)
         if told:
             feed.record_return(trio.current_time() - 0.3)
-        feed._apply_event("servers/", WatchEvent("servers/1", None, 9))
+        feed._apply_event("servers/", WatchEvent("servers/1", None, 9, 0))
         assert set(feed.replicas) == ({"servers/1"} if told else set())
 
     run(test)
--- a/tests/unit/test_strangers.py
+++ b/tests/unit/test_strangers.py
@@ -144,8 +144,10 @@
     async def test():
         feed = make_feed()
         for number in (1, 2):
-            feed._put(KeyValue(f"servers/{number}", make_registration(number), number))
-        feed._apply_event("servers/", WatchEvent("servers/1", value, 9))
+            feed._put(
+                KeyValue(f"servers/{number}", make_registration(number), number, 0)
+            )
+        feed._apply_event("servers/", WatchEvent("servers/1", value, 9, 0))
         assert set(feed.replicas) == {"servers/2"}
         assert feed.unreadable_count == 1
 
@@ -158,9 +160,9 @@
     async def test():
         feed = make_feed()
         for value, revision in ((b"[", 5), (make_registration(1), 4)):
-            feed._apply_event("servers/", WatchEvent("servers/1", value, revision))
+            feed._apply_event("servers/", WatchEvent("servers/1", value, revision, 0))
         assert not feed.replicas
-        event = WatchEvent("servers/1", make_registration(1), 6)
+        event = WatchEvent("servers/1", make_registration(1), 6, 0)
         feed._apply_event("servers/", event)
         assert set(feed.replicas) == {"servers/1"}
 
@@ -172,9 +174,9 @@
 
     async def test():
         feed = make_feed()
-        feed._put(KeyValue("servers/2", make_registration(2), 3))
-        feed._put(KeyValue("servers/1", make_registration(1), 4))
-        feed._put(KeyValue("servers/1", b"{}", 8))
+        feed._put(KeyValue("servers/2", make_registration(2), 3, 0))
+        feed._put(KeyValue("servers/1", make_registration(1), 4, 0))
+        feed._put(KeyValue("servers/1", b"{}", 8, 0))
         old = (StoreItem("servers/1", make_registration(1), 4),)
         feed.merge(StoreSnapshot(0, b"", 20, old))
         assert "servers/1" not in feed.replicas
@@ -191,7 +193,7 @@
     async def test():
         feed = make_feed()
         for revision in range(1, 50):
-            feed._put(KeyValue("servers/1", b"[" * 100_000, revision))
+            feed._put(KeyValue("servers/1", b"[" * 100_000, revision, 0))
         assert feed.unreadable_count == 49
         assert len(feed.list_unreadable()) == 1
 
@@ -216,7 +218,7 @@
         feed._count = events.append
         for revision in (1, 2, 3):
             document = make_registration(1, **{"cold-left-ms": value})
-            feed._put(KeyValue("servers/1", document, revision))
+            feed._put(KeyValue("servers/1", document, revision, 0))
         replica = feed.replicas["servers/1"]
         assert replica.cold_left_s is None and replica.revision == 3
         assert replica.slots == GOOD["slots"]
--- a/tests/unit/test_table_store.py
+++ b/tests/unit/test_table_store.py
@@ -68,7 +68,7 @@
     applications = Counter()
     last = {}
     for event in state.get_events(0, PAGE_PREFIX.encode(), b"u"):
-        page = parse_page(KeyValue("page", event.item.value, 0))
+        page = parse_page(KeyValue("page", event.item.value, 0, 0))
         for row, stored in page.rows.items():
             for name, cell in stored.cells.items():
                 if last.get((row, name)) != cell.revision:
