Share suspects again when a page of the store lacks them

After the first return of a store that told no era before, entries took over the older page and forgot what it lacked: a request ended 6 replicas.

Cause: records are voided by name on the direct path, so a record that is not on the page was never cleared, but read as dropped. Records were shared again only after the second return, and a page that can't be decoded, or was deleted, was replaced only by the next crash.

A record that is missing on the page is shared again while it has more than 30 s left and the page has room; a return of the store, an unreadable page and a deletion share all of them again. An entry that has learnt of an era reads the page before it writes, as the store's revisions begin anew.

--- a/src/hyssopvane/_internal/coordination/quarantine.py
+++ b/src/hyssopvane/_internal/coordination/quarantine.py
@@ -126,6 +126,8 @@
                         self._accept(
                             KeyValue(event.key, event.value, event.revision, event.era)
                         )
+                    elif event.key == PAGE_KEY:
+                        self._share_again()
 
     async def _flush_changes(self) -> None:
         backoff = Backoff(self._random, first_s=0.02)
@@ -150,6 +152,10 @@
 
     async def _write(self, bodies: frozenset[SuspectId]) -> None:
         while True:
+            if self._store.era > self._position.era:
+                # The store assigns revisions of earlier eras again to other values.
+                await self._read_page()
+                bodies |= self._tracker.take_changes()
             changes = {body: self._tracker.get_record(body) for body in bodies}
             records = _merge_changes(
                 self._shared,
@@ -179,15 +185,25 @@
             bodies |= self._tracker.take_changes()
             await trio.sleep(self._random.uniform(0.0, self._flush_interval_s))
 
+    async def _read_page(self) -> None:
+        item = await self._store.get(PAGE_KEY)
+        self._handle_era_change(self._store.era)
+        if item is not None:
+            self._accept(item)
+
     def _handle_era_change(self, era: int) -> None:
         """Share records again that the service may have lost in a restore."""
         if era <= self._position.era:
             return
-        if self._position.era:
-            self._tracker.return_changes(self._shared)
-            self._shared = {}
+        self._share_again()
         self._record_page(StorePosition(era, ABSENT))
 
+    def _share_again(self) -> None:
+        """Write all records again, as the store has no page that holds them."""
+        records = self._tracker.list_records(now=trio.current_time())
+        self._tracker.return_changes(records)
+        self._shared = {}
+
     def _record_page(self, position: StorePosition, value: bytes = b"") -> None:
         self._position = position
         self._prefix = get_value_prefix(value)
@@ -204,7 +220,7 @@
         try:
             records = parse_page(item.value, offset=offset)
         except ValueError as error:
-            # The records of this entry remain valid; the next write replaces the page.
+            # The records of this entry remain valid, and replace the page.
             self._report(
                 HyssopvaneError(
                     "the page of quarantined bodies can't be decoded",
@@ -213,13 +229,15 @@
                 )
             )
             self._record_page(item.position, item.value)
+            self._share_again()
             return
         records = {
             body: self._limit_expiry(body, record, now)
             for body, record in records.items()
         }
+        has_room = len(records) < self._tracker.max_records
         for body in self._shared.keys() - records.keys():
-            self._tracker.drop(body)
+            self._tracker.handle_missing(body, has_room=has_room, now=now)
         for body, record in records.items():
             quarantine_s = self._get_quarantine_s(body.service)
             if self._tracker.merge(body, record, quarantine_s=quarantine_s, now=now):
--- a/src/hyssopvane/_internal/policy/suspects.py
+++ b/src/hyssopvane/_internal/policy/suspects.py
@@ -329,6 +329,22 @@
         if body not in self._changed:
             self._put(body, None)
 
+    def handle_missing(self, body: SuspectId, *, has_room: bool, now: float) -> None:
+        """Remove a record that other entries no longer share, or share it again.
+
+        Where crashes are voided by name, a record leaves the others only by its expiry
+        or for want of room. Another one was lost by the store, or by a write that did
+        not know it.
+        """
+        record = self._find(body, now)
+        if record is None:
+            return
+        left_s = record.until + self._get_probation_s(body, record) - now
+        if self.rules.crash_ends_incarnation and has_room and left_s > MIN_EXPIRY_S:
+            self._changed.add(body)
+        else:
+            self.drop(body)
+
     def get_record(self, body: SuspectId) -> SuspectRecord | None:
         """Return the record of a body."""
         return self._records.get(body)
@@ -551,13 +567,14 @@
         record = self._records.get(body)
         if record is None:
             return None
-        rules = self.rules.select(body)
-        kept_s = rules.probation_s if record.quarantined else 0.0
-        if record.until + kept_s <= now:
+        if record.until + self._get_probation_s(body, record) <= now:
             self._put(body, None)
             return None
         return record
 
+    def _get_probation_s(self, body: SuspectId, record: SuspectRecord) -> float:
+        return self.rules.select(body).probation_s if record.quarantined else 0.0
+
 
 def _is_refused(record: SuspectRecord, now: float) -> bool:
     return record.quarantined and now < record.until
--- a/tests/unit/test_lost_connections.py
+++ b/tests/unit/test_lost_connections.py
@@ -3,7 +3,11 @@
 import pytest
 
 from hyssopvane._internal.policy.suspect_rules import LOST_CONNECTIONS
-from hyssopvane._internal.policy.suspects import SuspectTracker
+from hyssopvane._internal.policy.suspects import (
+    MIN_EXPIRY_S,
+    SUSPECT_S,
+    SuspectTracker,
+)
 from hyssopvane._internal.state.suspects import Crash, SuspectId
 
 BODY = SuspectId("checks", b"body", "registry")
@@ -151,6 +155,28 @@
     assert not account.is_refused(BODY)
 
 
+@pytest.mark.parametrize(
+    ("crashes", "wait_s", "has_room", "kept"),
+    [
+        (1, 0.0, True, True),
+        (3, 0.0, True, True),
+        (3, 0.0, False, False),
+        (1, SUSPECT_S - MIN_EXPIRY_S, True, False),
+        (3, QUARANTINE_S, True, True),
+    ],
+)
+def test_record_that_a_page_lacks_is_shared_again(crashes, wait_s, has_room, kept):
+    """Guard against a page that was written by an entry which did not know of it."""
+    account = Account()
+    for _ in range(crashes):
+        account.crash(BODY)
+    account.tracker.take_changes()
+    account.wait(wait_s)
+    account.tracker.handle_missing(BODY, has_room=has_room, now=account.now)
+    assert (account.tracker.get_record(BODY) is not None) == kept
+    assert (BODY in account.tracker.take_changes()) == kept
+
+
 def test_entry_that_never_saw_a_request_finish_believes_the_others():
     """Guard against a request of all callers that one entry alone has refused."""
     account, other = Account(), Account()
--- a/tests/unit/test_suspect_pages.py
+++ b/tests/unit/test_suspect_pages.py
@@ -8,11 +8,11 @@
 import trio.testing
 
 from hyssopvane._internal.coordination.key_value import MAX_VALUE_BYTES
-from hyssopvane._internal.coordination.quarantine import QuarantineSync
+from hyssopvane._internal.coordination.quarantine import PAGE_KEY, QuarantineSync
 from hyssopvane._internal.policy.suspect_rules import LOST_CONNECTIONS, MAX_VOIDED
 from hyssopvane._internal.policy.suspects import MAX_LONG_RECORDS, SuspectTracker
 from hyssopvane._internal.protocol.suspect_pages import format_page, parse_page
-from hyssopvane._internal.standins.key_value_state import KeyValueState
+from hyssopvane._internal.standins.key_value_state import Delete, KeyValueState, Put
 from hyssopvane._internal.state.suspects import Crash, SuspectId, SuspectRecord
 from tests.lib.fake_key_value import FakeKeyValueStore
 
@@ -83,6 +83,56 @@
         parse_page(page, offset=0.0)
 
 
+def make_sync(store, tracker, *, number=0, wrong_s=0.0):
+    return QuarantineSync(
+        store,
+        tracker,
+        random=Random(number),
+        get_quarantine_s=lambda service: 600.0,
+        report=lambda error: None,
+        wall_clock=lambda: trio.current_time() + 1_000_000 + wrong_s,
+    )
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        Put(PAGE_KEY.encode(), format_page({}, offset=0.0)),
+        Put(PAGE_KEY.encode(), b"["),
+        Delete(PAGE_KEY.encode()),
+    ],
+)
+def test_page_that_lost_records_gets_them_again(change):
+    """Guard against an entry that starts and reads a page which another one spoilt."""
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        trackers = [SuspectTracker(rules=LOST_CONNECTIONS) for _ in range(3)]
+        async with trio.open_nursery() as nursery:
+            for number, tracker in enumerate(trackers[:2]):
+                store = FakeKeyValueStore(state, nursery)
+                nursery.start_soon(make_sync(store, tracker, number=number).run)
+            for generation in range(1, 4):
+                await trio.sleep(0.5)
+                crash = Crash(f"i-{generation}", 0, trio.current_time(), generation)
+                trackers[0].record_crash(
+                    BODY, crash, quarantine_s=600.0, now=trio.current_time()
+                )
+            await trio.sleep(0.5)
+            state.commit([], [change])
+            await trio.sleep(0.5)
+            revision = state.revision
+            store = FakeKeyValueStore(state, nursery)
+            nursery.start_soon(make_sync(store, trackers[2], number=2).run)
+            await trio.sleep(30.0)
+            now = trio.current_time()
+            assert all(one.is_quarantined(BODY, now=now) for one in trackers)
+            assert state.revision == revision
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0.0))
+
+
 @pytest.mark.parametrize("error_s", [-3_600.0, 0.0, 3_600.0])
 def test_wrong_clock_of_one_entry_loses_no_evidence(error_s):
     """Guard against times of day of another VM that let a record expire at once."""
@@ -93,16 +143,8 @@
         async with trio.open_nursery() as nursery:
             for number, tracker in enumerate(trackers):
                 wrong_s = error_s if number == 1 else 0.0
-                sync = QuarantineSync(
-                    FakeKeyValueStore(state, nursery),
-                    tracker,
-                    random=Random(number),
-                    get_quarantine_s=lambda service: 600.0,
-                    report=lambda error: None,
-                    wall_clock=lambda wrong_s=wrong_s: (
-                        trio.current_time() + 1_000_000 + wrong_s
-                    ),
-                )
+                store = FakeKeyValueStore(state, nursery)
+                sync = make_sync(store, tracker, number=number, wrong_s=wrong_s)
                 nursery.start_soon(sync.run)
             await trio.sleep(0.5)
             for number, tracker in enumerate(trackers):
