Exchange suspects directly while the store seems to be fine

An entry learnt of a crashing request by its watch of the page alone.

Entries exchanged directly only while they could not read or write the page. Now each exchanges with one of its partners every 2 s, and with four at once when a body or a part has crashed one replica more after its first. So a word reaches all of them within 3 s by way of the seeds, whatever the store does. A call whose tags match carries no records.

--- a/src/hyssopvane/_internal/policy/suspects.py
+++ b/src/hyssopvane/_internal/policy/suspects.py
@@ -93,6 +93,8 @@
         self._attributed: OrderedDict[Crash, None] = OrderedDict()
         self.revision = 0
         """Number of changes of the records."""
+        self.repeats = 0
+        """Number of crashes that were not the first one of their body or part."""
 
     def __len__(self) -> int:
         return len(self._records)
@@ -560,6 +562,9 @@
         if record is None:
             return
         self._records[body] = record
+        known = 0 if before is None else len(before.crashes)
+        if len(record.crashes) > max(1, known):
+            self.repeats += 1
         for key in list_keys(record.crashes):
             self._bodies.setdefault(key, set()).add(body)
 
--- a/src/hyssopvane/_internal/roles/suspect_exchange.py
+++ b/src/hyssopvane/_internal/roles/suspect_exchange.py
@@ -1,8 +1,10 @@
 """Exchange evidence about crashing requests with other entries.
 
 The key-value service holds what all entries know. While this entry can't read or write
-it, entries exchange what they know directly. They know each other from their settings,
-as a service without agents has no leader that names them.
+it, entries exchange what they know directly. Otherwise they do so seldom, and at once
+when a request has crashed more than one replica: the watch of an entry may be silent
+while the service seems to be fine. They know each other from their settings, as a
+service without agents has no leader that names them.
 """
 
 import secrets
@@ -37,6 +39,12 @@
 EXCHANGE_INTERVAL_S = 0.5
 EXCHANGE_TIMEOUT_S = 1.0
 
+QUIET_INTERVAL_S = 2.0
+"""Pause between two exchanges while the key-value service serves this entry.
+
+An entry must know within 3 s what others refuse.
+"""
+
 MAX_PARTNERS = 4
 """Number of entries that this one exchanges evidence with in each interval."""
 
@@ -85,6 +93,9 @@
         self._client = ReplicaClient()
         self._partners: dict[str, _Partner] = {}
         self._start_id = secrets.token_hex(8)
+        self._quiet_until = 0.0
+        self._told_repeats = 0
+        """Number of repeated crashes of which partners were told."""
         self.own_address = ""
         self.has_received = False
         """Whether another entry has told what it knows."""
@@ -92,11 +103,9 @@
     async def run(self) -> None:
         """Exchange records until cancelled."""
         while True:
-            # At the start, the store may be away while other entries know suspects.
-            if self._is_needed():
-                async with trio.open_nursery() as nursery:
-                    for address in self._choose_partners():
-                        nursery.start_soon(self._exchange, address)
+            async with trio.open_nursery() as nursery:
+                for address in self._choose_partners(trio.current_time()):
+                    nursery.start_soon(self._exchange, address)
             await trio.sleep(EXCHANGE_INTERVAL_S)
 
     async def close(self) -> None:
@@ -114,12 +123,7 @@
 
         Entries that hear the same ones agree without a message.
         """
-        now = trio.current_time()
-        silent = {
-            address
-            for address, partner in self._partners.items()
-            if now - partner.failed_at < SILENT_S
-        }
+        silent = self._list_silent(trio.current_time())
         known = {*self._seeds, *self._partners, self.own_address} - silent
         seeds = {address: hash_name(address) for address in known}
         return rank(service.encode(), seeds, count=1) == [self.own_address]
@@ -143,10 +147,29 @@
             status, content = _OK, self._format()
         await send_response(send, status=status, headers=((_ETAG, tag),), body=content)
 
-    def _choose_partners(self) -> list[str]:
+    def _choose_partners(self, now: float) -> list[str]:
+        """Return the entries to exchange with now."""
+        # At the start, the store may be away while other entries know suspects.
+        has_news = self._told_repeats != self._tracker.repeats
+        if self._is_needed() or has_news:
+            count = MAX_PARTNERS
+        elif now >= self._quiet_until:
+            count = 1
+        else:
+            return []
+        self._told_repeats = self._tracker.repeats
+        self._quiet_until = now + QUIET_INTERVAL_S * self._random.uniform(0.8, 1.0)
         addresses = {*self._seeds, *self._partners} - {self.own_address}
-        count = min(MAX_PARTNERS, len(addresses))
-        return self._random.sample(sorted(addresses), count)
+        if count == 1:
+            addresses -= self._list_silent(now)
+        return self._random.sample(sorted(addresses), min(count, len(addresses)))
+
+    def _list_silent(self, now: float) -> set[str]:
+        return {
+            address
+            for address, partner in self._partners.items()
+            if now - partner.failed_at < SILENT_S
+        }
 
     async def _exchange(self, address: str) -> None:
         partner = self._partners.setdefault(address, _Partner())
