Bound the work for answers that come in bytes without end

A replica that sent interim answers or chunks of one byte without end stopped an entry for up to 3 s, for all callers; a stream of comments, or an event that did not end, delayed others by up to 1.2 s, and callers got broken answers.

Cause: a task that finds the next part of an answer in its buffer never waits, so no other task runs and no deadline takes effect. Nothing bounded interim answers, the parts of a body or the size of an event, and an event without end was copied with each part.

Now other tasks run after 16 parts; an answer fails after 16 interim ones, or after 4,096 parts of fewer than 8 bytes each on the mean; a stream fails after 1 MiB without an event that has data. Its request goes to another replica. All calls by way of ReplicaClient share this: replicas, ranks, store, exchanges. The path with agents, etcd and the list of VMs read 8 KiB at a time, 128 KiB of heads, and bodies and lines up to a limit. An exchange of suspects waits for no partner that answers slowly.

--- a/src/hyssopvane/_internal/coordination/etcd_key_value.py
+++ b/src/hyssopvane/_internal/coordination/etcd_key_value.py
@@ -51,11 +51,20 @@
     KeyValueUnavailable,
     KeyValueUnknown,
 )
+from hyssopvane._internal.utils.bounded_backend import (
+    AnswerTooLarge,
+    iterate_body,
+    make_bounded_pool,
+    read_body,
+)
 from hyssopvane._internal.utils.logs import log_event
 
 DEFAULT_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 32
 
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+"""Largest answer, or line of a watch, that is read."""
+
 MAX_COMPARED_KEYS = 64
 """Maximum keys of a transaction, since each may need two comparisons of its value."""
 
@@ -118,7 +127,7 @@
         self._address = address
         self._wall_clock = wall_clock
         self._timeout_s = timeout_s
-        self._pool = httpcore.AsyncConnectionPool(max_connections=MAX_CONNECTIONS)
+        self._pool = make_bounded_pool(max_connections=MAX_CONNECTIONS)
         self._nursery: trio.Nursery | None = None
         self._era = ServiceEra()
         self._era_lock = trio.Lock()
@@ -247,10 +256,10 @@
                 ) as response:
                     if response.status != 200:
                         return
-                    async for line in _split_lines(response.aiter_stream()):
+                    async for line in _split_lines(iterate_body(response)):
                         if not _send_events(line, send, era=era, cluster=cluster):
                             return
-            except (httpcore.NetworkError, httpcore.ProtocolError):
+            except (httpcore.NetworkError, httpcore.ProtocolError, AnswerTooLarge):
                 # The end of the channel shows the reader that the watch has ended.
                 return
             except httpcore.TimeoutException:
@@ -412,14 +421,15 @@
         lost = KeyValueUnknown if writes else KeyValueUnavailable
         try:
             with trio.fail_after(self._timeout_s):
-                response = await self._pool.request(
+                async with self._pool.stream(
                     "POST",
                     f"http://{self._address}{path}",
                     content=json.dumps(request).encode(),
                     # The shorter timeout distinguishes a failed connection from a
                     # write without an answer.
                     extensions={"timeout": {"connect": self._timeout_s / 2}},
-                )
+                ) as response:
+                    content = await read_body(response, max_bytes=MAX_ANSWER_BYTES)
         except _NEVER_SENT as error:
             raise self._make_error(KeyValueUnavailable, "can't be reached") from error
         except trio.TooSlowError as error:
@@ -430,23 +440,25 @@
             httpcore.TimeoutException,
         ) as error:
             raise self._make_error(lost, "closed the connection") from error
-        return self._read_answer(response, lost)
+        except AnswerTooLarge as error:
+            raise self._make_error(lost, f"sent an unusable answer: {error}") from error
+        return self._read_answer(response.status, content, lost)
 
     def _read_answer(
-        self, response: httpcore.Response, lost: type[KeyValueError]
+        self, status: int, content: bytes, lost: type[KeyValueError]
     ) -> JsonObject:
         try:
-            answer = json.loads(response.content)
+            answer = json.loads(content)
         except ValueError as error:
             raise self._make_error(lost, "did not answer in JSON") from error
-        if response.status == 200 and isinstance(answer, dict):
+        if status == 200 and isinstance(answer, dict):
             return answer
         message = str(answer.get("error", "")) if isinstance(answer, dict) else ""
         if message in _NOT_CARRIED_OUT:
             raise self._make_error(KeyValueUnavailable, f"is not ready: {message}")
-        if 400 <= response.status < 500 and response.status not in _CANCELED:
+        if 400 <= status < 500 and status not in _CANCELED:
             raise self._make_error(KeyValueRefused, f"rejected the call: {message}")
-        raise self._make_error(lost, f"failed with status {response.status}: {message}")
+        raise self._make_error(lost, f"failed with status {status}: {message}")
 
     @contextmanager
     def _parsing(self, lost: type[KeyValueError]) -> Iterator[None]:
@@ -501,9 +513,14 @@
 
 
 async def _split_lines(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
-    rest = b""
+    rest = bytearray()
     async for chunk in chunks:
-        *lines, rest = (rest + chunk).split(b"\n")
+        *lines, last = chunk.split(b"\n")
         for line in lines:
-            if line.strip():
-                yield line
+            rest += line
+            if rest.strip():
+                yield bytes(rest)
+            rest.clear()
+        rest += last
+        if len(rest) > MAX_ANSWER_BYTES:
+            raise AnswerTooLarge(f"a line exceeds {MAX_ANSWER_BYTES} bytes")
--- a/src/hyssopvane/_internal/coordination/vm_list.py
+++ b/src/hyssopvane/_internal/coordination/vm_list.py
@@ -8,9 +8,17 @@
 from pydantic.dataclasses import dataclass
 
 from hyssopvane._internal.exceptions import VmListError
+from hyssopvane._internal.utils.bounded_backend import (
+    AnswerTooLarge,
+    make_bounded_pool,
+    read_body,
+)
 
 DEFAULT_TIMEOUT_S = 2.0
 
+MAX_LIST_BYTES = 16 * 1024 * 1024
+"""Largest list that is read: 200 bytes for each of 80,000 VMs."""
+
 
 class VmRole(StrEnum):
     """Define the kinds of VM that the system runs on."""
@@ -56,20 +64,22 @@
     """Fetch the list from the service at "ip:port"; raise `VmListError`."""
     try:
         with trio.fail_after(timeout_s):
-            async with httpcore.AsyncConnectionPool() as pool:
-                response = await pool.request("GET", f"http://{address}/v1/vms")
+            async with make_bounded_pool() as pool:
+                async with pool.stream("GET", f"http://{address}/v1/vms") as response:
+                    content = await read_body(response, max_bytes=MAX_LIST_BYTES)
     except (
         trio.TooSlowError,
         httpcore.NetworkError,
         httpcore.ProtocolError,
         httpcore.TimeoutException,
+        AnswerTooLarge,
     ) as error:
         raise VmListError(
             "the list of VMs can't be fetched",
             context=address,
             hint="the last list stays in use; check the platform's service",
         ) from error
-    return parse_vms(response.content, source=address)
+    return parse_vms(content, source=address)
 
 
 def parse_vms(content: bytes, *, source: str) -> tuple[VmRecord, ...]:
--- a/src/hyssopvane/_internal/roles/attempt.py
+++ b/src/hyssopvane/_internal/roles/attempt.py
@@ -3,8 +3,6 @@
 import time
 from collections.abc import AsyncIterator
 
-import httpcore
-
 from hyssopvane._internal.exceptions import PeerLost
 from hyssopvane._internal.models.refusals import AgentRefusal
 from hyssopvane._internal.policy.target_backoff import TargetBackoff
@@ -22,6 +20,7 @@
 from hyssopvane._internal.state.decisions import DecisionLog, DecisionRecord
 from hyssopvane._internal.transport.peer_connection import PeerStream
 from hyssopvane._internal.transport.target_client import (
+    TargetAnswer,
     TargetClient,
     TargetFailed,
     TargetUnreachable,
@@ -71,7 +70,7 @@
         else:
             self._record("answered", "the target's answer is whole")
 
-    async def _relay(self, response: httpcore.Response) -> None:
+    async def _relay(self, response: TargetAnswer) -> None:
         observe_backoff(self._backoff, response)
         self._stream.send(
             Head(response.status, headers.select_for_caller(tuple(response.headers)))
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -21,7 +21,12 @@
 from hyssopvane._internal.policy.request_priority import rank_request
 from hyssopvane._internal.policy.running_attempts import MIN_SERVE_S
 from hyssopvane._internal.policy.stream_pauses import StreamPauses
-from hyssopvane._internal.protocol.event_stream import EventSplitter, StreamEvent
+from hyssopvane._internal.protocol.event_stream import (
+    EventSplitter,
+    EventTooLarge,
+    StreamEvent,
+    list_slices,
+)
 from hyssopvane._internal.protocol.headers import RETRY_AFTER
 from hyssopvane._internal.protocol.messages import Headers
 from hyssopvane._internal.protocol.replica_headers import (
@@ -534,11 +539,8 @@
         splitter = EventSplitter()
         async for part in response.iterate():
             self._mover.record_heard(inf)
-            for event in splitter.feed(part):
-                self._check_event(event)
-                self.pauses.observe(trio.current_time())
-                await self._start_stream(response)
-                await self._send_part(event.data)
+            for data in list_slices(part):
+                await self._relay_events(splitter, data, response)
             self._mover.record_heard(trio.current_time())
         if splitter.remainder.strip():
             # Without length and chunks, nothing else shows that the replica ended.
@@ -549,6 +551,23 @@
         self.outcome = "answered"
         await self._send({"type": "http.response.body", "body": b""})
 
+    async def _relay_events(
+        self, splitter: EventSplitter, data: bytes, response: ReplicaResponse
+    ) -> None:
+        """Send the events that some bytes complete in one part."""
+        ready = bytearray()
+        try:
+            for event in splitter.feed(data):
+                self._check_event(event)
+                ready += event.data
+        except EventTooLarge as error:
+            raise ReplicaFailed(str(error)) from error
+        finally:
+            if ready:
+                self.pauses.observe(trio.current_time())
+                await self._start_stream(response)
+                await self._send_part(bytes(ready))
+
     def _check_event(self, event: StreamEvent) -> None:
         if event.id is None:
             return
--- a/src/hyssopvane/_internal/roles/suspect_exchange.py
+++ b/src/hyssopvane/_internal/roles/suspect_exchange.py
@@ -92,6 +92,8 @@
         """Called with a body and the entry that reports further crashes of it."""
         self._client = ReplicaClient()
         self._partners: dict[str, _Partner] = {}
+        self._pending: set[str] = set()
+        """Addresses of the entries that have not answered yet."""
         self._start_id = secrets.token_hex(8)
         self._quiet_until = 0.0
         self._told_repeats = 0
@@ -102,11 +104,12 @@
 
     async def run(self) -> None:
         """Exchange records until cancelled."""
-        while True:
-            async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as nursery:
+            while True:
+                # A partner that answers slowly does not hold up the others.
                 for address in self._choose_partners(trio.current_time()):
-                    nursery.start_soon(self._exchange, address)
-            await trio.sleep(EXCHANGE_INTERVAL_S)
+                    nursery.start_soon(self._exchange_once, address)
+                await trio.sleep(EXCHANGE_INTERVAL_S)
 
     async def close(self) -> None:
         """Close the connections to other entries."""
@@ -171,6 +174,16 @@
             if now - partner.failed_at < SILENT_S
         }
 
+    async def _exchange_once(self, address: str) -> None:
+        """Exchange with an entry, unless it has not answered the last time yet."""
+        if address in self._pending:
+            return
+        self._pending.add(address)
+        try:
+            await self._exchange(address)
+        finally:
+            self._pending.discard(address)
+
     async def _exchange(self, address: str) -> None:
         partner = self._partners.setdefault(address, _Partner())
         tag = self._make_tag()
--- a/src/hyssopvane/_internal/roles/target_refusal.py
+++ b/src/hyssopvane/_internal/roles/target_refusal.py
@@ -2,7 +2,6 @@
 
 import math
 
-import httpcore
 import trio
 
 from hyssopvane._internal.exceptions import ProtocolError
@@ -10,12 +9,13 @@
 from hyssopvane._internal.policy.target_backoff import TargetBackoff
 from hyssopvane._internal.protocol.headers import index_headers, read_backoff_s
 from hyssopvane._internal.protocol.messages import Refused
+from hyssopvane._internal.transport.target_client import TargetAnswer
 from hyssopvane._internal.utils.logs import log_event
 
 _MILLISECONDS = 1_000
 
 
-def observe_backoff(backoff: TargetBackoff, response: httpcore.Response) -> None:
+def observe_backoff(backoff: TargetBackoff, response: TargetAnswer) -> None:
     """Record the back-off that an answer of the target asks for with Retry-After."""
     try:
         backoff_s = read_backoff_s(response.status, index_headers(response.headers))
--- a/src/hyssopvane/_internal/transport/client_connection.py
+++ b/src/hyssopvane/_internal/transport/client_connection.py
@@ -1,5 +1,6 @@
 """Exchange HTTP/1.1 requests and answers with a replica on one connection."""
 
+from collections.abc import Callable
 from enum import Enum, auto
 from functools import lru_cache
 
@@ -8,6 +9,7 @@
 
 from hyssopvane._internal.protocol.messages import Headers
 from hyssopvane._internal.transport.raw_stream import RawStream, WriteError
+from hyssopvane._internal.utils.part_meter import PartMeter, TooManyParts
 
 READ_BYTES = 64 * 1024
 
@@ -50,6 +52,7 @@
         self._phase = _Phase.IDLE
         self._requests = 0
         self._sent_whole = True
+        self._meter = PartMeter()
 
     @property
     def is_idle(self) -> bool:
@@ -72,6 +75,7 @@
         self._phase = _Phase.EXCHANGING
         self._requests += 1
         self._sent_whole = False
+        self._meter = PartMeter()
         try:
             try:
                 await self._send(method, target, headers, body)
@@ -93,6 +97,7 @@
             if not isinstance(event, h11.Data):
                 return b""
             if event.data:
+                self._count(self._meter.record_part, len(event.data))
                 return bytes(event.data)
 
     async def finish(self) -> None:
@@ -138,8 +143,16 @@
                 and event.status_code == 101
             ):
                 return event
+            self._count(self._meter.record_interim)
+
+    def _count(self, record: Callable[..., None], *arguments: int) -> None:
+        try:
+            record(*arguments)
+        except TooManyParts as error:
+            raise RemoteProtocolError(error) from error
 
     async def _receive_event(self) -> object:
+        await self._meter.yield_to_others()
         while True:
             try:
                 event = self._parser.next_event()
--- a/src/hyssopvane/_internal/transport/replica_client.py
+++ b/src/hyssopvane/_internal/transport/replica_client.py
@@ -165,21 +165,19 @@
 
     async def read(self, *, max_bytes: int, limit: "PartLimit | None" = None) -> bytes:
         """Return the body; raise `ReplicaFailed` when it exceeds `max_bytes`."""
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
         while part := await self._read_part():
-            size += len(part)
+            body += part
             if limit is not None:
                 limit.extend_deadline()
-            if size > max_bytes:
+            if len(body) > max_bytes:
                 raise ReplicaFailed(f"the body exceeds {max_bytes} bytes")
             if self._guarded is not None:
                 self._guarded.hold(len(part))
-            parts.append(part)
         if self._guarded is not None:
             # The request of the caller counts it from now on.
-            self._guarded.hold(-size)
-        return b"".join(parts)
+            self._guarded.hold(-len(body))
+        return bytes(body)
 
     async def _read_part(self) -> bytes:
         try:
--- a/src/hyssopvane/_internal/transport/target_client.py
+++ b/src/hyssopvane/_internal/transport/target_client.py
@@ -7,6 +7,15 @@
 import httpcore
 
 from hyssopvane._internal.protocol.messages import Headers
+from hyssopvane._internal.utils.bounded_backend import (
+    AnswerTooLarge,
+    iterate_body,
+    make_bounded_pool,
+    read_body,
+)
+
+MAX_WHOLE_BYTES = 16 * 1024 * 1024
+"""Largest body that is read whole; others are forwarded in parts."""
 
 _CONNECT_TIMEOUT_S = 2.0
 # One agent serves one target, and the scheduler's limit is far lower. This limit only
@@ -22,13 +31,30 @@
     """Report that a call may have reached the target and has no complete answer."""
 
 
+class TargetAnswer:
+    """Hold the head of an answer whose body is still to be read."""
+
+    def __init__(self, response: httpcore.Response) -> None:
+        self._response = response
+        self.status = response.status
+        self.headers = response.headers
+
+    def aiter_stream(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body, and let other tasks run between them."""
+        return iterate_body(self._response)
+
+    async def aread(self) -> bytes:
+        """Return the whole body, of at most `MAX_WHOLE_BYTES`."""
+        return await read_body(self._response, max_bytes=MAX_WHOLE_BYTES)
+
+
 class TargetClient:
     """Pool the connections to one target."""
 
     def __init__(self, address: str) -> None:
         self._address = address
         self._host = address.encode()
-        self._pool = httpcore.AsyncConnectionPool(
+        self._pool = make_bounded_pool(
             max_connections=_MAX_CONNECTIONS, keepalive_expiry=30.0
         )
 
@@ -40,7 +66,7 @@
         path: bytes,
         headers: Headers,
         body: AsyncIterator[bytes] | bytes,
-    ) -> AsyncIterator[httpcore.Response]:
+    ) -> AsyncIterator[TargetAnswer]:
         """Send a request and yield the response before its body is complete."""
         extensions: dict[str, Any] = {"timeout": {"connect": _CONNECT_TIMEOUT_S}}
         url = httpcore.URL(
@@ -54,13 +80,14 @@
                 content=body,
                 extensions=extensions,
             ) as response:
-                yield response
+                yield TargetAnswer(response)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             raise TargetUnreachable(str(error)) from error
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
+            AnswerTooLarge,
         ) as error:
             raise TargetFailed(f"{type(error).__name__}: {error}") from error
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -45,6 +45,12 @@
         """Tell whether the process is running."""
         return self._popen is not None and self._popen.poll() is None
 
+    @property
+    def pid(self) -> int:
+        """Return the ID of the running process."""
+        assert self._popen is not None
+        return self._popen.pid
+
     @property
     def handles_reload(self) -> bool:
         """Tell whether the process handles or ignores SIGHUP.
