Let the soak see entries that drop pages after a return of the store

Crashing requests and returns of the store together showed no violation while entries took in nothing of the shared page. An entry that never ran a request was never asked.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -94,6 +94,16 @@
     assert report.crashes >= 3
 
 
+@pytest.mark.parametrize("seed", CRASH_SEEDS)
+def test_guarantees_hold_beside_such_requests_when_the_store_returns(seed, tmp_path):
+    """Guards against real entries that drop what a store with an era tells them."""
+    size = replace(SMALL, seconds=10.0, crashes=True, store_returns=True)
+    report = run_seed(tmp_path, seed=seed, size=size)
+    assert report.violations == [], (report.kept_in, report.faults)
+    assert report.crashes >= 3
+    assert any("store restored" in one for one in report.faults), report.faults
+
+
 @pytest.mark.parametrize("seed", PART_SEEDS)
 def test_guarantees_hold_beside_parts_that_end_replicas(seed, tmp_path):
     """Guards against real entries that know such requests by their bodies only."""
--- a/tests/soak/crashes.py
+++ b/tests/soak/crashes.py
@@ -26,6 +26,11 @@
 _STARTS_S = (0.5, 5.0)
 """Times after the start of the load at which a further such request begins."""
 
+TURN_S = 3.5
+"""Time for which one entry gets the request that begins after a return of the store."""
+
+_TURN_PAUSE_S = 0.4
+
 _POPULAR_CALLERS = 4
 
 SOUND = "sound"
@@ -40,6 +45,8 @@
     callers: Callers
     entries: list[Member]
     random: Random
+    store_returned: trio.Event
+    """Set when the store has come back from an older copy."""
     arrivals: list[CrashArrival] = field(default_factory=list)
     popular: int = 0
     """Number of popular requests that were sent."""
@@ -51,6 +58,7 @@
                 for route in ("status", "bids"):
                     path = f"/{route}/{CRASHING}-{number}"
                     nursery.start_soon(self._repeat, path, start_s)
+            nursery.start_soon(self._repeat_after_return)
             numbers = count()
             for _ in range(_POPULAR_CALLERS):
                 nursery.start_soon(self._send_popular, numbers)
@@ -69,6 +77,23 @@
             with trio.CancelScope(shield=True):
                 await client.close()
 
+    async def _repeat_after_return(self) -> None:
+        """Repeat a request at one entry after the other, which each hear of it only."""
+        await self.store_returned.wait()
+        kind = Kind(f"/status/{CRASHING}-returned", body=FIXED_BODY)
+        client = ReplicaClient()
+        began_at = trio.current_time()
+        try:
+            for number in count():
+                turn = int((trio.current_time() - began_at) / TURN_S)
+                member = self.entries[turn % len(self.entries)]
+                name = f"{CRASHING}-returned-{number}"
+                await self.callers.send(client, member, kind, name)
+                await trio.sleep(_TURN_PAUSE_S)
+        finally:
+            with trio.CancelScope(shield=True):
+                await client.close()
+
     async def _send_popular(self, numbers: "count[int]") -> None:
         client = ReplicaClient()
         kind = Kind(f"/status/{POPULAR}", body=FIXED_BODY)
@@ -88,6 +113,7 @@
         return [
             *find_late_arrivals(self.arrivals, ends=3),
             *find_refused(self.entries, POPULAR),
+            *find_dropped(self.entries),
         ]
 
 
@@ -163,6 +189,23 @@
     return found
 
 
+def find_dropped(entries: list[Member]) -> list[str]:
+    """Return a violation for each entry that took a page for one of an earlier era.
+
+    An adapter of the store returns nothing of an era that has ended.
+    """
+    found = []
+    for member in entries:
+        eras = re.findall(
+            r"event=suspects-page-dropped era=(\d+) .*known_era=(\d+)",
+            member.read_log(),
+        )
+        count = sum(int(era) < int(known) for era, known in eras)
+        if count:
+            found.append(f"{member.name} dropped {count} pages as of an earlier era")
+    return found
+
+
 def find_refused(entries: list[Member], prefix: str) -> list[str]:
     """Return a violation for each entry that refuses sound requests as crashing."""
     found = []
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -281,6 +281,7 @@
         store.answer_status = 503
         await trio.sleep(self._random.uniform(0.0, 2.0))
         store.restore_from(copy)
+        self._run.store_returned.set()
         store.answer_status = 0
         await trio.sleep(self._random.uniform(0.0, 1.5))
         self._run.rewrite_lost()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -87,8 +87,13 @@
         self.leaving = LeavingCallers(
             self.fleet.entries, self.journal, Random(f"departures {seed}")
         )
+        self.store_returned = trio.Event()
+        """Set when the store has come back from an older copy."""
         self.crashing = CrashingCallers(
-            self.callers, self.fleet.entries, Random(f"crashes {seed}")
+            self.callers,
+            self.fleet.entries,
+            Random(f"crashes {seed}"),
+            self.store_returned,
         )
         self.crashing_parts = CrashingParts(
             self.callers, self.fleet.entries, Random(f"parts {seed}")
