Keep records that a failed write took after a return of the store

When the store came back from a copy and then failed once more, records that entries had shared before did not come back to the page: an entry that started ran a request that others refuse.

Cause: records that are shared again join a write in progress, and only those that it began with were put back when it failed.

A write that fails puts back all records that it took. The new test fails before (the page lacks the first record) and passes now.

--- a/src/hyssopvane/_internal/coordination/quarantine.py
+++ b/src/hyssopvane/_internal/coordination/quarantine.py
@@ -143,14 +143,23 @@
                 self._can_write = True
                 backoff.reset()
             except KeyValueError as error:
-                # A write whose reply was lost is repeated. Adding the same crash or
-                # removing the same record twice changes nothing.
-                self._tracker.return_changes(changes)
                 self._can_write = False
                 self._report(error)
                 await trio.sleep(backoff.get_next_delay())
 
     async def _write(self, bodies: frozenset[SuspectId]) -> None:
+        """Write changed records; they remain changed if that fails."""
+        unshared = set(bodies)
+        try:
+            await self._write_page(unshared)
+        except KeyValueError:
+            # A write whose reply was lost is repeated. Adding the same crash or
+            # removing the same record twice changes nothing.
+            self._tracker.return_changes(unshared)
+            raise
+
+    async def _write_page(self, bodies: set[SuspectId]) -> None:
+        """Write records, and those that must be shared again after a restore."""
         while True:
             if self._store.era > self._position.era:
                 # The store assigns revisions of earlier eras again to other values.
@@ -181,7 +190,6 @@
             self._record_page(StorePosition(result.era, ABSENT))
             for item in result.current:
                 self._accept(item)
-            # Records that must be shared again after a restore join the next try.
             bodies |= self._tracker.take_changes()
             await trio.sleep(self._random.uniform(0.0, self._flush_interval_s))
 
--- a/tests/unit/test_suspect_pages.py
+++ b/tests/unit/test_suspect_pages.py
@@ -9,6 +9,7 @@
 
 from hyssopvane._internal.coordination.key_value import MAX_VALUE_BYTES
 from hyssopvane._internal.coordination.quarantine import PAGE_KEY, QuarantineSync
+from hyssopvane._internal.exceptions import KeyValueUnavailable
 from hyssopvane._internal.policy.suspect_rules import LOST_CONNECTIONS, MAX_VOIDED
 from hyssopvane._internal.policy.suspects import MAX_LONG_RECORDS, SuspectTracker
 from hyssopvane._internal.protocol.suspect_pages import format_page, parse_page
@@ -114,10 +115,7 @@
                 nursery.start_soon(make_sync(store, tracker, number=number).run)
             for generation in range(1, 4):
                 await trio.sleep(0.5)
-                crash = Crash(f"i-{generation}", 0, trio.current_time(), generation)
-                trackers[0].record_crash(
-                    BODY, crash, quarantine_s=600.0, now=trio.current_time()
-                )
+                record_crash(trackers[0], BODY, generation)
             await trio.sleep(0.5)
             state.commit([], [change])
             await trio.sleep(0.5)
@@ -133,6 +131,59 @@
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0.0))
 
 
+class TroubledStore(FakeKeyValueStore):
+    """Fail some writes, and answer no listing, when a test asks for it."""
+
+    failures = 0
+    lists = True
+
+    async def get_prefix(self, prefix, *, min_revision=0):
+        if not self.lists:
+            await trio.sleep_forever()
+        return await super().get_prefix(prefix, min_revision=min_revision)
+
+    async def compare_and_swap(self, swaps, *, checks=()):
+        if self.failures:
+            self.failures -= 1
+            raise KeyValueUnavailable("the service is down")
+        return await super().compare_and_swap(swaps, checks=checks)
+
+
+def record_crash(tracker, body, number):
+    now = trio.current_time()
+    crash = Crash(f"i-{number}", 0, now, number)
+    tracker.record_crash(body, crash, quarantine_s=600.0, now=now)
+
+
+def test_records_of_a_write_that_fails_after_a_restore_are_shared_later():
+    """Guard against a record that leaves the page as the store fails once more."""
+    other = SuspectId("checks", b"other", "registry")
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        trackers = [SuspectTracker(rules=LOST_CONNECTIONS) for _ in range(2)]
+        async with trio.open_nursery() as nursery:
+            store = TroubledStore(state, nursery)
+            nursery.start_soon(make_sync(store, trackers[0]).run)
+            await trio.sleep(0.5)
+            copy = state.copy_items()
+            record_crash(trackers[0], BODY, 1)
+            await trio.sleep(0.5)
+            store.lists, store.state = False, copy
+            await store.get(PAGE_KEY)
+            store.failures = 1
+            record_crash(trackers[0], other, 2)
+            await trio.sleep(5.0)
+            later = FakeKeyValueStore(copy, nursery)
+            nursery.start_soon(make_sync(later, trackers[1], number=1).run)
+            await trio.sleep(0.5)
+            now = trio.current_time()
+            assert trackers[1].list_records(now=now).keys() == {BODY, other}
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0.0))
+
+
 @pytest.mark.parametrize("error_s", [-3_600.0, 0.0, 3_600.0])
 def test_wrong_clock_of_one_entry_loses_no_evidence(error_s):
     """Guard against times of day of another VM that let a record expire at once."""
