Replace an unreadable page of suspects once in 30 s at most

Two releases with different pages would replace each other's all the time.

Now it does so once, and then again after 30 s at the earliest; a new crash still replaces the page as before.

--- a/src/hyssopvane/_internal/coordination/quarantine.py
+++ b/src/hyssopvane/_internal/coordination/quarantine.py
@@ -84,6 +84,8 @@
         self._prefix = b""
         """First bytes of the page at this position."""
         self._shared: SuspectRecords = {}
+        self._replace_from = 0.0
+        """Time from which on a page that can't be decoded is replaced at once."""
 
     @property
     def is_connected(self) -> bool:
@@ -237,7 +239,10 @@
                 )
             )
             self._record_page(item.position, item.value)
-            self._share_again()
+            if now >= self._replace_from:
+                # Otherwise two releases would replace each other's pages all the time.
+                self._replace_from = now + self._refresh_s
+                self._share_again()
             return
         records = {
             body: self._limit_expiry(body, record, now)
--- a/tests/unit/test_suspect_pages.py
+++ b/tests/unit/test_suspect_pages.py
@@ -184,6 +184,28 @@
     trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0.0))
 
 
+def test_pages_of_two_releases_do_not_replace_each_other_all_the_time():
+    """Guard against entries that write without end while releases differ."""
+
+    async def run():
+        state = KeyValueState(trio.current_time)
+        tracker = SuspectTracker(rules=LOST_CONNECTIONS)
+        async with trio.open_nursery() as nursery:
+            store = FakeKeyValueStore(state, nursery)
+            nursery.start_soon(make_sync(store, tracker).run)
+            await trio.sleep(0.5)
+            record_crash(tracker, BODY, 1)
+            await trio.sleep(0.5)
+            began_at = state.revision
+            for number in range(20):
+                state.commit([], [Put(PAGE_KEY.encode(), b"[%d" % number)])
+                await trio.sleep(1.0)
+            assert state.revision - began_at <= 20 + 2
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0.0))
+
+
 @pytest.mark.parametrize("error_s", [-3_600.0, 0.0, 3_600.0])
 def test_wrong_clock_of_one_entry_loses_no_evidence(error_s):
     """Guard against times of day of another VM that let a record expire at once."""
