Keep the later of two pages when a write is answered late

The watch may bring another entry's page before the answer to an entry's own earlier write. The entry then went back to its own page: its level suspects-page-revision differed from its peers' until the next change, and its next write was refused. Seen when the code was read; no test.

--- a/src/hyssopvane/_internal/coordination/quarantine.py
+++ b/src/hyssopvane/_internal/coordination/quarantine.py
@@ -184,7 +184,9 @@
             result = await self._store.compare_and_swap([swap])
             if isinstance(result, Swapped):
                 position = StorePosition(result.era, result.revision)
-                self._adopt_page(position, content, records, source="own")
+                # The watch may have brought a later page before this answer.
+                if position > self._position:
+                    self._adopt_page(position, content, records, source="own")
                 return
             # The answer contains the current page, also after the service was restored
             # from a copy.
