Replace no claims that were read in another era of the store

The page of claimed trials is read and written by key and revision. A store that came back from a copy between the two could have assigned the revision to another entry's claims, which were then lost: two requests with one part could run at a time. The write is not made now; its caller reads again. Seen when the code was read; no test of its own.

--- a/src/hyssopvane/_internal/coordination/trial_claims.py
+++ b/src/hyssopvane/_internal/coordination/trial_claims.py
@@ -109,6 +109,9 @@
 
     async def _write(self, item: KeyValue | None, claims: list[_Claim]) -> bool:
         """Replace a page; return whether no other entry has done so before."""
+        if item is not None and item.era != self._store.era:
+            # The store assigns the revision of the page again to other values.
+            return False
         document = {
             "format": _FORMAT,
             "claims": [[one.service, one.part, one.token] for one in claims],
