--- a/tests/unit/test_event_stream.py
+++ b/tests/unit/test_event_stream.py
@@ -1,9 +1,14 @@
 """Test that a stream is forwarded in complete events only."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hyssopvane._internal.protocol.event_stream import EventSplitter
+from hyssopvane._internal.protocol.event_stream import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    EventTooLarge,
+)
 
 EVENTS = [b"id: %d\ndata: token %d\n\n" % (number, number) for number in range(1, 6)]
 
@@ -25,3 +30,31 @@
     ]
     assert b"".join(event.data for event in found) + splitter.remainder == data
     assert len(found) == (len(EVENTS) if not missing else len(EVENTS) - 1)
+
+
+COMMENT = b": keep-alive\n\n"
+
+
+@pytest.mark.parametrize(
+    ("part", "is_stream"),
+    [
+        (EVENTS[0], True),
+        (1_000 * COMMENT + EVENTS[0], True),
+        (COMMENT, False),
+        (b"id: 7\n\n", False),
+        (b": line\n", False),
+        (b"data: x", False),
+    ],
+)
+def test_stream_without_events_fails(part, is_stream):
+    """Guard against comments, or an event, without end, and against a limit that ends
+    a long stream."""
+    splitter = EventSplitter()
+    count = 2 * MAX_EVENT_BYTES // len(part)
+    if is_stream:
+        for _ in range(count):
+            splitter.feed(part)
+        return
+    with pytest.raises(EventTooLarge):
+        for _ in range(count):
+            splitter.feed(part)
