--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,48 +1,58 @@
-"""A request that crashes its replicas is sent by eight workers at once, and again."""
+"""All processes are killed as the orders to arm a map are on their way."""
 
 import asyncio
 import os
+import random
 import secrets
 import sys
 from pathlib import Path
+from typing import Any
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins"))
 
 from fleet import Fleet, Recorder, choose_network, find_ports  # noqa: E402
-from replica import Replica  # noqa: E402
+from ranks import ENGINE, RankGroup  # noqa: E402
 from store import Store  # noqa: E402
-from wire import Message, call  # noqa: E402
+from wire import call  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "registry.example"
-WORKERS = 8
-ROUNDS_AT_S = (4.0, 9.5, 15.0)
-END_S = 18.0
-CONTACT_S = 3.0
-MOST_RETRIES = 3
-DEADLINE_MS = 613
-CRASHING = "/check/ship-list/1871"
-BODY = b"confirm the entry of 1871"
-ZONES = ["stvincent-st", "stvincent-st", "chaguanas", "arima"]
+KEY = "key-of-counter"
+RANKS = 3
+STREAMS = 6
+SHIFT_S = 1.0
+WARM_UP_S = 3.0
+TRAFFIC_S = 6.0
+DOWN_S = 0.5
+QUIET_S = 12.5
+END_S = 65.0
+AFTER_BREAK_S = 8.0
+ZONES = ["stvincent-st", "chaguanas", "arima"]
 
 
 def make_configuration() -> dict[str, object]:
-    def make_route(name: str, kind: str, attempts: int) -> dict[str, object]:
-        return {
-            "name": name,
-            "host": HOST,
-            "prefix": f"/{name}/",
-            "kind": kind,
-            "timeout-ms": 2_000,
-            "target-latency-ms": 127,
-            "priority": 2,
-            "service": "record-verify",
-            "max-attempts": attempts,
-            "public": False,
-        }
-
-    service = {"name": "record-verify", "health-check": "/healthz", "max-connections": 100}
+    route = {
+        "name": "drafts",
+        "host": HOST,
+        "prefix": "/drafts/",
+        "kind": "streaming",
+        "resumable": True,
+        "timeout-ms": 8_000,
+        "target-latency-ms": 503,
+        "gap-aim-ms": 120,
+        "priority": 1,
+        "service": "origin-drafting",
+        "max-attempts": 2,
+        "public": False,
+        "sticky": True,
+    }
+    service = {
+        "name": "origin-drafting",
+        "health-check": "/healthz",
+        "max-connections": 348,
+        "engine": ENGINE,
+    }
     limits = {
         "max-header-bytes": 16_384,
         "max-body-bytes": 4_194_304,
@@ -51,136 +61,161 @@
     }
     return {
         "version": 7,
-        "routes": [make_route("check", "non_idempotent", 1)],
+        "routes": [route],
         "services": [service],
         "limits": limits,
-        "tenants": [
-            {"name": "archive", "api-keys": ["key-of-archive"]},
-            {"name": "counter", "api-keys": ["key-of-counter"]},
-        ],
+        "tenants": [{"name": "counter", "api-keys": [KEY]}],
     }
 
 
-async def play(record: Recorder) -> int:
-    """Play the case; return 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    loop = asyncio.get_running_loop()
-    network = choose_network()
-    store = Store()
-    store_address = (f"{network}.2", find_ports(f"{network}.2", 1)[0])
-    await store.start(*store_address)
-    store.put("op/config", make_configuration())
-
-    def crashes_on(request: Message) -> bool:
-        return TROUBLE and request.target == CRASHING
-
-    replicas = []
-    for number, zone in enumerate(sorted(set(ZONES))):
-        host = f"{network}.{100 + number}"
-        replica = Replica(
+class Case:
+    """Play rounds of traffic, a kill and a quiet time."""
+
+    def __init__(self, record: Recorder) -> None:
+        self.record = record
+        self.loop = asyncio.get_running_loop()
+        self.started_at = self.loop.time()
+        self.sends = False
+        self.killed_at = 0.0
+        self.kills = 0
+        self.kills_next = False
+        """Whether the next order to arm is the moment of the kill."""
+
+    @property
+    def now(self) -> float:
+        return self.loop.time() - self.started_at
+
+    async def play(self) -> int:
+        network = choose_network()
+        store = Store()
+        store_address = (f"{network}.2", find_ports(f"{network}.2", 1)[0])
+        await store.start(*store_address)
+        store.put("op/config", make_configuration())
+        addresses = [
+            (f"{network}.{100 + one}", find_ports(f"{network}.{100 + one}", 1)[0])
+            for one in range(RANKS)
+        ]
+        seed = secrets.randbelow(10**6)
+        self.record(f"seed {seed}")
+        self.group = group = RankGroup(
             store,
-            (host, find_ports(host, 1)[0]),
-            service="record-verify",
-            zone=zone,
-            record=record,
-            crashes_on=crashes_on,
+            addresses,
+            ZONES,
+            service="origin-drafting",
+            record=self.record,
+            chance=random.Random(seed),
         )
-        await replica.start()
-        replicas.append(replica)
-
-    fleet = Fleet(ZONES, store_address, network)
-    crashed_at: list[float] = []
-    for replica in replicas:
-        plain = replica.crash
-
-        def crash(why: str, plain=plain) -> None:  # type: ignore[no-untyped-def]
-            crashed_at.append(loop.time())
-            plain(why)
-
-        replica.crash = crash  # type: ignore[method-assign]
-
-    lost: list[str] = []
-    answered: dict[str, int] = {}
-
-    async def send(front: tuple[str, int], target: str, key: str, body: bytes) -> None:
-        request_id = secrets.token_hex(8)
-        headers = [
-            ("Host", HOST),
-            ("X-Request-Id", request_id),
-            ("X-Deadline-Ms", str(DEADLINE_MS)),
-            ("Authorization", f"Bearer {key}"),
-        ]
-        record(f"client sends {request_id} POST {target} to {front[0]}")
-        answer = await call(
-            front, "POST", target, headers, body, timeout_s=DEADLINE_MS / 1_000 + 0.5
+        group.observe_order = self.observe_order
+        await group.start()
+        apps = list(zip(addresses, ZONES, strict=True))
+        self.fleet = fleet = Fleet(
+            ZONES, store_address, network, apps=apps, service="origin-drafting"
         )
-        answered[request_id] = answer.status
-        why = f" {answer.why}" if answer.why else f" {answer.body[:40]!r}"
-        after = answer.get("retry-after")
-        record(f"client gets {answer.status} for {request_id}{why} retry-after={after or '-'}")
-
-    async def run_counter(started_at: float) -> None:
-        """Another tenant's requests, which may run once only."""
-        number = 0
-        while loop.time() - started_at < END_S:
-            front = fleet.machines[number % len(fleet.machines)].front
-            tasks.append(
-                asyncio.create_task(send(front, f"/check/{number}", "key-of-counter", b""))
+        callers = [asyncio.create_task(self.run_caller(one)) for one in range(STREAMS)]
+        shifts = asyncio.create_task(self.shift_demand())
+        try:
+            fleet.start()
+            await fleet.wait_until_ready()
+            self.record("all entries are ready")
+            while self.now < END_S and not group.violations:
+                await self.play_round()
+            if group.violations:
+                # Shows whether the maps are brought together again.
+                self.sends = True
+                await asyncio.sleep(AFTER_BREAK_S)
+                self.record(f"{AFTER_BREAK_S} s of traffic later: {group.describe()}")
+            ended = fleet.count_ended()
+        finally:
+            for task in (*callers, shifts):
+                task.cancel()
+            fleet.end()
+        self.record(f"{group.changes} changes of the map, {self.kills} kills")
+        self.record(f"processes that ended by themselves: {ended}")
+        self.record(f"{len(group.violations)} passes began with different maps")
+        for violation in group.violations[:3]:
+            self.record(f"MAP: {violation}")
+        if group.violations:
+            return 1
+        is_played = group.changes and (self.kills or not TROUBLE)
+        return 0 if is_played else 2
+
+    async def play_round(self) -> None:
+        """Play traffic until the kill, the quiet time after it, and some traffic."""
+        self.sends = True
+        self.killed_at = 0.0
+        await asyncio.sleep(WARM_UP_S)
+        if self.group.violations:
+            return
+        self.kills_next = TROUBLE
+        until = self.loop.time() + TRAFFIC_S
+        while not self.killed_at and self.loop.time() < until:
+            await asyncio.sleep(0.01)
+        self.sends = self.kills_next = False
+        if self.killed_at:
+            await asyncio.sleep(DOWN_S)
+            self.record(f"all processes start again: {self.group.describe()}")
+            self.group.is_sender_dead = False
+            self.fleet.start_again()
+        await asyncio.sleep(QUIET_S)
+        await self.fleet.wait_until_ready()
+        self.record(f"the next callers come: {self.group.describe()}")
+
+    def observe_order(self, order: dict[str, Any]) -> None:
+        """Kill all processes as the first order to arm a map arrives."""
+        if order["operation"] != "arm" or not self.kills_next:
+            return
+        self.fleet.kill()
+        self.group.is_sender_dead = True
+        self.kills += 1
+        self.sends = self.kills_next = False
+        self.killed_at = self.loop.time()
+        self.record(f"all processes are killed: {self.group.describe()}")
+
+    async def shift_demand(self) -> None:
+        """Let other experts be in demand."""
+        chance = random.Random(1)
+        while True:
+            await asyncio.sleep(SHIFT_S)
+            self.group.hot = chance.randrange(9)
+
+    async def run_caller(self, number: int) -> None:
+        """Send one stream after the other."""
+        while True:
+            if not self.sends:
+                await asyncio.sleep(0.02)
+                continue
+            front = self.fleet.machines[number % len(self.fleet.machines)].front
+            request_id = secrets.token_hex(8)
+            headers = [
+                ("Host", HOST),
+                ("X-Request-Id", request_id),
+                ("X-Model", "m"),
+                ("X-Token-Count", "714,40"),
+                ("X-Prompt-Prefix", f"5c1e:40,{secrets.token_hex(4)}:674"),
+                ("X-Deadline-Ms", "8041"),
+                ("Authorization", f"Bearer {KEY}"),
+            ]
+            self.record(f"client sends {request_id} to {front[0]}")
+            answer = await call(
+                front, "POST", "/drafts/origin", headers, b"a name", timeout_s=8.041
             )
-            number += 1
-            await asyncio.sleep(0.1)
+            events = answer.body.count(b"id:")
+            self.record(
+                f"client gets {answer.status} for {request_id}, {events} events {answer.why}"
+            )
+            if answer.status != 200:
+                await asyncio.sleep(0.3)
 
-    tasks: list[asyncio.Task[None]] = []
-    try:
-        fleet.start()
-        await fleet.wait_until_ready()
-        started_at = loop.time()
-        record("all entries are ready")
-        counter = asyncio.create_task(run_counter(started_at))
-        for at in ROUNDS_AT_S:
-            await asyncio.sleep(started_at + at - loop.time())
-            record(f"{WORKERS} workers send the same request")
-            for worker in range(WORKERS):
-                front = fleet.machines[worker % len(fleet.machines)].front
-                tasks.append(
-                    asyncio.create_task(send(front, CRASHING, "key-of-archive", BODY))
-                )
-        await counter
-        await asyncio.gather(*tasks)
-        ended = fleet.count_ended()
-    finally:
-        fleet.end()
-
-    arrivals = sorted(
-        (at, start, request.get("x-request-id"))
-        for replica in replicas
-        for at, start, request in replica.arrivals
-        if request.target == CRASHING
-    )
-    record(f"the request reached replicas {len(arrivals)} times; {len(crashed_at)} crashes")
-    lost = [one for replica in replicas for one in replica.cut_off]
-    others = [one for one in lost if one not in {request for _, _, request in arrivals}]
-    record(f"requests of the other tenant that were cut off while running: {len(others)}")
-    record(f"processes that ended by themselves: {ended}")
-    if len(crashed_at) < 3:
-        if TROUBLE:
-            record("not three crashes: the case could not run")
-            return 2
-        return 0 if all(status == 200 for status in answered.values()) else 2
-    third_at = sorted(crashed_at)[2]
-    late = [one for one in arrivals if one[0] > third_at + CONTACT_S]
-    record(
-        f"third crash at {third_at - started_at:.3f} s after the start; "
-        f"retries that reached replicas later than {CONTACT_S} s after it: {len(late)}"
-    )
-    for at, start, request in late:
-        record(f"  {at - started_at:.3f} s: {request} at {start}")
-    return 1 if len(late) > MOST_RETRIES else 0
+
+async def play(record: Recorder) -> int:
+    """Play the case; return 1 if the rule was broken, 0 if it held, 2 if it could not run."""
+    return await Case(record).play()
 
 
 def main() -> int:
     record = Recorder(HERE / "record.txt")
     try:
-        status = asyncio.run(asyncio.wait_for(play(record), 110))
+        status = asyncio.run(asyncio.wait_for(play(record), 115))
     except Exception as error:  # the case could not run
         record(f"the case could not run: {error!r}")
         status = 2
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -144,10 +144,23 @@
 
 
 class Machine:
-    """An edge machine with an entry."""
-
-    def __init__(self, name: str, zone: str, ip: str, ports: dict[str, int]) -> None:
-        self.name, self.zone, self.ip, self.ports = name, zone, ip, ports
+    """A machine of the system with one process: an entry, or an agent beside a rank."""
+
+    def __init__(
+        self,
+        role: str,
+        name: str,
+        zone: str,
+        ip: str,
+        ports: dict[str, int],
+        *,
+        app: str = "",
+        service: str = "",
+    ) -> None:
+        self.role, self.name, self.zone, self.ip, self.ports = role, name, zone, ip, ports
+        self.app = app
+        """Address of the replica on the machine."""
+        self.service = service
         self.process: Process | None = None
 
     @property
@@ -162,9 +175,18 @@
 
 
 class Fleet:
-    """The entries of a small deployment, in a temporary folder."""
-
-    def __init__(self, zones: list[str], store: tuple[str, int], network: str) -> None:
+    """The machines of a small deployment, in a temporary folder."""
+
+    def __init__(
+        self,
+        zones: list[str],
+        store: tuple[str, int],
+        network: str,
+        *,
+        apps: list[tuple[tuple[str, int], str]] | None = None,
+        service: str = "",
+    ) -> None:
+        """Name an entry in each of `zones`, and an agent beside each of `apps`."""
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._store = store
         names = ("front", "ready", "control")
@@ -172,18 +194,32 @@
         ports = dict(zip(names, found, strict=False))
         self._range = [found[-2], found[-1]]
         self.machines = [
-            Machine(f"edge-{zone}-{number}", zone, f"{network}.{10 + number}", ports)
+            Machine("entry", f"edge-{zone}-{number}", zone, f"{network}.{10 + number}", ports)
             for number, zone in enumerate(zones)
         ]
+        self.side = [
+            Machine(
+                "agent",
+                f"side-{zone}-{number}",
+                zone,
+                address[0],
+                {},
+                app=f"{address[0]}:{address[1]}",
+                service=service,
+            )
+            for number, (address, zone) in enumerate(apps or [])
+        ]
 
     def make_fields(self, machine: Machine) -> dict[str, Any]:
         """Return the platform's settings of a machine."""
         seeds = [f"{one.ip}:{one.ports['control']}" for one in self.machines[:3]]
         return {
             "node": machine.name,
-            "role": "entry",
-            "machine-class": "edge",
-            "serves": ["edge", "control"],
+            "role": machine.role,
+            "machine-class": "side" if machine.app else "edge",
+            "serves": ["side"] if machine.app else ["edge", "control"],
+            "app": machine.app,
+            "service": machine.service,
             "ip": machine.ip,
             "zone": machine.zone,
             "region": "region",
@@ -197,7 +233,7 @@
                 "cores": 1,
                 "memory-mb": 300,
                 "max-fds": 4200,
-                "link-mbps": 1000.0,
+                "link-mbps": 20 if machine.app else 1000.0,
                 "disk-mb": 0,
             },
             "contracts": CONTRACTS,
@@ -205,12 +241,30 @@
             "platform": {"address": f"{self._store[0]}:{self._store[1]}"},
         }
 
+    @property
+    def all(self) -> list[Machine]:
+        """Return all machines."""
+        return [*self.machines, *self.side]
+
     def start(self) -> None:
-        """Start an entry on each machine."""
-        template = (ROOT / "deploy/entry.json.tmpl").read_text()
-        for machine in self.machines:
+        """Start the process of each machine."""
+        for machine in self.all:
+            template = (ROOT / f"deploy/{machine.role}.json.tmpl").read_text()
             settings = render(template, self.make_fields(machine))
-            machine.process = Process("entry", machine.name, settings, self.folder)
+            machine.process = Process(machine.role, machine.name, settings, self.folder)
+
+    def kill(self) -> None:
+        """Kill all processes at the same moment."""
+        for machine in self.all:
+            if machine.process is not None:
+                machine.process.popen.send_signal(signal.SIGKILL)
+
+    def start_again(self) -> None:
+        """Start all processes after they were killed."""
+        for machine in self.all:
+            if machine.process is not None:
+                machine.process.popen.wait()
+                machine.process.start()
 
     async def wait_until_ready(self) -> None:
         """Wait until all entries answer readiness checks with 200."""
@@ -232,12 +286,12 @@
 
     def count_ended(self) -> int:
         """Return the number of processes that have ended by themselves."""
-        processes = [one.process for one in self.machines if one.process is not None]
+        processes = [one.process for one in self.all if one.process is not None]
         return sum(one.popen.poll() is not None for one in processes)
 
     def end(self) -> None:
         """End all processes, and remove the folder."""
-        for machine in self.machines:
+        for machine in self.all:
             if machine.process is not None:
                 machine.process.end()
         shutil.rmtree(self.folder, ignore_errors=True)
--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -93,6 +93,27 @@
         self._keep(self._expire(lost))
         self._keep(self._come_back())
 
+    @property
+    def is_running(self) -> bool:
+        """Return whether it works on a request."""
+        return bool(self._running)
+
+    def leave_unannounced(self) -> None:
+        """Take the entry away, and serve on until `exit` is called."""
+        self.store.remove(f"servers/{self.id}")
+        self.record(f"the store accepts that replica {self.id} is gone; it serves on")
+
+    def exit(self) -> None:
+        """End for good."""
+        assert self._server is not None
+        self._server.close()
+        self._server = None
+        self.cut_off += sorted(self._running)
+        self.record(f"replica {self.id} exits; cut off {len(self.cut_off)}")
+        self.id = ""
+        for writer in list(self._writers):
+            reset(writer)
+
     async def _expire(self, lost: str) -> None:
         await asyncio.sleep(SILENT_HEARTBEATS * HEARTBEAT_S)
         self.store.remove(f"servers/{lost}")
@@ -116,7 +137,7 @@
                 request = await read_message(reader)
                 writer.write(await self._answer(request, start))
                 await writer.drain()
-        except (Ended, ConnectionError):
+        except (Ended, ConnectionError, asyncio.CancelledError):
             pass
         finally:
             self._writers.discard(writer)
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -24,6 +24,18 @@
         self._changed = asyncio.Event()
         self._leases: dict[int, float] = {}
         self._lease_keys: dict[int, set[str]] = {}
+        self.is_silent = False
+        """Whether calls get no answer, as in an outage."""
+        self._outages = 0
+
+    def begin_outage(self) -> None:
+        """Answer no call, and never those that wait now."""
+        self.is_silent = True
+        self._outages += 1
+
+    def end_outage(self) -> None:
+        """Answer new connections again."""
+        self.is_silent = False
 
     async def start(self, host: str, port: int) -> None:
         """Listen on an address."""
@@ -65,8 +77,15 @@
         with contextlib.suppress(Ended, ConnectionError, asyncio.CancelledError):
             while True:
                 request = await read_message(reader)
-                status, document = await self._answer(request)
-                await asyncio.sleep(ANSWER_S)
+                outages = self._outages
+                status, document = 0, None
+                if not self.is_silent:
+                    status, document = await self._answer(request)
+                    await asyncio.sleep(ANSWER_S)
+                if self.is_silent or self._outages != outages:
+                    # A connection on which an answer is lost returns nothing further.
+                    await reader.read()
+                    break
                 body = json.dumps(document).encode()
                 writer.write(format_answer(status, JSON, body))
                 await writer.drain()
