--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,6 +4,7 @@
 import os
 import random
 import secrets
+import signal
 import sys
 from pathlib import Path
 from typing import Any
@@ -12,20 +13,20 @@
 sys.path.insert(0, str(HERE.parent / "standins"))
 
 from fleet import Fleet, Recorder, choose_network, find_ports  # noqa: E402
-from ranks import ENGINE, RankGroup  # noqa: E402
+from ranks import ENGINE, EXPERTS, RankGroup  # noqa: E402
 from store import Store  # noqa: E402
 from wire import call  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "registry.example"
 KEY = "key-of-counter"
-RANKS = 3
-STREAMS = 6
+RANKS = 12
+STREAMS = 12
 SHIFT_S = 1.0
 WARM_UP_S = 3.0
 TRAFFIC_S = 6.0
 DOWN_S = 0.5
-QUIET_S = 12.5
+QUIET_S = 5.5
 END_S = 65.0
 AFTER_BREAK_S = 8.0
 ZONES = ["stvincent-st", "chaguanas", "arima"]
@@ -100,14 +101,14 @@
         self.group = group = RankGroup(
             store,
             addresses,
-            ZONES,
+            [ZONES[one % len(ZONES)] for one in range(RANKS)],
             service="origin-drafting",
             record=self.record,
             chance=random.Random(seed),
         )
         group.observe_order = self.observe_order
         await group.start()
-        apps = list(zip(addresses, ZONES, strict=True))
+        apps = [(rank.address, rank.zone) for rank in group.ranks]
         self.fleet = fleet = Fleet(
             ZONES, store_address, network, apps=apps, service="origin-drafting"
         )
@@ -176,7 +177,7 @@
         chance = random.Random(1)
         while True:
             await asyncio.sleep(SHIFT_S)
-            self.group.hot = chance.randrange(9)
+            self.group.hot = chance.randrange(EXPERTS)
 
     async def run_caller(self, number: int) -> None:
         """Send one stream after the other."""
@@ -214,9 +215,11 @@
 
 def main() -> int:
     record = Recorder(HERE / "record.txt")
+    # An interrupted case ends its processes, too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         status = asyncio.run(asyncio.wait_for(play(record), 115))
-    except Exception as error:  # the case could not run
+    except (Exception, KeyboardInterrupt) as error:  # the case could not run
         record(f"the case could not run: {error!r}")
         status = 2
     record({0: "held", 1: "broken", 2: "could not run"}[status])
--- a/review/standins/ranks.py
+++ b/review/standins/ranks.py
@@ -14,9 +14,9 @@
 
 PASS_S = 0.06
 SLOTS = 6
-SETS, EXPERTS, PLACES, SPARE = 1, 9, 5, 2
+SETS, EXPERTS, PLACES, SPARE = 1, 36, 5, 2
 EXPERT_MB, LINK_MBPS = 1.0, 1000.0
-HOT_CHOICES, OTHER_CHOICES = 40, 5
+HOT_CHOICES, OTHER_CHOICES = 160, 5
 LATE_FROM_S, LATE_TO_S = 2.0, 12.0
 JSON = [("Content-Type", "application/json")]
 
@@ -131,12 +131,16 @@
         return sum(len(rank.requests) for rank in self.ranks)
 
     def describe(self) -> str:
-        """Return the state of all ranks."""
-        rows = [
-            f"{one.number}: map {one.version}, armed {one.armed}, held {one.held}"
-            for one in self.ranks
-        ]
-        return f"step {self.step}, {self.active} requests; " + "; ".join(rows)
+        """Return the maps, armed versions and holds of all ranks."""
+        maps: dict[int, list[int]] = {}
+        for rank in self.ranks:
+            maps.setdefault(rank.version, []).append(rank.number)
+        armed = {one.number: one.armed for one in self.ranks if one.armed}
+        held = {one.number: one.held for one in self.ranks if one.held}
+        return (
+            f"step {self.step}, {self.active} requests, ranks by map {maps}, "
+            f"armed {armed or 'none'}, held {held or 'none'}"
+        )
 
     def _keep(self, work: Any) -> None:
         task = asyncio.ensure_future(work)
