--- a/review/standins/ranks.py
+++ b/review/standins/ranks.py
@@ -18,6 +18,8 @@
 EXPERT_MB, LINK_MBPS = 1.0, 1000.0
 HOT_CHOICES, OTHER_CHOICES = 160, 5
 LATE_FROM_S, LATE_TO_S = 2.0, 12.0
+LATE_SHARE = 0.35
+"""Share of the orders without an answer that are carried out late; the others never."""
 JSON = [("Content-Type", "application/json")]
 
 ENGINE = {
@@ -297,6 +299,9 @@
     async def _take_order(self, rank: Rank, order: dict[str, Any]) -> int | None:
         name = f"{order['operation']} {order.get('version', '')} {order.get('step', '')}"
         self.observe_order(order)
+        if self.is_sender_dead and self.chance.random() >= LATE_SHARE:
+            self.record(f"rank {rank.number} never carries out order {name}")
+            return None
         if self.is_sender_dead:
             late_s = self.chance.uniform(LATE_FROM_S, LATE_TO_S)
             self.record(f"rank {rank.number} gets order {name}, and nobody its answer")
