Send no request on before the end of its caller's connection is read

What callers saw: nothing; replicas worked for callers that had left.

Cause: the request and its end both stand in the kernel's buffer when the process goes on. The reader starts the task of a request as soon as it has parsed it, and reads the end later; between the two the request is sent. Over HTTP/2 one read brings many requests and their cancels, and each task starts before the next frame is handled.

Now a request waits, right before it is written to a replica and before each further part of its body, until the reader has handled everything that the connection had received (WatchedInput). The last check and the write have no step of another task between them. Where the connection always has unread bytes, those of the last quarter of a second may be open.

--- a/src/hyssopvane/_internal/roles/direct_app.py
+++ b/src/hyssopvane/_internal/roles/direct_app.py
@@ -38,6 +38,7 @@
     BuffersFull,
     GuardedExchange,
 )
+from hyssopvane._internal.transport.caller_presence import get_presence
 from hyssopvane._internal.utils.logs import log_event
 
 _BEARER = "bearer "
@@ -336,6 +337,7 @@
                 SuspectId(service, digest, name),
                 tuple(SuspectId(service, part, is_part=True) for part in parts),
             ),
+            presence=get_presence(scope),
             zones=self._regions.find_zones(route, customer),
         )
 
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -371,6 +371,7 @@
                 target=request.target,
                 headers=self._make_headers(replica),
                 body=request.body,
+                presence=request.presence,
                 # Opening a connection takes up to a second. In that time an answer to
                 # another request may have changed whether the replica accepts any.
                 may_send=partial(self._may_send, replica),
--- a/src/hyssopvane/_internal/roles/direct_request.py
+++ b/src/hyssopvane/_internal/roles/direct_request.py
@@ -10,6 +10,10 @@
 from hyssopvane._internal.roles.gate_keeper import GateKeeper
 from hyssopvane._internal.state.routing import Customer, Incarnation, Route
 from hyssopvane._internal.state.suspects import RequestIdentity
+from hyssopvane._internal.transport.caller_presence import (
+    ASSUMED_PRESENCE,
+    CallerPresence,
+)
 from hyssopvane._internal.transport.replica_client import ReplicaClient
 from hyssopvane._internal.utils.deferred_metrics import DeferredMetrics
 
@@ -49,6 +53,7 @@
     """Prompt tokens plus maximum output tokens."""
     prompt_tokens: int
     identity: RequestIdentity
+    presence: CallerPresence = ASSUMED_PRESENCE
     zones: frozenset[str] | None = None
     """Availability zones that it may reach; None if it may reach all."""
     attempts: int = 0
--- a/src/hyssopvane/_internal/transport/http_connection.py
+++ b/src/hyssopvane/_internal/transport/http_connection.py
@@ -1,10 +1,7 @@
 """Serve one HTTP connection with hypercorn, and end it without cutting an answer."""
 
-import array
-import fcntl
 import socket
 import struct
-import termios
 from collections.abc import Callable
 from contextlib import suppress
 from copy import copy
@@ -27,6 +24,10 @@
 from hypercorn.typing import ASGIFramework, ConnectionState
 
 from hyssopvane._internal.transport.buffer_guard import ReaderStalled
+from hyssopvane._internal.transport.caller_presence import (
+    ConnectedCaller,
+    add_presence,
+)
 from hyssopvane._internal.transport.read_ahead import (
     CallerLeft,
     ReadAhead,
@@ -34,6 +35,7 @@
 )
 from hyssopvane._internal.transport.send_queue import SendQueue
 from hyssopvane._internal.transport.upload_windows import UploadWindows
+from hyssopvane._internal.transport.watched_input import WatchedInput, count_unread
 from hyssopvane._internal.utils.logs import log_event
 
 if TYPE_CHECKING:
@@ -142,7 +144,8 @@
         self._idle_since = trio.current_time()
         self._goaway_sent = False
         self._sends = SendQueue(stream)
-        self._read_ahead = ReadAhead(stream, is_ended=lambda: self._ended)
+        self._input = WatchedInput(stream)
+        self._read_ahead = ReadAhead(stream, self._input, is_ended=lambda: self._ended)
         self._uploads: UploadWindows | None = None
         self._reader: trio.lowlevel.Task | None = None
 
@@ -215,6 +218,7 @@
         finally:
             self._is_reading = False
             self._reader = None
+            self._input.end()
         await self.protocol.handle(Closed())
         protocol = self._get_http2()
         if protocol is not None:
@@ -244,7 +248,7 @@
             if not data:
                 try:
                     with self._receiving:
-                        data = await self.stream.receive_some(MAX_RECV)
+                        data = await self._input.receive(MAX_RECV)
                 except (trio.ClosedResourceError, trio.BrokenResourceError):
                     return
                 if self._receiving.cancelled_caught:
@@ -270,7 +274,7 @@
                 "info",
                 "connection-unread",
                 unread_s=round(unread_s, 3),
-                unread_bytes=_count_unread(self.stream),
+                unread_bytes=count_unread(self.stream),
                 http2=self._get_http2() is not None,
             )
 
@@ -315,7 +319,7 @@
         """End an idle connection; bytes that the caller still sends are dropped."""
         if self._ended or not self._is_reading or not self._is_idle():
             return
-        unread = _count_unread(self.stream) or len(self._read_ahead)
+        unread = count_unread(self.stream) or len(self._read_ahead)
         if not self._goaway_sent and unread:
             # A request has been received but not read yet.
             return
@@ -372,6 +376,10 @@
             lambda: self._leaving.is_set() or self._should_close(),
             close_queue=receive.__self__.close,
         )
+        add_presence(
+            scope,
+            ConnectedCaller(self._input, is_open=partial(self._is_open, stream)),
+        )
         self._open_requests += 1
         await self.idle_task.stop()
         try:
@@ -394,6 +402,13 @@
                     self._sends.close()
                 await self._reset_http2_stream(stream)
 
+    def _is_open(self, stream: int) -> bool:
+        """Return whether the caller has not been found to have left a request."""
+        protocol = self.protocol.protocol
+        if isinstance(protocol, H2Protocol):
+            return stream in protocol.streams
+        return self._is_reading and protocol.stream is not None
+
     async def _receive_message(self, receive: Any, stream: int) -> Any:
         message = await receive()
         if self._uploads is not None and message.get("more_body", False):
@@ -502,17 +517,6 @@
         return protocol if isinstance(protocol, H2Protocol) else None
 
 
-def _count_unread(stream: Any) -> int:
-    """Return the number of received bytes that are unread in the kernel."""
-    count = array.array("i", [0])
-    try:
-        fcntl.ioctl(stream.socket.fileno(), termios.FIONREAD, count)
-    except (OSError, ValueError):
-        # The connection is already closed.
-        return 0
-    return count[0]
-
-
 class _Http1Parser(h11.Connection):
     """Pause at bytes behind the last request of a connection, as behind any other.
 
--- a/src/hyssopvane/_internal/transport/raw_stream.py
+++ b/src/hyssopvane/_internal/transport/raw_stream.py
@@ -2,7 +2,7 @@
 
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
 import trio
@@ -89,6 +89,8 @@
         """Whether closing discards what is unsent and resets the connection."""
         self.observe_sent: Callable[[int], None] | None = None
         """Is told how many bytes the kernel has taken, None to send all at once."""
+        self.wait_before_part: Callable[[], Awaitable[None]] | None = None
+        """Waits before each further part of a request, None to send all at once."""
         self._sending: trio.CancelScope | None = None
 
     async def read(self, max_bytes: int) -> bytes:
@@ -107,11 +109,11 @@
             return
         self.sent = True
         try:
-            if self.observe_sent is None:
+            if self.observe_sent is None and self.wait_before_part is None:
                 await self._stream.send_all(buffer)
                 return
             with trio.CancelScope() as self._sending:
-                await self._send_slices(buffer, self.observe_sent)
+                await self._send_slices(buffer)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             self.has_ended = True
             raise WriteError(repr(error.__cause__ or error)) from error
@@ -120,13 +122,14 @@
         if sending is not None and sending.cancelled_caught:
             raise WriteError("the remote end does not read")
 
-    async def _send_slices(
-        self, buffer: bytes, observe_sent: Callable[[int], None]
-    ) -> None:
+    async def _send_slices(self, buffer: bytes) -> None:
         for start in range(0, len(buffer), _SLICE_BYTES):
+            if start and self.wait_before_part is not None:
+                await self.wait_before_part()
             part = memoryview(buffer)[start : start + _SLICE_BYTES]
             await self._stream.send_all(part)
-            observe_sent(len(part))
+            if self.observe_sent is not None:
+                self.observe_sent(len(part))
 
     def stop_sending(self) -> None:
         """Give up what is being sent; reset the connection if no answer has begun."""
--- a/src/hyssopvane/_internal/transport/read_ahead.py
+++ b/src/hyssopvane/_internal/transport/read_ahead.py
@@ -5,6 +5,8 @@
 
 import trio
 
+from hyssopvane._internal.transport.watched_input import WatchedInput
+
 MAX_READ_AHEAD_BYTES = 64 * 1024
 """Bytes that are kept for a protocol; more stay in the kernel until it takes them."""
 
@@ -31,9 +33,14 @@
     """
 
     def __init__(
-        self, stream: trio.SocketStream, *, is_ended: Callable[[], bool]
+        self,
+        stream: trio.SocketStream,
+        received: WatchedInput,
+        *,
+        is_ended: Callable[[], bool],
     ) -> None:
         self._stream = stream
+        self._input = received
         self._is_ended = is_ended
         self._data = bytearray()
         self._answered = False
@@ -84,7 +91,7 @@
 
     async def _receive(self) -> bytes | bytearray:
         try:
-            return await self._stream.receive_some(_MAX_RECEIVE_BYTES)
+            return await self._input.receive(_MAX_RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return b""
 
@@ -93,5 +100,9 @@
         # kernel tells it.
         poll = select.poll()
         poll.register(self._stream.socket.fileno(), select.POLLRDHUP)
-        while not poll.poll(0):
-            await trio.sleep(HANGUP_INTERVAL_S)
+        self._input.holds_back = True
+        try:
+            while not poll.poll(0):
+                await trio.sleep(HANGUP_INTERVAL_S)
+        finally:
+            self._input.holds_back = False
--- a/src/hyssopvane/_internal/transport/replica_client.py
+++ b/src/hyssopvane/_internal/transport/replica_client.py
@@ -12,6 +12,10 @@
 from hyssopvane._internal.protocol.messages import Headers
 from hyssopvane._internal.transport.addresses import parse_address
 from hyssopvane._internal.transport.buffer_guard import BufferGuard, GuardedCall
+from hyssopvane._internal.transport.caller_presence import (
+    ASSUMED_PRESENCE,
+    CallerPresence,
+)
 from hyssopvane._internal.transport.client_connection import (
     ClientConnection,
     InvalidMessage,
@@ -210,23 +214,26 @@
         target: bytes,
         headers: Headers,
         body: bytes = b"",
+        presence: CallerPresence = ASSUMED_PRESENCE,
         may_send: Callable[[Callable[[], None]], bool] = lambda abort: True,
         observe_late: Callable[[AnswerHead], None] | None = None,
         observe_cancelled: Callable[[CancelledCall], None] | None = None,
     ) -> AsyncIterator[ReplicaResponse]:
         """Send a request and yield its response; close the connection when cancelled.
 
-        `may_send` is called once the connection is open, with a function by which
-        another task may end the call as if the connection had broken. `observe_late`
+        Nothing is sent before the `presence` of the caller is known. `may_send` is
+        called once the connection is open, with a function by which another task may
+        end the call as if the connection had broken. `observe_late`
         gets the head of an answer that arrives as the call is cancelled, and
         `observe_cancelled` what was then done with the connection. Raise
         `CallWithdrawn`, `ReplicaUnreachable` or `ReplicaFailed`.
         """
-        pooled = await self._acquire(address)
+        pooled = await self._acquire_for(presence, address)
         if not may_send(pooled.stream.abort):
             await pooled.connection.aclose()
             raise CallWithdrawn(address)
         pooled.stream.sent = False
+        pooled.stream.wait_before_part = presence.wait_until_known
         pooled.stream.exchanging = True
         pooled.stream.awaits_answer = observe_late is not None
         guarded = self._open_account(address, pooled.stream, body)
@@ -259,6 +266,7 @@
             await pooled.connection.finish()
             pooled.stream.exchanging = False
             pooled.stream.observe_sent = None
+            pooled.stream.wait_before_part = None
             self._release(address, pooled, response)
             pooled = None  # type: ignore[assignment]
         except trio.Cancelled:
@@ -301,6 +309,24 @@
         stream.observe_sent = guarded.record_sent
         return guarded
 
+    async def _acquire_for(
+        self, presence: CallerPresence, address: str
+    ) -> _PooledConnection:
+        """Return a connection once the caller is known to be there."""
+        await presence.wait_until_known()
+        pooled = await self._acquire(address)
+        # While the connection was being opened, the process may have stood still.
+        while not presence.is_known():
+            try:
+                await presence.wait_until_known()
+            except trio.Cancelled:
+                pooled.stream.abort()
+                raise
+            if pooled.connection.has_expired():
+                await pooled.connection.aclose()
+                pooled = await self._acquire(address)
+        return pooled
+
     async def _acquire(self, address: str) -> _PooledConnection:
         now = trio.current_time()
         idle = self._idle.get(address, [])
--- a/tests/unit/test_connection_end.py
+++ b/tests/unit/test_connection_end.py
@@ -168,9 +168,7 @@
 def unread_request(monkeypatch):
     """Simulate unread bytes in the kernel at the first check before an end."""
     counts = iter([len(REQUEST)])
-    monkeypatch.setattr(
-        http_connection, "_count_unread", lambda stream: next(counts, 0)
-    )
+    monkeypatch.setattr(http_connection, "count_unread", lambda stream: next(counts, 0))
 
 
 def test_partial_request_does_not_keep_an_idle_connection_open(unread_request):
