Send nothing on with agents before the end of a request is read, and keep early cancels

As on the direct path, entry and agent acted on a request before they had read what stood behind it; both now wait until the connection that brought it is read (caller's to the entry, entry's to the agent, and there again before each part of the body). And an agent dropped a cancellation that one read brought with its request: the scope that it cancels was registered by the task of the request, which had not started yet.

--- a/src/hyssopvane/_internal/roles/attempt.py
+++ b/src/hyssopvane/_internal/roles/attempt.py
@@ -51,6 +51,7 @@
         """Run the attempt; the last message on the stream reports how it ended."""
         self._record("started", "the agent takes new work")
         opening = self._opening
+        await self._stream.connection.wait_until_current()
         try:
             async with self._target.call(
                 method=opening.method,
@@ -86,6 +87,7 @@
                 return
             if not isinstance(message, Chunk):
                 raise PeerLost("the entry sent another message instead of the body")
+            await self._stream.connection.wait_until_current()
             yield message.data
 
     def _record(self, decision: str, why: str) -> None:
--- a/src/hyssopvane/_internal/roles/call.py
+++ b/src/hyssopvane/_internal/roles/call.py
@@ -12,6 +12,10 @@
 from hyssopvane._internal.protocol.messages import Head, Headers, Open
 from hyssopvane._internal.state.work import WorkRequest
 from hyssopvane._internal.transport.asgi_messages import send_json
+from hyssopvane._internal.transport.caller_presence import (
+    ASSUMED_PRESENCE,
+    CallerPresence,
+)
 
 _RETRY_AFTER = b"retry-after"
 _MILLISECONDS = 1_000
@@ -28,6 +32,7 @@
     body: bytes
     key: IdempotencyKey | None = None
     key_window_s: int = 0
+    presence: CallerPresence = ASSUMED_PRESENCE
 
 
 def make_opening(
--- a/src/hyssopvane/_internal/roles/caller_app.py
+++ b/src/hyssopvane/_internal/roles/caller_app.py
@@ -35,6 +35,7 @@
     serve_lifespan,
     wait_for_disconnect,
 )
+from hyssopvane._internal.transport.caller_presence import get_presence
 from hyssopvane._internal.utils.logs import log_event
 from hyssopvane._internal.utils.metrics import Metrics
 
@@ -172,6 +173,7 @@
             body=body,
             key=key,
             key_window_s=service.idempotency_window_s,
+            presence=get_presence(scope),
         )
 
 
--- a/src/hyssopvane/_internal/roles/dispatcher.py
+++ b/src/hyssopvane/_internal/roles/dispatcher.py
@@ -193,6 +193,7 @@
             opening,
             body=request.body,
             reply=reply,
+            presence=request.presence,
             deadline=request.work.deadline,
         )
 
--- a/src/hyssopvane/_internal/roles/exchange.py
+++ b/src/hyssopvane/_internal/roles/exchange.py
@@ -17,6 +17,7 @@
     Refused,
 )
 from hyssopvane._internal.roles.call import ReplyWriter
+from hyssopvane._internal.transport.caller_presence import CallerPresence
 from hyssopvane._internal.transport.peer_connection import (
     PeerConnection,
     PeerStream,
@@ -69,13 +70,20 @@
     *,
     body: bytes,
     reply: ReplyWriter,
+    presence: CallerPresence,
     deadline: float,
 ) -> ExchangeEnd:
     """Open a stream, send the body, relay the answer, and close the stream.
 
+    Nothing is sent before the presence of the caller is known.
+
     A caller that already received part of the answer gets only the remaining part.
     """
     started_at = trio.current_time()
+    with trio.move_on_at(deadline) as waiting:
+        await presence.wait_until_known()
+    if waiting.cancelled_caught:
+        return TooLate()
     if connection.peer_leaving and not opening.join:
         # The agent reported that it is leaving after this target was chosen. An attempt
         # sent now could be lost when the connection closes. An answer that the agent
--- a/src/hyssopvane/_internal/roles/keyed_dispatch.py
+++ b/src/hyssopvane/_internal/roles/keyed_dispatch.py
@@ -222,6 +222,7 @@
             opening,
             body=b"" if join else self._request.body,
             reply=self._reply,
+            presence=self._request.presence,
             deadline=self._work.deadline,
         )
 
--- a/src/hyssopvane/_internal/roles/keyed_runs.py
+++ b/src/hyssopvane/_internal/roles/keyed_runs.py
@@ -225,6 +225,7 @@
         if not isinstance(message, Chunk):
             raise PeerLost("the entry sent another message instead of the body")
         parts.append(message.data)
+    await stream.connection.wait_until_current()
     body = b"".join(parts)
     if hashlib.sha256(body).digest() != opening.body_digest:
         # Otherwise the key would be used up for the answer to a different request.
--- a/src/hyssopvane/_internal/transport/framing.py
+++ b/src/hyssopvane/_internal/transport/framing.py
@@ -3,6 +3,7 @@
 import trio
 
 from hyssopvane._internal.exceptions import PeerLost, ProtocolError
+from hyssopvane._internal.transport.watched_input import WatchedInput
 
 LENGTH_BYTES = 4
 # Large enough for a batch of full chunks. The limit keeps a garbage length from a peer
@@ -17,6 +18,14 @@
     def __init__(self, stream: trio.abc.Stream) -> None:
         self._stream = stream
         self._buffer = bytearray()
+        self._input: WatchedInput | None = None
+        if isinstance(stream, trio.SocketStream):
+            self._input = WatchedInput(stream)
+
+    async def wait_until_current(self) -> None:
+        """Wait until the reader has handled all frames that have been received."""
+        if self._input is not None:
+            await self._input.wait_until_current()
 
     async def send_frame(self, payload: bytes) -> None:
         """Send one frame; raise `PeerLost` when the connection is closed."""
@@ -59,7 +68,7 @@
     async def _receive_exactly(self, size: int) -> bytes:
         while len(self._buffer) < size:
             try:
-                data = await self._stream.receive_some(_READ_BYTES)
+                data = await self._receive_some()
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise PeerLost("the connection closed while receiving") from error
             if not data:
@@ -68,3 +77,8 @@
         taken = bytes(self._buffer[:size])
         del self._buffer[:size]
         return taken
+
+    async def _receive_some(self) -> bytes | bytearray:
+        if self._input is None:
+            return await self._stream.receive_some(_READ_BYTES)
+        return await self._input.receive(_READ_BYTES)
--- a/src/hyssopvane/_internal/transport/peer_connection.py
+++ b/src/hyssopvane/_internal/transport/peer_connection.py
@@ -282,6 +282,15 @@
                 # A lost peer sends no more frames.
                 return
 
+    async def wait_until_current(self) -> None:
+        """Wait until all frames that have been received were handled.
+
+        A cancellation may stand behind the frames of its stream.
+        """
+        await self._framed.wait_until_current()
+        # Let a cancellation that was just handled end the waiting task.
+        await trio.lowlevel.checkpoint()
+
     def queue_heartbeat(self) -> None:
         """Queue a heartbeat without waiting for the next interval."""
         self.queue_frame(self._make_heartbeat())
@@ -409,13 +418,16 @@
             return
         stream = self._streams[number] = PeerStream(self, number)
         if isinstance(message, Open):
-            nursery.start_soon(self._serve_opened, stream, message)
+            # A cancellation may be handled before the task has started.
+            scope = self._serving[number] = trio.CancelScope()
+            nursery.start_soon(self._serve_opened, stream, message, scope)
         else:
             nursery.start_soon(self._serve_question, stream, message)
 
-    async def _serve_opened(self, stream: PeerStream, opening: Open) -> None:
-        with trio.CancelScope() as scope:
-            self._serving[stream.number] = scope
+    async def _serve_opened(
+        self, stream: PeerStream, opening: Open, scope: trio.CancelScope
+    ) -> None:
+        with scope:
             try:
                 await self._handler.serve_stream(stream, opening)
             except PeerLost:
--- a/tests/unit/test_peer_connection.py
+++ b/tests/unit/test_peer_connection.py
@@ -18,6 +18,7 @@
 )
 from hyssopvane._internal.roles.call import ReplyWriter
 from hyssopvane._internal.roles.exchange import NotStarted, exchange
+from hyssopvane._internal.transport.caller_presence import ASSUMED_PRESENCE
 from hyssopvane._internal.transport.peer_connection import (
     MAX_BATCH_BYTES,
     MAX_CHUNK_BYTES,
@@ -422,6 +423,7 @@
                 make_opening(),
                 body=b"",
                 reply=ReplyWriter(None, request_id="r"),
+                presence=ASSUMED_PRESENCE,
                 deadline=trio.current_time() + 1,
             )
             assert end == NotStarted(AgentRefusal.LEAVING)
