Count deadlines from when a request was received, and log how late an entry was

What callers saw: a request whose deadline had passed while an entry stood still was sent on all the same, with a deadline that began when the entry went on. On-call could not tell a late entry from a late replica.

Cause: the time of a request was that of its task. The kernel keeps the time of each packet (SO_TIMESTAMPNS), and the read returns it; the delay is bounded by the time since the event loop last had nothing to do, as the time of day may be set. A request whose deadline has passed when it is read is refused at once. The path with agents counted the time of the body as well, from whose end its deadline ran.

--- a/src/hyssopvane/_internal/roles/caller_app.py
+++ b/src/hyssopvane/_internal/roles/caller_app.py
@@ -87,9 +87,9 @@
     async def _serve(self, scope: Any, receive: Any, send: Any) -> None:
         request_id = str(uuid6.uuid7())
         reply = ReplyWriter(send, request_id=request_id)
-        started_at = trio.current_time()
+        started_at = min(trio.current_time(), get_presence(scope).received_at)
         try:
-            request = await self._read_request(scope, receive, request_id)
+            request = await self._read_request(scope, receive, request_id, started_at)
         except RequestRefused as refused:
             refusal = _make_unknown_if_keyed(refused.refusal, _read_headers(scope))
             self._metrics.count_refusal(refusal.reason.value)
@@ -138,7 +138,7 @@
         return outcome
 
     async def _read_request(
-        self, scope: Any, receive: Any, request_id: str
+        self, scope: Any, receive: Any, request_id: str, started_at: float
     ) -> CallerRequest:
         fields = _read_headers(scope)
         directory = self._source.get_directory()
@@ -162,7 +162,7 @@
                 service=service.name,
                 tokens=estimate_tokens(body),
                 priority=customer.priority,
-                deadline=trio.current_time() + deadline_s,
+                deadline=started_at + deadline_s,
                 repeatable=service.repeatable,
                 affinity=hash_prefixes(body),
                 body_digest=hashlib.sha256(body).digest(),
--- a/src/hyssopvane/_internal/roles/direct_app.py
+++ b/src/hyssopvane/_internal/roles/direct_app.py
@@ -17,7 +17,11 @@
 from hyssopvane._internal.protocol.prompt_parts import read_prompt_parts
 from hyssopvane._internal.roles.call import AnswerCut, run_until_disconnect
 from hyssopvane._internal.roles.direct_answer import send_answer
-from hyssopvane._internal.roles.direct_call import DirectCall
+from hyssopvane._internal.roles.direct_call import (
+    MIN_SEND_S,
+    NOT_RUN_RETRY_AFTER_S,
+    DirectCall,
+)
 from hyssopvane._internal.roles.direct_request import CallDependencies, DirectRequest
 from hyssopvane._internal.state.routing import (
     Customer,
@@ -118,14 +122,16 @@
         send: Any,
         exchange: GuardedExchange | None = None,
     ) -> None:
-        arrived_at = trio.current_time()
+        presence = get_presence(scope)
+        read_at = trio.current_time()
+        arrived_at = min(read_at, presence.received_at)
         fields = index_headers(scope["headers"])
         request_id = fields.get(self._dependencies.names.request_id, b"").decode(
             "latin1"
         )
         try:
             found = await self._read_request(
-                scope, receive, fields, request_id, arrived_at, exchange
+                scope, receive, fields, request_id, arrived_at, read_at, exchange
             )
         except BuffersFull:
             found = _ENTRY_FULL
@@ -201,6 +207,9 @@
             replica=call.replica_id or "-",
             attempts=request.attempts,
             after_ms=_to_ms(trio.current_time(), request.arrived_at),
+            read_ms=_to_ms(request.read_at, request.arrived_at),
+            sent_ms=_to_ms(call.sent_at, request.arrived_at),
+            end_late_ms=round(request.presence.read_delay_s * 1_000),
         )
 
     def _record_end(self, request: DirectRequest, call: DirectCall) -> None:
@@ -223,7 +232,9 @@
             service=request.service,
             replica=call.replica_id or "-",
             attempts=request.attempts,
+            read_ms=_to_ms(request.read_at, request.arrived_at),
             placed_ms=_to_ms(call.placed_at, request.arrived_at),
+            sent_ms=_to_ms(call.sent_at, request.arrived_at),
             predicted_ms=_to_ms(call.predicted_s, 0.0),
             retry_ms=_to_ms(call.retry_after_s, 0.0),
             room_ms=_to_ms(call.room_s, 0.0),
@@ -248,6 +259,7 @@
         fields: dict[bytes, bytes],
         request_id: str,
         arrived_at: float,
+        read_at: float,
         exchange: GuardedExchange | None,
     ) -> DirectRequest | DirectAnswer:
         deadline_s = _read_deadline_s(fields.get(self._dependencies.names.deadline_ms))
@@ -278,6 +290,8 @@
             deadline_s = route.timeout_s
         caller_deadline = arrived_at + deadline_s
         deadline = min(caller_deadline, arrived_at + route.timeout_s)
+        if trio.current_time() + MIN_SEND_S >= deadline:
+            return DirectAnswer(DirectRefusal.TIMED_OUT_UNSENT, NOT_RUN_RETRY_AFTER_S)
         with trio.move_on_at(deadline):
             try:
                 body = await read_body(receive, max_bytes=table.bounds.max_body_bytes)
@@ -292,6 +306,7 @@
                 customer,
                 body,
                 arrived_at,
+                read_at,
                 deadline,
                 caller_deadline,
             )
@@ -307,6 +322,7 @@
         customer: Customer | None,
         body: bytes,
         arrived_at: float,
+        read_at: float,
         deadline: float,
         caller_deadline: float,
     ) -> DirectRequest:
@@ -329,6 +345,7 @@
             service=service,
             customer=customer,
             arrived_at=arrived_at,
+            read_at=read_at,
             deadline=deadline,
             caller_deadline=caller_deadline,
             tokens=max(_DEFAULT_TOKENS, sum(tokens)),
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -164,6 +164,8 @@
         self.status = 0
         self.first_byte_at: float | None = None
         self.placed_at: float | None = None
+        self.sent_at: float | None = None
+        """Time at which the last attempt began to be sent."""
         self.predicted_s: float | None = None
         """Wait for the first place as predicted, None if there was no prediction."""
         self.retry_after_s: float | None = None
@@ -435,6 +437,7 @@
         )
         if allowed:
             self.phase = CallPhase.SENT
+            self.sent_at = trio.current_time()
             self._evidence.begin(replica)
             self._mover.track(replica, abort)
         return allowed
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -53,6 +53,7 @@
 from hyssopvane._internal.transport.buffer_guard import BufferGuard
 from hyssopvane._internal.transport.datagrams import DatagramPort
 from hyssopvane._internal.transport.http_server import ConnectionPolicy
+from hyssopvane._internal.transport.loop_watch import LoopWatch
 from hyssopvane._internal.transport.pressure_watch import PressureWatch
 from hyssopvane._internal.transport.process_usage import read_memory_limit
 from hyssopvane._internal.transport.replica_client import ReplicaClient
@@ -155,6 +156,7 @@
             self.gates.report_cold = ColdReports(self.metrics).report
         self.guard = self._make_guard()
         self._watch = self._make_watch()
+        self._loop = LoopWatch(self.metrics.count_event)
         self._client = ReplicaClient(guard=self.guard)
         if settings.cold_over is not None:
             self._client.observe_closed = self.gates.observe_closed
@@ -197,6 +199,7 @@
         """Serve callers until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            self._loop.start()
             await self._store.start(nursery)
             self.feed.start(nursery)
             self.gates.start(nursery)
@@ -244,6 +247,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        self._loop.close()
         self._port.close()
         await self.exchange.close()
         await self._suspects.close()
@@ -497,10 +501,10 @@
     async def _serve_callers(
         self, *, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        policy = ConnectionPolicy()
+        policy = ConnectionPolicy(loop=self._loop)
         if self._watch is not None:
-            policy = ConnectionPolicy(
-                should_close=self._watch.should_close, bounds_buffers=True
+            policy = replace(
+                policy, should_close=self._watch.should_close, bounds_buffers=True
             )
         await serve_asgi(
             self.app,
--- a/src/hyssopvane/_internal/roles/direct_request.py
+++ b/src/hyssopvane/_internal/roles/direct_request.py
@@ -45,6 +45,9 @@
     service: str
     customer: Customer | None
     arrived_at: float
+    """Time at which the first bytes were received, as far as known."""
+    read_at: float
+    """Time at which the entry read them."""
     deadline: float
     """Time by which the answer must end."""
     caller_deadline: float
--- a/src/hyssopvane/_internal/roles/entry.py
+++ b/src/hyssopvane/_internal/roles/entry.py
@@ -63,6 +63,7 @@
 from hyssopvane._internal.state.work import LoadReport, TargetInfo
 from hyssopvane._internal.transport.asgi_server import serve_asgi, serve_until_cancelled
 from hyssopvane._internal.transport.http_server import ConnectionPolicy
+from hyssopvane._internal.transport.loop_watch import LoopWatch
 from hyssopvane._internal.transport.peer_connection import (
     ConnectionTimes,
     PeerConnection,
@@ -163,6 +164,7 @@
             ),
             metrics=self.metrics,
         )
+        self._loop = LoopWatch(self.metrics.count_event)
         self.dispatcher = Dispatcher(
             scheduler=self.scheduler,
             pool=self._pool,
@@ -175,6 +177,7 @@
         self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve callers, peers and operators until cancelled."""
+        self._loop.start()
         async with trio.open_nursery() as nursery:
             await self._store.start(nursery)
             self.links.start(nursery)
@@ -218,6 +221,7 @@
 
     async def close(self) -> None:
         """Close the connection to the store, and the metrics."""
+        self._loop.close()
         await self._store.close()
         self.metrics.close()
 
@@ -370,6 +374,7 @@
 
     def _make_connection_policy(self) -> ConnectionPolicy:
         return ConnectionPolicy(
+            loop=self._loop,
             max_connections=self.settings.max_connections,
             app_when_full=RefusingApp(
                 RefusalReason.TOO_MANY_CONNECTIONS, metrics=self.metrics
--- a/src/hyssopvane/_internal/transport/caller_presence.py
+++ b/src/hyssopvane/_internal/transport/caller_presence.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from math import inf
 from typing import Any
 
 import trio
@@ -14,6 +15,14 @@
 class CallerPresence(ABC):
     """Tell whether a caller has left, as far as its connection tells."""
 
+    received_at: float
+    """Time at which the request was received, as far as known."""
+
+    @property
+    @abstractmethod
+    def read_delay_s(self) -> float:
+        """Return for how long what was read last had waited, as far as known."""
+
     @abstractmethod
     def is_known(self) -> bool:
         """Return whether the caller is there and nothing that it has sent is unread."""
@@ -26,6 +35,13 @@
 class AssumedPresence(CallerPresence):
     """Take a caller for present whose connection is not watched."""
 
+    def __init__(self) -> None:
+        self.received_at = inf
+
+    @property
+    def read_delay_s(self) -> float:
+        return 0.0
+
     def is_known(self) -> bool:
         return True
 
@@ -36,11 +52,22 @@
 class ConnectedCaller(CallerPresence):
     """Watch the connection on which a caller has sent a request."""
 
-    def __init__(self, received: WatchedInput, *, is_open: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        received: WatchedInput,
+        *,
+        is_open: Callable[[], bool],
+        received_at: float,
+    ) -> None:
         self._input = received
+        self.received_at = received_at
         self._is_open = is_open
         """Returns whether the caller has neither left nor cancelled the request."""
 
+    @property
+    def read_delay_s(self) -> float:
+        return self._input.delay_s
+
     def is_known(self) -> bool:
         return self._input.is_current() and self._is_open()
 
--- a/src/hyssopvane/_internal/transport/http_connection.py
+++ b/src/hyssopvane/_internal/transport/http_connection.py
@@ -28,6 +28,7 @@
     ConnectedCaller,
     add_presence,
 )
+from hyssopvane._internal.transport.loop_watch import LoopWatch
 from hyssopvane._internal.transport.read_ahead import (
     CallerLeft,
     ReadAhead,
@@ -118,6 +119,7 @@
         record_end: RecordEnd,
         should_close: Callable[[], bool] = lambda: False,
         bounds_buffers: bool = False,
+        loop: LoopWatch | None = None,
     ) -> None:
         super().__init__(
             self._serve,  # type: ignore[arg-type]
@@ -144,7 +146,7 @@
         self._idle_since = trio.current_time()
         self._goaway_sent = False
         self._sends = SendQueue(stream)
-        self._input = WatchedInput(stream)
+        self._input = WatchedInput(stream, loop=loop)
         self._read_ahead = ReadAhead(stream, self._input, is_ended=lambda: self._ended)
         self._uploads: UploadWindows | None = None
         self._reader: trio.lowlevel.Task | None = None
@@ -378,7 +380,11 @@
         )
         add_presence(
             scope,
-            ConnectedCaller(self._input, is_open=partial(self._is_open, stream)),
+            ConnectedCaller(
+                self._input,
+                is_open=partial(self._is_open, stream),
+                received_at=trio.current_time() - self._input.delay_s,
+            ),
         )
         self._open_requests += 1
         await self.idle_task.stop()
--- a/src/hyssopvane/_internal/transport/http_server.py
+++ b/src/hyssopvane/_internal/transport/http_server.py
@@ -17,6 +17,8 @@
     SelectApp,
 )
 from hyssopvane._internal.transport.listener_filter import drop_new_connections
+from hyssopvane._internal.transport.loop_watch import LoopWatch
+from hyssopvane._internal.transport.watched_input import enable_timestamps
 from hyssopvane._internal.utils.logs import log_event
 
 MAX_REFUSED_CONNECTIONS = 100
@@ -64,6 +66,8 @@
     should_close: Callable[[int], bool] = lambda connections: False
     """Returns whether to close an HTTP/1.1 connection after the answer that begins; the
     argument is the number of open connections."""
+    loop: LoopWatch | None = None
+    """Measures how late requests are read, None to take them for received then."""
     bounds_buffers: bool = False
     """Whether an application that sends a part waits until the kernel has taken it, on
     HTTP/2 as well, and may raise `ReaderStalled` to discard the rest of an answer."""
@@ -100,6 +104,8 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Serve until `shutdown` is set and all requests have ended."""
+        if self._policy.loop is not None:
+            enable_timestamps(listener)
         with listener:
             async with trio.open_nursery() as handlers:
                 async with trio.open_nursery() as accepting:
@@ -185,6 +191,7 @@
             record_end=self._policy.record_end,
             should_close=self._should_close,
             bounds_buffers=self._policy.bounds_buffers,
+            loop=self._policy.loop,
         )
 
     def _should_close(self) -> bool:
--- a/src/hyssopvane/_internal/transport/watched_input.py
+++ b/src/hyssopvane/_internal/transport/watched_input.py
@@ -4,12 +4,17 @@
 import fcntl
 import select
 import socket
+import struct
 import termios
+import time
+from contextlib import suppress
 from math import inf
 from typing import Any
 
 import trio
 
+from hyssopvane._internal.transport.loop_watch import LoopWatch
+
 SATURATED_S = 0.05
 """Time after which a connection that always has unread bytes counts as saturated."""
 
@@ -17,10 +22,22 @@
 """Age of the newest handled bytes up to which a saturated connection is up to date:
 half of the time after which no work may be in progress for a caller that has left."""
 
+_SO_TIMESTAMPNS = 35
+"""Option by which Linux tells when the bytes of a read were received."""
+
+_TIMESTAMP = struct.Struct("@qq")
+_ANCILLARY_BYTES = socket.CMSG_SPACE(_TIMESTAMP.size)
+_NANOSECONDS = 1_000_000_000
 _ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _EVENTS = select.POLLIN | select.POLLRDHUP
 
 
+def enable_timestamps(listener: socket.socket) -> None:
+    """Let the kernel keep the time at which bytes are received, if it can."""
+    with suppress(OSError):
+        listener.setsockopt(socket.SOL_SOCKET, _SO_TIMESTAMPNS, 1)
+
+
 def count_unread(stream: Any) -> int:
     """Return the number of received bytes that are unread in the kernel."""
     count = array.array("i", [0])
@@ -40,8 +57,15 @@
     the request before it has read the end.
     """
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(
+        self, stream: trio.SocketStream, *, loop: LoopWatch | None = None
+    ) -> None:
         self._stream = stream
+        self._loop = loop
+        """Bounds the delays that are measured, None to measure none."""
+        self._read_at = -inf
+        self.delay_s = 0.0
+        """Time for which the bytes of the last read had waited, as far as known."""
         self._poll = select.poll()
         self._poll.register(stream.socket.fileno(), _EVENTS)
         self._waits = False
@@ -102,12 +126,36 @@
         # connection would seem to be idle.
         sock: socket.socket = self._stream.socket._sock  # type: ignore[attr-defined]
         try:
-            return sock.recv(max_bytes)
+            if self._loop is None:
+                return sock.recv(max_bytes)
+            data, ancillary, _, _ = sock.recvmsg(max_bytes, _ANCILLARY_BYTES)
         except BlockingIOError:
             self._waits = True
             return None
         except OSError as error:
             raise trio.BrokenResourceError from error
+        self._measure_delay(self._loop, ancillary, has_ended=not data)
+        return data
+
+    def _measure_delay(
+        self,
+        loop: LoopWatch,
+        ancillary: list[tuple[int, int, bytes]],
+        *,
+        has_ended: bool,
+    ) -> None:
+        # The time of day may have been set meanwhile, so the delay is bounded by what
+        # the steady clock tells.
+        now = trio.current_time()
+        longest_s = now - max(self._read_at, loop.idle_at)
+        self._read_at = now
+        # The kernel tells no time of the end of a connection.
+        self.delay_s = min(loop.late_s, longest_s) if has_ended else 0.0
+        for level, kind, value in ancillary:
+            if (level, kind) == (socket.SOL_SOCKET, _SO_TIMESTAMPNS):
+                seconds, nanoseconds = _TIMESTAMP.unpack(value)
+                received_at = seconds + nanoseconds / _NANOSECONDS
+                self.delay_s = min(max(0.0, time.time() - received_at), longest_s)
 
     def _has_unread(self) -> bool:
         if not (self._waits or self.holds_back) or self._ended:
--- a/tests/functional/test_delayed_entry.py
+++ b/tests/functional/test_delayed_entry.py
@@ -1,5 +1,6 @@
 """Test that requests of callers that have left are not sent on after a delay."""
 
+import re
 import socket
 from dataclasses import dataclass
 from functools import partial
@@ -11,6 +12,7 @@
 from tests.lib.stopped_entry import open_agent_site, open_direct_site
 
 REQUESTS = 20
+DEADLINE_MS = 400
 LONG_BODY = 100_000 * b"x"
 """Larger than what one read takes."""
 
@@ -18,6 +20,7 @@
 """Nearly as much as an HTTP/2 caller may send before the entry grants more."""
 
 SHORT_BODY = b"body"
+STOP_S = 0.6
 HANG_S = 30.0
 ROUNDS = 8
 PULSES = 8
@@ -244,3 +247,51 @@
     if agents:
         open_site = partial(open_agent_site, tmp_path, stops_agent=False)
     run(test, open_site)
+
+
+@pytest.mark.parametrize("agents", [False, True], ids=["direct", "agents"])
+@pytest.mark.parametrize("kept", [True, False], ids=["kept", "new"])
+@pytest.mark.parametrize("kind", [Http1Caller, Http2Caller])
+def test_deadline_runs_while_the_entry_stands_still(kind, kept, agents, tmp_path):
+    """Guard against a deadline that counts from when a delayed entry read a request."""
+
+    async def test(site):
+        caller = await site.probe(kind) if kept else None
+        with site.stop():
+            if caller is None:
+                caller = await kind.open(site.callers_address)
+            headers = site.make_headers("late", deadline_ms=DEADLINE_MS)
+            await caller.send_request(site.path, headers=headers)
+            await trio.sleep(2 * DEADLINE_MS / 1_000)
+        assert await caller.stream.receive_some(65_536)
+        await site.wait_until_settled(kind)
+        assert "late" not in site.list_received()
+
+    open_site = partial(open_direct_site, tmp_path)
+    if agents:
+        open_site = partial(open_agent_site, tmp_path, stops_agent=False)
+    run(test, open_site)
+
+
+def test_entry_logs_by_how_much_it_was_late(tmp_path):
+    """Guard against logs that do not tell a late entry from a late replica."""
+
+    async def test(site):
+        caller = await site.probe(Http1Caller)
+        with site.stop():
+            await caller.send_request(site.path, headers=site.make_headers("late"))
+            await trio.sleep(STOP_S)
+        await caller.read_until(b"whole answer")
+        await site.wait_until_settled(Http1Caller)
+        log = site.read_log()
+        assert (
+            float(re.search(r"event=loop-late late_s=([0-9.]+)", log)[1]) > STOP_S / 2
+        )
+        line = re.search(r"event=request request=late .*", log)[0]
+        read_ms, sent_ms = (
+            int(re.search(rf" {name}=(-?\d+)", line)[1])
+            for name in ("read_ms", "sent_ms")
+        )
+        assert STOP_S * 1_000 / 2 < read_ms <= sent_ms
+
+    run(test, partial(open_direct_site, tmp_path))
