Tell callers in time whose replica is silent while its group is not heard, or who may not repeat

A request is ended in time only where its VM is silent and another member of its group is heard; a group whose leader stands still as well is not heard for a second. And a request that may not be repeated was never ended, as its replica may resume; now it is 0.1 s before its caller leaves, which leaves no time for the replica either.

Moving still requires that the group is heard, since the places elsewhere are counted by its loads.

--- a/src/hyssopvane/_internal/policy/running_attempts.py
+++ b/src/hyssopvane/_internal/policy/running_attempts.py
@@ -27,6 +27,10 @@
 It includes the wait for a place and the reading of the prompt.
 """
 
+MIN_NOTICE_S = 0.1
+"""Time before a caller leaves at which it is told that a request which may not be
+repeated has no answer: its VM may resume until then, and no other replica may help."""
+
 
 @dataclass(slots=True, eq=False)
 class RunningAttempt:
@@ -42,6 +46,13 @@
     """Ends the answer, so that the caller need not wait for it any longer."""
     get_leave_at: Callable[[], float] = lambda: inf
     """Returns the time at which the caller leaves if it receives nothing more."""
+    repeatable: bool = True
+    """Whether the request may be sent to another replica."""
+
+    @property
+    def notice_s(self) -> float:
+        """Return the time before its caller leaves at which the answer ends."""
+        return MIN_SERVE_S if self.repeatable else MIN_NOTICE_S
 
 
 class RunningAttempts:
@@ -74,19 +85,20 @@
         return [one for one in self._attempts if one.replica.incarnation in silent]
 
     def find_hopeless(
-        self, is_vm_silent: Callable[[Replica], bool], *, now: float
+        self, is_vm_unheard: Callable[[Replica], bool], *, now: float
     ) -> list[RunningAttempt]:
         """Return the attempts at silent replicas that no other one can serve in time.
 
         Their callers leave before another replica would send the next event. The
-        replica would notice that only when its VM resumes.
+        replica would notice that only when its VM resumes. Whether the other members
+        of its group are heard makes no difference to them.
         """
-        silent = self._find_silent(is_vm_silent, now)
+        silent = self._find_silent(is_vm_unheard, now)
         return [
             one
             for one in self._attempts
             if one.replica.incarnation in silent
-            and now >= one.get_leave_at() - MIN_SERVE_S
+            and now >= one.get_leave_at() - one.notice_s
         ]
 
     def was_heard(self, replica: Replica, *, since: float) -> bool:
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -436,11 +436,16 @@
     def is_vm_silent(self, replica: Replica, now: float) -> bool:
         """Return whether a replica's agent is silent while its group is heard."""
         one = self._find(replica)
-        if one is None or not -inf < one.observed_at < now - MAX_SILENCE_S:
+        if one is None or not self.is_vm_unheard(replica, now):
             return False
         members = self._groups[one.group].members.values()
         return now - max(member.observed_at for member in members) < FRESH_S
 
+    def is_vm_unheard(self, replica: Replica, now: float) -> bool:
+        """Return whether a replica's agent is silent, and was heard before."""
+        one = self._find(replica)
+        return one is not None and -inf < one.observed_at < now - MAX_SILENCE_S
+
     def find_silent_vms(self, now: float) -> list[Replica]:
         """Return the replicas that neither their agents nor answers show to be alive.
 
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -469,7 +469,8 @@
         for replica in (*(one.replica for one in stalled), *silent):
             if gate.record_stall(replica, now=now):
                 log_event("warning", "vm-stalled", replica=replica.id)
-        for attempt in gate.attempts.find_hopeless(is_vm_silent, now=now):
+        is_vm_unheard = partial(gate.is_vm_unheard, now=now)
+        for attempt in gate.attempts.find_hopeless(is_vm_unheard, now=now):
             attempt.give_up()
         for attempt in stalled:
             attempt.move()
--- a/src/hyssopvane/_internal/roles/stalled_request.py
+++ b/src/hyssopvane/_internal/roles/stalled_request.py
@@ -52,6 +52,7 @@
             move=partial(self._move, abort),
             give_up=partial(self._give_up, abort),
             get_leave_at=self._get_leave_at,
+            repeatable=self._request.route.repeatable,
         )
         gate.attempts.add(self._running)
 
@@ -85,14 +86,11 @@
             )
 
     def _give_up(self, abort: Callable[[], None]) -> None:
-        # A caller that may not repeat its request gains nothing by hearing of it sooner
-        # than its replica may resume.
         if self._running is None or self.is_moving or self.has_given_up:
             return
-        if self._request.route.repeatable:
-            self._search.cancel()
-            self.has_given_up = True
-            abort()
+        self._search.cancel()
+        self.has_given_up = True
+        abort()
 
     def _move(self, abort: Callable[[], None]) -> None:
         # A request that may not be repeated keeps waiting: the VM may resume in time.
--- a/tests/functional/test_stalled_vm.py
+++ b/tests/functional/test_stalled_vm.py
@@ -36,11 +36,20 @@
     """Run two replicas, of which the first one that gets a request stalls."""
 
     def __init__(
-        self, *, before=2, agent_stalls=True, resumes=False, full=False, breaks=False
+        self,
+        *,
+        before=2,
+        agent_stalls=True,
+        group_stalls=False,
+        resumes=False,
+        full=False,
+        breaks=False,
     ):
         self.before = before
         """Number of events that are sent before the stall."""
         self.agent_stalls = agent_stalls
+        self.group_stalls = group_stalls
+        """Whether no agent is heard after the stall."""
         self.resumes = resumes
         self.breaks = breaks
         """Whether the stalled connection breaks, when the group has room again."""
@@ -109,7 +118,8 @@
                 for one in replicas
                 if one is not self.stalled or not self.agent_stalls
             ]
-            gate.observe_loads(loads)
+            if self.stalled is None or not self.group_stalls:
+                gate.observe_loads(loads)
             await trio.sleep(0.05)
 
 
@@ -191,22 +201,31 @@
 
 
 @pytest.mark.parametrize("before", [0, 2])
-def test_caller_is_told_when_no_replica_can_go_on_in_time(before):
+@pytest.mark.parametrize(
+    ("path", "changes"),
+    [
+        ("/drafts/7", {"full": True}),
+        ("/drafts/7", {"group_stalls": True, "full": True}),
+        ("/once/7", {}),
+    ],
+    ids=["group-heard", "group-silent", "not-repeatable"],
+)
+def test_caller_is_told_when_no_replica_can_go_on_in_time(path, changes, before):
     """Guard against callers that wait for a stalled VM until they leave.
 
     A caller that is told repeats the request or resumes the stream. The request may
     have run, so its answer must not promise that it did not.
     """
-    vms = Vms(before=before, full=True)
+    vms = Vms(before=before, **changes)
 
     async def test(site, replicas):
         async with LagMeter() as meter:
             started_at = trio.current_time()
             if before:
                 with pytest.raises(ReplicaFailed):
-                    await site.call("/drafts/7")
+                    await site.call(path)
             else:
-                answer = await site.call("/drafts/7")
+                answer = await site.call(path)
                 assert (answer.status, answer.body) == (502, b"replica-failed\n")
                 assert "retry-after" not in answer.headers
             assert trio.current_time() - started_at < PATIENCE_S + meter.lag_s
--- a/tests/unit/test_running_attempts.py
+++ b/tests/unit/test_running_attempts.py
@@ -8,6 +8,7 @@
 from hyssopvane._internal.policy.queueing import QueuedItem
 from hyssopvane._internal.policy.running_attempts import (
     MAX_SILENCE_S,
+    MIN_NOTICE_S,
     MIN_SERVE_S,
     RunningAttempt,
     RunningAttempts,
@@ -115,18 +116,34 @@
 
 
 @pytest.mark.parametrize(
-    ("reported_at", "heard_at", "leaves_in_s", "found"),
+    ("reported_at", "heard_at", "leaves_in_s", "repeatable", "found"),
     [
-        ((LONG_AGO, JUST_NOW), LONG_AGO, MIN_SERVE_S, True),
-        ((LONG_AGO, JUST_NOW), LONG_AGO, MIN_SERVE_S + 0.1, False),
+        ((LONG_AGO, JUST_NOW), LONG_AGO, MIN_SERVE_S, True, True),
+        ((LONG_AGO, JUST_NOW), LONG_AGO, MIN_SERVE_S + 0.1, True, False),
+        # Nobody of the group is heard, as its leader stands still, too.
+        ((LONG_AGO, LONG_AGO), LONG_AGO, MIN_SERVE_S, True, True),
+        # The replica may resume until its caller leaves.
+        ((LONG_AGO, JUST_NOW), LONG_AGO, MIN_SERVE_S, False, False),
+        ((LONG_AGO, JUST_NOW), LONG_AGO, MIN_NOTICE_S, False, True),
         # The replica or its agent is heard.
-        ((LONG_AGO, JUST_NOW), JUST_NOW, 0.0, False),
-        ((JUST_NOW, JUST_NOW), LONG_AGO, 0.0, False),
+        ((LONG_AGO, JUST_NOW), JUST_NOW, 0.0, True, False),
+        ((JUST_NOW, JUST_NOW), LONG_AGO, 0.0, True, False),
+        # A plain service has no agents.
+        ((None, JUST_NOW), LONG_AGO, 0.0, True, False),
+    ],
+    ids=[
+        "too-late",
+        "in-time",
+        "group-silent",
+        "not-repeatable",
+        "not-repeatable-leaving",
+        "replica-heard",
+        "agent-heard",
+        "no-agent",
     ],
-    ids=["too-late", "in-time", "replica-heard", "agent-heard"],
 )
 def test_attempt_is_hopeless_when_no_other_replica_can_answer_in_time(
-    reported_at, heard_at, leaves_in_s, found
+    reported_at, heard_at, leaves_in_s, repeatable, found
 ):
     """Guard against callers that wait for a stalled VM although nobody can help.
 
@@ -136,6 +153,7 @@
     attempts = RunningAttempts()
     attempt = make_attempt(0, heard_at)
     attempt.get_leave_at = lambda: NOW + leaves_in_s
+    attempt.repeatable = repeatable
     attempts.add(attempt)
     attempts.add(make_attempt(1, NOW - 0.5))
 
@@ -143,7 +161,9 @@
         return gate.is_vm_silent(replica, NOW)
 
     assert not attempts.find_stalled(is_vm_silent, now=NOW)
-    hopeless = attempts.find_hopeless(is_vm_silent, now=NOW)
+    hopeless = attempts.find_hopeless(
+        lambda replica: gate.is_vm_unheard(replica, NOW), now=NOW
+    )
     assert hopeless == ([attempt] if found else [])
 
 
