Send one unanswered request at most to a VM that is not heard of

What callers saw: streams without an event at VMs that stood still. Requests went there for 0.5 s after the last load, and after that as well while the other replicas of the group were full, until the VM was marked after 0.8 s. What was sent arrives when the VM resumes, and can't be taken back.

Cause: a replica counted as heard for as long as its load serves for estimates (0.5 s), and a replica that was not heard was as good as any other once those had no room. Now it is heard for as long as a working VM may be silent (the longest pause of an agent and two polls: 0.32 s in groups of 24 ranks), and gets one request of this entry after that until it is heard, as long as other members of its group are heard.

--- a/src/hyssopvane/_internal/policy/group_capacity.py
+++ b/src/hyssopvane/_internal/policy/group_capacity.py
@@ -651,6 +651,10 @@
             self.reserved_rows[row] += 1
         self._prompt_budget -= prompt_tokens
 
+    def is_heard(self, now: float) -> bool:
+        """Return whether the load of a member is as recent as on a working VM."""
+        return any(member.is_heard(now) for member in self.members.values())
+
     def has_fresh_load(self, now: float) -> bool:
         """Return whether the load of a member is recent."""
         return any(member.is_fresh(now) for member in self.members.values())
--- a/src/hyssopvane/_internal/policy/poll_intervals.py
+++ b/src/hyssopvane/_internal/policy/poll_intervals.py
@@ -39,6 +39,14 @@
     return max(POLL_INTERVAL_S, ranks / POLLS_PER_S)
 
 
+def get_max_load_age_s(ranks: int) -> float:
+    """Return the age that the load of a rank on a working VM has at most at an entry.
+
+    Its agent may pause while its group is idle, and the leader publishes after a poll.
+    """
+    return IDLE_POLL_S + 2 * get_poll_interval_s(ranks)
+
+
 def get_max_state_age_s(ranks: int) -> float:
     """Return the age up to which the state of a rank is fresh, in seconds."""
     return max(MAX_STATE_AGE_S, FRESH_POLLS * get_poll_interval_s(ranks))
--- a/src/hyssopvane/_internal/policy/replica_load.py
+++ b/src/hyssopvane/_internal/policy/replica_load.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field, replace
 from math import ceil
 
+from hyssopvane._internal.policy.poll_intervals import get_max_load_age_s
 from hyssopvane._internal.state.loads import SLOW_PACE, RankLoad
 from hyssopvane._internal.state.routing import Replica
 
@@ -83,6 +84,11 @@
         """Return whether the last reported load is recent."""
         return now - self.observed_at < FRESH_S
 
+    def is_heard(self, now: float) -> bool:
+        """Return whether the last reported load is as recent as on a working VM."""
+        ranks = 0 if self.load is None else self.load.ranks
+        return now - self.observed_at < min(FRESH_S, get_max_load_age_s(ranks))
+
     def is_open(self, now: float) -> bool:
         """Return whether the replica serves requests, as far as known."""
         return self.load is None or self.load.open or not self.is_fresh(now)
--- a/tests/unit/test_stalled_places.py
+++ b/tests/unit/test_stalled_places.py
@@ -1,5 +1,6 @@
 """Test which places the requests of a VM that stands still find at other replicas."""
 
+from collections import Counter
 from random import Random
 
 import pytest
@@ -196,3 +197,47 @@
                 running[int(one.replica.id.removeprefix("i-"))] += 1
         assert sum(max(0, count - SLOTS) for count in running.values()) <= 1
     assert sum(running.values()) - before >= 2 / 3 * sum(moves)
+
+
+@pytest.mark.parametrize(
+    ("silent_s", "heard_full", "group_heard", "most"),
+    [
+        # Others are free, and the silent VMs get nothing.
+        (0.35, False, True, 0),
+        # The others are full: each silent VM gets one request, and no more.
+        (0.35, True, True, 1),
+        # Within the usual pause of reports.
+        (0.2, True, True, SLOTS),
+        # The entry hears nobody, and counts by its own requests.
+        (0.35, True, False, SLOTS),
+    ],
+    ids=["others-free", "others-full", "usual-pause", "nobody-heard"],
+)
+def test_silent_vm_gets_one_unanswered_request_at_most(
+    silent_s, heard_full, group_heard, most
+):
+    """Guard against requests that pile up at a VM which stands still and is not
+    marked yet: they arrive when it resumes, and can't be taken back."""
+    silent = set(STALLED)
+    gate = ServiceGate(random=Random(1), availability_zone="zone-0")
+    gate.update([make_replica(number) for number in range(RANKS)], ENGINE, now=0.0)
+    gate.set_pause(10.0)
+    for at in (NOW - silent_s, NOW):
+        loads = [
+            make_load(number, active=SLOTS * (heard_full and number not in silent))
+            for number in range(RANKS)
+            if at < NOW or (group_heard and number not in silent)
+        ]
+        if loads:
+            gate.observe_loads([(one, at) for one in loads])
+    for number in range(2 * RANKS):
+        item = QueuedItem(f"r-{number}", "customer", 0, 1, NOW + 8.0, NOW)
+        waiting = QueuedRequest(item, late_at=NOW + 1.0, refuse_at=NOW + 2.0)
+        gate.add(waiting, weight=1.0)
+    sent = Counter(
+        one.replica.id for one in gate.dispatch(NOW) if isinstance(one, Assignment)
+    )
+    assert sent
+    counts = [sent[f"i-{number}"] for number in silent]
+    assert max(counts) <= most
+    assert not most or max(counts)
