--- a/src/hyssopvane/_internal/transport/raw_stream.py
+++ b/src/hyssopvane/_internal/transport/raw_stream.py
@@ -109,7 +109,8 @@
             return
         self.sent = True
         try:
-            if self.observe_sent is None and self.wait_before_part is None:
+            is_single = self.wait_before_part is None or len(buffer) <= _SLICE_BYTES
+            if self.observe_sent is None and is_single:
                 await self._stream.send_all(buffer)
                 return
             with trio.CancelScope() as self._sending:
