Let the deadlines of entries go on while their machine is suspended

What callers saw: work that ended later than their deadlines by the time of a suspension.

Entries now run by CLOCK_BOOTTIME, for which a suspension is the same as a stop of the process. Agents already compare both clocks and discard their state (rank_agent), so theirs stays.

--- a/src/hyssopvane/_internal/assembly.py
+++ b/src/hyssopvane/_internal/assembly.py
@@ -20,6 +20,7 @@
     load_settings,
 )
 from hyssopvane._internal.roles.process import Role, run_until_signal
+from hyssopvane._internal.utils.boot_clock import BootClock
 from hyssopvane._internal.utils.deferred_modules import end_deferral
 from hyssopvane._internal.utils.logs import (
     configure_logs,
@@ -32,12 +33,15 @@
     """Run until SIGTERM or SIGINT and drain; return whether all requests ended."""
     reload: Callable[[], AnySettings] = partial(load_settings, path)
     level, role, vm = settings.log_level, settings.role, settings.vm
+    # Agents detect a suspension themselves, and discard what they were about.
+    is_entry = isinstance(settings, EntrySettings | DirectEntrySettings)
+    clock = BootClock() if is_entry else None
     if isinstance(settings, EntrySettings | AgentSettings):
         configure_logs(level=level, role=role, vm=vm)
-        return trio.run(partial(_run, settings, reload))
+        return trio.run(partial(_run, settings, reload), clock=clock)
     sink = configure_stdout_logs(level=level, role=role, vm=vm)
     try:
-        return trio.run(partial(_run, settings, reload))
+        return trio.run(partial(_run, settings, reload), clock=clock)
     except Exception:
         log_event("error", "crashed", traceback=traceback.format_exc())
         raise
