Send nothing on over a saturated connection whose end is received

Found by reading: a connection that had kept its requests waiting for 0.05 s, also by a stop of the process, counted as up to date for a quarter of a second even if its end was received meanwhile. The kernel tells an end at once, so it always counts.

--- a/src/hyssopvane/_internal/transport/watched_input.py
+++ b/src/hyssopvane/_internal/transport/watched_input.py
@@ -105,7 +105,10 @@
 
     def is_current(self) -> bool:
         """Return whether all that has been received was handled."""
-        if not self._has_unread():
+        flags = self._check()
+        if self._ended or flags & _ENDED:
+            return False
+        if not flags and (self._waits or self.holds_back):
             return True
         return trio.current_time() - self._current_at < MAX_READ_AGE_S
 
@@ -157,11 +160,6 @@
                 received_at = seconds + nanoseconds / _NANOSECONDS
                 self.delay_s = min(max(0.0, time.time() - received_at), longest_s)
 
-    def _has_unread(self) -> bool:
-        if not (self._waits or self.holds_back) or self._ended:
-            return True
-        return bool(self._check())
-
     def _measure_target(self) -> float:
         """Return the number of bytes after which all that is there now was handled."""
         if self._ended or self._check() & _ENDED:
