--- a/src/hyssopvane/_internal/roles/exchange.py
+++ b/src/hyssopvane/_internal/roles/exchange.py
@@ -83,7 +83,8 @@
     with trio.move_on_at(deadline) as waiting:
         await presence.wait_until_known()
     if waiting.cancelled_caught:
-        return TooLate()
+        # Nothing was sent.
+        return NotStarted(AgentRefusal.CANCELLED)
     if connection.peer_leaving and not opening.join:
         # The agent reported that it is leaving after this target was chosen. An attempt
         # sent now could be lost when the connection closes. An answer that the agent
