--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -98,12 +98,17 @@
         found = []
         for one in self.left:
             due_at = self._find_due_at(one.at, BOUND_S + late_tolerance_s)
-            if due_at > ended_at or faults.overlaps_departure(
-                one.entry, one.at - SETTLE_S, due_at
-            ):
+            if due_at > ended_at:
                 continue
+            is_excused = faults.overlaps_departure(one.entry, one.at - SETTLE_S, due_at)
             for work in self.journal.work.get(one.request_id, ()):
-                if work.ended_at > due_at:
+                if self._is_begun_late(one, work, due_at, faults):
+                    found.append(
+                        f"{one.request_id}: begun {work.began_at - one.at:.1f} s after "
+                        f"its caller left {one.entry}, which stood still, by {one.way} "
+                        f"({self._describe(one, work)})"
+                    )
+                elif not is_excused and work.ended_at > due_at:
                     found.append(
                         f"{one.request_id}: worked on for "
                         f"{work.ended_at - one.at:.1f} s after its caller left "
@@ -111,6 +116,18 @@
                     )
         return found
 
+    def _is_begun_late(
+        self, left: Left, work: Work, due_at: float, faults: Faults
+    ) -> bool:
+        """Tell whether a request was sent on that was left while its entry stood still."""
+        return (
+            work.began_at > due_at
+            and faults.is_paused(left.entry, left.at)
+            and not faults.overlaps_departure(
+                left.entry, left.at - SETTLE_S, work.began_at, ignored="pause"
+            )
+        )
+
     def _find_due_at(self, left_at: float, bound_s: float) -> float:
         """Return the time at which work must have ended.
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -97,19 +97,30 @@
             span.name not in PLANNED for span in self._list_overlapping(from_s, to_s)
         )
 
-    def overlaps_departure(self, entry: str, from_s: float, to_s: float) -> bool:
+    def overlaps_departure(
+        self, entry: str, from_s: float, to_s: float, *, ignored: str = ""
+    ) -> bool:
         """Tell whether a fault near a span may hide that a caller left an entry.
 
         Faults of other entries and spoilt answers do not; a planned stop may not.
+        Faults with the name `ignored` do not count.
         """
         entries = {one.name for one in self._run.fleet.entries}
         return any(
             span.name not in PLANNED
+            and span.name != ignored
             and span.where != "replicas"
             and (span.where not in entries or span.where == entry)
             for span in self._list_overlapping(from_s, to_s)
         )
 
+    def is_paused(self, entry: str, at: float) -> bool:
+        """Tell whether the entry stood still at a time."""
+        return any(
+            span.name == "pause" and span.where == entry
+            for span in self._list_overlapping(at, at)
+        )
+
     def overlaps_interruption(self, entry: str, from_s: float, to_s: float) -> bool:
         """Tell whether a stop, kill or pause of the entry overlaps a span."""
         return any(
