--- a/tests/soak/departures.py
+++ b/tests/soak/departures.py
@@ -119,7 +119,7 @@
     def _is_begun_late(
         self, left: Left, work: Work, due_at: float, faults: Faults
     ) -> bool:
-        """Tell whether a request was sent on that was left while its entry stood still."""
+        """Tell whether a request left in a pause of its entry was sent on later."""
         return (
             work.began_at > due_at
             and faults.is_paused(left.entry, left.at)
