--- a/tests/unit/test_request_digest.py
+++ b/tests/unit/test_request_digest.py
@@ -43,7 +43,7 @@
     )
     scope = {"method": "POST", "path": path, "raw_path": path.encode()}
     request = app._make_request(
-        scope, (), {}, "r", ROUTE, Customer(customer), body, 0.0, 1.0, 1.0
+        scope, (), {}, "r", ROUTE, Customer(customer), body, 0.0, 0.0, 1.0, 1.0
     )
     return request.identity.body.digest
 
