Log and count what is sent to VMs that are not heard, and what becomes of it

- caller-left: vm_age_ms, answer_age_ms, silent, stall.
- vm-stalled: vm_age_ms, silent.
- Counters: sent-to-silent-vm, stalled-moved, stalled-ended, stalled-left.
They are scraped, and outlast a log that is cut.

--- a/src/hyssopvane/_internal/policy/replica_load.py
+++ b/src/hyssopvane/_internal/policy/replica_load.py
@@ -50,6 +50,8 @@
     """Send times of this entry's requests that no reported load includes yet."""
     load: RankLoad | None = None
     observed_at: float = float("-inf")
+    answered_at: float = float("-inf")
+    """Time of the last byte of an answer that this entry received from it."""
     failures: float = 0.0
     full_until: float = float("-inf")
     """Time until which it gets no requests because it has just reported that it is
@@ -174,6 +176,7 @@
         self.sent_at.clear()
         self.failures = 0.0
         self.full_until = self.ejected_until = self.stalled_at = float("-inf")
+        self.answered_at = float("-inf")
         return True
 
     def start(self, now: float) -> None:
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -446,6 +446,32 @@
         one = self._find(replica)
         return one is not None and -inf < one.observed_at < now - MAX_SILENCE_S
 
+    def find_load(self, replica: Replica) -> ReplicaLoad | None:
+        """Return what is known of a replica's load if this incarnation still runs."""
+        return self._find(replica)
+
+    def measure_silence_s(self, replica: Replica, now: float) -> float:
+        """Return the time since a replica's agent was heard, infinite if never."""
+        one = self._find(replica)
+        return inf if one is None else now - one.observed_at
+
+    def is_heard(self, replica: Replica, now: float) -> bool:
+        """Return whether a replica's agent was heard as recently as on a working VM.
+
+        No agent reports the replicas of a service without an engine.
+        """
+        if self._engine is None:
+            return True
+        one = self._find(replica)
+        return one is not None and one.is_heard(now)
+
+    def count_silent(self, replica: Replica, now: float) -> int:
+        """Return the number of members of a replica's group that are not heard."""
+        group = self.find_group(replica.id)
+        if group is None:
+            return 0
+        return sum(not one.is_heard(now) for one in group.members.values())
+
     def find_silent_vms(self, now: float) -> list[Replica]:
         """Return the replicas that neither their agents nor answers show to be alive.
 
--- a/src/hyssopvane/_internal/roles/direct_app.py
+++ b/src/hyssopvane/_internal/roles/direct_app.py
@@ -198,6 +198,8 @@
 
     def _record_departure(self, request: DirectRequest, call: DirectCall) -> None:
         self._dependencies.metrics.count_event("caller-left")
+        if call.is_at_silent_vm():
+            self._dependencies.metrics.count_event("stalled-left")
         log_event(
             "info",
             "caller-left",
@@ -210,6 +212,7 @@
             read_ms=_to_ms(request.read_at, request.arrived_at),
             sent_ms=_to_ms(call.sent_at, request.arrived_at),
             end_late_ms=round(request.presence.read_delay_s * 1_000),
+            **call.describe_silence(),
         )
 
     def _record_end(self, request: DirectRequest, call: DirectCall) -> None:
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -136,6 +136,8 @@
         self._keep_answer = keep_answer
         """Counts the bytes of the last answer that was read whole."""
         self._reports = ReplicaReports(request, dependencies)
+        self._replica: Replica | None = None
+        """Replica of the last attempt."""
         self._evidence = CrashEvidence(
             request.identity,
             account=dependencies.crashes,
@@ -186,6 +188,29 @@
             self._evidence.end_trial()
         await self._give_up(self._decide_timeout())
 
+    def describe_silence(self) -> dict[str, object]:
+        """Return how long the last replica has been silent, for the log."""
+        if self._replica is None:
+            return {}
+        gate, now = (
+            self._dependencies.gates.get_gate(self._request.service),
+            trio.current_time(),
+        )
+        load = gate.find_load(self._replica)
+        return {
+            "vm_age_ms": -1 if load is None else _to_age_ms(load.observed_at, now),
+            "answer_age_ms": -1 if load is None else _to_age_ms(load.answered_at, now),
+            "silent": gate.count_silent(self._replica, now),
+            "stall": self._mover.describe(),
+        }
+
+    def is_at_silent_vm(self) -> bool:
+        """Return whether a replica has the request whose agent is not heard."""
+        if self._replica is None or self.phase is CallPhase.WAITING:
+            return False
+        gate = self._dependencies.gates.get_gate(self._request.service)
+        return not gate.is_heard(self._replica, trio.current_time())
+
     async def _run(self) -> None:
         request = self._request
         while True:
@@ -335,7 +360,7 @@
         request = self._request
         placed_at = trio.current_time()
         self.placed_at = self.placed_at or placed_at
-        self.replica_id = replica.id
+        self._replica, self.replica_id = replica, replica.id
         failed, failed_since = True, None
         try:
             await self._exchange(replica)
@@ -393,11 +418,13 @@
             raise _AttemptFailed(f"unreachable: {error}", not_run=True) from error
         except ReplicaFailed as error:
             if self._mover.is_moving:
+                self._dependencies.metrics.count_event("stalled-moved")
                 self._evidence.record_unanswered()
                 raise _AttemptFailed(
                     "stalled: the VM is silent", not_run=False
                 ) from error
             if self._mover.has_given_up:
+                self._dependencies.metrics.count_event("stalled-ended")
                 self._evidence.record_unanswered()
                 raise _AttemptFailed(
                     "stalled: no other replica can answer in time", not_run=False
@@ -438,6 +465,8 @@
         if allowed:
             self.phase = CallPhase.SENT
             self.sent_at = trio.current_time()
+            if not gate.is_heard(replica, self.sent_at):
+                self._dependencies.metrics.count_event("sent-to-silent-vm")
             self._evidence.begin(replica)
             self._mover.track(replica, abort)
         return allowed
@@ -672,6 +701,10 @@
     return "-" if value is None else value[:_MAX_LOGGED_BYTES].decode("latin1")
 
 
+def _to_age_ms(at: float, now: float) -> int:
+    return -1 if at == -inf else round((now - at) * 1_000)
+
+
 def _is_already_sent(event_id: bytes, last: bytes) -> bool:
     if not (event_id.isdigit() and last.isdigit()):
         return event_id == last
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -468,7 +468,13 @@
         silent = gate.find_silent_vms(now)
         for replica in (*(one.replica for one in stalled), *silent):
             if gate.record_stall(replica, now=now):
-                log_event("warning", "vm-stalled", replica=replica.id)
+                log_event(
+                    "warning",
+                    "vm-stalled",
+                    replica=replica.id,
+                    vm_age_ms=round(gate.measure_silence_s(replica, now) * 1_000),
+                    silent=gate.count_silent(replica, now),
+                )
         is_vm_unheard = partial(gate.is_vm_unheard, now=now)
         for attempt in gate.attempts.find_hopeless(is_vm_unheard, now=now):
             attempt.give_up()
--- a/src/hyssopvane/_internal/roles/stalled_request.py
+++ b/src/hyssopvane/_internal/roles/stalled_request.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Awaitable, Callable
 from functools import partial
+from math import inf
 
 import trio
 
 from hyssopvane._internal.policy.gate_decisions import Assignment, Rejection
+from hyssopvane._internal.policy.replica_load import ReplicaLoad
 from hyssopvane._internal.policy.running_attempts import RunningAttempt
 from hyssopvane._internal.roles.direct_request import CallDependencies, DirectRequest
 from hyssopvane._internal.state.routing import Replica
@@ -35,6 +37,8 @@
         self._search = trio.CancelScope()
         """Scope of the search for a replica to which a stalled request can move."""
         self._is_searching = False
+        self._load: ReplicaLoad | None = None
+        """What is known of the load of the replica that runs the request."""
         self._next_place: Assignment | None = None
         """Place at the replica to which the request moves."""
 
@@ -55,6 +59,19 @@
             repeatable=self._request.route.repeatable,
         )
         gate.attempts.add(self._running)
+        self._load = gate.find_load(replica)
+
+    def describe(self) -> str:
+        """Return what was done about a silent replica, for the log."""
+        if self.has_given_up:
+            return "ended"
+        if self.is_moving:
+            return "moving"
+        if self._is_searching:
+            return "searching"
+        if self._is_exhausted():
+            return "no-attempt-left"
+        return "none"
 
     def forget(self) -> None:
         """End the tracking of an attempt and the search that it has begun."""
@@ -68,6 +85,8 @@
         """Record the time of the last byte from the replica."""
         if self._running is not None:
             self._running.heard_at = at
+            if self._load is not None and at < inf:
+                self._load.answered_at = at
 
     def take_next_place(self) -> Assignment | None:
         """Return the place that was found, if any, and hold it no longer."""
@@ -95,17 +114,20 @@
     def _move(self, abort: Callable[[], None]) -> None:
         # A request that may not be repeated keeps waiting: the VM may resume in time.
         request, running = self._request, self._running
-        if running is None or self._is_searching or not request.route.repeatable:
+        if running is None or self._is_searching or self.has_given_up:
             return
-        if self.has_given_up:
-            return
-        if request.attempts < request.route.max_attempts:
+        if not self._is_exhausted():
             self._is_searching = True
             self._search = trio.CancelScope()
             request.tried.add(running.replica.incarnation)
             search = partial(self._find_next_place, running, abort)
             self._dependencies.gates.start_task(search)
 
+    def _is_exhausted(self) -> bool:
+        """Return whether the request may be sent to no other replica."""
+        route = self._request.route
+        return not route.repeatable or self._request.attempts >= route.max_attempts
+
     async def _find_next_place(
         self, running: RunningAttempt, abort: Callable[[], None]
     ) -> None:
--- a/tests/functional/test_operations.py
+++ b/tests/functional/test_operations.py
@@ -8,6 +8,7 @@
 import pytest
 import trio
 
+from hyssopvane._internal.state.loads import RankLoad
 from hyssopvane._internal.transport.replica_client import ReplicaFailed
 from hyssopvane._internal.utils.logs import configure_logs
 from tests.lib.direct_installation import HANG_S, open_direct
@@ -53,6 +54,29 @@
     return done.stdout
 
 
+def test_caller_that_left_a_silent_vm_is_told_from_others(tmp_path):
+    """The log tells what was heard of a replica when its caller left."""
+
+    async def hang(replica, stream, request):
+        await trio.sleep_forever()
+
+    async def test(site):
+        replica = await site.add_replica("i-1", hang, service="drafting")
+        gate = site.entry.gates.get_gate("drafting")
+        load = RankLoad(replica.address, "group", 1, True, 0, 0, 1, 0.05, 1)
+        gate.observe_loads([(load, trio.current_time() - 0.6)])
+        await site.wait_until(lambda: "group" in gate._groups)
+        with trio.move_on_after(0.2):
+            await site.call("/drafts/7")
+        await site.wait_until(lambda: not replica.running)
+
+    text = record_log(tmp_path, test).read_text()
+    (left,) = re.findall("event=caller-left .*", text)
+    assert int(re.search(r"vm_age_ms=(\d+)", left)[1]) >= 600
+    assert "phase=sent" in left
+    assert "answer_age_ms=-1 silent=1 stall=none" in left
+
+
 def test_refused_request_shows_the_load_at_its_refusal(tmp_path):
     """The log explains why a caller got a refusal with Retry-After."""
 
