--- a/tests/functional/test_stalled_vm.py
+++ b/tests/functional/test_stalled_vm.py
@@ -233,3 +233,76 @@
         assert sorted(len(one.received) for one in replicas) == [0, 1]
 
     run(vms, test)
+
+
+@pytest.mark.parametrize("refused_after_s", [0.9, 1.3, 1.7])
+@pytest.mark.parametrize("group_heard", [True, False])
+def test_no_request_is_left_at_a_stalled_vm_when_its_caller_leaves(
+    refused_after_s, group_heard
+):
+    """Guard against requests that reach a replica when its VM resumes, for callers
+    that have left.
+
+    The VM is known to stand still 0.8 s after its last word. A request that is sent
+    there late in the patience of its caller has no such time.
+    """
+    stopped = trio.Event()
+    refused = []
+    left = []
+
+    async def serve(replica, stream, request):
+        if replica.id == "i-1":
+            await trio.sleep_forever()
+        if refused:
+            # The other replica has no place either.
+            await trio.sleep(0.05)
+        else:
+            refused.append(request)
+            await trio.sleep(refused_after_s)
+        head = (("X-Not-Executed", "1"),)
+        await stream.send_all(make_answer(request, status=503, headers=head))
+        return True
+
+    async def report(gate, replicas):
+        while True:
+            now = trio.current_time()
+            heard = replicas[: 1 if stopped.is_set() else 2]
+            if group_heard or not stopped.is_set():
+                full = {"i-1": 0 if refused else 6}
+                loads = [
+                    replace(LOAD, address=one.address, active=full.get(one.id, 0))
+                    for one in heard
+                ]
+                gate.observe_loads([(one, now) for one in loads])
+            await trio.sleep(0.05)
+
+    async def main():
+        with trio.fail_after(HANG_S):
+            async with open_direct() as site, LagMeter() as meter:
+                replicas = [
+                    await site.add_replica(f"i-{n}", serve, service="drafting")
+                    for n in range(2)
+                ]
+                gate = site.entry.gates.get_gate("drafting")
+                site.nursery.start_soon(report, gate, replicas)
+                await site.wait_until(
+                    lambda: (
+                        "group" in gate._groups
+                        and len(gate._groups["group"].members) == 2
+                    )
+                )
+
+                async def stop():
+                    await site.wait_until(lambda: bool(refused))
+                    await trio.sleep(refused_after_s - 0.5)
+                    stopped.set()
+
+                site.nursery.start_soon(stop)
+                with trio.move_on_after(PATIENCE_S + meter.lag_s) as scope:
+                    await site.call("/drafts/7")
+                if scope.cancelled_caught:
+                    left.extend(replicas[1].received)
+                assert len(refused) == 1
+                assert not left
+
+    trio.run(main)
--- a/tests/unit/test_running_attempts.py
+++ b/tests/unit/test_running_attempts.py
@@ -83,6 +83,12 @@
         ((None, None), [(0, LONG_AGO), (1, JUST_NOW)], []),
         # The entry passes on what it received to a slow caller.
         ((LONG_AGO, JUST_NOW), [(0, float("inf")), (1, JUST_NOW)], []),
+        # A caller that reads nothing is no sign of its replica.
+        (
+            (LONG_AGO, JUST_NOW),
+            [(0, float("inf")), (0, LONG_AGO), (1, JUST_NOW)],
+            [1],
+        ),
     ],
     ids=[
         "stalled",
@@ -98,6 +104,7 @@
         "other-just-sent",
         "no-agents",
         "slow-caller",
+        "slow-caller-beside-others",
     ],
 )
 def test_attempt_is_stalled_when_its_replica_and_agent_are_silent(
