Keep a stalled VM stalled when the age of its load is capped

What callers saw: late streams. A VM that stood still for longer than 3.4 s got requests again, 2.55 s after it was marked as stalled, and these waited until it resumed.

Cause: the age of a load is sent in one byte, in hundredths of a second. At 2.55 s and above it is always 2.55 s, so the time that it tells of moves on, and passes the time at which the VM was marked.

Now a capped age keeps the time of the last load, and for an entry that has heard none it is that age.

--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -277,6 +277,15 @@
             )
         return restarted
 
+    def bound_load_time(self, address: str, at: float) -> float:
+        """Return the time of a load that was reported at `at` or before.
+
+        It is that of the last load of the replica, if there was one.
+        """
+        known = (one.observed_at for one in self._by_address.get(address, ()))
+        last_at = max(known, default=-inf)
+        return last_at if last_at > -inf else at
+
     def add(self, waiting: QueuedRequest, *, weight: float) -> None:
         """Add a request to the queue.
 
--- a/src/hyssopvane/_internal/roles/gate_keeper.py
+++ b/src/hyssopvane/_internal/roles/gate_keeper.py
@@ -23,6 +23,7 @@
 from hyssopvane._internal.policy.zone_evacuations import choose_ramp_s
 from hyssopvane._internal.state.limits import LimitReport, ReplicaLimits
 from hyssopvane._internal.state.loads import (
+    MAX_LOAD_AGE_S,
     GroupLoad,
     RankLoad,
     Roster,
@@ -187,7 +188,11 @@
         for member, age_s in split_load(load, roster):
             service = self._services.get(member.address)
             if service is not None:
-                by_service.setdefault(service, []).append((member, now - age_s))
+                at = now - age_s
+                if age_s >= MAX_LOAD_AGE_S:
+                    # It may be much older, and then says nothing new.
+                    at = self._gates[service].bound_load_time(member.address, at)
+                by_service.setdefault(service, []).append((member, at))
         for service, members in by_service.items():
             fleet = self._gates[service].fleet
             if fleet is not None and load.waiting is not None:
--- a/src/hyssopvane/_internal/state/loads.py
+++ b/src/hyssopvane/_internal/state/loads.py
@@ -8,6 +8,10 @@
 """Pace above which a replica counts as slow; replicas of a service differ by less."""
 
 
+MAX_LOAD_AGE_S = 2.55
+"""Age above which a message gives all loads the same age: it is sent in one byte."""
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """Identify one incarnation of a replica."""
@@ -57,7 +61,7 @@
     pace: float
     """Time the replica takes relative to its usual time; above 1 if it is slow."""
     age_s: float
-    """Time since the replica's agent reported it."""
+    """Time since the replica's agent reported it; `MAX_LOAD_AGE_S` at most."""
 
 
 @dataclass(frozen=True, slots=True)
