Mark no working VM as stalled while the next agent begins to lead

What callers saw: streams that paused, and callers at a VM that stood still without another place. When the agent that leads a group stands still, nobody is heard for a second. The first loads of the next one name its own rank and few others; all the rest counted as silent beside a group that is heard.

Now a VM counts as silent only when most of its group has been heard for as long as a working VM may be silent (0.32 s here). The VM that really stands still is found 0.44 s after the next agent begins to lead, which leaves its requests time to move.

Its last loop went one poll beyond the time by which it requires the stopped VM to be found; corrected.

--- a/src/hyssopvane/_internal/policy/group_capacity.py
+++ b/src/hyssopvane/_internal/policy/group_capacity.py
@@ -10,7 +10,10 @@
 from hyssopvane._internal.policy import rendezvous
 from hyssopvane._internal.policy.group_ramp import GroupRamp, estimate_duration_s
 from hyssopvane._internal.policy.pass_model import PAUSE_SHARE, PassModel
-from hyssopvane._internal.policy.poll_intervals import get_poll_interval_s
+from hyssopvane._internal.policy.poll_intervals import (
+    get_max_load_age_s,
+    get_poll_interval_s,
+)
 from hyssopvane._internal.policy.replica_load import ReplicaLoad, estimate_entries
 from hyssopvane._internal.policy.spare_places import SparePlaces
 from hyssopvane._internal.policy.turn_prediction import Turnover
@@ -55,6 +58,12 @@
 MIN_FINISHED = 10
 """Requests that must have ended before the mean duration is used to refuse others."""
 
+MAX_SILENT_SHARE = 0.5
+"""Share of a group that may be silent while it counts as heard.
+
+If more of it is silent, its leader or the network is at fault and not their VMs.
+"""
+
 MOVE_S = 0.5
 """Time in which most requests of a VM that stands still find another replica."""
 
@@ -117,6 +126,8 @@
         """Whether a member has another start than before the last load."""
         self.formed_at = float("-inf")
         """Time at which the group's epoch was first reported."""
+        self._scattered_at = float("-inf")
+        """Time of the last load with which most members were still silent."""
         self._departed: deque[Incarnation] = deque(maxlen=MAX_DEPARTED)
         """Replicas that were members before."""
         self._back_off_until = float("-inf")
@@ -178,6 +189,8 @@
             for member in self.members.values()
             if member.load is not None and member.is_fresh(now)
         )
+        if self._has_mostly_silent(now):
+            self._scattered_at = now
         self.passes.observe(load, active=active, members=members)
         self.ramp.observe(is_open=load.open, active=active, now=now, is_new=is_new)
         self._spare.observe(self.count(now), now)
@@ -655,6 +668,20 @@
         """Return whether the load of a member is as recent as on a working VM."""
         return any(member.is_heard(now) for member in self.members.values())
 
+    def is_gathered(self, now: float) -> bool:
+        """Return whether all members on working VMs have had time to be heard.
+
+        The first loads of an agent that begins to lead have recent states of few other
+        members.
+        """
+        if self._has_mostly_silent(now) or not self.has_fresh_load(now):
+            return False
+        return now - self._scattered_at >= get_max_load_age_s(self._ranks)
+
+    def _has_mostly_silent(self, now: float) -> bool:
+        silent = sum(not member.is_heard(now) for member in self.members.values())
+        return silent > MAX_SILENT_SHARE * len(self.members)
+
     def has_fresh_load(self, now: float) -> bool:
         """Return whether the load of a member is recent."""
         return any(member.is_fresh(now) for member in self.members.values())
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -14,7 +14,7 @@
     Rejection,
 )
 from hyssopvane._internal.policy.gate_refusals import GateRefusals
-from hyssopvane._internal.policy.group_capacity import GroupCapacity
+from hyssopvane._internal.policy.group_capacity import MAX_SILENT_SHARE, GroupCapacity
 from hyssopvane._internal.policy.group_ramp import MAX_RAMP_S
 from hyssopvane._internal.policy.home_replicas import HomeReplicas
 from hyssopvane._internal.policy.limit_shares import EntryCounter
@@ -23,7 +23,7 @@
     may_be_same_start,
 )
 from hyssopvane._internal.policy.replica_choice import ReplicaChooser
-from hyssopvane._internal.policy.replica_load import FRESH_S, ReplicaLoad
+from hyssopvane._internal.policy.replica_load import ReplicaLoad
 from hyssopvane._internal.policy.replica_notices import ReplicaNotices
 from hyssopvane._internal.policy.request_placement import RequestPlacement
 from hyssopvane._internal.policy.running_attempts import MAX_SILENCE_S, RunningAttempts
@@ -46,9 +46,6 @@
 _EJECT_S = 3.0
 """Time for which a failing replica is ejected before it is tried again, in seconds."""
 
-_MAX_SILENT_SHARE = 0.5
-"""Maximum share of a group whose VMs are assumed to stand still by silence alone."""
-
 _MAX_EJECTED_SHARE = 0.5
 """Maximum share of a service's replicas that may be ejected: the others must carry the
 load."""
@@ -447,8 +444,7 @@
         one = self._find(replica)
         if one is None or not self.is_vm_unheard(replica, now):
             return False
-        members = self._groups[one.group].members.values()
-        return now - max(member.observed_at for member in members) < FRESH_S
+        return self._groups[one.group].is_gathered(now)
 
     def is_vm_unheard(self, replica: Replica, now: float) -> bool:
         """Return whether a replica's agent is silent, and was heard before."""
@@ -496,7 +492,7 @@
                 if self.is_vm_silent(one.replica, now)
                 and not self.attempts.was_heard(one.replica, since=silent_since)
             ]
-            if len(silent) <= _MAX_SILENT_SHARE * len(group.members):
+            if len(silent) <= MAX_SILENT_SHARE * len(group.members):
                 found += silent
         return found
 
--- a/tests/unit/test_silent_vms.py
+++ b/tests/unit/test_silent_vms.py
@@ -193,7 +193,7 @@
         now = begin + poll * POLL_S
         observe(gate, heard, now, step=2)
         assert list_marked(gate, now) == set()
-    for poll in range(4, 12):
+    for poll in range(4, 11):
         now = begin + poll * POLL_S
         observe(gate, range(1, RANKS), now, step=3)
         for one in gate.attempts._attempts:
