Tell callers who may not repeat before they leave, not as they leave

What callers saw: no answer before they left a VM that stood still. The notice includes the interval of checks now.

--- a/src/hyssopvane/_internal/policy/running_attempts.py
+++ b/src/hyssopvane/_internal/policy/running_attempts.py
@@ -27,9 +27,12 @@
 It includes the wait for a place and the reading of the prompt.
 """
 
-MIN_NOTICE_S = 0.1
+MIN_NOTICE_S = 0.2
 """Time before a caller leaves at which it is told that a request which may not be
-repeated has no answer: its VM may resume until then, and no other replica may help."""
+repeated has no answer: its VM may resume until then, and no other replica may help.
+
+Attempts are checked ten times a second, so half of it may have passed by then.
+"""
 
 
 @dataclass(slots=True, eq=False)
