Send one unanswered request at most to each replica that is not heard, also while nobody leads

What callers saw: streams without an event at the VM of a leader that stood still.

Cause: what a silent VM gets was limited only while another member of its group was heard. The agent that publishes the loads of all stood still itself, so nobody was heard for a second, and all replicas were as good as any other. The stopped one looked emptier than the rest, as its load was old and few of its requests were this entry's.

Now the limit depends on the replica alone: its agent or its answers are heard as on a working VM, or it gets one request that it has to answer first. Answers count as word of a replica (answered_at), so that a group without agents that serves is not slowed.

--- a/src/hyssopvane/_internal/policy/group_capacity.py
+++ b/src/hyssopvane/_internal/policy/group_capacity.py
@@ -664,10 +664,6 @@
             self.reserved_rows[row] += 1
         self._prompt_budget -= prompt_tokens
 
-    def is_heard(self, now: float) -> bool:
-        """Return whether the load of a member is as recent as on a working VM."""
-        return any(member.is_heard(now) for member in self.members.values())
-
     def is_gathered(self, now: float) -> bool:
         """Return whether all members on working VMs have had time to be heard.
 
@@ -679,7 +675,7 @@
         return now - self._scattered_at >= get_max_load_age_s(self._ranks)
 
     def _has_mostly_silent(self, now: float) -> bool:
-        silent = sum(not member.is_heard(now) for member in self.members.values())
+        silent = sum(not member.is_reported(now) for member in self.members.values())
         return silent > MAX_SILENT_SHARE * len(self.members)
 
     def has_fresh_load(self, now: float) -> bool:
--- a/src/hyssopvane/_internal/policy/replica_choice.py
+++ b/src/hyssopvane/_internal/policy/replica_choice.py
@@ -139,15 +139,16 @@
         # slowest: one request at a rank that runs at a twelfth of its pace costs as
         # much as twelve.
         usable = [one for one in usable if not one.is_slow(now)] or usable
-        # The VM of a replica whose agent is silent may stand still. What is sent there
+        # The VM of a replica that is not heard may stand still. What is sent there
         # can't be taken back, and arrives when the VM resumes.
         heard = [one for one in usable if one.is_heard(now)]
         room = self._find_room(heard, group, avoid, now)
         if moving_s is not None:
             return self._choose_for_move(room, group, moving_s)
         if not room and len(heard) < len(usable):
-            if group.is_heard(now):
-                usable = [one for one in usable if not one.sent_at]
+            # If nobody is heard, any of them may be the leader that stands still. A
+            # replica that was never reported has no agent.
+            usable = [one for one in usable if one.load is None or not one.sent_at]
             room = self._find_room(usable, group, avoid, now)
         if not room:
             return None
--- a/src/hyssopvane/_internal/policy/replica_load.py
+++ b/src/hyssopvane/_internal/policy/replica_load.py
@@ -86,10 +86,22 @@
         """Return whether the last reported load is recent."""
         return now - self.observed_at < FRESH_S
 
-    def is_heard(self, now: float) -> bool:
+    def is_reported(self, now: float) -> bool:
         """Return whether the last reported load is as recent as on a working VM."""
+        return now - self.observed_at < self._get_max_pause_s()
+
+    def is_heard(self, now: float) -> bool:
+        """Return whether its agent or its answers show that its VM works."""
+        return now - self.heard_at < self._get_max_pause_s()
+
+    @property
+    def heard_at(self) -> float:
+        """Time of the last word of its agent or in its answers."""
+        return max(self.observed_at, self.answered_at)
+
+    def _get_max_pause_s(self) -> float:
         ranks = 0 if self.load is None else self.load.ranks
-        return now - self.observed_at < min(FRESH_S, get_max_load_age_s(ranks))
+        return min(FRESH_S, get_max_load_age_s(ranks))
 
     def is_open(self, now: float) -> bool:
         """Return whether the replica serves requests, as far as known."""
@@ -105,8 +117,8 @@
 
     @property
     def is_stalled(self) -> bool:
-        """Return whether the agent has reported nothing since its VM stalled."""
-        return self.observed_at < self.stalled_at
+        """Return whether nothing has been heard of it since its VM stalled."""
+        return self.heard_at < self.stalled_at
 
     def is_slow(self, now: float) -> bool:
         """Return whether the replica works far below its usual pace."""
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -447,9 +447,14 @@
         return self._groups[one.group].is_gathered(now)
 
     def is_vm_unheard(self, replica: Replica, now: float) -> bool:
-        """Return whether a replica's agent is silent, and was heard before."""
+        """Return whether a replica's agent is silent, and was heard before.
+
+        A replica that answers works, even if its agent does not.
+        """
         one = self._find(replica)
-        return one is not None and -inf < one.observed_at < now - MAX_SILENCE_S
+        if one is None or one.observed_at == -inf:
+            return False
+        return one.heard_at < now - MAX_SILENCE_S
 
     def find_load(self, replica: Replica) -> ReplicaLoad | None:
         """Return what is known of a replica's load if this incarnation still runs."""
@@ -461,14 +466,9 @@
         return inf if one is None else now - one.observed_at
 
     def is_heard(self, replica: Replica, now: float) -> bool:
-        """Return whether a replica's agent was heard as recently as on a working VM.
-
-        No agent reports the replicas of a service without an engine.
-        """
-        if self._engine is None:
-            return True
+        """Return whether a replica is heard, or has no agent that reports it."""
         one = self._find(replica)
-        return one is not None and one.is_heard(now)
+        return one is None or one.load is None or one.is_heard(now)
 
     def count_silent(self, replica: Replica, now: float) -> int:
         """Return the number of members of a replica's group that are not heard."""
