Don't take a caller that reads nothing for word of its replica

What callers saw: no answer at a VM that stood still, while another caller of the same replica did not read its stream. What is passed on to a caller has no time (infinite), and counted as heard of the replica at any time, so that none of the requests there was moved or ended.

--- a/src/hyssopvane/_internal/policy/running_attempts.py
+++ b/src/hyssopvane/_internal/policy/running_attempts.py
@@ -44,7 +44,7 @@
     move: Callable[[], None]
     """Starts to look for another replica for the request, if it may be sent to one."""
     heard_at: float = float("-inf")
-    """Time of the last byte from the replica; infinite while it is passed on."""
+    """Time from which the next byte is awaited; infinite while one is passed on."""
     give_up: Callable[[], None] = lambda: None
     """Ends the answer, so that the caller need not wait for it any longer."""
     get_leave_at: Callable[[], float] = lambda: inf
@@ -85,7 +85,11 @@
         ]
         if _have_stopped(others, now):
             return []
-        return [one for one in self._attempts if one.replica.incarnation in silent]
+        return [
+            one
+            for one in self._attempts
+            if one.replica.incarnation in silent and one.heard_at < inf
+        ]
 
     def find_hopeless(
         self,
@@ -107,9 +111,11 @@
         silent = self._find_silent(is_vm_unheard, now)
         found = []
         for one in self._attempts if quiet or silent else ():
+            if one.heard_at == inf:
+                continue
             if one.replica.incarnation in silent:
                 notice_s = one.notice_s
-            elif one.replica.incarnation in quiet and one.heard_at < inf:
+            elif one.replica.incarnation in quiet:
                 notice_s = MIN_NOTICE_S
             else:
                 continue
@@ -120,7 +126,8 @@
     def was_heard(self, replica: Replica, *, since: float) -> bool:
         """Return whether a replica has sent anything since a time."""
         return any(
-            one.replica.incarnation == replica.incarnation and one.heard_at >= since
+            one.replica.incarnation == replica.incarnation
+            and since <= one.heard_at < inf
             for one in self._attempts
         )
 
@@ -149,7 +156,8 @@
         heard = {
             one.replica.incarnation
             for one in self._attempts
-            if one.heard_at >= silent_since
+            # A caller that does not take what was received is no sign of the replica.
+            if silent_since <= one.heard_at < inf
         }
         return {
             replica.incarnation
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -406,7 +406,8 @@
                 observe_cancelled=partial(self._record_cancelled, replica),
             ) as response:
                 self.phase = CallPhase.ANSWERING
-                self._mover.record_heard(trio.current_time())
+                self._mover.record_received()
+                self._mover.record_waiting()
                 await self._relay(replica, response)
         except CallWithdrawn as error:
             request.attempts -= 1
@@ -571,10 +572,10 @@
     async def _relay_stream(self, response: ReplicaResponse) -> None:
         splitter = EventSplitter()
         async for part in response.iterate():
-            self._mover.record_heard(inf)
+            self._mover.record_received()
             for data in list_slices(part):
                 await self._relay_events(splitter, data, response)
-            self._mover.record_heard(trio.current_time())
+            self._mover.record_waiting()
         if splitter.remainder.strip():
             # Without length and chunks, nothing else shows that the replica ended.
             raise response.make_failure("the stream ended within an event")
--- a/src/hyssopvane/_internal/roles/stalled_request.py
+++ b/src/hyssopvane/_internal/roles/stalled_request.py
@@ -81,12 +81,17 @@
             gate.attempts.discard(self._running)
             self._running = None
 
-    def record_heard(self, at: float) -> None:
-        """Record the time of the last byte from the replica."""
+    def record_received(self) -> None:
+        """Record that a part of the answer has come and is being passed on."""
         if self._running is not None:
-            self._running.heard_at = at
-            if self._load is not None and at < inf:
-                self._load.answered_at = at
+            self._running.heard_at = inf
+            if self._load is not None:
+                self._load.answered_at = trio.current_time()
+
+    def record_waiting(self) -> None:
+        """Record that the next part of the answer is awaited."""
+        if self._running is not None:
+            self._running.heard_at = trio.current_time()
 
     def take_next_place(self) -> Assignment | None:
         """Return the place that was found, if any, and hold it no longer."""
