Try a VM that has resumed with one request until it answers

What callers saw: no event for 2 s from replicas on VMs that had just resumed. The replica first reads what lay in its kernel meanwhile. Should the VM stop again, these requests wait there for callers that have left.

--- a/src/hyssopvane/_internal/policy/replica_choice.py
+++ b/src/hyssopvane/_internal/policy/replica_choice.py
@@ -141,6 +141,11 @@
         # slowest: one request at a rank that runs at a twelfth of its pace costs as
         # much as twelve.
         usable = [one for one in usable if not one.is_slow(now)] or usable
+        usable = [
+            one
+            for one in usable
+            if not one.is_on_trial(now) or self._may_try(one, group, now)
+        ]
         # The VM of a replica that is not heard may stand still. What is sent there
         # can't be taken back, and arrives when the VM resumes.
         heard = [one for one in usable if one.is_heard(now)]
@@ -192,6 +197,20 @@
             return None
         return self._random.choices(others, [one.free for one in others])[0].load
 
+    def _may_try(self, one: ReplicaLoad, group: GroupCapacity, now: float) -> bool:
+        """Return whether a replica whose VM has resumed may get a request.
+
+        All entries hear of it at the same moment, and none knows what the others send.
+        Its home entry goes first.
+        """
+        if one.trials:
+            return False
+        if self._is_home(one.replica):
+            return True
+        return now - one.resumed_at >= _HOME_TURN_S and group.has_turn(
+            one.replica.address
+        )
+
     def _is_home(self, replica: Replica) -> bool:
         if replica.availability_zone != self._zone:
             return False
