Serve services without agents while their callers have little time

A replica that was never reported counts as heard again. The test fails on the code before in 4 of 4 cases.

--- a/src/hyssopvane/_internal/policy/replica_choice.py
+++ b/src/hyssopvane/_internal/policy/replica_choice.py
@@ -153,9 +153,8 @@
         if moving_s is not None:
             return self._choose_for_move(room, group, moving_s)
         if not room and len(heard) < len(usable) and not heard_only:
-            # If nobody is heard, any of them may be the leader that stands still. A
-            # replica that was never reported has no agent.
-            usable = [one for one in usable if one.load is None or not one.sent_at]
+            # If nobody is heard, any of them may be the leader that stands still.
+            usable = [one for one in usable if not one.sent_at]
             room = self._find_room(usable, group, avoid, now)
         if not room:
             return None
--- a/src/hyssopvane/_internal/policy/replica_load.py
+++ b/src/hyssopvane/_internal/policy/replica_load.py
@@ -101,8 +101,11 @@
         return now - self.observed_at < self._get_max_pause_s()
 
     def is_heard(self, now: float) -> bool:
-        """Return whether its agent or its answers show that its VM works."""
-        return now - self.heard_at < self._get_max_pause_s()
+        """Return whether its agent or its answers show that its VM works.
+
+        A replica that was never reported may have no agent, and counts as heard.
+        """
+        return self.load is None or now - self.heard_at < self._get_max_pause_s()
 
     @property
     def heard_at(self) -> float:
--- a/src/hyssopvane/_internal/policy/service_gate.py
+++ b/src/hyssopvane/_internal/policy/service_gate.py
@@ -468,7 +468,7 @@
     def is_heard(self, replica: Replica, now: float) -> bool:
         """Return whether a replica is heard, or has no agent that reports it."""
         one = self._find(replica)
-        return one is None or one.load is None or one.is_heard(now)
+        return one is None or one.is_heard(now)
 
     def count_silent(self, replica: Replica, now: float) -> int:
         """Return the number of members of a replica's group that are not heard."""
--- a/tests/unit/test_silent_vms.py
+++ b/tests/unit/test_silent_vms.py
@@ -121,6 +121,15 @@
     assert not group_heard or sent.keys() <= {"i-0"}
 
 
+@pytest.mark.parametrize("hold_s", [-1.0, 0.0, 0.5, 1.0])
+def test_short_request_reaches_replicas_without_agents(hold_s):
+    """Guard against a plain service that gets nothing, as no agent reports it."""
+    gate = ServiceGate(random=Random(1), availability_zone="zone-0")
+    gate.update([make_replica(number) for number in range(3)], None, now=0.0)
+    sent = place(gate, 3, NOW, waited_s=PATIENCE_S - MIN_SERVE_S - hold_s)
+    assert sum(sent.values()) == 3
+
+
 @pytest.mark.parametrize("silent_s", [1.0, 2.5, 2.6, 4.0, 30.0])
 def test_stalled_vm_stays_stalled_however_long_it_is_silent(silent_s):
     """Guard against a VM that gets requests again since its age in a message is capped.
