Count the slots of a VM that has resumed when it answers

Since such a replica gets single requests, the places that it adds to its group's limit went to the others. The test fails on the code before.

--- a/src/hyssopvane/_internal/policy/group_capacity.py
+++ b/src/hyssopvane/_internal/policy/group_capacity.py
@@ -126,6 +126,8 @@
         """Whether a member has another start than before the last load."""
         self.formed_at = float("-inf")
         """Time at which the group's epoch was first reported."""
+        self._on_trial: tuple[ReplicaLoad, ...] = ()
+        """Members on VMs that have resumed, as of the last load."""
         self._scattered_at = float("-inf")
         """Time of the last load with which most members were still silent."""
         self._departed: deque[Incarnation] = deque(maxlen=MAX_DEPARTED)
@@ -191,6 +193,9 @@
         )
         if self._has_mostly_silent(now):
             self._scattered_at = now
+        self._on_trial = tuple(
+            member for member in self.members.values() if member.is_on_trial(now)
+        )
         self.passes.observe(load, active=active, members=members)
         self.ramp.observe(is_open=load.open, active=active, now=now, is_new=is_new)
         self._spare.observe(self.count(now), now)
@@ -318,6 +323,12 @@
                 if not member.is_stalled
             )
         )
+        # The same holds until one that has resumed answers.
+        slots -= sum(
+            (member.replica.slots - 1) * member.zone_share
+            for member in self._on_trial
+            if member.answered_at < member.resumed_at
+        )
         slots += closed - lost
         if engine is None:
             return slots
--- a/tests/unit/test_silent_vms.py
+++ b/tests/unit/test_silent_vms.py
@@ -252,3 +252,18 @@
     count = sent[f"i-{stopped}"]
     assert count
     assert (count > ENTRIES) == answers
+
+
+def test_slots_of_a_vm_that_has_resumed_count_when_it_answers():
+    """Guard against a limit that fills the other replicas when VMs resume together."""
+    gate = make_gate()
+    before = gate.limit
+    stopped = make_replica(3)
+    others = [number for number in range(RANKS) if number != 3]
+    observe(gate, others, NOW + 1.0, step=2)
+    assert gate.record_stall(stopped, now=NOW + 1.0)
+    assert gate.limit == before - SLOTS
+    observe(gate, range(RANKS), NOW + 4.0, step=3)
+    assert gate.limit == before - SLOTS + 1
+    gate.find_load(stopped).answered_at = NOW + 4.2
+    assert gate.limit == before
