Send late requests to replicas whose agents are gone for longer than a leader

Loads are expected for 3 s after the last one; after that a late request may go to a replica that is not heard, one at a time. The test fails on the code before (the case of 5 s).

--- a/src/hyssopvane/_internal/policy/group_capacity.py
+++ b/src/hyssopvane/_internal/policy/group_capacity.py
@@ -64,6 +64,13 @@
 If more of it is silent, its leader or the network is at fault and not their VMs.
 """
 
+MAX_LEADERLESS_S = 3.0
+"""Time without any load after which no agent is expected to lead the group soon.
+
+The next one takes 0.8 s after its leader has fallen silent, and longer if it has
+stopped with it.
+"""
+
 MOVE_S = 0.5
 """Time in which most requests of a VM that stands still find another replica."""
 
@@ -675,6 +682,11 @@
             self.reserved_rows[row] += 1
         self._prompt_budget -= prompt_tokens
 
+    def has_agents(self, now: float) -> bool:
+        """Return whether loads are expected, as some have come lately."""
+        members = self.members.values()
+        return any(now - one.observed_at < MAX_LEADERLESS_S for one in members)
+
     def is_gathered(self, now: float) -> bool:
         """Return whether all members on working VMs have had time to be heard.
 
--- a/src/hyssopvane/_internal/policy/replica_choice.py
+++ b/src/hyssopvane/_internal/policy/replica_choice.py
@@ -128,7 +128,7 @@
         Replicas in `avoid` are used only if no other is usable. `moving_s` is the time
         for which a request that moves has waited; it has no time for a second VM that
         stands still. `zones` are those that the request may reach, None for all.
-        `heard_only` leaves out replicas that are not heard.
+        `heard_only` leaves out replicas that are not heard, as long as agents tell.
         """
         usable = self.list_usable(group.members.values(), now)
         if zones is not None:
@@ -152,7 +152,8 @@
         room = self._find_room(heard, group, avoid, now)
         if moving_s is not None:
             return self._choose_for_move(room, group, moving_s)
-        if not room and len(heard) < len(usable) and not heard_only:
+        waits = heard_only and group.has_agents(now)
+        if not room and len(heard) < len(usable) and not waits:
             # If nobody is heard, any of them may be the leader that stands still.
             usable = [one for one in usable if not one.sent_at]
             room = self._find_room(usable, group, avoid, now)
--- a/tests/unit/test_silent_vms.py
+++ b/tests/unit/test_silent_vms.py
@@ -121,6 +121,14 @@
     assert not group_heard or sent.keys() <= {"i-0"}
 
 
+@pytest.mark.parametrize(("silent_s", "is_placed"), [(1.0, False), (5.0, True)])
+def test_late_request_reaches_replicas_whose_agents_are_gone(silent_s, is_placed):
+    """Guard against a service that refuses all short requests without its agents."""
+    gate = make_gate()
+    sent = place(gate, 2, NOW + silent_s, waited_s=PATIENCE_S - MIN_SERVE_S - 0.1)
+    assert bool(sent) == is_placed
+
+
 @pytest.mark.parametrize("hold_s", [-1.0, 0.0, 0.5, 1.0])
 def test_short_request_reaches_replicas_without_agents(hold_s):
     """Guard against a plain service that gets nothing, as no agent reports it."""
