--- a/src/hyssopvane/_internal/policy/replica_choice.py
+++ b/src/hyssopvane/_internal/policy/replica_choice.py
@@ -141,11 +141,12 @@
         # slowest: one request at a rank that runs at a twelfth of its pace costs as
         # much as twelve.
         usable = [one for one in usable if not one.is_slow(now)] or usable
-        usable = [
-            one
-            for one in usable
-            if not one.is_on_trial(now) or self._may_try(one, group, now)
-        ]
+        if group.on_trial:
+            usable = [
+                one
+                for one in usable
+                if not one.is_on_trial(now) or self._may_try(one, group, now)
+            ]
         # The VM of a replica that is not heard may stand still. What is sent there
         # can't be taken back, and arrives when the VM resumes.
         heard = [one for one in usable if one.is_heard(now)]
--- a/src/hyssopvane/_internal/policy/running_attempts.py
+++ b/src/hyssopvane/_internal/policy/running_attempts.py
@@ -104,6 +104,7 @@
         replica would notice that only when its VM resumes. Whether the other members
         of its group are heard makes no difference to them.
 
+        `is_heard` tells whether a replica is heard as lately as on a working VM.
         Callers who leave at once are told even if the VM has only just fallen silent.
         """
         replicas = {one.replica.incarnation: one.replica for one in self._attempts}
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -192,10 +192,8 @@
         """Return how long the last replica has been silent, for the log."""
         if self._replica is None:
             return {}
-        gate, now = (
-            self._dependencies.gates.get_gate(self._request.service),
-            trio.current_time(),
-        )
+        gate = self._dependencies.gates.get_gate(self._request.service)
+        now = trio.current_time()
         load = gate.find_load(self._replica)
         return {
             "vm_age_ms": -1 if load is None else _to_age_ms(load.observed_at, now),
@@ -205,7 +203,7 @@
         }
 
     def is_at_silent_vm(self) -> bool:
-        """Return whether a replica has the request whose agent is not heard."""
+        """Return whether a replica that is not heard has the request."""
         if self._replica is None or self.phase is CallPhase.WAITING:
             return False
         gate = self._dependencies.gates.get_gate(self._request.service)
