--- a/src/hyssopvane/_internal/policy/group_capacity.py
+++ b/src/hyssopvane/_internal/policy/group_capacity.py
@@ -133,7 +133,7 @@
         """Whether a member has another start than before the last load."""
         self.formed_at = float("-inf")
         """Time at which the group's epoch was first reported."""
-        self.on_trial: tuple[ReplicaLoad, ...] = ()
+        self.probed: tuple[ReplicaLoad, ...] = ()
         """Members on VMs that have resumed, as of the last load."""
         self._scattered_at = float("-inf")
         """Time of the last load with which most members were still silent."""
@@ -200,8 +200,8 @@
         )
         if self._has_mostly_silent(now):
             self._scattered_at = now
-        self.on_trial = tuple(
-            member for member in self.members.values() if member.is_on_trial(now)
+        self.probed = tuple(
+            member for member in self.members.values() if member.is_probed(now)
         )
         self.passes.observe(load, active=active, members=members)
         self.ramp.observe(is_open=load.open, active=active, now=now, is_new=is_new)
@@ -333,7 +333,7 @@
         # The same holds until one that has resumed answers.
         slots -= sum(
             (member.replica.slots - 1) * member.zone_share
-            for member in self.on_trial
+            for member in self.probed
             if member.answered_at < member.resumed_at
         )
         slots += closed - lost
--- a/src/hyssopvane/_internal/policy/replica_choice.py
+++ b/src/hyssopvane/_internal/policy/replica_choice.py
@@ -141,11 +141,11 @@
         # slowest: one request at a rank that runs at a twelfth of its pace costs as
         # much as twelve.
         usable = [one for one in usable if not one.is_slow(now)] or usable
-        if group.on_trial:
+        if group.probed:
             usable = [
                 one
                 for one in usable
-                if not one.is_on_trial(now) or self._may_try(one, group, now)
+                if not one.is_probed(now) or self._may_probe(one, group, now)
             ]
         # The VM of a replica that is not heard may stand still. What is sent there
         # can't be taken back, and arrives when the VM resumes.
@@ -198,13 +198,13 @@
             return None
         return self._random.choices(others, [one.free for one in others])[0].load
 
-    def _may_try(self, one: ReplicaLoad, group: GroupCapacity, now: float) -> bool:
+    def _may_probe(self, one: ReplicaLoad, group: GroupCapacity, now: float) -> bool:
         """Return whether a replica whose VM has resumed may get a request.
 
         All entries hear of it at the same moment, and none knows what the others send.
         Its home entry goes first.
         """
-        if one.trials:
+        if one.probes:
             return False
         if self._is_home(one.replica):
             return True
--- a/src/hyssopvane/_internal/policy/replica_load.py
+++ b/src/hyssopvane/_internal/policy/replica_load.py
@@ -14,7 +14,7 @@
 gone, and the replica's load is estimated from this entry's own requests.
 """
 
-TRIAL_S = 1.0
+MAX_PROBE_S = 1.0
 """Longest time for which a replica on a VM that has resumed gets single requests.
 
 It answers within some passes, unless it has much to catch up on or stops again.
@@ -71,7 +71,7 @@
     """Time at which the replica's VM was last found to be stalled."""
     resumed_at: float = float("-inf")
     """Time of the first load after its VM was last found to be stalled."""
-    trials: int = 0
+    probes: int = 0
     """Requests of this entry since then that have not ended, before it answers one."""
     paced_until: float = float("-inf")
     """Time until which it gets no requests because it is cold."""
@@ -114,11 +114,11 @@
         """Time of the last word of its agent or in its answers."""
         return max(self.observed_at, self.answered_at)
 
-    def is_on_trial(self, now: float) -> bool:
+    def is_probed(self, now: float) -> bool:
         """Return whether its VM has resumed, and it is not known to answer again."""
         if self.answered_at >= self.resumed_at:
             return False
-        return now - self.resumed_at < TRIAL_S
+        return now - self.resumed_at < MAX_PROBE_S
 
     def _get_max_pause_s(self) -> float:
         ranks = 0 if self.load is None else self.load.ranks
@@ -185,7 +185,7 @@
             return False
         restarted = self._reset_if_restarted(load.started_ms)
         if self.is_stalled and now >= self.stalled_at:
-            self.resumed_at, self.trials = now, 0
+            self.resumed_at, self.probes = now, 0
         self.load = load
         # The report includes the requests that were sent before it was taken; a request
         # takes a few milliseconds to show.
@@ -212,19 +212,19 @@
         self.failures = 0.0
         self.full_until = self.ejected_until = self.stalled_at = float("-inf")
         self.answered_at = self.resumed_at = float("-inf")
-        self.trials = 0
+        self.probes = 0
         return True
 
     def start(self, now: float) -> None:
         """Count a request of this entry."""
         self.own += 1
         self.sent_at.append(now)
-        self.trials += self.is_on_trial(now)
+        self.probes += self.is_probed(now)
 
     def finish(self, *, failed: bool) -> None:
         """Record that a request of this entry has ended."""
         self.own = max(0, self.own - 1)
-        self.trials = max(0, self.trials - 1)
+        self.probes = max(0, self.probes - 1)
         self.failures += _FAILURE_WEIGHT * (failed - self.failures)
         if self.load is not None and not self.sent_at and self.load.active:
             # The place is free before the next report shows it.
