Log each phase of a change of maps, with what the ranks have

The log named orders, but not what a leader knew when it took over a hold, so that the hypotheses in the incident page could not be told apart.

--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -25,7 +25,8 @@
 taken for the same map.
 """
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from enum import Enum, auto
 from math import ceil
@@ -471,6 +472,24 @@
             "layout": self.layout is not None,
         }
 
+    def describe_change(self) -> dict[str, object]:
+        """Return the current change and what the ranks have, for the log."""
+        change = self._change
+        states = self._list_states()
+        return {
+            "phase": self.phase.name.lower(),
+            "version": 0 if change is None else change.version,
+            "step": 0 if change is None else change.step,
+            "holder": "-" if change is None else change.holder or "-",
+            "prepared": _count_values(state.prepared for state in states),
+            "armed": _count_values(
+                f"{state.armed_version}@{state.armed_step}"
+                for state in states
+                if state.armed_step
+            ),
+            "held": _count_values(s.held_step for s in states if s.held_step),
+        }
+
     def _query_silent(self, now: float) -> list[Action]:
         """Query the ranks whose agents are silent.
 
@@ -864,3 +883,9 @@
             direct,
             DelegateOrder(self._get_state_of(change.holder).messages, order),
         ]
+
+
+def _count_values(values: Iterable[object]) -> str:
+    """Return each value with the number of its occurrences."""
+    counts = Counter(str(value) for value in values)
+    return ",".join(f"{value}x{count}" for value, count in counts.items()) or "-"
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -580,7 +580,18 @@
 
     async def _lead(self, now: float) -> None:
         self._detect_stall()
-        for action in self._coordinator.decide(now):
+        phase = self._coordinator.phase
+        actions = self._coordinator.decide(now)
+        if self._coordinator.phase is not phase:
+            log_event(
+                "info",
+                "map-phase",
+                group=self._group,
+                epoch=self._coordinator.epoch,
+                before=phase.name.lower(),
+                **self._coordinator.describe_change(),
+            )
+        for action in actions:
             if isinstance(action, SendMapChange):
                 if not action.change.step:
                     # The leader's own rank is armed after all others.
