Withdraw a change of maps from all ranks before its pass is released without it

Cause: the next leader released the held pass when no rank was armed, on the premise that a late order to arm finds the pass begun. An idle group does not begin it, and an order without an answer may be carried out seconds later, after newer ones.

Now the pass is released only when every rank is armed for it, or when no rank can be armed any more: each has copied a newer version of the map in use, which copies nothing, and a rank refuses orders to arm older versions. This is read from the ranks' own reports, so no time bounds it. Where one rank has a newer version and others are armed, these are disarmed; before, such a group was held until it was formed again. The rank of a silent leader is still excused, as it is armed after all others, unless another withdrawal may have disarmed ranks.

A new leader asks agents that still send their states to the last one; they answer the agent that asks.

The model of a group has idle times, kills of all agents and orders to disarm.

--- a/src/hyssopvane/_internal/platform/reports.py
+++ b/src/hyssopvane/_internal/platform/reports.py
@@ -14,6 +14,7 @@
 )
 from hyssopvane._internal.state.ranks import (
     Arm,
+    Disarm,
     Hold,
     Prepare,
     RankOrder,
@@ -162,6 +163,12 @@
                 "step": order.step,
                 "epoch": order.epoch,
             }
+        case Disarm():
+            return {
+                "operation": "disarm",
+                "version": order.version,
+                "epoch": order.epoch,
+            }
         case Hold():
             return {"operation": "hold", "step": order.step, "epoch": order.epoch}
         case Release():
--- a/src/hyssopvane/_internal/policy/map_changes.py
+++ b/src/hyssopvane/_internal/policy/map_changes.py
@@ -49,6 +49,10 @@
     """Time at which ranks were last queried since the pass is held."""
     is_abandoned: bool = False
     """Whether the pass is released without the change."""
+    excused: int | None = None
+    """Rank that can't be armed for the withdrawn change, although it is not heard."""
+    disarmed_at: float = field(default=float("-inf"))
+    """Time of the last orders to disarm."""
 
 
 def get_progress(state: RankState) -> tuple[int, ...]:
@@ -74,6 +78,16 @@
     return state.armed_version == change.version and state.armed_step == change.step
 
 
+def is_withdrawn(state: RankState, version: int) -> bool:
+    """Return whether a rank can't use any map older than a prepared version.
+
+    It refuses to be armed for an older one, also by an order that arrives late.
+    """
+    if state.armed_step and state.armed_version < version:
+        return False
+    return state.prepared >= version
+
+
 def is_superseded(state: RankState, change: Change) -> bool:
     """Return whether a rank has newer copies and so can't be armed for a change."""
     return state.prepared > change.version and not is_armed(state, change)
--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -11,18 +11,22 @@
 3. Every other rank is heard again. If one is not, the pass is released without the
    change. Once an order to arm is sent to a VM that has stalled, nobody knows whether
    its rank is armed, and the group has to wait until the VM resumes.
-4. Every rank is armed for that pass, the leader's own after all others. An order to arm
-   that arrives late finds the pass begun and is refused, so it does no harm; one
-   without a known outcome is sent again.
+4. Every rank is armed for that pass, the leader's own after all others. An order
+   without a known outcome is sent again. One that is carried out after the pass has
+   begun is refused.
 5. When every rank itself has reported that it is armed, the pass is released.
 
-No order to arm is withdrawn, so two agents that both believe that they lead act alike.
+An order to arm may be carried out seconds later, and an idle group does not begin the
+pass meanwhile. Therefore the pass is only released when every rank is armed for it, or
+when no rank can be armed for it any more: each has copied a newer map with the same
+experts as the map in use (withdrawing). A rank refuses orders to arm older versions.
+Once one rank has a newer version, the change can't be completed, and ranks that are
+armed for it are disarmed.
+
 If the leader of a hold is silent, the next agent that leads finds the hold. If any rank
-is armed, it continues with step 4. If none is, then the silent leader's rank isn't
-either, since it is armed last, and the pass is released without a change. A leader that
-was stalled discards its state before it acts again. Versions are never reused, because
-each process mixes its own random number into them: two maps with one version would be
-taken for the same map.
+is armed, it continues with step 4, otherwise it withdraws the change. A leader that was
+stalled discards its state before it acts again. Versions are never reused, because each
+process mixes its own random number into them: two maps with one version would be taken for the same map.
 """
 
 from collections import Counter
@@ -47,6 +51,7 @@
     has_applied,
     is_armed,
     is_superseded,
+    is_withdrawn,
 )
 from hyssopvane._internal.policy.map_search import MapSearch
 from hyssopvane._internal.policy.poll_intervals import (
@@ -57,6 +62,7 @@
 from hyssopvane._internal.state.loads import SLOW_PACE
 from hyssopvane._internal.state.ranks import (
     Arm,
+    Disarm,
     ExpertLists,
     Hold,
     Prepare,
@@ -93,11 +99,10 @@
 """Assumed time of a pass while none was measured recently."""
 
 ORPHAN_S = 0.5
-"""Time without a leader of the change after which its hold is released without the
-change.
+"""Time without a leader of the change after which the change is withdrawn.
 
-Agents that were ordered to arm do so within a tenth of a second, even if their first
-order was lost.
+Agents that were ordered to arm usually do so within a tenth of a second, even if their
+first order was lost, and the change can be completed.
 """
 
 STALLED_S = 0.3
@@ -170,6 +175,12 @@
 _COPY_SLACK_S = 1.0
 """Time beyond the estimated copying time after which a change is abandoned."""
 
+_WITHDRAW_RETRY_S = 1.0
+"""Time after which a change is withdrawn with another version.
+
+A rank may have had a higher version that it does not report.
+"""
+
 _AGENT_TIMEOUT_S = 0.3
 """Silence of an agent after which the leader sends orders to its rank directly."""
 
@@ -181,6 +192,7 @@
     PREPARING = auto()
     HOLDING = auto()
     ARMING = auto()
+    WITHDRAWING = auto()
     RELEASING = auto()
 
 
@@ -217,6 +229,8 @@
         self.arming_s = INITIAL_ARMING_S
         self._step_at = float("-inf")
         self._queried_at = float("-inf")
+        self._agents_queried_at = float("-inf")
+        """Last time at which agents were queried about a hold that was taken over."""
         self.changes = 0
         """Number of maps brought into force since the start."""
 
@@ -369,12 +383,12 @@
     @property
     def is_holding(self) -> bool:
         """Return whether a pass may be waiting for the next action."""
-        return self.phase in (Phase.HOLDING, Phase.ARMING, Phase.RELEASING)
+        return self.phase not in (Phase.IDLE, Phase.PREPARING)
 
     @property
     def waits_for_ranks(self) -> bool:
         """Return whether a change may be waiting for the next message of a rank."""
-        return self.phase in (Phase.PREPARING, Phase.HOLDING, Phase.ARMING)
+        return self.phase not in (Phase.IDLE, Phase.RELEASING)
 
     def discard_state(self) -> None:
         """Discard the current change and all states, because the process was stalled.
@@ -430,6 +444,8 @@
                 return queries + self._hold(now)
             case Phase.ARMING:
                 return queries + self._arm(now)
+            case Phase.WITHDRAWING:
+                return queries + self._withdraw(now)
             case Phase.RELEASING:
                 return queries + self._release(now)
 
@@ -549,7 +565,7 @@
     def _begin(self, now: float) -> list[Action]:
         held = [state for state in self._list_states() if state.held_step]
         if held:
-            return self._take_over(held[0], now)
+            return self._take_over(held, now)
         if not self._is_complete(now) or self.layout is None:
             return []
         states = self._list_states()
@@ -718,12 +734,10 @@
             if change.experts:
                 self._known_map = (change.version, change.experts)
             return self._release(now)
-        if self._holds_for_all(lambda state: is_superseded(state, change)):
-            # Another leader has brought its copies to the ranks before they were armed.
-            # No rank can be armed for this change any more, so the pass may begin
-            # without it; waiting would hold the group forever.
-            self.phase = Phase.RELEASING
-            return self._release(now)
+        if any(is_superseded(state, change) for state in self._list_states()):
+            # A rank has the copies of another leader, or of an order that came late,
+            # and can't be armed for this change any more.
+            return self._start_withdrawal(change.step, change.holder, now)
         if now - change.sent_at < _ARM_RETRY_S and not self._is_own_due(change):
             return []
         return (
@@ -765,33 +779,112 @@
             return []
         return self._order(now, Release(self._epoch, change.step))
 
-    def _take_over(self, holder: RankState, now: float) -> list[Action]:
+    def _take_over(self, held: list[RankState], now: float) -> list[Action]:
         """Continue with a hold that an earlier leader left, or that arrived late."""
-        if len(self._known_ranks) != holder.ranks:
+        states = self._list_states()
+        armed_steps = {state.armed_step for state in states if state.armed_step}
+        holder = next((one for one in held if one.held_step in armed_steps), held[0])
+        if len(states) != holder.ranks:
+            return []
+        step = holder.held_step
+        armed = [s.armed_version for s in states if s.armed_step == step]
+        if armed:
+            self._change = Change(max(armed), (), now, 0.0, step, holder.replica)
+            self._change.chosen_at = now
+            self.phase = Phase.ARMING
+            return self._arm(now)
+        if not self._is_orphan(holder.rank, now):
             return []
-        armed = [
-            state.armed_version
+        stale = self._list_stale(now)
+        if len(stale) > 1 or any(rank > self._own for rank in stale):
+            return self._query_agents(
+                [self._known_ranks[one].state for one in stale], now
+            )
+        if _can_be_released(states):
+            self._change = Change(0, (), now, 0.0, step, holder.replica)
+            self._change.is_abandoned = True
+            self.phase = Phase.RELEASING
+            return self._release(now)
+        return self._start_withdrawal(step, holder.replica, now)
+
+    def _start_withdrawal(self, step: int, holder: str, now: float) -> list[Action]:
+        """Begin to make sure that no rank can be armed for the held pass any more."""
+        states = self._list_states()
+        experts = self._get_map()
+        if experts is None:
+            # The pass stays held until all agents have named their experts.
+            self._reset()
+            return []
+        excused = self._find_excused(states, now)
+        self._change = change = Change(
+            self._make_version(states), experts, now, 0.0, step, holder
+        )
+        change.is_abandoned = True
+        change.excused = excused
+        self.phase = Phase.WITHDRAWING
+        return self._withdraw(now)
+
+    def _find_excused(self, states: list[RankState], now: float) -> int | None:
+        """Return the rank of a silent leader, which can't have been armed.
+
+        It is armed after all others. If one of the others has a newer version than the
+        rest, an earlier withdrawal may have disarmed ranks, and nothing is known.
+        """
+        stale = self._list_stale(now)
+        others = [state for state in states if state.rank not in stale]
+        if len(stale) != 1 or any(state.armed_step for state in others):
+            return None
+        if len({state.prepared for state in others}) != 1:
+            return None
+        return stale[0] if stale[0] < self._own else None
+
+    def _withdraw(self, now: float) -> list[Action]:
+        change = self._get_change()
+        waiting = [
+            state
             for state in self._list_states()
-            if state.armed_step == holder.held_step
+            if not is_withdrawn(state, change.version)
         ]
-        if not armed and not self._is_orphan(holder.rank, now):
+        if any(state.armed_step for state in waiting):
+            # A late order to arm was carried out.
+            change.excused = None
+        if all(state.rank == change.excused for state in waiting):
+            self.phase = Phase.RELEASING
+            change.ordered_at = float("-inf")
+            return self._release(now)
+        if now - change.started_at > _WITHDRAW_RETRY_S:
+            self._reset()
+            return self._begin(now)
+        return (
+            self._disarm(waiting, now)
+            + self._send_change(now, step=0)
+            + self._prepare_silent(now)
+            + self._query_agents(waiting, now)
+        )
+
+    def _disarm(self, waiting: list[RankState], now: float) -> list[Action]:
+        """Disarm ranks for a change that another rank can't be armed for any more.
+
+        Until then, another leader might complete the change.
+        """
+        change = self._get_change()
+        states = self._list_states()
+        if now - change.disarmed_at < _ORDER_RETRY_S:
             return []
-        version = max(armed, default=0)
-        change = Change(version, (), now, 0.0, holder.held_step, holder.replica)
-        change.chosen_at = now
-        self._change = change
-        self.phase = Phase.ARMING if armed else Phase.RELEASING
-        return self._arm(now) if armed else self._release(now)
+        orders = [
+            SendOrder(state.replica, Disarm(self._epoch, state.armed_version))
+            for state in waiting
+            if state.armed_step
+            and any(other.prepared > state.armed_version for other in states)
+        ]
+        if orders:
+            change.disarmed_at = now
+        return [*orders]
 
     def _is_orphan(self, holder: int, now: float) -> bool:
-        """Return whether no rank is armed, or will be, for the hold that is in force.
-
-        After a premature release, the pass would begin while some ranks switch and
-        others do not. Every agent that was ordered to arm has done so once the agent
-        that sent the order has been silent, or has abandoned the change, for long
-        enough. Then each rank must have reported recently that it is not armed. Only
-        the rank of the leader that fell silent need not, since it is armed after all
-        others.
+        """Return whether the leader of the hold that is in force is gone.
+
+        A leader that lives may arm the ranks, and then its change can be completed.
         """
         lower = [
             seen_at for rank, seen_at in self._agent_seen_at.items() if rank < self._own
@@ -799,14 +892,28 @@
         # A leader whose messages were lost may have ordered the hold just now.
         held_since = self._known_ranks[holder].held_since
         last_led_at = max([self._active_at, held_since, *lower])
-        if now - last_led_at < ORPHAN_S:
-            return False
-        stale = [
+        return now - last_led_at >= ORPHAN_S
+
+    def _list_stale(self, now: float) -> list[int]:
+        """Return the ranks whose states are too old to release a pass by them.
+
+        Each rank must have reported recently that it is not armed. Only the rank of the
+        leader that fell silent need not, since it is armed after all others.
+        """
+        return [
             rank
             for rank, one in self._known_ranks.items()
             if now - one.received_at >= self._max_state_age_s
         ]
-        return len(stale) <= 1 and all(rank < self._own for rank in stale)
+
+    def _query_agents(self, states: list[RankState], now: float) -> list[Action]:
+        """Query agents that may still send their states to the last leader."""
+        if now - self._agents_queried_at < _ORDER_RETRY_S:
+            return []
+        self._agents_queried_at = now
+        return [
+            QueryAgent(state.messages) for state in states if state.rank != self._own
+        ]
 
     def _get_change(self) -> Change:
         assert self._change is not None
@@ -833,9 +940,10 @@
         pass_s = self._pass_s or DEFAULT_PASS_S
         # On average, the current pass began half a pass ago.
         lead = ceil(self.arming_s / pass_s + 0.5)
-        return self._find_newest_step() + min(
+        step = self._find_newest_step() + min(
             MAX_LEAD_PASSES, max(MIN_LEAD_PASSES, lead)
         )
+        return step
 
     def _find_newest_step(self) -> int:
         return max(one.state.step for one in self._known_ranks.values())
@@ -885,6 +993,19 @@
         ]
 
 
+def _can_be_released(states: list[RankState]) -> bool:
+    """Return whether no rank can be armed, or all are armed for the same pass."""
+    armed = {(state.armed_version, state.armed_step) for state in states}
+    if len(armed) == 1 and states[0].armed_step:
+        return True
+    in_use = {state.map_version for state in states}
+    return (
+        len(armed) == 1
+        and len(in_use) == 1
+        and all(state.prepared <= state.map_version for state in states)
+    )
+
+
 def _count_values(values: Iterable[object]) -> str:
     """Return each value with the number of its occurrences."""
     counts = Counter(str(value) for value in values)
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -2,6 +2,7 @@
 
 import secrets
 import time
+from collections.abc import Iterable
 from dataclasses import replace
 from math import ceil
 from random import Random
@@ -181,8 +182,8 @@
         self._was_open = False
         """Whether the group was open at the last poll."""
         self._logged_relays = ""
-        self._is_state_requested = False
-        """Whether the leader waits for the next state, whatever it contains."""
+        self._state_requesters: set[str] = set()
+        """Agents that wait for the next state, whatever it contains."""
         self._reported_progress: tuple[int, ...] = ()
         """Progress of the change that was last sent to the leader."""
         self._changed = trio.Event()
@@ -344,7 +345,7 @@
             self._answer_ping(sender)
             return
         if not request.step:
-            self._is_state_requested = True
+            self._state_requesters.add(sender)
             self._changed.set()
             return
         kind = Release if request.release else Hold
@@ -415,7 +416,7 @@
             self._changed = trio.Event()
 
     def _is_counting_due(self, report: RankReport) -> bool:
-        if self._is_state_requested:
+        if self._state_requesters:
             # A pass is held until the leader has the state.
             return False
         now = trio.current_time()
@@ -482,19 +483,25 @@
                 states = self._coordinator.list_states(now)
                 await self._publish_load(report, states, now)
         progress = get_progress(state)
-        if is_due or self._is_state_requested or progress != self._reported_progress:
-            self._is_state_requested = False
-            await self._send_state(state, now)
+        requesters, self._state_requesters = self._state_requesters, set()
+        if is_due or requesters or progress != self._reported_progress:
+            await self._send_state(state, now, requesters)
             self._reported_progress = progress
         self._send_order_soon(report, now)
         await self._lead(now)
 
-    async def _send_state(self, state: RankState, now: float) -> None:
+    async def _send_state(
+        self, state: RankState, now: float, requesters: Iterable[str] = ()
+    ) -> None:
         to, is_full = self._presence.choose_state_receivers(state, state.rank, now)
-        if not is_full:
+        # An agent that has just begun to lead is not among the receivers yet.
+        others = sorted(set(requesters) - set(to))
+        if is_full or others:
+            await self._port.send(state, *others, *(to if is_full else ()))
+        if not is_full and (to or not others):
             # Omit what hardly ever changes; addresses are the largest part of a state.
-            state = replace(state, messages="", replica="", group="", experts=())
-        await self._port.send(state, *to)
+            short = replace(state, messages="", replica="", group="", experts=())
+            await self._port.send(short, *to)
 
     async def _publish_load(
         self, report: RankReport, states: list[tuple[RankState, float]], now: float
--- a/src/hyssopvane/_internal/state/ranks.py
+++ b/src/hyssopvane/_internal/state/ranks.py
@@ -61,6 +61,14 @@
     step: int
 
 
+@dataclass(frozen=True, slots=True)
+class Disarm:
+    """Order a rank not to use a map for which it is armed."""
+
+    epoch: int
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class Hold:
     """Order a rank to prevent its group from starting a pass."""
@@ -77,4 +85,4 @@
     step: int
 
 
-RankOrder = Prepare | Arm | Hold | Release
+RankOrder = Prepare | Arm | Disarm | Hold | Release
--- a/tests/lib/rank_model.py
+++ b/tests/lib/rank_model.py
@@ -20,7 +20,14 @@
     MapCoordinator,
 )
 from hyssopvane._internal.state.group import MapChange, RankState
-from hyssopvane._internal.state.ranks import Arm, Hold, Prepare, RankOrder, Release
+from hyssopvane._internal.state.ranks import (
+    Arm,
+    Disarm,
+    Hold,
+    Prepare,
+    RankOrder,
+    Release,
+)
 from hyssopvane._internal.state.routing import ExpertLayout
 
 RANKS = 4
@@ -30,6 +37,8 @@
 COPY_S = 0.1
 LAG_S = 0.2
 """Age of a report that is read from another machine."""
+LONGEST_DELAY_S = 12.0
+"""Longest time after which an order without an answer is carried out."""
 KEPT_TICKS = 16
 PRESENCE_INTERVAL_S = 0.5
 """Interval of presence messages from the lowest ranks' agents to all others."""
@@ -65,6 +74,8 @@
     pending: tuple[int, tuple[int, ...]] | None = None
     armed: tuple[int, int] | None = None
     held: int = 0
+    highest: int = 0
+    """Highest version of all maps that the rank has had."""
 
     def carry_out(self, order: RankOrder, *, step: int, epoch: int, now: float) -> bool:
         """Carry out or refuse an order; return whether it was carried out."""
@@ -75,6 +86,12 @@
                 return self._prepare(order, now)
             case Arm():
                 return self._arm(order, step)
+            case Disarm():
+                if self.map_version == order.version:
+                    return False
+                if self.armed is not None and self.armed[0] == order.version:
+                    self.armed = None
+                return True
             case Hold():
                 if order.step <= step or self.held not in (0, order.step):
                     return False
@@ -86,15 +103,15 @@
                 return True
 
     def _prepare(self, order: Prepare, now: float) -> bool:
-        highest = max(self.map_version, self.prepared)
-        if self.pending is not None:
-            highest = max(highest, self.pending[0])
-        if self.pending is not None and self.pending[0] == order.version:
+        pending = 0 if self.pending is None else self.pending[0]
+        if order.version in (pending, self.prepared):
             return True
-        if order.version <= highest or self.armed is not None:
+        if order.version <= self.highest or self.armed is not None:
             return False
-        self.pending = (order.version, order.experts[0][self.number])
-        self.copied_at = now + COPY_S
+        experts = order.experts[0][self.number]
+        self.highest = order.version
+        self.pending = (order.version, experts)
+        self.copied_at = now + (COPY_S if set(experts) - set(self.experts) else 0.0)
         return True
 
     def _arm(self, order: Arm, step: int) -> bool:
@@ -139,6 +156,10 @@
     broken: float = 0.0
     silences: float = 0.0
     """Stalls of an agent's process while its rank works, a second."""
+    idle: float = 0.0
+    """Times without requests, a second."""
+    kills: float = 0.0
+    """Share of the late orders to arm at which all agents and callers end."""
 
 
 @dataclass
@@ -156,6 +177,8 @@
     longest_hold_s: float = 0.0
     message_loss: float = 0.02
     """Fraction of the messages between agents that is lost."""
+    idle_until: float = float("-inf")
+    """Time until which no rank has requests, and the group makes no passes."""
     ranks: list[ModelRank] = field(default_factory=list)
     agents: list[ModelAgent] = field(default_factory=list)
     delayed: list[tuple[float, int, RankOrder]] = field(default_factory=list)
@@ -200,6 +223,7 @@
         for rank in self.ranks:
             rank.map_version = rank.prepared = rank.held = 0
             rank.pending = rank.armed = None
+            rank.highest = 0
             rank.experts = tuple(range(rank.number, EXPERTS, RANKS))
 
     def begin_passes(self) -> None:
@@ -208,7 +232,7 @@
             if rank.pending is not None and self.now >= rank.copied_at:
                 rank.prepared, rank.prepared_experts = rank.pending
                 rank.pending = None
-        if self.now < self.next_pass_at:
+        if self.now < max(self.next_pass_at, self.idle_until):
             return
         if any(rank.held == self.step + 1 for rank in self.ranks):
             self.held_s += TICK_S
@@ -257,6 +281,16 @@
         if self.random.random() < self.faults.broken * TICK_S:
             self.epoch += 1
             self.begin_epoch()
+        idle = self.faults.idle
+        if idle and self.random.random() < idle * TICK_S:
+            self.idle_until = self.now + self.random.uniform(0.3, 12.0)
+
+    def kill_agents(self) -> None:
+        """Restart the agents of all ranks, and end all requests for some seconds."""
+        self.agents = [self._make_agent() for _ in range(RANKS)]
+        for agent in self.agents:
+            agent.down_until = self.now + 0.8
+        self.idle_until = self.now + self.random.uniform(2.0, 12.0)
 
     def _run_agent(self, number: int) -> None:
         agent = self.agents[number]
@@ -391,8 +425,11 @@
         if draw < self.faults.lost:
             return False
         if draw < self.faults.lost + self.faults.late:
-            at = self.now + self.random.uniform(0.3, 12.0)
+            at = self.now + self.random.uniform(0.3, LONGEST_DELAY_S)
             self.delayed.append((at, number, order))
+            kills = self.faults.kills
+            if kills and isinstance(order, Arm) and self.random.random() < kills:
+                self.kill_agents()
             return False
         if self.random.random() < self.faults.doubled:
             self.delayed.append((self.now + 0.05, number, order))
@@ -419,7 +456,7 @@
             rank=number,
             ranks=RANKS,
             open=True,
-            active=3,
+            active=0 if self.now < self.idle_until else 3,
             queued=0,
             step=self.step,
             map_version=rank.map_version,
--- a/tests/lib/rank_standin.py
+++ b/tests/lib/rank_standin.py
@@ -6,7 +6,14 @@
 
 import trio
 
-from hyssopvane._internal.state.ranks import Arm, Hold, Prepare, RankOrder, Release
+from hyssopvane._internal.state.ranks import (
+    Arm,
+    Disarm,
+    Hold,
+    Prepare,
+    RankOrder,
+    Release,
+)
 from hyssopvane._internal.transport.asgi_messages import (
     read_body,
     send_json,
@@ -108,6 +115,8 @@
             return Prepare(document["epoch"], document["version"], experts)
         case "arm":
             return Arm(document["epoch"], document["version"], document["step"])
+        case "disarm":
+            return Disarm(document["epoch"], document["version"])
         case "hold":
             return Hold(document["epoch"], document["step"])
         case _:
--- a/tests/unit/test_map_coordinator.py
+++ b/tests/unit/test_map_coordinator.py
@@ -20,9 +20,18 @@
 )
 from hyssopvane._internal.policy.poll_intervals import get_poll_interval_s
 from hyssopvane._internal.state.group import RankState
-from hyssopvane._internal.state.ranks import Hold, Release
+from hyssopvane._internal.state.ranks import Arm, Disarm, Hold, Release
 from hyssopvane._internal.state.routing import ExpertLayout
-from tests.lib.rank_model import EXPERTS, TICK_S, Faults, GroupModel, MapsDiffer
+from tests.lib.rank_model import (
+    EXPERTS,
+    LAYOUT,
+    LONGEST_DELAY_S,
+    RANKS,
+    TICK_S,
+    Faults,
+    GroupModel,
+    MapsDiffer,
+)
 
 SEEDS = range(6)
 
@@ -39,6 +48,21 @@
     "all and silent agents": Faults(0.1, 0.15, 0.1, 0.3, 0.3, 0.1, 0.5),
 }
 
+IDLE_CASES = {
+    "idle": Faults(late=0.35, idle=0.5),
+    "kills": Faults(late=0.35, kills=0.5),
+    "kills of leaders": Faults(late=0.35, restarts=0.8, idle=0.5),
+    "stalls": Faults(late=0.35, stalls=0.8, idle=0.5),
+    "all": Faults(0.1, 0.15, 0.1, 0.3, 0.3, 0.0, 0.3, 0.3, 0.5),
+}
+
+IDLE_SEEDS = [
+    *((trouble, seed) for trouble in IDLE_CASES for seed in range(4)),
+    ("idle", 48),
+    *(("kills", seed) for seed in (16, 17, 20, 43, 46, 59)),
+    *(("all", seed) for seed in (24, 42, 54)),
+]
+
 
 @pytest.mark.parametrize("trouble", FAULT_CASES)
 @pytest.mark.parametrize("seed", SEEDS)
@@ -53,6 +77,23 @@
     assert model.passes > 50
 
 
+@pytest.mark.parametrize(("trouble", "seed"), IDLE_SEEDS)
+def test_ranks_of_an_idle_group_never_begin_a_pass_with_different_maps(trouble, seed):
+    """Guard against late orders that fit, since an idle group makes no passes.
+
+    The group makes passes again when the faults are over.
+    """
+    model = GroupModel(Random(f"idle {trouble}/{seed}"), IDLE_CASES[trouble])
+    model.play(16.0)
+    model.faults = Faults()
+    model.idle_until = model.now
+    model.play(LONGEST_DELAY_S + 3.0)
+    passes = model.passes
+    model.play(4.0)
+    assert model.passes > passes + 50
+    assert len({rank.map_version for rank in model.ranks}) == 1
+
+
 @pytest.mark.parametrize("trouble", ["calm", "lost", "late", "doubled"])
 def test_maps_change_despite_faults(trouble):
     model = GroupModel(Random(7), FAULT_CASES[trouble])
@@ -555,6 +596,111 @@
     assert model.step > before + 3
 
 
+def observe_group(model, coordinator, *, own=0, now=None):
+    """Pass the state of each rank of the model to the coordinator."""
+    now = model.now if now is None else now
+    for number in range(RANKS):
+        coordinator.observe(model._describe(number), now=now, own=number == own)
+
+
+def find_orders(actions, kind):
+    return [
+        one
+        for one in actions
+        if isinstance(one, SendOrder) and isinstance(one.order, kind)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("prepared", "map_version", "armed", "expected"),
+    [
+        ((0, 0, 0, 0), 0, (), Phase.RELEASING),
+        ((5, 5, 5, 5), 5, (), Phase.RELEASING),
+        ((5, 5, 5, 5), 0, (), Phase.WITHDRAWING),
+        ((5, 5, 9, 5), 0, (), Phase.WITHDRAWING),
+        ((9, 5, 5, 5), 5, (), Phase.WITHDRAWING),
+        ((5, 5, 5, 5), 0, (1,), Phase.ARMING),
+        ((5, 5, 9, 5), 0, (1,), Phase.WITHDRAWING),
+        ((5, 5, 5, 5), 0, (0, 1, 2, 3), Phase.RELEASING),
+    ],
+)
+def test_hold_of_a_killed_leader_is_released_only_when_no_rank_can_be_armed(
+    prepared, map_version, armed, expected
+):
+    """Guard against an order to arm that is carried out after the release."""
+    model = GroupModel(Random(1), Faults())
+    step = model.step + 3
+    for number, rank in enumerate(model.ranks):
+        rank.prepared, rank.map_version = prepared[number], map_version
+        rank.armed = (5, step) if number in armed else None
+    model.ranks[1].held = step
+    leader = MapCoordinator(nonce=1, layout=LAYOUT)
+    later = model.now + map_coordinator.ORPHAN_S
+    for now in (model.now, later):
+        observe_group(model, leader, now=now)
+        leader.decide(now)
+    assert leader.phase is expected
+
+
+def test_late_order_to_arm_is_refused_after_a_withdrawal():
+    """Guard against a rank that is armed alone after the release, in an idle group."""
+    model = make_model_before_hold()
+    model.play(TICK_S)
+    change = model.agents[0].coordinator._get_change()
+    late = Arm(model.epoch, change.version, change.step)
+    model.kill_agents()
+    model.idle_until = model.now + 30.0
+    model.play(5.0)
+    assert not any(rank.held for rank in model.ranks)
+    for rank in model.ranks:
+        assert not rank.carry_out(
+            late, step=model.step, epoch=model.epoch, now=model.now
+        )
+    model.idle_until = model.now
+    model.play(3.0)
+
+
+def test_ranks_are_disarmed_when_another_one_can_not_be_armed():
+    """Guard against a group that stays held, as a late order gave a rank newer copies.
+
+    The order to prepare comes from a killed leader and has a higher version than that
+    of the next one.
+    """
+    model = GroupModel(Random(3), Faults(), message_loss=0.0)
+    leader = model.agents[0].coordinator
+    while leader.phase is not Phase.ARMING:
+        model.play(TICK_S)
+    change = leader._get_change()
+    for rank in model.ranks[:3]:
+        rank.armed = (change.version, change.step)
+    model.ranks[3].armed = None
+    model.ranks[3].prepared = model.ranks[3].highest = change.version + 7
+    step = model.step
+    model.play(1.5)
+    assert model.step > step + 8
+    assert {rank.map_version for rank in model.ranks} != {change.version}
+
+
+def test_no_rank_is_disarmed_while_the_change_can_be_completed():
+    """Guard against ranks that are disarmed as another leader releases their pass."""
+    model = GroupModel(Random(1), Faults())
+    step = model.step + 3
+    for rank in model.ranks:
+        rank.prepared = 5
+    model.ranks[2].armed = (5, step)
+    model.ranks[1].held = step + 1
+    leader = MapCoordinator(nonce=1, layout=LAYOUT)
+    later = model.now + map_coordinator.ORPHAN_S
+    observe_group(model, leader)
+    leader.decide(model.now)
+    observe_group(model, leader, now=later)
+    assert not find_orders(leader.decide(later), Disarm)
+    model.ranks[3].prepared = 9
+    observe_group(model, leader, now=later + TICK_S)
+    disarmed = find_orders(leader.decide(later + TICK_S), Disarm)
+    assert [(one.replica, one.order.version) for one in disarmed] == [("2", 5)]
+
+
 def test_large_group_follows_a_shift_of_demand_before_its_next_search_is_due():
     """Demand shifts to other experts right after a search for a better map.
 
--- a/tests/unit/test_platform_formats.py
+++ b/tests/unit/test_platform_formats.py
@@ -13,7 +13,7 @@
     decode_report,
     encode_order,
 )
-from hyssopvane._internal.state.ranks import Arm, Hold, Prepare, Release
+from hyssopvane._internal.state.ranks import Arm, Disarm, Hold, Prepare, Release
 from hyssopvane._internal.state.routing import Customer, Replica, RequestKind, SplitPart
 from tests.lib.direct_installation import HOST, KEY, make_configuration, make_route
 from tests.lib.platform_documents import REPORT
@@ -122,6 +122,7 @@
             Arm(1, 4, 30),
             {"operation": "arm", "version": 4, "step": 30, "epoch": 1},
         ),
+        (Disarm(1, 7), {"operation": "disarm", "version": 7, "epoch": 1}),
         (Hold(1, 30), {"operation": "hold", "step": 30, "epoch": 1}),
         (Release(1, 30), {"operation": "go", "step": 30, "epoch": 1}),
     ],
