Choose each version of an expert map once

A leader whose orders to prepare a map were all lost or late chose the same version for its next map. A rank that carried out the late order had other experts under the same version, and a pass would begin with maps that differ by content. A leader keeps the highest version that it has chosen in the epoch. The test failed before.

--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -26,7 +26,8 @@
 If the leader of a hold is silent, the next agent that leads finds the hold. If any rank
 is armed, it continues with step 4, otherwise it withdraws the change. A leader that was
 stalled discards its state before it acts again. Versions are never reused, because each
-process mixes its own random number into them: two maps with one version would be taken for the same map.
+process mixes its own random number into them and never chooses a lower version than
+before: two maps with one version would be taken for the same map.
 """
 
 from collections import Counter
@@ -220,6 +221,8 @@
         self._epoch = 0
         self._own = -1
         self._max_state_age_s = MAX_STATE_AGE_S
+        self._highest_version = 0
+        """Highest version that this process has chosen in this epoch."""
         self._is_hold_confirmed = False
         """Whether the rank that is to hold the group has confirmed the order."""
         self._active_at = float("-inf")
@@ -541,6 +544,7 @@
         self._known_ranks.clear()
         self._search.begin_epoch()
         self._known_map = None
+        self._highest_version = 0
         self._reset()
 
     def _reset(self) -> None:
@@ -592,7 +596,10 @@
 
     def _make_version(self, states: list[RankState]) -> int:
         highest = max(max(state.map_version, state.prepared) for state in states)
+        # An order to prepare the last version may still arrive, with other experts.
+        highest = max(highest, self._highest_version)
         version: int = (((highest >> NONCE_BITS) + 1) << NONCE_BITS) + self._nonce
+        self._highest_version = version
         return version
 
     def _get_map(self) -> ExpertLists | None:
--- a/tests/unit/test_map_coordinator.py
+++ b/tests/unit/test_map_coordinator.py
@@ -701,6 +701,19 @@
     assert [(one.replica, one.order.version) for one in disarmed] == [("2", 5)]
 
 
+def test_version_of_an_abandoned_change_is_not_chosen_again():
+    """Guard against two maps with one version, as an order to prepare was late.
+
+    No rank reports the version, since each of its orders was lost or is on its way.
+    """
+    model = GroupModel(Random(3), Faults())
+    leader = model.agents[0].coordinator
+    while leader.phase is not Phase.PREPARING:
+        model.play(TICK_S)
+    states = [model._describe(number) for number in range(RANKS)]
+    assert leader._make_version(states) > leader._get_change().version
+
+
 def test_large_group_follows_a_shift_of_demand_before_its_next_search_is_due():
     """Demand shifts to other experts right after a search for a better map.
 
