Take over a late hold while another pass is to be held

A rank holds one pass at a time. If an earlier order to hold arrived late, a leader ordered its own hold in vain, and never looked at the other one: no pass began until it ended. It takes that hold over now, as one without a leader. The test failed before.

--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -666,6 +666,10 @@
                 return self._query_holder() + self._ping(unheard, now)
         if is_held:
             return []
+        if self._is_other_pass_held(change):
+            # An earlier order to hold another pass has arrived late.
+            self._reset()
+            return self._begin(now)
         if self._find_newest_step() >= change.step:
             # The pass has begun: the hold arrived too late or never.
             change.step = self._choose_step(now)
@@ -678,6 +682,13 @@
             actions += self._ping(self._list_unheard(now), now)
         return actions
 
+    def _is_other_pass_held(self, change: Change) -> bool:
+        newest = self._find_newest_step()
+        return any(
+            state.held_step > newest and state.held_step != change.step
+            for state in self._list_states()
+        )
+
     def _list_unheard(self, since: float) -> list[RankState]:
         """Return the states of the other ranks that were not heard since a time."""
         return [
--- a/tests/unit/test_map_coordinator.py
+++ b/tests/unit/test_map_coordinator.py
@@ -714,6 +714,17 @@
     assert leader._make_version(states) > leader._get_change().version
 
 
+def test_late_hold_of_another_pass_is_released():
+    """Guard against a group that is held by an earlier order, and by no change."""
+    model = make_model_before_hold()
+    model.ranks[1].held = model.step + 1
+    model.ranks[2].held = model.step + 1
+    model.play(map_coordinator.ORPHAN_S + 0.5)
+    step = model.step
+    model.play(2.0)
+    assert model.step > step + 25
+
+
 def test_large_group_follows_a_shift_of_demand_before_its_next_search_is_due():
     """Demand shifts to other experts right after a search for a better map.
 
