Never hold the same pass twice

In an idle group the pass that was held last has not begun when the next change is prepared. A late order to release it would have released the next hold while ranks were being armed. The next change holds a later pass. The test failed before.

--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -223,6 +223,8 @@
         self._max_state_age_s = MAX_STATE_AGE_S
         self._highest_version = 0
         """Highest version that this process has chosen in this epoch."""
+        self._highest_hold = 0
+        """Last pass that is known to have been held in this epoch."""
         self._is_hold_confirmed = False
         """Whether the rank that is to hold the group has confirmed the order."""
         self._active_at = float("-inf")
@@ -276,6 +278,7 @@
         if queried and before is not None:
             # The rank was queried directly; the address of its agent is unchanged.
             state = replace(state, messages=before.state.messages)
+        self._highest_hold = max(self._highest_hold, state.held_step)
         is_awaited = self._is_awaited(state.rank)
         if not queried:
             self.record_agent(state.rank, now=now)
@@ -544,7 +547,7 @@
         self._known_ranks.clear()
         self._search.begin_epoch()
         self._known_map = None
-        self._highest_version = 0
+        self._highest_version = self._highest_hold = 0
         self._reset()
 
     def _reset(self) -> None:
@@ -961,7 +964,10 @@
         step = self._find_newest_step() + min(
             MAX_LEAD_PASSES, max(MIN_LEAD_PASSES, lead)
         )
-        return step
+        # In an idle group, an order to release the pass that was held last may arrive
+        # late. It must not release the next hold.
+        self._highest_hold = max(step, self._highest_hold + 1)
+        return self._highest_hold
 
     def _find_newest_step(self) -> int:
         return max(one.state.step for one in self._known_ranks.values())
--- a/tests/unit/test_map_coordinator.py
+++ b/tests/unit/test_map_coordinator.py
@@ -725,6 +725,16 @@
     assert model.step > step + 25
 
 
+def test_pass_that_was_held_before_is_not_held_again():
+    """Guard against a late order to release the pass that was held last."""
+    model = GroupModel(Random(3), Faults(), message_loss=0.0)
+    leader = model.agents[0].coordinator
+    while leader.phase is not Phase.HOLDING:
+        model.play(TICK_S)
+    change = leader._get_change()
+    assert leader._choose_step(model.now) > change.step
+
+
 def test_large_group_follows_a_shift_of_demand_before_its_next_search_is_due():
     """Demand shifts to other experts right after a search for a better map.
 
