Bring ranks together that are armed alone, or have different maps

Whatever lets an order to arm fit without a hold, the group must not compute with two maps for good: the leader only declined to begin a change then (`settled`), and in an idle group nobody was told. Now the leader holds the pass of a rank that is armed alone, and the take-over of the hold arms all ranks or withdraws the change. Ranks that use different maps get one map of the experts that each of them has, in one pass; an expert that none has is added. Both wait for a second, as reports of one change arrive apart.

--- a/src/hyssopvane/_internal/policy/expert_maps.py
+++ b/src/hyssopvane/_internal/policy/expert_maps.py
@@ -1,6 +1,7 @@
 """Assign the experts of a group to its ranks."""
 
 import heapq
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -324,3 +325,26 @@
 
 _MAX_PARTNERS = 8
 """Number of ranks that are tried as partners of the busiest one."""
+
+
+def add_missing_experts(
+    rows: Sequence[Sequence[int]], *, experts: int, places: int
+) -> tuple[tuple[int, ...], ...]:
+    """Return the experts of each rank of a set, with those added that no rank has.
+
+    An expert that other ranks have as well makes room for one on a full rank.
+    """
+    added = [list(row) for row in rows]
+    holders = Counter(expert for row in rows for expert in row)
+    for expert in range(experts):
+        if holders[expert]:
+            continue
+        row = min(added, key=len)
+        if len(row) >= places:
+            row = max(added, key=lambda one: max(holders[other] for other in one))
+            removed = max(row, key=lambda other: holders[other])
+            holders[removed] -= 1
+            row.remove(removed)
+        row.append(expert)
+        holders[expert] += 1
+    return tuple(tuple(sorted(row)) for row in added)
--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -28,6 +28,9 @@
 stalled discards its state before it acts again. Versions are never reused, because each
 process mixes its own random number into them and never chooses a lower version than
 before: two maps with one version would be taken for the same map.
+
+If ranks are armed for a pass that is not held, or use different maps all the same, a
+leader holds the pass, or brings a map of the experts that each rank has to all ranks.
 """
 
 from collections import Counter
@@ -36,6 +39,7 @@
 from enum import Enum, auto
 from math import ceil
 
+from hyssopvane._internal.policy.expert_maps import add_missing_experts
 from hyssopvane._internal.policy.map_actions import (
     Action,
     DelegateOrder,
@@ -173,6 +177,13 @@
 change.
 """
 
+APART_S = 1.0
+"""Time after which ranks with different maps, or armed without a hold, are brought
+together.
+
+Reports of one change reach the leader within some tenths of a second.
+"""
+
 _COPY_SLACK_S = 1.0
 """Time beyond the estimated copying time after which a change is abandoned."""
 
@@ -234,6 +245,10 @@
         self.arming_s = INITIAL_ARMING_S
         self._step_at = float("-inf")
         self._queried_at = float("-inf")
+        self._apart_since: float | None = None
+        """Time since which maps or armed maps of the ranks have differed."""
+        self._guarded_at = float("-inf")
+        """Last time at which a pass was held for ranks that were armed alone."""
         self._agents_queried_at = float("-inf")
         """Last time at which agents were queried about a hold that was taken over."""
         self.changes = 0
@@ -573,12 +588,17 @@
         held = [state for state in self._list_states() if state.held_step]
         if held:
             return self._take_over(held, now)
+        states = self._list_states()
+        is_lasting = self._have_come_apart(states, now)
+        step = self._find_unheld_step(states)
+        if step and is_lasting:
+            return self._guard(step, now)
         if not self._is_complete(now) or self.layout is None:
             return []
-        states = self._list_states()
-        settled = len({state.map_version for state in states}) == 1
-        if not settled or any(state.armed_step for state in states):
+        if any(state.armed_step for state in states):
             return []
+        if len({state.map_version for state in states}) != 1:
+            return self._unite(states, self.layout, now) if is_lasting else []
         current = self._get_map()
         if current is None:
             return []
@@ -597,6 +617,47 @@
         self.phase = Phase.PREPARING
         return self._prepare(now)
 
+    def _have_come_apart(self, states: list[RankState], now: float) -> bool:
+        """Return whether maps or armed maps of the ranks have differed for a while."""
+        in_use = {
+            (one.map_version, one.armed_version, one.armed_step) for one in states
+        }
+        if len(in_use) == 1:
+            self._apart_since = None
+        elif self._apart_since is None:
+            self._apart_since = now
+        return self._apart_since is not None and now - self._apart_since >= APART_S
+
+    def _find_unheld_step(self, states: list[RankState]) -> int:
+        """Return a pass, not begun, for which only some ranks are armed, or 0."""
+        newest = self._find_newest_step()
+        armed = Counter(one.armed_step for one in states if one.armed_step > newest)
+        return next((step for step, n in armed.items() if n < len(states)), 0)
+
+    def _guard(self, step: int, now: float) -> list[Action]:
+        """Hold a pass for which some ranks are armed, so that it can be taken over."""
+        if now - self._guarded_at < _ORDER_RETRY_S:
+            return []
+        self._guarded_at = now
+        own = self._known_ranks[self._own].state
+        holder = self._choose_holder(own, now)
+        return [SendOrder(holder, Hold(self._epoch, step))]
+
+    def _unite(
+        self, states: list[RankState], layout: ExpertLayout, now: float
+    ) -> list[Action]:
+        """Begin a change to one map of the experts that each rank has."""
+        rows = self._get_map()
+        if rows is None:
+            return []
+        experts = tuple(
+            add_missing_experts(one, experts=layout.experts, places=layout.places)
+            for one in rows
+        )
+        self._change = Change(self._make_version(states), experts, now, _COPY_SLACK_S)
+        self.phase = Phase.PREPARING
+        return self._prepare(now)
+
     def _make_version(self, states: list[RankState]) -> int:
         highest = max(max(state.map_version, state.prepared) for state in states)
         # An order to prepare the last version may still arrive, with other experts.
--- a/tests/unit/test_expert_maps.py
+++ b/tests/unit/test_expert_maps.py
@@ -6,6 +6,7 @@
 
 from hyssopvane._internal.policy.expert_maps import (
     ExpertMap,
+    add_missing_experts,
     choose_map,
     list_improvements,
     measure_move,
@@ -164,3 +165,17 @@
 def test_experts_that_do_not_fit_are_refused():
     with pytest.raises(ValueError, match="do not fit"):
         choose_map(EVEN, slots=1, current=spread_evenly(ranks=8, experts=16))
+
+
+@pytest.mark.parametrize(
+    ("rows", "places", "expected"),
+    [
+        ([(0, 1), (2, 3)], 2, ((0, 1), (2, 3))),
+        ([(0, 1), (2,)], 2, ((0, 1), (2, 3))),
+        ([(0, 1), (0, 2)], 2, ((1, 3), (0, 2))),
+        ([(0, 1), (0, 1), (2,)], 2, ((0, 1), (0, 1), (2, 3))),
+    ],
+)
+def test_experts_that_no_rank_has_are_added(rows, places, expected):
+    added = add_missing_experts(rows, experts=4, places=places)
+    assert added == expected
--- a/tests/unit/test_map_coordinator.py
+++ b/tests/unit/test_map_coordinator.py
@@ -735,6 +735,43 @@
     assert leader._choose_step(model.now) > change.step
 
 
+@pytest.mark.parametrize("idle_s", [0.0, 4.0])
+def test_rank_that_is_armed_without_a_hold_does_not_switch_alone(idle_s):
+    """Guard against a late order to arm that fits, whatever let it fit."""
+    model = GroupModel(Random(3), Faults(), message_loss=0.0)
+    while model.agents[0].coordinator.changes < 1 or any(r.armed for r in model.ranks):
+        model.play(TICK_S)
+    model.idle_until = model.now + idle_s
+    experts = tuple(rank.experts for rank in model.ranks)
+    version = model.ranks[0].highest + 1
+    for rank in model.ranks:
+        rank.prepared = rank.highest = version
+        rank.prepared_experts = experts[rank.number]
+    model.ranks[2].armed = (version, model.step + 60)
+    for agent in model.agents:
+        agent.coordinator._reset()
+    model.play(8.0)
+    assert model.passes > 20
+    assert not any(rank.held for rank in model.ranks)
+
+
+def test_ranks_with_different_maps_are_brought_together(monkeypatch):
+    """Guard against a group that computes with two maps until it is formed again."""
+    model = GroupModel(Random(3), Faults(), message_loss=0.0)
+    while model.agents[0].coordinator.changes < 1 or any(r.armed for r in model.ranks):
+        model.play(TICK_S)
+    monkeypatch.setattr(model, "_check", lambda: None)
+    for agent in model.agents:
+        agent.coordinator._reset()
+    for rank in model.ranks[2:]:
+        rank.map_version = rank.prepared = rank.highest = rank.highest + 5
+    model.ranks[2].experts = model.ranks[3].experts
+    model.play(map_coordinator.APART_S + 1.0)
+    assert len({rank.map_version for rank in model.ranks}) == 1
+    held = {expert for rank in model.ranks for expert in rank.experts}
+    assert held == set(range(EXPERTS))
+
+
 def test_large_group_follows_a_shift_of_demand_before_its_next_search_is_due():
     """Demand shifts to other experts right after a search for a better map.
 
