Bound what an entry holds of all answers that it is reading

Callers of a sound service were refused with entry-full, and the entry took 346 MB of 300, while replicas of another service sent bodies without end at 4 MB/s: each of twenty attempts may hold 16 MiB, and nothing bounded them together. Only slow readers were cut for what the entry held, and there were none.

Answers that are being read share half of the bytes that an entry may hold, of which a service gets three quarters and a replica a quarter. An answer with a length waits for room, the largest one without a length gives way, and only its service's new requests are refused. Unfinished events of streams count, too. A single answer may still be read up to its own bound.

--- a/src/hyssopvane/_internal/protocol/event_stream.py
+++ b/src/hyssopvane/_internal/protocol/event_stream.py
@@ -43,6 +43,11 @@
         """Return the bytes of the incomplete last event."""
         return bytes(self._remainder)
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Return the number of bytes of the incomplete last event."""
+        return len(self._remainder)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes and return the events that they complete.
 
--- a/src/hyssopvane/_internal/roles/direct_app.py
+++ b/src/hyssopvane/_internal/roles/direct_app.py
@@ -138,6 +138,8 @@
         except CallerGone:
             self._log_end(request_id, "caller-gone", arrived_at)
             return
+        if exchange is not None and isinstance(found, DirectRequest):
+            found = _ENTRY_FULL if exchange.is_service_refused(found.service) else found
         if isinstance(found, DirectAnswer):
             if exchange is not None:
                 # The server may wait long for the end of the request.
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -396,6 +396,7 @@
                 target=request.target,
                 headers=self._make_headers(replica),
                 body=request.body,
+                service=request.service,
                 presence=request.presence,
                 # Opening a connection takes up to a second. In that time an answer to
                 # another request may have changed whether the replica accepts any.
@@ -573,6 +574,7 @@
             self._mover.record_received()
             for data in list_slices(part):
                 await self._relay_events(splitter, data, response)
+            response.record_unfinished(splitter.unfinished_bytes)
             self._mover.record_waiting()
         if splitter.remainder.strip():
             # Without length and chunks, nothing else shows that the replica ended.
--- a/src/hyssopvane/_internal/transport/buffer_guard.py
+++ b/src/hyssopvane/_internal/transport/buffer_guard.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from hyssopvane._internal.policy.answer_room import AnswerRoom, GrowingAnswer
 from hyssopvane._internal.policy.entry_pressure import (
     BufferAccount,
     BufferLedger,
@@ -42,6 +43,9 @@
 
     def __init__(self, limits: BufferLimits, metrics: DeferredMetrics) -> None:
         self.ledger = BufferLedger(limits)
+        self._room = AnswerRoom(limits.total_bytes)
+        self._room_freed = trio.Event()
+        self._aborts: dict[GrowingAnswer, Callable[[], None]] = {}
         self._metrics = metrics
         self._sent = 0
         self._received = 0
@@ -70,6 +74,50 @@
         self.ledger.close(account)
         del self._cuts[account]
 
+    def open_answer(
+        self, service: str, replica: str, abort: Callable[[], None]
+    ) -> GrowingAnswer:
+        """Open the account of an answer to be read; `abort` ends its call."""
+        answer = self._room.open(service, replica)
+        self._aborts[answer] = abort
+        return answer
+
+    def close_answer(self, answer: GrowingAnswer) -> None:
+        """Release the room of an answer."""
+        if answer in self._aborts:
+            del self._aborts[answer]
+            self._room.close(answer)
+            self._room_freed.set()
+            self._room_freed = trio.Event()
+
+    async def wait_for_room(self, answer: GrowingAnswer, size: int) -> None:
+        """Wait until there is room for an answer of a length."""
+        if self._room.reserve(answer, size):
+            return
+        self._metrics.count_event("answer-waited-for-room")
+        while not self._room.reserve(answer, size):
+            await self._room_freed.wait()
+
+    def grow_answer(self, answer: GrowingAnswer, size: int) -> None:
+        """Record the size of an answer without a length; end calls for which there is
+        no room.
+        """
+        for one in self._room.grow(answer, size):
+            self._metrics.count_event("answer-given-up")
+            log_event(
+                "warning",
+                "answer-given-up",
+                service=one.service,
+                replica=one.replica,
+                size=one.size,
+                limit=self._room.limit_bytes,
+            )
+            self._aborts[one]()
+
+    def is_crowded(self, service: str) -> bool:
+        """Return whether growing answers leave a service no room for new requests."""
+        return self._room.is_crowded(service)
+
     def record_traffic(self, *, sent: int = 0, received: int = 0) -> None:
         """Count bytes that pass the network link."""
         self._sent += sent
@@ -129,6 +177,10 @@
         """Return whether a bound leaves no room for the request."""
         return self._guard.ledger.refuses(self.account.connection)
 
+    def is_service_refused(self, service: str) -> bool:
+        """Return whether the answers of a service leave no room for the request."""
+        return self._guard.is_crowded(service)
+
     def keep_answer(self, size: int) -> None:
         """Count an answer that was read whole until it is sent or replaced.
 
@@ -231,16 +283,43 @@
     """Count what one call of a replica holds: the unsent body, and a whole answer."""
 
     def __init__(
-        self, guard: BufferGuard, address: str, cut: Callable[[], None]
+        self,
+        guard: BufferGuard,
+        address: str,
+        cut: Callable[[], None],
+        *,
+        service: str = "",
+        abort: Callable[[], None] = lambda: None,
     ) -> None:
         self._guard = guard
         self._account = guard.open(ReaderKind.REPLICA, address, cut)
+        self._answer = guard.open_answer(service, address, abort)
 
     @property
     def is_cut(self) -> bool:
         """Return whether the call was ended as the replica read too slowly."""
         return self._account.is_cut
 
+    @property
+    def is_given_up(self) -> bool:
+        """Return whether the call was ended as there is no room for its answer."""
+        return self._answer.is_given_up
+
+    async def wait_for_room(self, size: int) -> None:
+        """Wait until there is room for an answer of a length."""
+        await self._guard.wait_for_room(self._answer, size)
+
+    def record_unfinished(self, size: int) -> None:
+        """Record how much of an answer without a length is held until it is complete.
+
+        This call, or another one, may be ended for it.
+        """
+        self._guard.grow_answer(self._answer, size)
+
+    def end_reading(self) -> None:
+        """Release the room of an answer that is read whole."""
+        self._guard.close_answer(self._answer)
+
     def begin_sending(self, size: int) -> None:
         """Record the body of the request, which counts with the caller's account."""
         now = trio.current_time()
@@ -267,6 +346,7 @@
     def close(self) -> None:
         """Release everything when the call has ended."""
         self._guard.close(self._account)
+        self._guard.close_answer(self._answer)
 
 
 def _format_connection(connection: Hashable) -> str:
--- a/src/hyssopvane/_internal/transport/replica_client.py
+++ b/src/hyssopvane/_internal/transport/replica_client.py
@@ -169,7 +169,11 @@
 
     async def read(self, *, max_bytes: int, limit: "PartLimit | None" = None) -> bytes:
         """Return the body; raise `ReplicaFailed` when it exceeds `max_bytes`."""
-        body = bytearray()
+        body, length = bytearray(), self._read_length()
+        if length is not None and length > max_bytes:
+            raise ReplicaFailed(f"the body exceeds {max_bytes} bytes")
+        if self._guarded is not None and length is not None:
+            await self._guarded.wait_for_room(length)
         while part := await self._read_part():
             body += part
             if limit is not None:
@@ -178,11 +182,28 @@
                 raise ReplicaFailed(f"the body exceeds {max_bytes} bytes")
             if self._guarded is not None:
                 self._guarded.hold(len(part))
+                if length is None:
+                    self.record_unfinished(len(body))
         if self._guarded is not None:
             # The request of the caller counts it from now on.
             self._guarded.hold(-len(body))
+            self._guarded.end_reading()
         return bytes(body)
 
+    def record_unfinished(self, size: int) -> None:
+        """Record how much of the body is held until it, or an event, is complete."""
+        if self._guarded is not None:
+            self._guarded.record_unfinished(size)
+            self._check_room()
+
+    def _check_room(self) -> None:
+        if self._guarded is not None and self._guarded.is_given_up:
+            raise ReplicaFailed("there is no room for the answer, which has no length")
+
+    def _read_length(self) -> int | None:
+        length = self.fields.get(b"content-length", b"")
+        return int(length) if length.isdigit() else None
+
     async def _read_part(self) -> bytes:
         try:
             part = await self._connection.read_part()
@@ -190,6 +211,7 @@
                 self._guarded.record_received(len(part))
             return part
         except (NetworkError, InvalidMessage) as error:
+            self._check_room()
             raise _make_failure(error, self._connection.stream) from error
 
 
@@ -214,6 +236,7 @@
         target: bytes,
         headers: Headers,
         body: bytes = b"",
+        service: str = "",
         presence: CallerPresence = ASSUMED_PRESENCE,
         may_send: Callable[[Callable[[], None]], bool] = lambda abort: True,
         observe_late: Callable[[AnswerHead], None] | None = None,
@@ -236,7 +259,7 @@
         pooled.stream.wait_before_part = presence.wait_until_known
         pooled.stream.exchanging = True
         pooled.stream.awaits_answer = observe_late is not None
-        guarded = self._open_account(address, pooled.stream, body)
+        guarded = self._open_account(address, pooled.stream, body, service)
         cancelled = False
         try:
             try:
@@ -300,11 +323,17 @@
             await pooled.connection.aclose()
 
     def _open_account(
-        self, address: str, stream: RawStream, body: bytes
+        self, address: str, stream: RawStream, body: bytes, service: str
     ) -> GuardedCall | None:
         if self._guard is None:
             return None
-        guarded = GuardedCall(self._guard, address, stream.stop_sending)
+        guarded = GuardedCall(
+            self._guard,
+            address,
+            stream.stop_sending,
+            service=service,
+            abort=stream.abort,
+        )
         guarded.begin_sending(len(body))
         stream.observe_sent = guarded.record_sent
         return guarded
--- a/tests/functional/test_endless_answers.py
+++ b/tests/functional/test_endless_answers.py
@@ -1,7 +1,7 @@
 """Test replicas that send bytes without end until the entry closes the connection."""
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
@@ -24,7 +24,7 @@
     make_event,
 )
 from tests.lib.direct_store import DirectStore
-from tests.lib.flood_replica import FLOODS, FloodReplica
+from tests.lib.flood_replica import FLOODS, PACED_BODIES, FloodReplica
 from tests.lib.lag_meter import LagMeter
 from tests.soak.fleet import Fleet, Member
 
@@ -102,8 +102,10 @@
 
 
 @asynccontextmanager
-async def open_site(folder: Path, flooding: FloodReplica) -> AsyncIterator[FloodSite]:
-    """Run an entry as a process beside a store, a replica in trouble and sound ones."""
+async def open_site(
+    folder: Path, *flooding: FloodReplica, has_sound: bool = True, **changes: object
+) -> AsyncIterator[FloodSite]:
+    """Run an entry as a process beside a store, replicas in trouble and sound ones."""
     store, client = DirectStore(), ReplicaClient()
     document = make_configuration(
         1,
@@ -143,7 +145,8 @@
         for name, service in (("i-1", "floods"), ("i-2", "sound"), ("i-3", "sound")):
             replica = DirectReplica(name, answer_soundly)
             await nursery.start(replica.serve)
-            register(name, service, replica)
+            if has_sound or service == "sound":
+                register(name, service, replica)
         fleet = Fleet(folder)
         loopback = {
             name: "127.0.0.1:0"
@@ -161,15 +164,17 @@
                 "agent_port": 9,
                 "seeds": [],
                 "grace_s": 2.0,
-            },
+            }
+            | changes,
         )
         site = FloodSite(fleet.entries[0], client, store)
         try:
             await fleet.start()
-            for path in ("/floods/1", "/sound/1"):
+            for path in ("/floods/1", "/sound/1") if has_sound else ("/sound/1",):
                 while (await site.send(path, deadline_s=DEADLINE_S))[0] != 200:
                     await trio.sleep(0.05)
-            register("i-4", "floods", flooding)
+            for number, replica in enumerate(flooding):
+                register(f"i-{4 + number}", "floods", replica)
             await trio.sleep(0.5)
             yield site
         finally:
@@ -223,3 +228,44 @@
                 assert flooding.closed == flooding.accepted
 
     trio.run(main)
+
+
+MEMORY_LIMIT_MB = 300
+PACED_CALLERS = 60
+PACED_DEADLINE_S = 4.0
+
+
+@pytest.mark.parametrize("replicas", [1, 4])
+@pytest.mark.parametrize("name", PACED_BODIES)
+def test_bodies_that_grow_together_leave_room_for_other_services(
+    tmp_path, name, replicas
+):
+    """Guard against answers of which each is small enough, and all are too large."""
+
+    async def send(site):
+        status, _ = await site.send("/floods/7", deadline_s=PACED_DEADLINE_S)
+        site.statuses.append(status)
+
+    async def main():
+        flooding = [FloodReplica(PACED_BODIES[name]) for _ in range(replicas)]
+        pressure = {"memory_limit_mb": MEMORY_LIMIT_MB}
+        with trio.fail_after(HANG_S):
+            async with AsyncExitStack() as stack:
+                for one in flooding:
+                    stack.enter_context(one.serve())
+                site = await stack.enter_async_context(
+                    open_site(
+                        tmp_path, *flooding, has_sound=replicas == 1, pressure=pressure
+                    )
+                )
+                async with trio.open_nursery() as nursery:
+                    for _ in range(PACED_CALLERS):
+                        nursery.start_soon(send, site)
+                        nursery.start_soon(site.send_other)
+                        await trio.sleep(0.08)
+                assert set(site.other_statuses) == {200}
+                limit = MEMORY_LIMIT_MB * 1_000_000
+                assert read_resident_bytes(site.entry.pid) < limit
+                assert site.statuses.count(200) >= (replicas == 1) * PACED_CALLERS / 2
+
+    trio.run(main)
--- a/tests/lib/flood_replica.py
+++ b/tests/lib/flood_replica.py
@@ -50,6 +50,20 @@
 }
 
 
+PACE_S = 0.016
+PACED_BYTES = 64 * 1024
+"""Bytes of each pause: four megabytes a second."""
+
+PACED_BODIES = {
+    "unframed": Flood(HEAD + b"\r\n", b"x" * PACED_BYTES, pause_s=PACE_S),
+    "chunked": Flood(CHUNKED, chunk(b"x" * PACED_BYTES), pause_s=PACE_S),
+    "length": Flood(
+        HEAD + b"Content-Length: 16000000\r\n\r\n", b"x" * PACED_BYTES, pause_s=PACE_S
+    ),
+}
+"""Bodies that arrive steadily, and are larger than all that an entry may hold."""
+
+
 @dataclass
 class FloodReplica:
     """Answer each request with bytes that do not end, from threads."""
