Bound documents of ranks by 64 KiB and 1 MiB

A leader may query all ranks of its group at once, and read up to 8 MiB of each: 512 MB with 64 ranks. The test failed before, as the bounds did not exist.

--- a/src/hyssopvane/_internal/platform/ranks.py
+++ b/src/hyssopvane/_internal/platform/ranks.py
@@ -36,7 +36,14 @@
 ORDER_TIMEOUT_S = 0.06
 """Timeout of an order, after which it is resent: a pass may be held meanwhile."""
 
-_MAX_BODY_BYTES = 8 * 1024 * 1024
+MAX_REPORT_BYTES = 64 * 1024
+"""Largest report, or answer to an order, that is read."""
+
+MAX_LISTS_BYTES = 1024 * 1024
+"""Largest document of counts or experts that is read; a leader may query all ranks at
+once.
+"""
+
 _JSON = (b"content-type", b"application/json")
 _HOST = (b"host", b"rank")
 _OK = 200
@@ -56,10 +63,12 @@
         return _decode(decode_report, await self._get(address, REPORT_PATH))
 
     async def read_counts(self, address: str) -> Counts:
-        return _decode(decode_counts, await self._get(address, COUNTS_PATH)).counts
+        body = await self._get(address, COUNTS_PATH, max_bytes=MAX_LISTS_BYTES)
+        return _decode(decode_counts, body).counts
 
     async def read_experts(self, address: str) -> ExpertsBySet:
-        return _decode(decode_experts, await self._get(address, MAP_PATH))
+        body = await self._get(address, MAP_PATH, max_bytes=MAX_LISTS_BYTES)
+        return _decode(decode_experts, body)
 
     async def send_order(self, address: str, order: RankOrder) -> OrderOutcome:
         body = encode_order(order)
@@ -84,8 +93,12 @@
     async def close(self) -> None:
         await self._client.close()
 
-    async def _get(self, address: str, path: bytes) -> bytes:
-        status, body = await self._call(address, "GET", path, (_HOST,), b"")
+    async def _get(
+        self, address: str, path: bytes, *, max_bytes: int = MAX_REPORT_BYTES
+    ) -> bytes:
+        status, body = await self._call(
+            address, "GET", path, (_HOST,), b"", max_bytes=max_bytes
+        )
         if status != _OK:
             raise RankError(f"{path.decode()}: status {status}")
         return body
@@ -99,13 +112,14 @@
         body: bytes,
         *,
         timeout_s: float = ANSWER_TIMEOUT_S,
+        max_bytes: int = MAX_REPORT_BYTES,
     ) -> tuple[int, bytes]:
         try:
             with trio.fail_after(timeout_s):
                 async with self._client.call(
                     address, method=method, target=path, headers=headers, body=body
                 ) as response:
-                    answer = await response.read(max_bytes=_MAX_BODY_BYTES)
+                    answer = await response.read(max_bytes=max_bytes)
                     return response.status, answer
         except (ReplicaUnreachable, ReplicaFailed, trio.TooSlowError) as error:
             raise RankError(repr(error)) from error
--- a/tests/functional/test_endless_services.py
+++ b/tests/functional/test_endless_services.py
@@ -11,7 +11,12 @@
 from hyssopvane._internal.coordination.routing_feed import RoutingFeed
 from hyssopvane._internal.coordination.vm_list import fetch_vms
 from hyssopvane._internal.exceptions import KeyValueError, VmListError
-from hyssopvane._internal.platform.ranks import ORDER_TIMEOUT_S, PlatformRanks
+from hyssopvane._internal.platform.ranks import (
+    MAX_LISTS_BYTES,
+    MAX_REPORT_BYTES,
+    ORDER_TIMEOUT_S,
+    PlatformRanks,
+)
 from hyssopvane._internal.platform.store import PlatformStore
 from hyssopvane._internal.platform.wire import PlatformFormat
 from hyssopvane._internal.policy.suspects import SuspectTracker
@@ -19,7 +24,7 @@
 from hyssopvane._internal.roles.suspect_exchange import SuspectExchange
 from hyssopvane._internal.transport.replica_client import MAX_READ_S
 from hyssopvane._internal.transport.target_client import TargetClient, TargetFailed
-from tests.lib.flood_replica import FLOODS, FloodReplica
+from tests.lib.flood_replica import FLOODS, HEAD, Flood, FloodReplica
 from tests.lib.lag_meter import LagMeter, StepMeter
 
 STEP_S = ORDER_TIMEOUT_S
@@ -134,3 +139,29 @@
 
     steps = StepMeter()
     trio.run(main, instruments=[steps])
+
+
+@pytest.mark.parametrize(
+    ("read", "limit"),
+    [
+        (PlatformRanks.read_report, MAX_REPORT_BYTES),
+        (PlatformRanks.read_counts, MAX_LISTS_BYTES),
+        (PlatformRanks.read_experts, MAX_LISTS_BYTES),
+    ],
+)
+def test_documents_of_many_ranks_fit_into_the_memory_of_a_leader(read, limit):
+    """Guard against a leader that holds eight megabytes of each rank that it asks."""
+    ranks_at_once, memory_bytes = 64, 100_000_000
+    assert ranks_at_once * limit <= memory_bytes
+
+    async def main():
+        start = HEAD.replace(b"%s", b"-")
+        start += b"Content-Length: %d\r\n\r\n" % (limit + 1)
+        flooding = FloodReplica(Flood(start, b"x"))
+        with flooding.serve():
+            ranks = PlatformRanks()
+            with pytest.raises(RankError, match="exceeds"):
+                await read(ranks, flooding.address)
+            await ranks.close()
+
+    trio.run(main)
