Refuse requests late in the grace period that would be cut

The entry looked whether it refuses new requests before it read a body. Bodies that are still being read are refused now when the time to accept ends. The same for a request that waits for a place, or for a connection, when the longest recent answer of its route would not fit into the time that is left; the time of the work is measured from sent requests to the end of their answers. All are refused as not run, and callers go to another entry. What a replica has is given all the time there is.

--- a/src/hyssopvane/_internal/roles/direct_app.py
+++ b/src/hyssopvane/_internal/roles/direct_app.py
@@ -18,6 +18,7 @@
 from hyssopvane._internal.roles.call import AnswerCut, run_until_disconnect
 from hyssopvane._internal.roles.direct_answer import send_answer
 from hyssopvane._internal.roles.direct_call import (
+    LEAVING_RETRY_AFTER_S,
     MIN_SEND_S,
     NOT_RUN_RETRY_AFTER_S,
     DirectCall,
@@ -58,9 +59,6 @@
 attempt of a caller has failed at a machine without power; if the second one is refused,
 the caller may have no attempt left.
 """
-_LEAVING_RETRY_AFTER_S = 0.05
-"""Short, since a new connection reaches another entry at once."""
-
 ENTRY_FULL_RETRY_AFTER_S = 0.3
 """Retry-After while the entry holds too much; a new connection mostly reaches another
 entry, and callers that repeat at once would come back to this one."""
@@ -70,6 +68,7 @@
 
 
 _ENTRY_FULL = DirectAnswer(DirectRefusal.ENTRY_FULL, ENTRY_FULL_RETRY_AFTER_S)
+_LEAVING = DirectAnswer(DirectRefusal.LEAVING, LEAVING_RETRY_AFTER_S)
 
 
 class DirectApp:
@@ -97,6 +96,21 @@
         self.running = 0
         self.refusing = False
         """Whether new requests are refused because this entry shuts down."""
+        self._reading: set[trio.CancelScope] = set()
+        """Scopes in which request bodies are read."""
+        self._calls: set[DirectCall] = set()
+
+    def refuse_new(self, *, ends_at: float) -> None:
+        """Refuse requests that have not been read or can't end before the entry does.
+
+        A request whose body ends later would be cut at its replica.
+        """
+        self.refusing = True
+        for scope in tuple(self._reading):
+            scope.cancel()
+        self._dependencies.departure.begin(ends_at)
+        for call in tuple(self._calls):
+            call.begin_departure()
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Handle one ASGI scope; answer the request if it is HTTP."""
@@ -184,6 +198,7 @@
             self._record_departure(request, call)
 
         cut = False
+        self._calls.add(call)
         try:
             await run_until_disconnect(call.run, wait)
             if not call.ended:
@@ -193,6 +208,7 @@
         except* AnswerCut:
             cut = True
         finally:
+            self._calls.discard(call)
             # Also record requests that are cancelled when the process ends.
             self._record_end(request, call)
         if cut:
@@ -277,7 +293,7 @@
         if not request_id:
             return DirectAnswer(DirectRefusal.MALFORMED)
         if self.refusing:
-            return DirectAnswer(DirectRefusal.LEAVING, _LEAVING_RETRY_AFTER_S)
+            return _LEAVING
         if exchange is not None and exchange.is_refused():
             return _ENTRY_FULL
         headers: Headers = tuple(
@@ -297,11 +313,16 @@
         deadline = min(caller_deadline, arrived_at + route.timeout_s)
         if trio.current_time() + MIN_SEND_S >= deadline:
             return DirectAnswer(DirectRefusal.TIMED_OUT_UNSENT, NOT_RUN_RETRY_AFTER_S)
-        with trio.move_on_at(deadline):
+        with trio.move_on_at(deadline) as reading:
+            self._reading.add(reading)
             try:
                 body = await read_body(receive, max_bytes=table.bounds.max_body_bytes)
             except BodyTooLarge:
                 return DirectAnswer(DirectRefusal.BODY_TOO_LARGE)
+            finally:
+                self._reading.discard(reading)
+            if self.refusing:
+                return _LEAVING
             return self._make_request(
                 scope,
                 headers,
@@ -315,7 +336,7 @@
                 deadline,
                 caller_deadline,
             )
-        return DirectAnswer(DirectRefusal.BODY_SLOW)
+        return _LEAVING if self.refusing else DirectAnswer(DirectRefusal.BODY_SLOW)
 
     def _make_request(
         self,
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -94,6 +94,9 @@
 NOT_RUN_RETRY_AFTER_S = 0.3
 """Retry-After for a request that no replica accepted."""
 
+LEAVING_RETRY_AFTER_S = 0.05
+"""Short, since a new connection reaches another entry at once."""
+
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 _OK = range(200, 300)
 _SERVER_ERROR = 500
@@ -176,18 +179,28 @@
         """Predicted time until there is room for a retry."""
         self.pauses = StreamPauses()
         self.ended = False
+        self._waiting = trio.CancelScope()
+        """Ends the wait for a replica when the entry shuts down."""
 
     async def run(self) -> None:
         """Answer the caller; raise `AnswerCut` if a started answer breaks off."""
         try:
             with trio.move_on_at(self._request.deadline):
                 await self._run()
+                if self.outcome == "answered" and self.sent_at is not None:
+                    self._dependencies.departure.record_answer(
+                        self._request.route.name, trio.current_time() - self.sent_at
+                    )
                 return
         finally:
             self._mover.release_next_place()
             self._evidence.end_trial()
         await self._give_up(self._decide_timeout())
 
+    def begin_departure(self) -> None:
+        """Bound the wait for a replica, as the entry shuts down."""
+        self._waiting.deadline = self._measure_send_by()
+
     def describe_silence(self) -> dict[str, object]:
         """Return how long the last replica has been silent, for the log."""
         if self._replica is None:
@@ -213,9 +226,7 @@
         request = self._request
         while True:
             self.phase = CallPhase.WAITING
-            decision = (
-                self._mover.take_next_place() or await self._wait_for_assignment()
-            )
+            decision = self._mover.take_next_place() or await self._wait_to_send()
             if isinstance(decision, Rejection):
                 await self._give_up(self._describe_rejection(decision))
                 return
@@ -249,6 +260,24 @@
                     return
                 self._dependencies.metrics.count_retry(str(failure).split(":")[0])
 
+    async def _wait_to_send(self) -> Assignment | Rejection:
+        """Wait for a replica, or until the entry could not pass on the answer."""
+        send_by = self._measure_send_by()
+        if trio.current_time() < send_by:
+            with trio.CancelScope(deadline=send_by) as self._waiting:
+                return await self._wait_for_assignment()
+        return Rejection(
+            self._request.request_id, DirectRefusal.LEAVING, LEAVING_RETRY_AFTER_S
+        )
+
+    def _measure_send_by(self) -> float:
+        """Return the time until which the request can be sent."""
+        request = self._request
+        if request.may_have_run or self._stream_started:
+            # It can't be refused any more.
+            return inf
+        return self._dependencies.departure.measure_send_by(request.route.name)
+
     async def _wait_for_assignment(
         self, *, moving: bool = False
     ) -> Assignment | Rejection:
@@ -455,6 +484,7 @@
     def _may_send(self, replica: Replica, abort: Callable[[], None]) -> bool:
         gate = self._dependencies.gates.get_gate(self._request.service)
         allowed = gate.may_send(replica, trio.current_time())
+        allowed = allowed and trio.current_time() < self._measure_send_by()
         # Another entry may have reported meanwhile that the request crashes replicas.
         allowed = allowed and self._evidence.may_run()
         # A request counts when it is sent, so its turn is taken last.
--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -237,11 +237,12 @@
 
     async def drain(self) -> None:
         """Fail readiness checks, then complete all requests in progress."""
+        ends_at = trio.current_time() + self.settings.drain_limit_s
         self.leaving = True
         self._leaving_event.set()
         log_event("info", "draining", running=self.app.running)
         await trio.sleep(self.settings.grace_s * _ACCEPT_SHARE)
-        self.app.refusing = True
+        self.app.refuse_new(ends_at=ends_at)
         self._shutdown.set()
         await self._callers_closed.wait()
 
--- a/src/hyssopvane/_internal/roles/direct_request.py
+++ b/src/hyssopvane/_internal/roles/direct_request.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from hyssopvane._internal.policy.entry_departure import EntryDeparture
 from hyssopvane._internal.policy.repeat_budget import RepeatBudget
 from hyssopvane._internal.protocol.messages import Headers
 from hyssopvane._internal.protocol.replica_headers import ReplicaHeaders
@@ -85,3 +86,4 @@
     metrics: DeferredMetrics
     crashes: CrashAccount
     budget: RepeatBudget
+    departure: EntryDeparture = field(default_factory=EntryDeparture)
