Check the length of an answer only when its body begins

An answer to HEAD has a length and no body, and a large one failed since answers are bounded together; found by reading the diff. The test failed before.

--- a/src/hyssopvane/_internal/transport/replica_client.py
+++ b/src/hyssopvane/_internal/transport/replica_client.py
@@ -170,11 +170,10 @@
     async def read(self, *, max_bytes: int, limit: "PartLimit | None" = None) -> bytes:
         """Return the body; raise `ReplicaFailed` when it exceeds `max_bytes`."""
         body, length = bytearray(), self._read_length()
-        if length is not None and length > max_bytes:
-            raise ReplicaFailed(f"the body exceeds {max_bytes} bytes")
-        if self._guarded is not None and length is not None:
-            await self._guarded.wait_for_room(length)
         while part := await self._read_part():
+            if not body and length is not None:
+                # An answer to HEAD has a length and no body.
+                await self._wait_for_room(length, max_bytes)
             body += part
             if limit is not None:
                 limit.extend_deadline()
@@ -196,6 +195,12 @@
             self._guarded.record_unfinished(size)
             self._check_room()
 
+    async def _wait_for_room(self, length: int, max_bytes: int) -> None:
+        if length > max_bytes:
+            raise ReplicaFailed(f"the body exceeds {max_bytes} bytes")
+        if self._guarded is not None:
+            await self._guarded.wait_for_room(length)
+
     def _check_room(self) -> None:
         if self._guarded is not None and self._guarded.is_given_up:
             raise ReplicaFailed("there is no room for the answer, which has no length")
--- a/tests/functional/test_direct_path.py
+++ b/tests/functional/test_direct_path.py
@@ -434,6 +434,21 @@
     run(test, grace_s=10.0)
 
 
+def test_answer_to_head_with_a_large_length_is_passed_on():
+    """Guard against a length that is taken for that of a body."""
+
+    async def answer_head(replica, stream, request):
+        await stream.send_all(make_answer(request, body=b"", length=10**9))
+        return True
+
+    async def test(site):
+        await site.add_replica("i-1", answer_head)
+        found = await site.call("/status/7", method="HEAD", body=b"")
+        assert found.status == 200
+
+    run(test, pressure={"memory_limit_mb": 300})
+
+
 def test_duplicate_or_missing_request_id_does_not_affect_other_requests():
     """Guard against failures when a caller repeats a request ID or sends none."""
 
