Ignore armed maps of passes that have begun when a change is withdrawn

The last state of the silent leader was from before an earlier pass, and named its armed map. So its rank was not excused, and the group waited for its VM. A map that is armed for a pass that has begun counts no more. The excused rank's agent does not get the new version either: it could be chosen to forward it to others.

The test failed before.

--- a/src/hyssopvane/_internal/policy/map_coordinator.py
+++ b/src/hyssopvane/_internal/policy/map_coordinator.py
@@ -572,6 +572,19 @@
     def _list_states(self) -> list[RankState]:
         return [self._known_ranks[rank].state for rank in sorted(self._known_ranks)]
 
+    def _list_pending_states(self) -> list[RankState]:
+        """Return the states, without the armed maps of passes that have begun.
+
+        The last state of a silent rank may be from before such a pass.
+        """
+        newest = self._find_newest_step()
+        return [
+            replace(state, armed_version=0, armed_step=0)
+            if state.armed_step <= newest
+            else state
+            for state in self._list_states()
+        ]
+
     def _list_paces(self) -> tuple[float, ...]:
         # Small slowdowns are noise, which a map must not follow.
         paces = (state.pace for state in self._list_states())
@@ -863,7 +876,7 @@
 
     def _take_over(self, held: list[RankState], now: float) -> list[Action]:
         """Continue with a hold that an earlier leader left, or that arrived late."""
-        states = self._list_states()
+        states = self._list_pending_states()
         armed_steps = {state.armed_step for state in states if state.armed_step}
         holder = next((one for one in held if one.held_step in armed_steps), held[0])
         if len(states) != holder.ranks:
@@ -891,7 +904,7 @@
 
     def _start_withdrawal(self, step: int, holder: str, now: float) -> list[Action]:
         """Begin to make sure that no rank can be armed for the held pass any more."""
-        states = self._list_states()
+        states = self._list_pending_states()
         experts = self._get_map()
         if experts is None:
             # The pass stays held until all agents have named their experts.
@@ -924,7 +937,7 @@
         change = self._get_change()
         waiting = [
             state
-            for state in self._list_states()
+            for state in self._list_pending_states()
             if not is_withdrawn(state, change.version)
         ]
         if any(state.armed_step for state in waiting):
@@ -1049,7 +1062,8 @@
         to = tuple(
             state.messages
             for state in self._list_states()
-            if state.rank != self._own and not has_applied(state, change, step=step)
+            if state.rank not in (self._own, change.excused)
+            and not has_applied(state, change, step=step)
         )
         return [SendMapChange(message, to)]
 
--- a/tests/unit/test_map_coordinator.py
+++ b/tests/unit/test_map_coordinator.py
@@ -681,6 +681,20 @@
     assert {rank.map_version for rank in model.ranks} != {change.version}
 
 
+def test_pass_is_released_without_a_silent_leader_that_was_armed_before():
+    """Guard against a wait for a VM whose last state is from an earlier pass."""
+    model = make_model_before_hold()
+    while not any(rank.held for rank in model.ranks):
+        model.play(TICK_S)
+    model.agents[0].stalled_until = model.now + 20.0
+    model.agents[0].was_stalled = True
+    deputy = model.agents[1].coordinator
+    known = deputy._known_ranks[0]
+    known.state = replace(known.state, armed_version=1, armed_step=model.step)
+    model.play(3.0)
+    assert model.longest_hold_s < map_coordinator.LEADER_TIMEOUT_S + 0.3
+
+
 def test_no_rank_is_disarmed_while_the_change_can_be_completed():
     """Guard against ranks that are disarmed as another leader releases their pass."""
     model = GroupModel(Random(1), Faults())
