--- a/review/standins2/harness.py
+++ b/review/standins2/harness.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -297,6 +298,8 @@
     def __init__(self) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self._running: list[subprocess.Popen[bytes]] = []
+        # A case that is ended from outside ends its programs, too.
+        signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
 
     def start(self, role: str, name: str, settings: dict[str, object]) -> subprocess.Popen[bytes]:
         """Start a program with its settings; its log stands in the folder."""
