Replace a replica's status that promises "not run" by 502 if the replica has run

What callers saw: a replica that runs a request and then answers 408, 429 or 503, without X-Not-Executed, had its status passed on.

Cause: DirectCall._relay_whole knew that the request may have run and kept the answer all the same. _give_up sends the kept answer in place of the entry's own 502, and a status below 500 was passed on at once.

Why it works: such an answer is no longer kept, and counts as a failure like 500: the request goes to another replica where it may be repeated, else its caller gets 502. What the answer says of its replica (Retry-After, limits) is recorded as before. 421 and X-Not-Executed are rejections, as before.

Related paths that hold, with tests: a failure after the begin of a stream cuts it, and on the path with agents the promise is Hyssopvane-Outcome, which is "ran" for any status of a target.

--- a/src/hyssopvane/_internal/models/direct_refusals.py
+++ b/src/hyssopvane/_internal/models/direct_refusals.py
@@ -58,6 +58,9 @@
     DirectRefusal.TIMED_OUT_UNSENT: 503,
 }
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses by which callers know that a request has not run and never will."""
+
 
 @dataclass(frozen=True, slots=True)
 class DirectAnswer:
--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -7,7 +7,11 @@
 
 import trio
 
-from hyssopvane._internal.models.direct_refusals import DirectAnswer, DirectRefusal
+from hyssopvane._internal.models.direct_refusals import (
+    NOT_RUN_STATUSES,
+    DirectAnswer,
+    DirectRefusal,
+)
 from hyssopvane._internal.policy.caller_patience import (
     has_waited_before,
     measure_leave_at,
@@ -560,11 +564,15 @@
 
     async def _relay_whole(self, response: ReplicaResponse) -> None:
         body = await response.read(max_bytes=MAX_PLAIN_ANSWER_BYTES)
-        self._keep_answer(len(body))
         self._record_finish(response)
-        headers = select_for_caller(response.headers)
-        self._last_answer = (response.status, headers, body)
-        if response.status >= _SERVER_ERROR:
+        # The replica does not say that the request has not run, but its status would
+        # tell the caller so.
+        is_misleading = response.status in NOT_RUN_STATUSES
+        if not is_misleading:
+            self._keep_answer(len(body))
+            headers = select_for_caller(response.headers)
+            self._last_answer = (response.status, headers, body)
+        if is_misleading or response.status >= _SERVER_ERROR:
             self._request.may_have_run = True
             raise _AttemptFailed(
                 f"status-{response.status}",
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -76,6 +76,17 @@
     assert request("GET", address, url, headers=OPERATOR).status == 200
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+@pytest.mark.parametrize("keyed", [False, True], ids=["plain", "keyed"])
+def test_any_status_of_a_target_that_has_run_is_reported_as_run(path, keyed, status):
+    """Guard against callers that send a request again which a target has run."""
+    headers = CALLER | ({"Idempotency-Key": make_key()} if keyed else {})
+    method = "POST" if keyed else "GET"
+    answer = request(method, path.callers, f"/check/1?status={status}", headers=headers)
+    assert answer.status == status
+    assert answer.headers["hyssopvane-outcome"] == "ran"
+
+
 @pytest.mark.parametrize("keyed", [False, True], ids=["plain", "keyed"])
 def test_target_that_asks_for_a_pause_gets_no_more_requests(tmp_path, keyed):
     """Guard against an agent or entry that relays Retry-After but doesn't obey it."""
