Take a success that says "not executed" for an answer of unknown outcome

What callers saw: a replica's 200 or 204 with X-Not-Executed was taken for a rejection.

Cause: DirectCall._relay looked at the header alone.

Why it works: such an answer proves neither that the request has run nor that it has not, so the attempt counts as one that may have run: 502, or another attempt where it may be repeated.

--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -532,7 +532,10 @@
         self._reports.record(replica, response)
         if echoed and response.status != MISDIRECTED:
             self._evidence.record_answer(replica)
-        if names.not_executed in response.fields or response.status == MISDIRECTED:
+        not_executed = names.not_executed in response.fields
+        if not_executed and response.status in _OK:
+            raise ReplicaFailed("a successful answer claims that nothing has run")
+        if not_executed or response.status == MISDIRECTED:
             self._handle_refusal(replica, response)
         if not echoed:
             raise ReplicaFailed("the answer has no request ID")
--- a/tests/functional/test_promised_refusals.py
+++ b/tests/functional/test_promised_refusals.py
@@ -76,6 +76,14 @@
     assert answer.status == (500 if first[0] == 500 else 502)
 
 
+@pytest.mark.parametrize("status", [200, 204])
+@pytest.mark.parametrize("path", SERVICES)
+def test_success_that_claims_not_to_have_run_promises_nothing(path, status):
+    """Guard against trust in an answer that contradicts itself."""
+    answer = call(path, [make_replica_behavior((status, NOT_RUN))] * 2)
+    assert answer.status == 502
+
+
 @pytest.mark.parametrize("status", [400, 404, 408, 429, 500, 503])
 def test_failure_after_the_begin_of_a_stream_cuts_it(status):
     """Guard against a second answer within a stream that was to be resumed."""
