Take no answer for whole whose connection broke while its request was being sent

What callers saw: a replica answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection, or closed it with unread bytes, while the upload was still being written.

Cause: the kernel reports the error of a socket once, here to the write. ClientConnection.exchange goes on to read after a failed write, since a replica may answer before it has read the whole request. The reads returned what was received and then the end of the stream, which ends an answer without a length. httpcore drops the same error, so agents had the same fault with their targets, and so had all calls through its pool.

Why it works: a stream on which a write failed reports the end of the connection as an error, so every reader above it sees what a reset looks like elsewhere. What is whole by its length or chunks never reads that far. A write that this process gives up (stop_sending) sets nothing.

--- a/src/hyssopvane/_internal/transport/raw_stream.py
+++ b/src/hyssopvane/_internal/transport/raw_stream.py
@@ -7,6 +7,8 @@
 
 import trio
 
+from hyssopvane._internal.utils.stream_ends import follows_orderly_end
+
 ACKNOWLEDGEMENT_TIMEOUT_MS = 4_000
 """Time without an acknowledgement after which the kernel ends a connection.
 
@@ -83,6 +85,8 @@
         """Whether no byte of the answer to the current request has been read."""
         self.late_answer = b""
         """Bytes of an answer that were received after its call was cancelled."""
+        self._has_broken = False
+        """Whether a write failed, and not because the remote end had closed."""
         self.has_ended = False
         """Whether the remote end has closed or reset the connection, or is silent."""
         self.is_reset = False
@@ -101,6 +105,8 @@
             self.has_ended = True
             raise ReadError(repr(error.__cause__ or error)) from error
         self.has_ended = not data
+        if not data and self._has_broken:
+            raise ReadError("the connection broke while the request was being sent")
         return data
 
     async def write(self, buffer: bytes) -> None:
@@ -117,6 +123,7 @@
                 await self._send_slices(buffer)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             self.has_ended = True
+            self._has_broken = not follows_orderly_end(error)
             raise WriteError(repr(error.__cause__ or error)) from error
         finally:
             sending, self._sending = self._sending, None
--- a/src/hyssopvane/_internal/utils/bounded_backend.py
+++ b/src/hyssopvane/_internal/utils/bounded_backend.py
@@ -6,6 +6,7 @@
 import httpcore
 
 from hyssopvane._internal.utils.part_meter import PartMeter, TooManyParts
+from hyssopvane._internal.utils.stream_ends import follows_orderly_end
 
 READ_BYTES = 8 * 1024
 """Bytes that are parsed before other tasks run."""
@@ -49,9 +50,13 @@
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
         self._head_bytes_left: float = MAX_HEAD_BYTES
+        self._has_broken = False
+        """Whether a write failed, and not because the remote end had closed."""
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         data = await self._stream.read(min(max_bytes, READ_BYTES), timeout)
+        if not data and self._has_broken:
+            raise httpcore.ReadError("the connection broke within the request")
         self._head_bytes_left -= len(data)
         if self._head_bytes_left < 0:
             raise httpcore.ReadError("the head of the answer is too large")
@@ -59,7 +64,12 @@
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         self._head_bytes_left = MAX_HEAD_BYTES
-        await self._stream.write(buffer, timeout)
+        try:
+            await self._stream.write(buffer, timeout)
+        except httpcore.WriteError as error:
+            # The pool goes on to read, as the answer may have been sent before.
+            self._has_broken = not follows_orderly_end(error)
+            raise
 
     async def aclose(self) -> None:
         await self._stream.aclose()
