Refuse answers whose status is not within 100 to 599

Cause: the parser takes any three digits for a status. 000, 099 and statuses of another length fell to other checks of the parser, and were refused before.

Why it works: HeadChecker checks the bytes of each head before they are parsed, in the two places through which all answers come: ClientConnection (replicas, ranks, the platform's store, other entries) and the stream below httpcore's pool (targets, etcd, the list of VMs). A head that arrives after its call was cancelled is checked too. The failure counts as one of the replica.

--- a/src/hyssopvane/_internal/transport/client_connection.py
+++ b/src/hyssopvane/_internal/transport/client_connection.py
@@ -9,6 +9,7 @@
 
 from hyssopvane._internal.protocol.messages import Headers
 from hyssopvane._internal.transport.raw_stream import RawStream, WriteError
+from hyssopvane._internal.utils.answer_heads import HeadChecker, InvalidHead
 from hyssopvane._internal.utils.part_meter import PartMeter, TooManyParts
 
 READ_BYTES = 64 * 1024
@@ -52,6 +53,7 @@
         self._phase = _Phase.IDLE
         self._requests = 0
         self._sent_whole = True
+        self._head = HeadChecker()
         self._meter = PartMeter()
 
     @property
@@ -75,6 +77,7 @@
         self._phase = _Phase.EXCHANGING
         self._requests += 1
         self._sent_whole = False
+        self._head = HeadChecker()
         self._meter = PartMeter()
         try:
             try:
@@ -165,6 +168,10 @@
                 raise RemoteProtocolError(
                     "Server disconnected without sending a response."
                 )
+            try:
+                self._head.check(data)
+            except InvalidHead as error:
+                raise RemoteProtocolError(error) from error
             self._parser.receive_data(data)
 
 
--- a/src/hyssopvane/_internal/transport/replica_client.py
+++ b/src/hyssopvane/_internal/transport/replica_client.py
@@ -25,6 +25,7 @@
     RawStream,
     open_stream,
 )
+from hyssopvane._internal.utils.answer_heads import HeadChecker, InvalidHead
 
 CONNECT_TIMEOUT_S = 1.0
 """Time limit of connecting; it allows for one lost handshake packet, not for two."""
@@ -420,9 +421,10 @@
     parser.send(h11.Request(method="GET", target="/", headers=[("Host", "replica")]))
     parser.send(h11.EndOfMessage())
     try:
+        HeadChecker().check(data)
         parser.receive_data(data)
         event = parser.next_event()
-    except h11.RemoteProtocolError:
+    except (InvalidHead, h11.RemoteProtocolError):
         return None
     if not isinstance(event, h11.Response):
         return None
--- /dev/null
+++ b/src/hyssopvane/_internal/utils/answer_heads.py
@@ -0,0 +1,42 @@
+"""Check the heads of answers before they are parsed."""
+
+import re
+
+_BLANK_LINE = re.compile(rb"\n\r?\n")
+_BLANK_LINE_BYTES = 3
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] ([1-5][0-9]{2})[ \r\n]")
+_SWITCHING_PROTOCOLS = b"101"
+
+
+class InvalidHead(Exception):
+    """Report a head that is not valid in HTTP/1.1, though the parser accepts it."""
+
+
+class HeadChecker:
+    """Check what is received of one answer, up to the end of its head."""
+
+    def __init__(self) -> None:
+        self._pending = bytearray()
+        self._has_ended = False
+
+    def check(self, data: bytes) -> None:
+        """Check the next bytes; raise `InvalidHead`."""
+        if self._has_ended:
+            return
+        start = max(0, len(self._pending) - _BLANK_LINE_BYTES)
+        self._pending += data
+        while found := _BLANK_LINE.search(self._pending, start):
+            self._has_ended = _check_head(bytes(self._pending[: found.end()]))
+            if self._has_ended:
+                self._pending.clear()
+                return
+            del self._pending[: found.end()]
+            start = 0
+
+
+def _check_head(head: bytes) -> bool:
+    """Check a head; return whether it is not that of an interim answer."""
+    line = _STATUS_LINE.match(head)
+    if line is None:
+        raise InvalidHead(f"no valid status line: {head[:40]!r}")
+    return line[1][:1] != b"1" or line[1] == _SWITCHING_PROTOCOLS
--- a/src/hyssopvane/_internal/utils/bounded_backend.py
+++ b/src/hyssopvane/_internal/utils/bounded_backend.py
@@ -1,10 +1,11 @@
-"""Bound what httpcore reads at once, and the bytes before the head of an answer."""
+"""Bound what httpcore reads at once, and check the heads of answers."""
 
 from collections.abc import AsyncIterator, Iterable
 from typing import Any
 
 import httpcore
 
+from hyssopvane._internal.utils.answer_heads import HeadChecker, InvalidHead
 from hyssopvane._internal.utils.part_meter import PartMeter, TooManyParts
 from hyssopvane._internal.utils.stream_ends import follows_orderly_end
 
@@ -45,11 +46,12 @@
 
 
 class _BoundedStream(httpcore.AsyncNetworkStream):
-    """Wrap a connection, and count the bytes until the head of an answer is known."""
+    """Wrap a connection, and check and bound the head of each answer."""
 
     def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
         self._stream = stream
         self._head_bytes_left: float = MAX_HEAD_BYTES
+        self._head = HeadChecker()
         self._has_broken = False
         """Whether a write failed, and not because the remote end had closed."""
 
@@ -60,10 +62,15 @@
         self._head_bytes_left -= len(data)
         if self._head_bytes_left < 0:
             raise httpcore.ReadError("the head of the answer is too large")
+        try:
+            self._head.check(data)
+        except InvalidHead as error:
+            raise httpcore.RemoteProtocolError(str(error)) from error
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         self._head_bytes_left = MAX_HEAD_BYTES
+        self._head = HeadChecker()
         try:
             await self._stream.write(buffer, timeout)
         except httpcore.WriteError as error:
--- a/tests/lib/leaving_callers.py
+++ b/tests/lib/leaving_callers.py
@@ -10,7 +10,9 @@
 
 import h2.config
 import h2.connection
+import h2.events
 import h2.settings
+import h11
 import trio
 
 MAX_WINDOW = 2**31 - 1
@@ -60,6 +62,13 @@
     async def cancel(self) -> None:
         """Cancel the last request, and keep the connection open."""
 
+    @abstractmethod
+    async def read_answer(self) -> tuple[int, bytes | None]:
+        """Return status and body of the last request's answer.
+
+        The status is 0 without an answer, and the body None if it is not whole.
+        """
+
     async def leave(self, departure: Departure) -> None:
         """Leave in the given way."""
         if departure is Departure.CANCEL:
@@ -115,6 +124,27 @@
     async def cancel(self) -> None:
         raise NotImplementedError("HTTP/1.1 has no way to cancel a request")
 
+    async def read_answer(self) -> tuple[int, bytes | None]:
+        parser = h11.Connection(h11.CLIENT)
+        parser.send(h11.Request(method="GET", target="/", headers=[("Host", "x")]))
+        parser.send(h11.EndOfMessage())
+        status, body = 0, b""
+        try:
+            while True:
+                event = parser.next_event()
+                if event is h11.NEED_DATA:
+                    parser.receive_data(await self.stream.receive_some(65_536))
+                elif isinstance(event, h11.Response):
+                    status = event.status_code
+                elif isinstance(event, h11.Data):
+                    body += bytes(event.data)
+                elif isinstance(event, h11.EndOfMessage):
+                    return status, body
+                elif isinstance(event, h11.ConnectionClosed):
+                    return 0, None
+        except (h11.RemoteProtocolError, trio.BrokenResourceError):
+            return status, None
+
 
 class Http2Caller(RawCaller):
     """Send requests over HTTP/2, with windows that never limit the answers."""
@@ -166,6 +196,20 @@
         self.connection.reset_stream(self.number)
         await self.flush()
 
+    async def read_answer(self) -> tuple[int, bytes | None]:
+        status, body = 0, b""
+        while data := await self.stream.receive_some(65_536):
+            for event in self.connection.receive_data(bytes(data)):
+                if isinstance(event, h2.events.ResponseReceived):
+                    status = int(dict(event.headers)[b":status"])
+                elif isinstance(event, h2.events.DataReceived):
+                    body += event.data
+                elif isinstance(event, h2.events.StreamEnded):
+                    return status, body
+                elif isinstance(event, h2.events.StreamReset):
+                    return status, None
+        return status, None
+
     async def ping(self) -> None:
         """Send a frame that the entry has to acknowledge."""
         self.connection.ping(b"no-reply")
