Refuse answers in whose head a line begins with a blank

Other blanks and control bytes in names were refused before.

Cause: the parser reads such lines as the folded fields of old versions of HTTP and joins them. RFC 9112, 5.2 lets a gateway discard such an answer and send 502.

The other odd names and lines of the table were refused before.

Why it works: HeadChecker looks for such lines before the head is parsed, wherever answers are read. The attempt fails and counts as a failure of the replica.

--- a/src/hyssopvane/_internal/utils/answer_heads.py
+++ b/src/hyssopvane/_internal/utils/answer_heads.py
@@ -5,6 +5,12 @@
 _BLANK_LINE = re.compile(rb"\n\r?\n")
 _BLANK_LINE_BYTES = 3
 _STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] ([1-5][0-9]{2})[ \r\n]")
+_INVALID_BYTES = re.compile(rb"\n[ \t]")
+"""Lines that begin with a blank.
+
+The parser joins such a line to the field before it, so that its name would become part
+of that field's value.
+"""
 _SWITCHING_PROTOCOLS = b"101"
 
 
@@ -39,4 +45,7 @@
     line = _STATUS_LINE.match(head)
     if line is None:
         raise InvalidHead(f"no valid status line: {head[:40]!r}")
+    invalid = _INVALID_BYTES.search(head)
+    if invalid is not None:
+        raise InvalidHead(f"not valid in a head: {invalid[0]!r}")
     return line[1][:1] != b"1" or line[1] == _SWITCHING_PROTOCOLS
--- a/tests/functional/test_odd_heads.py
+++ b/tests/functional/test_odd_heads.py
@@ -16,7 +16,7 @@
 from hyssopvane._internal.transport.replica_client import ReplicaClient, ReplicaFailed
 from hyssopvane._internal.transport.target_client import TargetClient, TargetFailed
 from tests.lib.direct_installation import HANG_S, HOST, KEY, open_direct
-from tests.lib.direct_replica import DirectReplica, answer_whole
+from tests.lib.direct_replica import DirectReplica, answer_whole, make_event
 from tests.lib.leaving_callers import Http1Caller, Http2Caller
 from tests.lib.raw_replica import RawAnswer, serve_raw
 
@@ -120,9 +120,9 @@
 }
 
 
-def make_answer(reader, status=b"200 OK", fields=b""):
+def make_answer(reader, status=b"200 OK", fields=b"", *, body=None):
     """Return a whole answer that a reader takes if its head is valid."""
-    body = json.dumps(reader.document).encode()
+    body = json.dumps(reader.document).encode() if body is None else body
     return HEAD % (status, fields) + b"Content-Length: %d\r\n\r\n" % len(body) + body
 
 
@@ -139,6 +139,11 @@
     return trio.run(main)
 
 
+def make_event_answer(status=b"200 OK", fields=b""):
+    """Return a whole answer to a request of any kind, if its head is valid."""
+    return make_answer(READERS["replica"], status, fields, body=make_event(1))
+
+
 def call_entry(data, *, path="/bids/7", kind=Http1Caller, is_reset=False):
     """Return status and body of what a caller gets from a replica that sends this."""
 
@@ -171,6 +176,14 @@
     assert read_answer(reader, make_answer(reader, fields=fields))
 
 
+@pytest.mark.parametrize("path", SERVICES)
+@pytest.mark.parametrize("kind", [Http1Caller, Http2Caller])
+def test_answer_with_a_valid_head_reaches_a_caller(kind, path):
+    """Guard against void tests of heads that are not valid."""
+    data = make_event_answer(fields=b"X-Empty:\r\n")
+    assert call_entry(data, path=path, kind=kind) == (200, make_event(1))
+
+
 @pytest.mark.parametrize("status", [b"000", b"000 OK", b"099 OK", b"600 OK", b"999 OK"])
 @pytest.mark.parametrize("name", READERS)
 def test_answer_with_an_impossible_status_is_refused(name, status):
@@ -183,5 +196,40 @@
 @pytest.mark.parametrize("kind", [Http1Caller, Http2Caller])
 def test_impossible_status_does_not_reach_a_caller(kind, path, status):
     """Guard against the same through an entry."""
-    data = make_answer(READERS["replica"], status)
+    data = make_event_answer(status)
+    assert call_entry(data, path=path, kind=kind)[0] == 502
+
+
+ODD_LINES = {
+    "joined-to-signature": b" X-Odd: b\r\n",
+    "joined-by-tab": b"\tX-Odd: b\r\n",
+    "joined-length": b"X-A: b\r\n Content-Length: 1\r\n",
+    "blank-line-with-a-blank": b"X-A: b\r\n \r\n",
+    "blank-in-name": b"X Odd: b\r\n",
+    "blank-before-colon": b"X-Odd : b\r\n",
+    "control-in-name": b"X-\x01Odd: b\r\n",
+    "zero-in-name": b"X-\x00Odd: b\r\n",
+    "no-name": b": b\r\n",
+    "no-colon": b"X-Odd\r\n",
+    "zero-in-value": b"X-Odd: a\x00b\r\n",
+    "bare-return": b"X-Odd: a\rX-More: b\r\n",
+    "bare-return-at-the-end": b"X-Odd: a\r\r\n",
+}
+"""Lines of a head that are not valid (RFC 9110, 5; RFC 9112, 5)."""
+
+
+@pytest.mark.parametrize("odd", ODD_LINES)
+@pytest.mark.parametrize("name", READERS)
+def test_answer_with_an_odd_line_in_its_head_is_refused(name, odd):
+    """Guard against fields that other readers of the same head see differently."""
+    data = make_answer(READERS[name], fields=ODD_LINES[odd])
+    assert not read_answer(READERS[name], data)
+
+
+@pytest.mark.parametrize("odd", ODD_LINES)
+@pytest.mark.parametrize("path", SERVICES)
+@pytest.mark.parametrize("kind", [Http1Caller, Http2Caller])
+def test_odd_line_does_not_reach_a_caller(kind, path, odd):
+    """Guard against the same through an entry, whose caller gets the odd field."""
+    data = make_event_answer(fields=ODD_LINES[odd])
     assert call_entry(data, path=path, kind=kind)[0] == 502
