Refuse answers with control bytes in the head

Cause: the parser refuses a zero byte and the bytes that end a line, and lets other control bytes through.

A tab within a value, bytes above 127 in values and reasons, and empty values and reasons are valid and are still taken.

Why it works: HeadChecker looks for control bytes, other than a tab, before the head is parsed, wherever answers are read. The attempt fails and counts as a failure of the replica.

--- a/src/hyssopvane/_internal/utils/answer_heads.py
+++ b/src/hyssopvane/_internal/utils/answer_heads.py
@@ -5,8 +5,8 @@
 _BLANK_LINE = re.compile(rb"\n\r?\n")
 _BLANK_LINE_BYTES = 3
 _STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] ([1-5][0-9]{2})[ \r\n]")
-_INVALID_BYTES = re.compile(rb"\n[ \t]")
-"""Lines that begin with a blank.
+_INVALID_BYTES = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]|\r(?!\n)|\n[ \t]")
+"""Control bytes, and lines that begin with a blank.
 
 The parser joins such a line to the field before it, so that its name would become part
 of that field's value.
--- a/tests/functional/test_odd_heads.py
+++ b/tests/functional/test_odd_heads.py
@@ -212,6 +212,9 @@
     "no-name": b": b\r\n",
     "no-colon": b"X-Odd\r\n",
     "zero-in-value": b"X-Odd: a\x00b\r\n",
+    "control-in-value": b"X-Odd: a\x01b\r\n",
+    "escape-in-value": b"X-Odd: \x1b[2J\r\n",
+    "delete-in-value": b"X-Odd: a\x7fb\r\n",
     "bare-return": b"X-Odd: a\rX-More: b\r\n",
     "bare-return-at-the-end": b"X-Odd: a\r\r\n",
 }
@@ -233,3 +236,9 @@
     """Guard against the same through an entry, whose caller gets the odd field."""
     data = make_event_answer(fields=ODD_LINES[odd])
     assert call_entry(data, path=path, kind=kind)[0] == 502
+
+
+def test_reason_with_a_control_byte_is_refused():
+    """Guard against control bytes in the first line of an answer."""
+    data = make_answer(READERS["replica"], b"200 O\x1bK")
+    assert not read_answer(READERS["replica"], data)
