Let a connection that broke stay so, and read the status of a head once

A failed write after another one could not make a broken connection count as ended in order again; no caller writes twice after a failure, so no test shows it. HeadChecker returns the status of a head instead of whether it is the last one.

--- a/src/hyssopvane/_internal/transport/raw_stream.py
+++ b/src/hyssopvane/_internal/transport/raw_stream.py
@@ -123,7 +123,7 @@
                 await self._send_slices(buffer)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             self.has_ended = True
-            self._has_broken = not follows_orderly_end(error)
+            self._has_broken |= not follows_orderly_end(error)
             raise WriteError(repr(error.__cause__ or error)) from error
         finally:
             sending, self._sending = self._sending, None
--- a/src/hyssopvane/_internal/utils/answer_heads.py
+++ b/src/hyssopvane/_internal/utils/answer_heads.py
@@ -11,11 +11,12 @@
 The parser joins such a line to the field before it, so that its name would become part
 of that field's value.
 """
-_SWITCHING_PROTOCOLS = b"101"
+_SWITCHING_PROTOCOLS = 101
+_FIRST_FINAL = 200
 
 
 class InvalidHead(Exception):
-    """Report a head that is not valid in HTTP/1.1, though the parser accepts it."""
+    """Report a head that is not valid in HTTP/1.1."""
 
 
 class HeadChecker:
@@ -32,20 +33,22 @@
         start = max(0, len(self._pending) - _BLANK_LINE_BYTES)
         self._pending += data
         while found := _BLANK_LINE.search(self._pending, start):
-            self._has_ended = _check_head(bytes(self._pending[: found.end()]))
-            if self._has_ended:
+            status = _check_head(bytes(self._pending[: found.end()]))
+            del self._pending[: found.end()]
+            if status >= _FIRST_FINAL or status == _SWITCHING_PROTOCOLS:
+                self._has_ended = True
                 self._pending.clear()
                 return
-            del self._pending[: found.end()]
+            # The head of an interim answer; another one follows.
             start = 0
 
 
-def _check_head(head: bytes) -> bool:
-    """Check a head; return whether it is not that of an interim answer."""
+def _check_head(head: bytes) -> int:
+    """Return the status of a head; raise `InvalidHead`."""
     line = _STATUS_LINE.match(head)
     if line is None:
         raise InvalidHead(f"no valid status line: {head[:40]!r}")
     invalid = _INVALID_BYTES.search(head)
     if invalid is not None:
         raise InvalidHead(f"not valid in a head: {invalid[0]!r}")
-    return line[1][:1] != b"1" or line[1] == _SWITCHING_PROTOCOLS
+    return int(line[1])
--- a/src/hyssopvane/_internal/utils/bounded_backend.py
+++ b/src/hyssopvane/_internal/utils/bounded_backend.py
@@ -75,7 +75,7 @@
             await self._stream.write(buffer, timeout)
         except httpcore.WriteError as error:
             # The pool goes on to read, as the answer may have been sent before.
-            self._has_broken = not follows_orderly_end(error)
+            self._has_broken |= not follows_orderly_end(error)
             raise
 
     async def aclose(self) -> None:
