Let early answers to streams be events, so that whole ones are checked too

The body of the cases was no event, so that a stream was refused in any case and a whole one was not looked at.

--- a/tests/functional/test_early_answers.py
+++ b/tests/functional/test_early_answers.py
@@ -1,6 +1,5 @@
 """Test replicas that answer before they have read the whole body of a request."""
 
-import struct
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from functools import partial
@@ -31,6 +30,7 @@
     open_direct,
 )
 from tests.lib.direct_replica import DirectReplica, chunk, make_event
+from tests.lib.raw_replica import RESET
 
 BODY = 30_000_000 * b"x"
 ANSWER_S = STALL_S + 2 * REVIEW_INTERVAL_S
@@ -48,8 +48,7 @@
     """Answer whole, and reset the connection."""
     await stream.send_all(HEAD + b"whole answer")
     await trio.sleep(0.1)
-    linger = struct.pack("ii", 1, 0)
-    stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, linger)
+    stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, RESET)
 
 
 async def serve(behave, stream):
@@ -97,7 +96,6 @@
     trio.run(main)
 
 
-RESET = struct.pack("ii", 1, 0)
 PAUSE_S = 0.05
 MAX_UPLOAD_BYTES = 4_194_304
 PART = b"a part of the answer"
@@ -109,7 +107,7 @@
     """Define an answer that is sent before the request is read, and how it ends."""
 
     fields: bytes = b""
-    body: bytes = PART
+    body: bytes = b""
     version: bytes = b"1.1"
     end: str = "reset"
     is_whole: bool = False
@@ -117,19 +115,25 @@
 
 CHUNKS = b"Transfer-Encoding: chunked\r\n"
 LENGTH = b"Content-Length: %d\r\n"
-ANSWERS = {
-    "reset": EarlyAnswer(),
-    "closed-unread": EarlyAnswer(end="close"),
-    "empty": EarlyAnswer(body=b""),
-    "old-version": EarlyAnswer(version=b"1.0"),
-    "events": EarlyAnswer(body=EVENTS),
-    "part-of-length": EarlyAnswer(LENGTH % 100),
-    "part-of-chunks": EarlyAnswer(CHUNKS, chunk(PART)),
-    "length": EarlyAnswer(LENGTH % len(PART), is_whole=True),
-    "chunks": EarlyAnswer(CHUNKS, chunk(PART) + chunk(b""), is_whole=True),
-    "ended-then-reset": EarlyAnswer(end="end-and-reset", is_whole=True),
-    "ended-and-read": EarlyAnswer(end="end-and-read", is_whole=True),
-}
+
+
+def make_early_answers(part):
+    """Return answers with a body, or with a part of one, by name."""
+    return {
+        "reset": EarlyAnswer(body=part),
+        "closed-unread": EarlyAnswer(body=part, end="close"),
+        "empty": EarlyAnswer(body=b""),
+        "old-version": EarlyAnswer(body=part, version=b"1.0"),
+        "part-of-length": EarlyAnswer(LENGTH % 100, part),
+        "part-of-chunks": EarlyAnswer(CHUNKS, chunk(part)),
+        "length": EarlyAnswer(LENGTH % len(part), part, is_whole=True),
+        "chunks": EarlyAnswer(CHUNKS, chunk(part) + chunk(b""), is_whole=True),
+        "ended-then-reset": EarlyAnswer(body=part, end="end-and-reset", is_whole=True),
+        "ended-and-read": EarlyAnswer(body=part, end="end-and-read", is_whole=True),
+    }
+
+
+ANSWERS = make_early_answers(PART)
 
 
 def read_request_id(head):
@@ -226,8 +230,9 @@
 @pytest.mark.parametrize("name", ANSWERS)
 def test_caller_that_uploads_gets_no_part_of_an_answer_as_whole(name, path):
     """Guard against the same through an entry, for requests of all kinds."""
-    answer = ANSWERS[name]
-    service = "checks" if path in ("/status/7", "/bids/7") else "drafting"
+    is_stream = path in ("/once/7", "/drafts/7")
+    part, service = (EVENTS, "drafting") if is_stream else (PART, "checks")
+    answer = make_early_answers(part)[name]
     limits = make_configuration(1)["limits"] | {"max-body-bytes": MAX_UPLOAD_BYTES}
 
     async def main():
@@ -247,10 +252,9 @@
                 except ReplicaFailed:
                     assert not answer.is_whole
                     return
-                is_stream = service == "drafting"
-                if answer.is_whole and not is_stream:
-                    assert (got.status, got.body) == (200, PART)
-                elif not answer.is_whole:
+                if answer.is_whole:
+                    assert (got.status, got.body) == (200, part)
+                else:
                     assert got.status == 502
 
     trio.run(main)
--- a/tests/lib/raw_replica.py
+++ b/tests/lib/raw_replica.py
@@ -1,5 +1,6 @@
 """Stand in for a server that answers each request with the same bytes."""
 
+import struct
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
@@ -8,7 +9,7 @@
 import h11
 import trio
 
-RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+RESET = struct.pack("ii", 1, 0)
 """Socket option of a connection that is closed with a reset."""
 
 REQUEST_ID = b"%id"
