--- a/tests/functional/test_early_answers.py
+++ b/tests/functional/test_early_answers.py
@@ -151,7 +151,7 @@
     await stream.send_all(
         head % (answer.version, request_id, answer.fields) + answer.body
     )
-    # The entry goes on to send meanwhile, and would not see an error by reading.
+    # The request is still being sent, so that its sender sees the reset by writing.
     await trio.sleep(PAUSE_S)
     if answer.end.startswith("end"):
         await stream.send_eof()
--- a/tests/functional/test_promised_refusals.py
+++ b/tests/functional/test_promised_refusals.py
@@ -7,9 +7,6 @@
 from tests.lib.direct_installation import HANG_S, open_direct
 from tests.lib.direct_replica import STREAM_HEAD, chunk, make_answer, make_event
 
-PROMISES = (408, 421, 429, 503)
-"""Statuses which tell callers that the request has not run and never will."""
-
 NOT_RUN = (("X-Not-Executed", "1"),)
 RETRY_AFTER = (("Retry-After", "0.5"),)
 
@@ -69,10 +66,11 @@
 
 @pytest.mark.parametrize("last", [(503, NOT_RUN), (429, NOT_RUN), (421, ())])
 @pytest.mark.parametrize("first", [(None, ()), (503, ()), (500, ()), (429, ())])
-def test_refusal_after_an_attempt_that_may_have_run_promises_nothing(first, last):
+@pytest.mark.parametrize("path", ["/status/7", "/drafts/7"])
+def test_refusal_after_an_attempt_that_may_have_run_promises_nothing(path, first, last):
     """Guard against a last attempt that hides what became of an earlier one."""
     replica = make_replica_behavior(first, last)
-    answer = call("/status/7", [replica] * 2)
+    answer = call(path, [replica] * 2)
     assert answer.status == (500 if first[0] == 500 else 502)
 
 
--- a/tests/lib/answer_readers.py
+++ b/tests/lib/answer_readers.py
@@ -20,7 +20,7 @@
 from tests.lib.raw_replica import RawAnswer, serve_raw
 
 HEAD = b"HTTP/1.1 %s\r\nX-Request-Id: %%id\r\nX-Response-Signature: s\r\n%s"
-"""Begin of a head, up to its last fields."""
+"""Template of a head, for its status and its last fields; `%id` is the request's ID."""
 
 HEADERS = (
     ("Host", HOST),
