--- a/tests/functional/test_early_answers.py
+++ b/tests/functional/test_early_answers.py
@@ -97,6 +97,7 @@
 
 
 PAUSE_S = 0.05
+PART_BYTES = 65_536
 MAX_UPLOAD_BYTES = 4_194_304
 PART = b"a part of the answer"
 EVENTS = make_event(1) + make_event(2)
@@ -197,9 +198,14 @@
     """Return the body of a target's answer, None if it is not whole."""
     client = TargetClient(address)
     headers = ((b"content-length", b"%d" % len(body)),)
+
+    async def iterate_parts():
+        for start in range(0, len(body), PART_BYTES):
+            yield body[start : start + PART_BYTES]
+
     try:
         async with client.call(
-            method="POST", path=b"/", headers=headers, body=body
+            method="POST", path=b"/", headers=headers, body=iterate_parts()
         ) as response:
             return await response.aread()
     except TargetFailed:
