--- a/tests/lib/answer_readers.py
+++ b/tests/lib/answer_readers.py
@@ -3,15 +3,21 @@
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 
 import trio
 
 from hyssopvane._internal.coordination.etcd_key_value import EtcdKeyValueStore
 from hyssopvane._internal.coordination.rank_control import RankError
 from hyssopvane._internal.coordination.vm_list import fetch_vms
-from hyssopvane._internal.exceptions import KeyValueError, VmListError
+from hyssopvane._internal.exceptions import (
+    KeyValueError,
+    OperatorRequestError,
+    VmListError,
+)
 from hyssopvane._internal.platform.ranks import PlatformRanks
 from hyssopvane._internal.platform.store import PlatformStore
+from hyssopvane._internal.transport.operator_client import read_operators_page
 from hyssopvane._internal.transport.replica_client import ReplicaClient, ReplicaFailed
 from hyssopvane._internal.transport.target_client import TargetClient, TargetFailed
 from tests.lib.direct_installation import HANG_S, HOST, KEY, open_direct
@@ -106,6 +112,16 @@
     return True
 
 
+async def read_operators(address: str) -> bool:
+    """Read a page of an operators' listener, as the command line does."""
+    read = partial(read_operators_page, address, "/in-force", token="t")
+    try:
+        await trio.to_thread.run_sync(read)
+    except OperatorRequestError:
+        return False
+    return True
+
+
 @dataclass(frozen=True)
 class Reader:
     """Define a call, and the body of an answer that it takes."""
@@ -122,6 +138,7 @@
     "rank": Reader(read_rank, {"step": 1, "epoch": 1, "counts": [1, 2]}),
     "etcd": Reader(read_etcd, {"header": {"revision": "7", "cluster_id": "1"}}),
     "vm-list": Reader(read_vms, {"vms": []}),
+    "operators": Reader(read_operators, {"vm": "entry-1"}),
 }
 
 
