--- a/tests/functional/test_rank_agent.py
+++ b/tests/functional/test_rank_agent.py
@@ -33,6 +33,7 @@
 from tests.lib.direct_store import DirectStore
 from tests.lib.rank_model import RANKS
 from tests.lib.rank_standin import GroupStandIn
+from tests.lib.raw_replica import RawAnswer, serve_raw
 
 NOWHERE = "127.0.0.1:1"
 """Address at which no store answers."""
@@ -81,9 +82,9 @@
     return make_role(settings)
 
 
-async def start_group(nursery, *, cut_off=()):
+async def start_group(nursery, *, cut_off=(), store_delay_s=0.0):
     """Start a store, ranks and agents; agents in `cut_off` can't reach the store."""
-    group, store, port = GroupStandIn(), DirectStore(), find_port()
+    group, store, port = GroupStandIn(), DirectStore(delay_s=store_delay_s), find_port()
     store_address = await serve(nursery, store, "127.0.0.1")
     configuration = make_configuration(1)
     configuration["services"][1]["engine"] = ENGINE | EXPERTS
@@ -274,6 +275,25 @@
     run(test, cut_off=(0,))
 
 
+def test_agent_that_the_store_answers_asks_no_entry():
+    """Guard against copies of a large configuration from entries and the store.
+
+    They would fill the link of the agent's VM, and hold up the requests to its replica.
+    """
+
+    async def test(group, agents, port, nursery):
+        async with serve_raw(RawAnswer(b"HTTP/1.1 404 -\r\n\r\n")) as entry:
+            messages = DatagramPort("127.0.0.1:0")
+            await messages.start(nursery, lambda message, sender: None)
+            state = EntryState(messages.address, entry.address, 9, 9, "zone-a")
+            while agents[0].feed.table is None:
+                await messages.send(state, f"127.0.0.1:{port}")
+                await trio.sleep(0.05)
+            assert entry.received == 0
+
+    run(test, store_delay_s=0.7)
+
+
 REPORT = RankReport(
     group="g",
     epoch=1,
