--- a/src/hyssopvane/_internal/roles/direct_entry.py
+++ b/src/hyssopvane/_internal/roles/direct_entry.py
@@ -129,7 +129,7 @@
             count=self.metrics.count_event,
             follows_evacuations=settings.evacuate_s is not None,
         )
-        self.exchange = SnapshotExchange(self.feed, seeds=settings.seeds)
+        self.exchange = SnapshotExchange(self.feed, seeds=settings.seeds, random=random)
         tracker = SuspectTracker(
             rules=LOST_CONNECTIONS,
             max_records=MAX_LONG_RECORDS,
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -149,7 +149,7 @@
             observe=self._update,
             count=self._metrics.count_event,
         )
-        self._exchange = SnapshotExchange(self.feed, seeds=())
+        self._exchange = SnapshotExchange(self.feed, seeds=(), random=self._random)
         self._passes = PassMeter()
         self._coordinator = MapCoordinator(nonce=secrets.randbits(31))
         self._publisher = LoadPublisher(
--- a/src/hyssopvane/_internal/roles/snapshot_exchange.py
+++ b/src/hyssopvane/_internal/roles/snapshot_exchange.py
@@ -5,6 +5,7 @@
 notice. The snapshot of its peers reaches it within a second.
 """
 
+from random import Random
 from typing import Any
 
 import trio
@@ -45,14 +46,26 @@
 
 
 class SnapshotExchange:
-    """Fetch newer snapshots of the store from peers, and serve the own one."""
+    """Fetch newer snapshots of the store from peers, and serve the own one.
 
-    def __init__(self, feed: RoutingFeed, *, seeds: tuple[str, ...]) -> None:
+    One is fetched at a time. A snapshot may take most of a second of the machine's
+    link, and all other traffic of the machine waits behind what is fetched.
+    """
+
+    def __init__(
+        self, feed: RoutingFeed, *, seeds: tuple[str, ...], random: Random
+    ) -> None:
         self._feed = feed
         self._seeds = seeds
+        self._random = random
         self._client = ReplicaClient()
         self._nursery: trio.Nursery | None = None
-        self._fetching: set[str] = set()
+        self._newer: dict[str, EntryState] = {}
+        """States of peers that have newer snapshots, by the address to fetch from."""
+        self._is_fetching = False
+        """Whether a task fetches the snapshots of these peers."""
+        self._turn = trio.Lock()
+        """Held while a snapshot is fetched."""
 
     def start(self, nursery: trio.Nursery) -> None:
         """Start to poll the seeds until a configuration is known."""
@@ -66,10 +79,13 @@
 
     def observe(self, peer: EntryState) -> None:
         """Fetch the snapshot of a peer if its state is newer than the own one."""
-        if self._is_newer(peer) and peer.beliefs not in self._fetching:
+        if not self._is_newer(peer):
+            return
+        self._newer[peer.beliefs] = peer
+        if not self._is_fetching:
             assert self._nursery is not None
-            self._fetching.add(peer.beliefs)
-            self._nursery.start_soon(self._fetch_later, peer)
+            self._is_fetching = True
+            self._nursery.start_soon(self._fetch_newer)
 
     async def answer(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer a peer's request with the own snapshot."""
@@ -93,20 +109,49 @@
             )
         )
 
-    async def _fetch_later(self, peer: EntryState) -> None:
+    async def _fetch_newer(self) -> None:
+        tried: set[str] = set()
         try:
             await trio.sleep(FETCH_DELAY_S)
-            if self._is_newer(peer):
-                await self._fetch(peer.beliefs)
+            while True:
+                async with self._turn:
+                    address = self._choose_peer(tried)
+                    if address is None:
+                        return
+                    tried.add(address)
+                    await self._fetch(address)
         finally:
-            self._fetching.discard(peer.beliefs)
+            self._is_fetching = False
+
+    def _choose_peer(self, tried: set[str]) -> str | None:
+        """Return the address of a peer with the newest snapshot, None if none is newer.
+
+        It is drawn among those of the same age, as many processes hear the same peers.
+        """
+        self._newer = {
+            address: peer
+            for address, peer in self._newer.items()
+            if self._is_newer(peer) and address not in tried
+        }
+        if not self._newer:
+            return None
+        newest = max(map(_get_age_key, self._newer.values()))
+        return self._random.choice(
+            [
+                address
+                for address, peer in self._newer.items()
+                if _get_age_key(peer) == newest
+            ]
+        )
 
     async def _fetch_from_seeds(self) -> None:
         # After a restart during a store outage only peers have the configuration.
         await trio.sleep(SEED_INTERVAL_S)
         while not self._feed.is_ready():
             for seed in self._seeds:
-                await self._fetch(seed)
+                async with self._turn:
+                    if not self._feed.is_ready():
+                        await self._fetch(seed)
             await trio.sleep(SEED_INTERVAL_S)
 
     async def _fetch(self, address: str) -> None:
@@ -138,3 +183,12 @@
             replicas_revision=snapshot.replicas_revision,
             era=snapshot.replicas_era,
         )
+
+
+def _get_age_key(peer: EntryState) -> tuple[int, StorePosition, StorePosition]:
+    """Return a key that is higher for a newer snapshot."""
+    return (
+        peer.configuration_version,
+        StorePosition(peer.replicas_era, peer.replicas_revision),
+        peer.evacuations_changed_at,
+    )
--- a/tests/functional/test_endless_services.py
+++ b/tests/functional/test_endless_services.py
@@ -53,7 +53,7 @@
 async def read_snapshot(address: str) -> None:
     store = PlatformStore(address=address)
     feed = RoutingFeed(store, PlatformFormat(), random=Random(1), observe=lambda: None)
-    exchange = SnapshotExchange(feed, seeds=())
+    exchange = SnapshotExchange(feed, seeds=(), random=Random(1))
     await exchange._fetch(address)
     assert feed.table is None
     await exchange.close()
--- a/tests/functional/test_snapshot_exchange.py
+++ b/tests/functional/test_snapshot_exchange.py
@@ -62,7 +62,7 @@
         self.feed = RoutingFeed(
             None, PlatformFormat(), random=Random(1), observe=lambda: None
         )
-        self.exchange = SnapshotExchange(self.feed, seeds=())
+        self.exchange = SnapshotExchange(self.feed, seeds=(), random=Random(1))
 
     @asynccontextmanager
     async def run(self):
--- a/tests/lib/store_return_model.py
+++ b/tests/lib/store_return_model.py
@@ -306,7 +306,7 @@
         return Process(
             feed,
             client,
-            SnapshotExchange(feed, seeds=()),
+            SnapshotExchange(feed, seeds=(), random=random),
             scope,
             in_contact_from,
             trio.current_time(),
--- a/tests/unit/test_evacuation_feed.py
+++ b/tests/unit/test_evacuation_feed.py
@@ -215,7 +215,10 @@
     state = EntryState(ADDRESS, ADDRESS, 0, 0, evacuations_changed_at=position)
     received = group_messages.decode_message(group_messages.encode_message(state))
     assert received == state
-    assert SnapshotExchange(feed, seeds=())._is_newer(received) == is_newer
+    assert (
+        SnapshotExchange(feed, seeds=(), random=Random(1))._is_newer(received)
+        == is_newer
+    )
 
 
 @pytest.mark.parametrize("kind", ["Beliefs", "EntryState"])
