Let agents ask entries for the configuration only if the store fails

Cause: an agent that waited for the store's copy of the configuration for more than 0.25 s fetched one from an entry as well. With 1,889 routes the store's copy takes 0.8 s of the VM's link, so both were always on their way.

Evidence: test_agent_that_the_store_answers_asks_no_entry failed before, with two fetches from an entry while the store sent its answer in 0.7 s.

--- a/src/hyssopvane/_internal/coordination/routing_feed.py
+++ b/src/hyssopvane/_internal/coordination/routing_feed.py
@@ -145,6 +145,11 @@
             self._was_ready.set()
         self._observe()
 
+    @property
+    def is_store_lost(self) -> bool:
+        """Return whether the store has failed to answer the last read of a prefix."""
+        return not all(self._connected.values())
+
     def export(self) -> StoreSnapshot:
         """Return a snapshot of the known state to send it to another process."""
         known = self.evacuations
--- a/src/hyssopvane/_internal/roles/rank_agent.py
+++ b/src/hyssopvane/_internal/roles/rank_agent.py
@@ -303,9 +303,11 @@
         if self._publisher.observe(state, now=now):
             log_event("info", "entry-found", entry=state.address, via=state.via)
         self.feed.end_watches_before(state.replicas_era)
-        if self._follows_store and self.feed.table is None and state.beliefs:
+        lacks_layout = self._follows_store and self.feed.table is None
+        if lacks_layout and self.feed.is_store_lost and state.beliefs:
             # The store may refuse only this machine. A leading agent without the
-            # layout of the experts changes no map, and all passes stay long.
+            # layout of the experts changes no map, and all passes stay long. While the
+            # store answers, a second copy would only delay the first.
             self._exchange.observe(state)
         if not state.lacks_load or state.via or report is None or not report.group:
             return
