Divide the free slots of a replica among the entries that see them

Cause: each entry chooses by loads that lack what the others have just sent. A replica that is empty for a moment, or whose loads lack its requests as they do not reach it, is the best one for all 16 entries.

Fix: each free slot has an owner, the home entry first and then by a hash of entry and replica, wider for entries that take more of the places. Slots of others are used only if there is no own one.

Tried on a scratch copy and not kept: to wait for an own slot.

--- a/src/hyssopvane/_internal/policy/home_replicas.py
+++ b/src/hyssopvane/_internal/policy/home_replicas.py
@@ -17,7 +17,9 @@
     def __init__(self) -> None:
         self._own = ""
         self._seeds: dict[str, int] = {}
+        self._own_seed = 0
         self._is_home: dict[str, bool] = {}
+        self._scores: dict[str, float] = {}
 
     def update(self, own: str, others: Iterable[str]) -> None:
         """Set the entries of the zone by their addresses."""
@@ -25,8 +27,15 @@
         if own == self._own and names == self._seeds.keys():
             return
         self._own = own
+        self._own_seed = rendezvous.hash_name(own)
         self._seeds = {name: rendezvous.hash_name(name) for name in names}
         self._is_home.clear()
+        self._scores.clear()
+
+    @property
+    def own(self) -> str:
+        """Return the address of this entry, empty if it is not known."""
+        return self._own
 
     def is_home(self, replica: str) -> bool:
         """Return whether this entry is the home of a replica, given by its address."""
@@ -36,6 +45,18 @@
             known = self._is_home[replica] = first == [self._own]
         return known
 
+    def measure_score(self, replica: str) -> float:
+        """Return a number from 0 to 1 that orders the entries of all zones.
+
+        Each replica, given by its address, has another order.
+        """
+        known = self._scores.get(replica)
+        if known is None:
+            score = rendezvous.score(replica.encode(), self._own_seed)
+            known = self._scores[replica] = score / rendezvous.SCORES
+        return known
+
     def remove(self, replica: str) -> None:
-        """Drop the cached result of a replica that is gone."""
+        """Drop the cached results of a replica that is gone."""
         self._is_home.pop(replica, None)
+        self._scores.pop(replica, None)
--- a/src/hyssopvane/_internal/policy/replica_choice.py
+++ b/src/hyssopvane/_internal/policy/replica_choice.py
@@ -10,6 +10,7 @@
 from hyssopvane._internal.policy.limited_replicas import LimitedReplicas
 from hyssopvane._internal.policy.replica_load import ReplicaLoad
 from hyssopvane._internal.policy.replica_notices import ReplicaNotices
+from hyssopvane._internal.policy.slot_owners import count_own_slots, find_position
 from hyssopvane._internal.policy.water_filling import (
     REQUEST_COST,
     choose_by_deficit,
@@ -160,8 +161,32 @@
             room = self._find_room(usable, group, avoid, now)
         if not room:
             return None
+        # A slot of another entry is used if there is no own one: no request waits
+        # beside a free slot.
+        room = [one for one in room if self._owns_slot(one, group, now)] or room
         return self._draw(room, group.estimate_arrivals(now))
 
+    def _owns_slot(self, one: _Candidate, group: GroupCapacity, now: float) -> bool:
+        """Return whether a free slot of a replica is this entry's to use."""
+        load = one.load
+        if not self._homes.own or load.load is None or not load.is_fresh(now):
+            # Without a load the entry counts by its own requests alone.
+            return True
+        # An entry that takes a larger part of the places owns as much of the slots.
+        entries = group.entries
+        if group.place_share:
+            entries = min(entries, 1 / group.place_share)
+        position = find_position(
+            self._homes.measure_score(load.replica.address),
+            is_home=self._is_home(load.replica),
+            entries=entries,
+        )
+        # A slot that this entry has freed is known to no other one yet.
+        unseen = len(load.sent_at)
+        shown = one.free + unseen - load.freed
+        own = load.freed + count_own_slots(shown, position, entries=entries)
+        return unseen < own
+
     def _choose_for_move(
         self, room: list[_Candidate], group: GroupCapacity, moving_s: float
     ) -> ReplicaLoad | None:
--- a/src/hyssopvane/_internal/policy/replica_load.py
+++ b/src/hyssopvane/_internal/policy/replica_load.py
@@ -56,6 +56,8 @@
     """Requests of this entry that run on the replica."""
     sent_at: list[float] = field(default_factory=list)
     """Send times of this entry's requests that no reported load includes yet."""
+    freed: int = 0
+    """Requests of this entry that have ended since the last reported load."""
     load: RankLoad | None = None
     observed_at: float = float("-inf")
     answered_at: float = float("-inf")
@@ -191,6 +193,7 @@
         # takes a few milliseconds to show.
         taken_at = now - _REPORT_DELAY_S
         self.sent_at = [at for at in self.sent_at if at > taken_at]
+        self.freed = 0
         self.observed_at = now
         return restarted
 
@@ -207,7 +210,7 @@
         self.replica = replace(self.replica, started_ms=started_ms)
         if not known:
             return False
-        self.own = 0
+        self.own = self.freed = 0
         self.sent_at.clear()
         self.failures = 0.0
         self.full_until = self.ejected_until = self.stalled_at = float("-inf")
@@ -229,5 +232,6 @@
         if self.load is not None and not self.sent_at and self.load.active:
             # The place is free before the next report shows it.
             self.load = self.load.remove_request()
+            self.freed += 1
         elif self.sent_at:
             self.sent_at.pop(0)
