Send no more to a replica whose loads lack what was sent to it

Its agent went on to report it as free, so that entries sent it more, and their callers left.

Cause: loads leave a VM on the free direction of a congested link. An entry took its request as included in the next load, whatever that named.

Evidence: three entries sent from 44.034 to 44.477, and nothing arrived before 45.6, while loads were at most 0.1 s old.

Fix: if loads have named fewer requests than the entry has there for 0.1 s, other replicas with a free slot go first. The case with three loads of test_replica_is_unreached_if_loads_lack_own_requests needs the new state.

--- a/src/hyssopvane/_internal/policy/replica_choice.py
+++ b/src/hyssopvane/_internal/policy/replica_choice.py
@@ -161,6 +161,8 @@
             room = self._find_room(usable, group, avoid, now)
         if not room:
             return None
+        # A request that does not reach its replica helps nobody.
+        room = [one for one in room if not one.load.is_unreached(now)] or room
         # A slot of another entry is used if there is no own one: no request waits
         # beside a free slot.
         room = [one for one in room if self._owns_slot(one, group, now)] or room
--- a/src/hyssopvane/_internal/policy/replica_load.py
+++ b/src/hyssopvane/_internal/policy/replica_load.py
@@ -31,6 +31,12 @@
 them.
 """
 
+UNREACHED_S = 0.1
+"""Time for which the loads of a replica must lack requests that were sent to it.
+
+A request waits that long at most for a connection and for its turn to be read.
+"""
+
 _REPORT_DELAY_S = 0.01
 """Time from sending a request until the replica's report includes it: two hops."""
 
@@ -77,6 +83,10 @@
     """Requests of this entry since then that have not ended, before it answers one."""
     paced_until: float = float("-inf")
     """Time until which it gets no requests because it is cold."""
+    missing_since: float = float("inf")
+    """Time of the first of the last loads that name fewer requests than this entry has
+    there; infinite if the last load names them.
+    """
     zone_share: float = 1.0
     """Share of the slots that may be used; 0 while the zone is evacuated."""
     registered_ms: int = 0
@@ -158,6 +168,13 @@
             return ceil(self.own * entries)
         return self.load.active + self.load.queued + len(self.sent_at)
 
+    def is_unreached(self, now: float) -> bool:
+        """Return whether requests that this entry has sent do not reach the replica.
+
+        Its agent reports it as free meanwhile, if only the way to its VM is congested.
+        """
+        return now - self.missing_since >= UNREACHED_S
+
     def count_unread_prompts(self) -> int:
         """Return the number of requests whose prompts the replica has yet to read."""
         queued = 0 if self.load is None else self.load.queued
@@ -195,6 +212,10 @@
         self.sent_at = [at for at in self.sent_at if at > taken_at]
         self.freed = 0
         self.observed_at = now
+        if load.active + load.queued >= self.own - len(self.sent_at):
+            self.missing_since = float("inf")
+        else:
+            self.missing_since = min(self.missing_since, now)
         return restarted
 
     def _reset_if_restarted(self, started_ms: int) -> bool:
@@ -212,6 +233,7 @@
             return False
         self.own = self.freed = 0
         self.sent_at.clear()
+        self.missing_since = float("inf")
         self.failures = 0.0
         self.full_until = self.ejected_until = self.stalled_at = float("-inf")
         self.answered_at = self.resumed_at = float("-inf")
--- a/tests/unit/test_slot_owners.py
+++ b/tests/unit/test_slot_owners.py
@@ -5,9 +5,11 @@
 import pytest
 
 from hyssopvane._internal.policy.home_replicas import HomeReplicas
+from hyssopvane._internal.policy.replica_load import UNREACHED_S, ReplicaLoad
 from hyssopvane._internal.policy.slot_owners import count_own_slots, find_position
 from tests.lib.fleet_model import ENTRIES, GROUPS, KINDS, RANKS, SLOTS
 from tests.lib.slot_model import SlotModel
+from tests.unit.test_stalled_places import NOW, make_load, make_replica
 
 SEEDS = range(6)
 REPLICAS = 200
@@ -65,3 +67,26 @@
             position = find_position(score, is_home=not entry, entries=entries)
             owned += count_own_slots(free, position, entries=entries)
     assert owned / REPLICAS == pytest.approx(free, rel=0.1)
+
+
+@pytest.mark.parametrize(
+    ("named", "sent_s_ago", "loads", "unreached"),
+    [
+        (0, 0.5, 1, False),
+        (0, 0.5, 3, True),
+        (1, 0.5, 3, False),
+        # A load is older than the request.
+        (0, 0.0, 1, False),
+    ],
+)
+def test_replica_is_unreached_if_loads_lack_own_requests(
+    named, sent_s_ago, loads, unreached
+):
+    one = ReplicaLoad(make_replica(1))
+    one.start(NOW - sent_s_ago)
+    for number in range(loads):
+        at = NOW + number * UNREACHED_S
+        one.observe(make_load(1, active=named), now=at)
+    assert one.is_unreached(at) == unreached
+    one.observe(make_load(1, active=1), now=at + UNREACHED_S)
+    assert not one.is_unreached(at + UNREACHED_S)
