--- a/src/hyssopvane/_internal/roles/direct_call.py
+++ b/src/hyssopvane/_internal/roles/direct_call.py
@@ -217,6 +217,7 @@
             "answer_age_ms": -1 if load is None else _to_age_ms(load.answered_at, now),
             "silent": gate.count_silent(self._replica, now),
             "stall": self._mover.describe(),
+            "unreached": load is not None and load.is_unreached(now),
         }
 
     def is_at_silent_vm(self) -> bool:
--- a/src/hyssopvane/_internal/roles/snapshot_exchange.py
+++ b/src/hyssopvane/_internal/roles/snapshot_exchange.py
@@ -155,6 +155,7 @@
             await trio.sleep(SEED_INTERVAL_S)
 
     async def _fetch(self, address: str) -> None:
+        began_at = trio.current_time()
         try:
             with trio.fail_after(FETCH_TIMEOUT_S) as scope:
                 async with self._client.call(
@@ -172,7 +173,13 @@
             ProtocolError,
             trio.TooSlowError,
         ) as error:
-            log_event("info", "beliefs-unavailable", peer=address, why=repr(error))
+            log_event(
+                "info",
+                "beliefs-unavailable",
+                peer=address,
+                why=repr(error),
+                took_ms=_to_ms(began_at),
+            )
             return
         self._feed.merge(snapshot)
         log_event(
@@ -182,9 +189,15 @@
             configuration_revision=snapshot.configuration_revision,
             replicas_revision=snapshot.replicas_revision,
             era=snapshot.replicas_era,
+            bytes=len(body),
+            took_ms=_to_ms(began_at),
         )
 
 
+def _to_ms(since: float) -> int:
+    return round((trio.current_time() - since) * 1_000)
+
+
 def _get_age_key(peer: EntryState) -> tuple[int, StorePosition, StorePosition]:
     """Return a key that is higher for a newer snapshot."""
     return (
