--- a/src/hyssopvane/_internal/policy/replica_load.py
+++ b/src/hyssopvane/_internal/policy/replica_load.py
@@ -34,7 +34,7 @@
 UNREACHED_S = 0.1
 """Time for which the loads of a replica must lack requests that were sent to it.
 
-A request waits that long at most for a connection and for its turn to be read.
+A request takes less to a replica that reads, also over a new connection.
 """
 
 _REPORT_DELAY_S = 0.01
